Lay out the workspace, the resource types and the interfaces between processes

The workspace root lists one crate for each concern; the binaries are thin. The resource crate holds the state, its deltas and the digest check that all later crates share. docs/contributing/interfaces.md fixes what the processes say to each other, so that the crates can be written side by side.

--- /dev/null
+++ b/crates/calls/src/lib.rs
@@ -0,0 +1,1 @@
+//! To be written.
--- /dev/null
+++ b/crates/resource/src/lib.rs
@@ -0,0 +1,21 @@
+//! The configuration that stoatstep distributes: resources, the state that
+//! they add up to, and the deltas that lead from one version to the next.
+//!
+//! Everything here is pure data and pure functions, so that the daemon, the
+//! operators' tool, the scripted scenarios and the model checker all share one
+//! meaning of "a valid configuration". See `docs/concepts/configuration.md`.
+
+mod delta;
+mod digest;
+mod ids;
+mod state;
+mod types;
+
+pub use delta::{ApplyError, Delta};
+pub use digest::Digest;
+pub use ids::{
+    InstanceId, OperationId, PolicyName, Revision, RouteName, ServiceName, TenantName,
+    UpstreamName, Version, ZoneName,
+};
+pub use state::{Held, State};
+pub use types::{Key, Kind, Policy, Resource, Retry, Route, Service, TenantLimit, Upstream};
--- /dev/null
+++ b/crates/resource/src/state.rs
@@ -0,0 +1,139 @@
+//! A whole configuration at one version.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::delta::{ApplyError, Delta};
+use crate::digest::Digest;
+use crate::ids::{Revision, Version};
+use crate::types::{Key, Kind, Resource};
+
+/// A resource as a state holds it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The version at which the resource last changed.
+    pub revision: Revision,
+    /// The resource.
+    pub resource: Arc<Resource>,
+}
+
+/// A whole, immutable configuration. A new version is a new `State`: whoever
+/// holds the old one keeps a consistent view until it lets go, and no reader
+/// ever sees a version in part.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    version: Version,
+    resources: BTreeMap<Key, Held>,
+}
+
+impl State {
+    /// The version of this state.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// The resource under `key`.
+    #[must_use]
+    pub fn get(&self, key: &Key) -> Option<&Held> {
+        self.resources.get(key)
+    }
+
+    /// Every resource, ordered by key.
+    pub fn iter(&self) -> impl Iterator<Item = (&Key, &Held)> {
+        self.resources.iter()
+    }
+
+    /// Every resource of one kind, ordered by name.
+    pub fn of_kind(&self, kind: Kind) -> impl Iterator<Item = &Held> {
+        self.iter()
+            .filter(move |(key, _)| key.kind == kind)
+            .map(|(_, held)| held)
+    }
+
+    /// Fingerprint of the version and all that it holds.
+    ///
+    /// # Panics
+    ///
+    /// Never: encoding plain data into memory cannot fail.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        let bytes = rmp_serde::to_vec(self).expect("plain data always encodes");
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&bytes);
+        Digest::of(&hasher)
+    }
+
+    /// The state after `delta`, or why it cannot follow this one. Digest and
+    /// references are checked before anyone can see the result, so that a bad
+    /// version is refused whole.
+    ///
+    /// # Errors
+    ///
+    /// Whatever [`ApplyError`] names; `self` is unchanged then.
+    pub fn apply(&self, delta: &Delta) -> Result<Self, ApplyError> {
+        if delta.version != self.version + 1 {
+            return Err(ApplyError::OutOfOrder {
+                held: self.version,
+                offered: delta.version,
+            });
+        }
+        let next = self.changed(delta.version, &delta.puts, &delta.deletes);
+        let found = next.digest();
+        if found != delta.digest {
+            return Err(ApplyError::DigestMismatch {
+                expected: delta.digest,
+                found,
+            });
+        }
+        next.check_references()?;
+        Ok(next)
+    }
+
+    /// The delta that puts and deletes these resources on top of this state.
+    #[must_use]
+    pub fn delta(&self, puts: Vec<Resource>, deletes: Vec<Key>) -> Delta {
+        let version = self.version + 1;
+        let digest = self.changed(version, &puts, &deletes).digest();
+        Delta {
+            version,
+            puts,
+            deletes,
+            digest,
+        }
+    }
+
+    /// Checks that every reference points at a resource that this state holds.
+    ///
+    /// # Errors
+    ///
+    /// The first [`ApplyError::DanglingReference`] found.
+    pub fn check_references(&self) -> Result<(), ApplyError> {
+        for (from, held) in &self.resources {
+            for to in held.resource.references() {
+                if !self.resources.contains_key(&to) {
+                    let from = from.clone();
+                    return Err(ApplyError::DanglingReference { from, to });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn changed(&self, version: Version, puts: &[Resource], deletes: &[Key]) -> Self {
+        let mut resources = self.resources.clone();
+        for key in deletes {
+            resources.remove(key);
+        }
+        for resource in puts {
+            let held = Held {
+                revision: version,
+                resource: Arc::new(resource.clone()),
+            };
+            resources.insert(resource.key(), held);
+        }
+        Self { version, resources }
+    }
+}
--- /dev/null
+++ b/crates/resource/src/types.rs
@@ -0,0 +1,198 @@
+//! The four kinds of resource that operators write.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::ids::{PolicyName, RouteName, ServiceName, TenantName, UpstreamName};
+
+/// The closed set of resource kinds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// See [`Policy`].
+    Policy,
+    /// See [`Service`].
+    Service,
+    /// See [`Upstream`].
+    Upstream,
+    /// See [`Route`].
+    Route,
+}
+
+impl Kind {
+    /// Every kind, in the order in which references point backwards.
+    pub const ALL: [Self; 4] = [Self::Policy, Self::Service, Self::Upstream, Self::Route];
+
+    /// The kind's name in files, URLs and messages.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Policy => "policy",
+            Self::Service => "service",
+            Self::Upstream => "upstream",
+            Self::Route => "route",
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Names one resource: its kind and its name within that kind.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Key {
+    /// The resource's kind.
+    pub kind: Kind,
+    /// The resource's name.
+    pub name: SmolStr,
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind, self.name)
+    }
+}
+
+/// A service: what callers ask for, carried by its upstreams.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Service {
+    /// Name of the service.
+    pub name: ServiceName,
+    /// Policy for calls whose route names none.
+    pub policy: Option<PolicyName>,
+}
+
+/// An upstream: one target's share of a service. Its address is not written
+/// here, since targets announce themselves.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Upstream {
+    /// Name of the upstream, which the target's daemon announces.
+    pub name: UpstreamName,
+    /// The service that it serves.
+    pub service: ServiceName,
+    /// Calls that the target runs at a time.
+    pub slots: u32,
+    /// Connections that the target accepts at a time.
+    pub connections: u32,
+}
+
+/// A route: which paths belong to which service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Route {
+    /// Name of the route.
+    pub name: RouteName,
+    /// Path prefix; the longest that matches whole path segments wins.
+    pub prefix: SmolStr,
+    /// The service that answers.
+    pub service: ServiceName,
+    /// Policy for these calls; the service's where absent.
+    pub policy: Option<PolicyName>,
+    /// Whether a POST here may run more than once without harm.
+    pub idempotent: bool,
+}
+
+/// A policy: how long calls may take, how they are retried, and what each
+/// tenant may use.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Policy {
+    /// Name of the policy.
+    pub name: PolicyName,
+    /// Longest time of a call whose caller states no deadline.
+    pub timeout: Duration,
+    /// How attempts that did not run are tried again.
+    pub retry: Retry,
+    /// Limits of single tenants; a tenant not named here has weight 1.
+    pub limits: Vec<TenantLimit>,
+}
+
+/// How attempts are tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Retry {
+    /// Attempts for one call, the first one included.
+    pub attempts: u32,
+    /// Retries allowed for each hundred first attempts.
+    pub budget_percent: u32,
+}
+
+/// What one tenant may use of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct TenantLimit {
+    /// The tenant.
+    pub tenant: TenantName,
+    /// Share under overload, relative to the other tenants' weights.
+    pub weight: u32,
+    /// Calls of this tenant that one upstream runs at a time; no bound of its
+    /// own where absent.
+    pub concurrency: Option<u32>,
+}
+
+/// One resource of any kind.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Resource {
+    /// A policy.
+    Policy(Policy),
+    /// A service.
+    Service(Service),
+    /// An upstream.
+    Upstream(Upstream),
+    /// A route.
+    Route(Route),
+}
+
+impl Resource {
+    /// The kind of this resource.
+    #[must_use]
+    pub fn kind(&self) -> Kind {
+        match self {
+            Self::Policy(_) => Kind::Policy,
+            Self::Service(_) => Kind::Service,
+            Self::Upstream(_) => Kind::Upstream,
+            Self::Route(_) => Kind::Route,
+        }
+    }
+
+    /// The key under which the state holds this resource.
+    #[must_use]
+    pub fn key(&self) -> Key {
+        let name = match self {
+            Self::Policy(policy) => &policy.name,
+            Self::Service(service) => &service.name,
+            Self::Upstream(upstream) => &upstream.name,
+            Self::Route(route) => &route.name,
+        };
+        Key {
+            kind: self.kind(),
+            name: name.clone(),
+        }
+    }
+
+    /// The keys that must exist for this resource to mean anything.
+    #[must_use]
+    pub fn references(&self) -> Vec<Key> {
+        let policy = |name: &PolicyName| Key {
+            kind: Kind::Policy,
+            name: name.clone(),
+        };
+        let service = |name: &ServiceName| Key {
+            kind: Kind::Service,
+            name: name.clone(),
+        };
+        match self {
+            Self::Policy(_) => Vec::new(),
+            Self::Service(it) => it.policy.iter().map(policy).collect(),
+            Self::Upstream(it) => vec![service(&it.service)],
+            Self::Route(it) => {
+                let mut keys = vec![service(&it.service)];
+                keys.extend(it.policy.iter().map(policy));
+                keys
+            }
+        }
+    }
+}
