Validate whole states and give the API wire types of its own

Cause: a daemon that takes in a state must be able to trust it, and the operator API, the operators' tool and the daemon need one meaning of its bodies.

Change: `validate` collects every finding of a state with its place.

Ruled out: serialising the domain types themselves, since then no field could change without changing the API; refusing unknown fields in answers, since an older tool must read a newer daemon.

--- a/crates/resource/src/lib.rs
+++ b/crates/resource/src/lib.rs
@@ -7,15 +7,23 @@
 
 mod delta;
 mod digest;
+mod finding;
 mod ids;
 mod state;
 mod types;
+mod validate;
+pub mod wire;
 
 pub use delta::{ApplyError, Delta};
 pub use digest::Digest;
+pub use finding::{Finding, Place};
 pub use ids::{
     InstanceId, OperationId, PolicyName, Revision, RouteName, ServiceName, TenantName,
     UpstreamName, Version, ZoneName,
 };
-pub use state::{Held, State};
+pub use state::{Held, SnapshotError, State};
 pub use types::{Key, Kind, Policy, Resource, Retry, Route, Service, TenantLimit, Upstream};
+pub use validate::{
+    MAX_ATTEMPTS, MAX_BUDGET_PERCENT, MAX_CONNECTIONS, MAX_NAME_LEN, MAX_PREFIX_LEN, MAX_RESOURCES,
+    MAX_SLOTS, MAX_TENANT_LIMITS, MAX_TIMEOUT, MAX_WEIGHT, MIN_TIMEOUT, check_name, validate,
+};
--- a/crates/resource/src/state.rs
+++ b/crates/resource/src/state.rs
@@ -1,6 +1,7 @@
 //! A whole configuration at one version.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -29,6 +30,30 @@
 }
 
 impl State {
+    /// The state that a snapshot describes. What comes from elsewhere is
+    /// checked, since a resource that stood there twice would be lost silently.
+    ///
+    /// # Errors
+    ///
+    /// Whatever [`SnapshotError`] names.
+    pub fn from_snapshot(
+        version: Version,
+        items: impl IntoIterator<Item = Held>,
+    ) -> Result<Self, SnapshotError> {
+        let mut resources = BTreeMap::new();
+        for held in items {
+            let key = held.resource.key();
+            if held.revision > version {
+                let revision = held.revision;
+                return Err(SnapshotError::RevisionAhead { key, revision });
+            }
+            if resources.insert(key.clone(), held).is_some() {
+                return Err(SnapshotError::DuplicateKey { key });
+            }
+        }
+        Ok(Self { version, resources })
+    }
+
     /// The version of this state.
     #[must_use]
     pub fn version(&self) -> Version {
@@ -137,3 +162,43 @@
         Self { version, resources }
     }
 }
+
+/// Why a snapshot does not describe a state.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SnapshotError {
+    /// A resource stands there twice.
+    DuplicateKey {
+        /// The resource.
+        key: Key,
+    },
+    /// A resource claims to have changed after the snapshot was taken.
+    RevisionAhead {
+        /// The resource.
+        key: Key,
+        /// The revision that it claims.
+        revision: Revision,
+    },
+    /// The state's digest is not the one that the writer computed.
+    DigestMismatch {
+        /// The digest in the snapshot.
+        expected: Digest,
+        /// The digest of the state.
+        found: Digest,
+    },
+}
+
+impl fmt::Display for SnapshotError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::DuplicateKey { key } => write!(f, "{key} stands twice in the snapshot"),
+            Self::RevisionAhead { key, revision } => {
+                write!(f, "{key} has revision {revision}, past the snapshot")
+            }
+            Self::DigestMismatch { expected, found } => {
+                write!(f, "digest is {found}, the writer's is {expected}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for SnapshotError {}
--- /dev/null
+++ b/crates/resource/src/validate/mod.rs
@@ -0,0 +1,83 @@
+//! Whether a whole state makes sense.
+//!
+//! A version is accepted only when its whole resulting state passes, so that no
+//! daemon ever has to decide what to do with half a configuration. See
+//! `docs/operators/resources.md` for every rule as an operator sees it.
+
+mod limits;
+mod names;
+mod resources;
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+
+use crate::finding::{Finding, Place};
+use crate::state::State;
+use crate::types::{Key, Kind, Resource};
+
+pub use limits::{
+    MAX_ATTEMPTS, MAX_BUDGET_PERCENT, MAX_CONNECTIONS, MAX_NAME_LEN, MAX_PREFIX_LEN, MAX_RESOURCES,
+    MAX_SLOTS, MAX_TENANT_LIMITS, MAX_TIMEOUT, MAX_WEIGHT, MIN_TIMEOUT,
+};
+pub use names::check_name;
+
+/// Every finding of a whole state, ordered by resource; none where it is valid.
+#[must_use]
+pub fn validate(state: &State) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    check_size(state, &mut findings);
+    for (key, held) in state.iter() {
+        check_key(key, &held.resource, &mut findings);
+        resources::check(&held.resource, &mut findings);
+        check_references(state, &held.resource, &mut findings);
+    }
+    check_prefixes(state, &mut findings);
+    findings.sort();
+    findings
+}
+
+fn check_size(state: &State, findings: &mut Vec<Finding>) {
+    let len = state.iter().count();
+    if len > MAX_RESOURCES {
+        let message = format!("the state has {len} resources; at most {MAX_RESOURCES} are allowed");
+        findings.push(Finding::new(Place::default(), message));
+    }
+}
+
+/// A decoded snapshot could file a resource under another's key. Whoever looks
+/// up the key would then act on the wrong resource, so it is refused here.
+fn check_key(key: &Key, resource: &Resource, findings: &mut Vec<Finding>) {
+    let own = resource.key();
+    if *key != own {
+        let message = format!("holds {own} under another key");
+        findings.push(Finding::new(Place::resource(key.clone()), message));
+    }
+}
+
+fn check_references(state: &State, resource: &Resource, findings: &mut Vec<Finding>) {
+    for target in resource.references() {
+        if state.get(&target).is_none() {
+            let place = Place::field(resource.key(), target.kind.as_str());
+            findings.push(Finding::new(place, format!("{target} does not exist")));
+        }
+    }
+}
+
+/// Two routes with one prefix would leave open which of them a call takes, and
+/// two daemons could choose differently.
+fn check_prefixes(state: &State, findings: &mut Vec<Finding>) {
+    let mut first_with: BTreeMap<&SmolStr, Key> = BTreeMap::new();
+    for held in state.of_kind(Kind::Route) {
+        let Resource::Route(route) = &*held.resource else {
+            continue;
+        };
+        let key = held.resource.key();
+        if let Some(first) = first_with.get(&route.prefix) {
+            let message = format!("prefix \"{}\" belongs to {first} already", route.prefix);
+            findings.push(Finding::new(Place::field(key, "prefix"), message));
+        } else {
+            first_with.insert(&route.prefix, key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/resource/src/validate/resources.rs
@@ -0,0 +1,138 @@
+//! Rules for the fields of one resource.
+
+use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
+
+use smol_str::SmolStr;
+
+use super::limits::{
+    MAX_ATTEMPTS, MAX_BUDGET_PERCENT, MAX_CONNECTIONS, MAX_SLOTS, MAX_TENANT_LIMITS, MAX_TIMEOUT,
+    MAX_WEIGHT, MIN_TIMEOUT,
+};
+use super::names::{check_name, check_prefix};
+use crate::finding::{Finding, Place};
+use crate::types::{Key, Policy, Resource, Route, TenantLimit, Upstream};
+use crate::wire::duration_text;
+
+/// Adds every finding of one resource, seen by itself.
+pub(super) fn check(resource: &Resource, findings: &mut Vec<Finding>) {
+    let mut check = Check {
+        key: resource.key(),
+        findings,
+    };
+    check.name();
+    match resource {
+        Resource::Policy(policy) => check.policy(policy),
+        Resource::Service(_) => {}
+        Resource::Upstream(upstream) => check.upstream(upstream),
+        Resource::Route(route) => check.route(route),
+    }
+}
+
+struct Check<'a> {
+    key: Key,
+    findings: &'a mut Vec<Finding>,
+}
+
+impl Check<'_> {
+    fn add(&mut self, field: impl Into<SmolStr>, message: impl Into<String>) {
+        let place = Place::field(self.key.clone(), field);
+        self.findings.push(Finding::new(place, message));
+    }
+
+    fn name(&mut self) {
+        if let Err(message) = check_name(&self.key.name) {
+            self.add("name", message);
+        }
+    }
+
+    fn within(&mut self, field: impl Into<SmolStr>, value: u32, bounds: RangeInclusive<u32>) {
+        if !bounds.contains(&value) {
+            let (least, most) = bounds.into_inner();
+            self.add(
+                field,
+                format!("is {value}; it must be from {least} to {most}"),
+            );
+        }
+    }
+
+    fn upstream(&mut self, upstream: &Upstream) {
+        self.within("slots", upstream.slots, 1..=MAX_SLOTS);
+        self.within("connections", upstream.connections, 1..=MAX_CONNECTIONS);
+        // A call in a slot needs a connection of its own, so slots beyond the
+        // connections would never be filled and capacity would be overstated.
+        if upstream.connections < upstream.slots {
+            let message = format!(
+                "is {}; it must be at least the number of slots, {}",
+                upstream.connections, upstream.slots
+            );
+            self.add("connections", message);
+        }
+    }
+
+    fn route(&mut self, route: &Route) {
+        if let Err(message) = check_prefix(&route.prefix) {
+            self.add("prefix", message);
+        }
+    }
+
+    fn policy(&mut self, policy: &Policy) {
+        self.timeout(policy);
+        self.within("retry.attempts", policy.retry.attempts, 1..=MAX_ATTEMPTS);
+        self.within(
+            "retry.budget_percent",
+            policy.retry.budget_percent,
+            0..=MAX_BUDGET_PERCENT,
+        );
+        self.tenant_limits(&policy.limits);
+    }
+
+    fn timeout(&mut self, policy: &Policy) {
+        let timeout = policy.timeout;
+        if !(MIN_TIMEOUT..=MAX_TIMEOUT).contains(&timeout) {
+            let message = format!(
+                "is {}; it must be from {} to {}",
+                duration_text(timeout),
+                duration_text(MIN_TIMEOUT),
+                duration_text(MAX_TIMEOUT)
+            );
+            self.add("timeout", message);
+        } else if !timeout.subsec_nanos().is_multiple_of(NANOS_PER_MILLI) {
+            self.add("timeout", "must be whole milliseconds");
+        }
+    }
+
+    fn tenant_limits(&mut self, limits: &[TenantLimit]) {
+        if limits.len() > MAX_TENANT_LIMITS {
+            let message = format!(
+                "names {} tenants; at most {MAX_TENANT_LIMITS} are allowed",
+                limits.len()
+            );
+            self.add("limits", message);
+        }
+        let mut seen = BTreeSet::new();
+        for (i, limit) in limits.iter().enumerate() {
+            self.tenant_limit(i, limit);
+            if !seen.insert(&limit.tenant) {
+                let message = format!("\"{}\" has a limit already", limit.tenant);
+                self.add(format!("limits[{i}].tenant"), message);
+            }
+        }
+    }
+
+    fn tenant_limit(&mut self, i: usize, limit: &TenantLimit) {
+        if let Err(message) = check_name(&limit.tenant) {
+            self.add(format!("limits[{i}].tenant"), message);
+        }
+        self.within(format!("limits[{i}].weight"), limit.weight, 1..=MAX_WEIGHT);
+        if let Some(concurrency) = limit.concurrency {
+            self.within(
+                format!("limits[{i}].concurrency"),
+                concurrency,
+                1..=MAX_SLOTS,
+            );
+        }
+    }
+}
+
+const NANOS_PER_MILLI: u32 = 1_000_000;
--- /dev/null
+++ b/crates/resource/src/wire/change.rs
@@ -0,0 +1,169 @@
+//! Bodies of the operator API that read and change configuration.
+
+use serde::{Deserialize, Serialize};
+
+use super::resource::ResourceWire;
+use crate::delta::Delta;
+use crate::finding::Finding;
+use crate::ids::{OperationId, Revision, Version};
+use crate::state::{Held, State};
+use crate::types::{Key, Kind, Resource};
+
+/// Body of `POST /v1/changes`: one change, all of it or none.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ChangeRequest {
+    /// Kept over all retries, so that a change whose answer was lost takes
+    /// effect once.
+    pub operation: OperationId,
+    /// Resources to create or replace.
+    #[serde(default)]
+    pub puts: Vec<PutWire>,
+    /// Resources to delete.
+    #[serde(default)]
+    pub deletes: Vec<DeleteWire>,
+}
+
+/// A resource to create or replace.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PutWire {
+    /// The resource.
+    pub resource: ResourceWire,
+    /// Revision that must be there; 0: absent; none: whatever is there.
+    #[serde(default)]
+    pub expected: Option<Revision>,
+}
+
+/// A resource to delete.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DeleteWire {
+    /// The resource's key.
+    pub key: Key,
+    /// Revision that must be there; none: whatever is there.
+    #[serde(default)]
+    pub expected: Option<Revision>,
+}
+
+/// What a [`ChangeRequest`] asks for, in domain types.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Id of the operation.
+    pub operation: OperationId,
+    /// Resources to create or replace, with the revision expected there.
+    pub puts: Vec<(Resource, Option<Revision>)>,
+    /// Keys to delete, with the revision expected there.
+    pub deletes: Vec<(Key, Option<Revision>)>,
+}
+
+/// All findings of the request together; what only the whole state can tell is
+/// left to [`crate::validate`].
+impl TryFrom<ChangeRequest> for Change {
+    type Error = Vec<Finding>;
+
+    fn try_from(req: ChangeRequest) -> Result<Self, Vec<Finding>> {
+        let mut findings = super::checks::check_operation(&req.operation);
+        findings.extend(super::checks::check_keys(&req));
+        let mut puts = Vec::with_capacity(req.puts.len());
+        for put in req.puts {
+            match Resource::try_from(put.resource) {
+                Ok(resource) => puts.push((resource, put.expected)),
+                Err(finding) => findings.push(finding),
+            }
+        }
+        if !findings.is_empty() {
+            return Err(findings);
+        }
+        let deletes = req.deletes.into_iter();
+        Ok(Self {
+            operation: req.operation,
+            puts,
+            deletes: deletes.map(|it| (it.key, it.expected)).collect(),
+        })
+    }
+}
+
+/// Answer to a change that took effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeAnswer {
+    /// The version that the change became.
+    pub version: Version,
+}
+
+/// Answer to a change that was refused or lost a race.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FindingsAnswer {
+    /// Everything that stood against it.
+    pub findings: Vec<Finding>,
+}
+
+/// One resource as a state holds it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemWire {
+    /// The version at which it last changed.
+    pub revision: Revision,
+    /// The resource.
+    pub resource: ResourceWire,
+}
+
+impl From<&Held> for ItemWire {
+    fn from(held: &Held) -> Self {
+        Self {
+            revision: held.revision,
+            resource: ResourceWire::from(&*held.resource),
+        }
+    }
+}
+
+/// Answer to a list of resources, all from one version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListAnswer {
+    /// The version that the items belong to; a watch goes on from it.
+    pub version: Version,
+    /// The resources, ordered by key.
+    pub items: Vec<ItemWire>,
+}
+
+impl ListAnswer {
+    /// Every resource of `state`, or those of one kind.
+    #[must_use]
+    pub fn of(state: &State, kind: Option<Kind>) -> Self {
+        let wanted = |key: &Key| kind.is_none_or(|kind| key.kind == kind);
+        let items = state.iter().filter(|(key, _)| wanted(key));
+        Self {
+            version: state.version(),
+            items: items.map(|(_, held)| ItemWire::from(held)).collect(),
+        }
+    }
+}
+
+/// Answer to a watch: the changes after the version asked from, oldest first.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WatchAnswer {
+    /// The version to watch from next.
+    pub version: Version,
+    /// One event for each version; none where nothing changed in time.
+    pub events: Vec<EventWire>,
+}
+
+/// What one version changed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EventWire {
+    /// The version.
+    pub version: Version,
+    /// Resources that are new or replaced.
+    pub puts: Vec<ResourceWire>,
+    /// Resources that are gone.
+    pub deletes: Vec<Key>,
+}
+
+impl From<&Delta> for EventWire {
+    fn from(delta: &Delta) -> Self {
+        Self {
+            version: delta.version,
+            puts: delta.puts.iter().map(ResourceWire::from).collect(),
+            deletes: delta.deletes.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/resource/src/wire/delta.rs
@@ -0,0 +1,81 @@
+//! Deltas and snapshots as daemons and the platform's rows carry them.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::delta::Delta;
+use crate::digest::Digest;
+use crate::ids::{Revision, Version};
+use crate::state::{Held, SnapshotError, State};
+use crate::types::{Key, Resource};
+
+/// See [`Delta`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DeltaWire {
+    version: Version,
+    puts: Vec<Resource>,
+    deletes: Vec<Key>,
+    digest: Digest,
+}
+
+impl From<Delta> for DeltaWire {
+    fn from(delta: Delta) -> Self {
+        Self {
+            version: delta.version,
+            puts: delta.puts,
+            deletes: delta.deletes,
+            digest: delta.digest,
+        }
+    }
+}
+
+impl From<DeltaWire> for Delta {
+    fn from(wire: DeltaWire) -> Self {
+        Self {
+            version: wire.version,
+            puts: wire.puts,
+            deletes: wire.deletes,
+            digest: wire.digest,
+        }
+    }
+}
+
+/// A whole state. Keys are left out, since every resource knows its own.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SnapshotWire {
+    version: Version,
+    items: Vec<(Revision, Arc<Resource>)>,
+    digest: Digest,
+}
+
+impl From<&State> for SnapshotWire {
+    fn from(state: &State) -> Self {
+        let items = state.iter().map(|(_, held)| held);
+        Self {
+            version: state.version(),
+            items: items
+                .map(|held| (held.revision, Arc::clone(&held.resource)))
+                .collect(),
+            digest: state.digest(),
+        }
+    }
+}
+
+impl TryFrom<SnapshotWire> for State {
+    type Error = SnapshotError;
+
+    fn try_from(wire: SnapshotWire) -> Result<Self, SnapshotError> {
+        let items = wire.items.into_iter();
+        let items = items.map(|(revision, resource)| Held { revision, resource });
+        let state = Self::from_snapshot(wire.version, items)?;
+        let found = state.digest();
+        if found != wire.digest {
+            return Err(SnapshotError::DigestMismatch {
+                expected: wire.digest,
+                found,
+            });
+        }
+        Ok(state)
+    }
+}
--- /dev/null
+++ b/crates/resource/src/wire/resource.rs
@@ -0,0 +1,235 @@
+//! A resource as operators read and write it in JSON.
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use super::duration::{duration_text, parse_duration};
+use crate::finding::{Finding, Place};
+use crate::ids::{PolicyName, RouteName, ServiceName, TenantName, UpstreamName};
+use crate::types::{Key, Kind, Policy, Resource, Retry, Route, Service, TenantLimit, Upstream};
+
+/// Any resource: `{"kind": "upstream", "name": ...}`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "lowercase")]
+pub enum ResourceWire {
+    /// A policy.
+    Policy(PolicyWire),
+    /// A service.
+    Service(ServiceWire),
+    /// An upstream.
+    Upstream(UpstreamWire),
+    /// A route.
+    Route(RouteWire),
+}
+
+/// See [`Service`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceWire {
+    /// Name of the service.
+    pub name: ServiceName,
+    /// Policy for calls whose route names none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<PolicyName>,
+}
+
+/// See [`Upstream`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamWire {
+    /// Name of the upstream.
+    pub name: UpstreamName,
+    /// The service that it serves.
+    pub service: ServiceName,
+    /// Calls that the target runs at a time.
+    pub slots: u32,
+    /// Connections that the target accepts at a time.
+    pub connections: u32,
+}
+
+/// See [`Route`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteWire {
+    /// Name of the route.
+    pub name: RouteName,
+    /// Path prefix.
+    pub prefix: SmolStr,
+    /// The service that answers.
+    pub service: ServiceName,
+    /// Policy for these calls; the service's where absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<PolicyName>,
+    /// Whether a POST here may run more than once without harm; `false` where
+    /// absent, since the wrong guess there costs a retry and here a duplicate.
+    #[serde(default)]
+    pub idempotent: bool,
+}
+
+/// See [`Policy`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PolicyWire {
+    /// Name of the policy.
+    pub name: PolicyName,
+    /// Longest time of a call, as text such as `"250ms"`.
+    pub timeout: SmolStr,
+    /// How attempts that did not run are tried again.
+    #[serde(default)]
+    pub retry: RetryWire,
+    /// Limits of single tenants.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<TenantLimitWire>,
+}
+
+/// See [`Retry`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetryWire {
+    /// Attempts for one call, the first one included.
+    pub attempts: u32,
+    /// Retries allowed for each hundred first attempts.
+    pub budget_percent: u32,
+}
+
+/// What a policy that says nothing gets: one retry, within a budget that adds
+/// a fifth to the load at the very most.
+impl Default for RetryWire {
+    fn default() -> Self {
+        Self {
+            attempts: 2,
+            budget_percent: 20,
+        }
+    }
+}
+
+/// See [`TenantLimit`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TenantLimitWire {
+    /// The tenant.
+    pub tenant: TenantName,
+    /// Share under overload; 1 where absent.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+    /// Calls of this tenant that one upstream runs at a time.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub concurrency: Option<u32>,
+}
+
+pub(crate) fn default_weight() -> u32 {
+    1
+}
+
+impl ResourceWire {
+    /// The key of the resource.
+    #[must_use]
+    pub fn key(&self) -> Key {
+        let (kind, name) = match self {
+            Self::Policy(policy) => (Kind::Policy, &policy.name),
+            Self::Service(service) => (Kind::Service, &service.name),
+            Self::Upstream(upstream) => (Kind::Upstream, &upstream.name),
+            Self::Route(route) => (Kind::Route, &route.name),
+        };
+        Key {
+            kind,
+            name: name.clone(),
+        }
+    }
+}
+
+impl TryFrom<ResourceWire> for Resource {
+    type Error = Finding;
+
+    fn try_from(wire: ResourceWire) -> Result<Self, Finding> {
+        let key = wire.key();
+        Ok(match wire {
+            ResourceWire::Policy(policy) => Self::Policy(policy_from(key, policy)?),
+            ResourceWire::Service(service) => Self::Service(Service {
+                name: service.name,
+                policy: service.policy,
+            }),
+            ResourceWire::Upstream(upstream) => Self::Upstream(Upstream {
+                name: upstream.name,
+                service: upstream.service,
+                slots: upstream.slots,
+                connections: upstream.connections,
+            }),
+            ResourceWire::Route(route) => Self::Route(Route {
+                name: route.name,
+                prefix: route.prefix,
+                service: route.service,
+                policy: route.policy,
+                idempotent: route.idempotent,
+            }),
+        })
+    }
+}
+
+fn policy_from(key: Key, wire: PolicyWire) -> Result<Policy, Finding> {
+    let timeout = parse_duration(&wire.timeout)
+        .map_err(|message| Finding::new(Place::field(key, "timeout"), message))?;
+    let limits = wire.limits.into_iter().map(TenantLimit::from).collect();
+    Ok(Policy {
+        name: wire.name,
+        timeout,
+        retry: Retry {
+            attempts: wire.retry.attempts,
+            budget_percent: wire.retry.budget_percent,
+        },
+        limits,
+    })
+}
+
+impl From<TenantLimitWire> for TenantLimit {
+    fn from(wire: TenantLimitWire) -> Self {
+        Self {
+            tenant: wire.tenant,
+            weight: wire.weight,
+            concurrency: wire.concurrency,
+        }
+    }
+}
+
+impl From<&TenantLimit> for TenantLimitWire {
+    fn from(limit: &TenantLimit) -> Self {
+        Self {
+            tenant: limit.tenant.clone(),
+            weight: limit.weight,
+            concurrency: limit.concurrency,
+        }
+    }
+}
+
+impl From<&Resource> for ResourceWire {
+    fn from(resource: &Resource) -> Self {
+        match resource {
+            Resource::Policy(policy) => Self::Policy(PolicyWire {
+                name: policy.name.clone(),
+                timeout: duration_text(policy.timeout).into(),
+                retry: RetryWire {
+                    attempts: policy.retry.attempts,
+                    budget_percent: policy.retry.budget_percent,
+                },
+                limits: policy.limits.iter().map(TenantLimitWire::from).collect(),
+            }),
+            Resource::Service(service) => Self::Service(ServiceWire {
+                name: service.name.clone(),
+                policy: service.policy.clone(),
+            }),
+            Resource::Upstream(upstream) => Self::Upstream(UpstreamWire {
+                name: upstream.name.clone(),
+                service: upstream.service.clone(),
+                slots: upstream.slots,
+                connections: upstream.connections,
+            }),
+            Resource::Route(route) => Self::Route(RouteWire {
+                name: route.name.clone(),
+                prefix: route.prefix.clone(),
+                service: route.service.clone(),
+                policy: route.policy.clone(),
+                idempotent: route.idempotent,
+            }),
+        }
+    }
+}
