--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,344 @@
+//! The platform over HTTP.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ntex::SharedCfg;
+use ntex::client::error::{ClientError, ConnectError};
+use ntex::client::{Client, ClientResponse, Connector};
+use ntex::http::{Method, StatusCode};
+use ntex::io::IoConfig;
+use ntex::time::{Millis, Seconds, timeout};
+use ntex::util::Bytes;
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
+
+use crate::api::Platform;
+use crate::error::PlatformError;
+use crate::request::{CommitAnswer, CommitRequest, ReadAnswer, ReadRequest};
+use crate::usage::{Usage, UsageCounters};
+use crate::wire::{self, MAX_BODY, MAX_KEY, MAX_OBJECT, WireError, header};
+
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
+const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const DEFAULT_CONNECTIONS: usize = 8;
+
+/// An idle connection is closed by us before the platform closes it. A request
+/// that is sent just as the other end hangs up is lost with its answer, and a
+/// write would end as "unknown" for nothing.
+const KEEP_ALIVE: Seconds = Seconds(10);
+
+/// How long after the last answer a refusal without a hint asks to come back.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Builds an [`HttpPlatform`].
+#[derive(Clone, Debug)]
+pub struct HttpPlatformBuilder {
+    addr: SocketAddr,
+    zone: SmolStr,
+    timeout: Duration,
+    connect_timeout: Duration,
+    connections: usize,
+}
+
+impl HttpPlatformBuilder {
+    /// Longest time from sending a request to the end of its answer; 2 s by
+    /// default. A longer one waits out a slow platform, a shorter one turns
+    /// more answers into [`PlatformError::Unknown`].
+    #[must_use]
+    pub fn timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    /// Longest time to open a connection; 500 ms by default. What it cuts off
+    /// was never sent, hence ends as [`PlatformError::Unavailable`].
+    #[must_use]
+    pub fn connect_timeout(mut self, timeout: Duration) -> Self {
+        self.connect_timeout = timeout;
+        self
+    }
+
+    /// Connections at a time; 8 by default. Requests beyond wait for one.
+    #[must_use]
+    pub fn connections(mut self, connections: usize) -> Self {
+        self.connections = connections;
+        self
+    }
+
+    /// Builds the client; no connection is opened yet.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError::Unavailable`] if the client cannot be set up.
+    pub async fn build(self) -> Result<HttpPlatform, PlatformError> {
+        let connector = Connector::new()
+            .limit(self.connections)
+            .keep_alive(KEEP_ALIVE);
+        let io = IoConfig::new().set_connect_timeout(millis(self.connect_timeout));
+        let client = Client::builder()
+            .connector::<()>(connector)
+            .disable_redirects()
+            .no_default_headers()
+            .disable_timeout()
+            .build(SharedCfg::new("platform").add(io))
+            .await
+            .map_err(|e| unavailable(e.to_smolstr()))?;
+        Ok(HttpPlatform {
+            client,
+            addr: self.addr,
+            zone: self.zone,
+            timeout: self.timeout,
+            usage: UsageCounters::default(),
+        })
+    }
+}
+
+/// A client of the platform's service.
+///
+/// It sends each request once. Whether to try again is decided by the pure
+/// code that knows what the request was for.
+pub struct HttpPlatform {
+    client: Client,
+    addr: SocketAddr,
+    zone: SmolStr,
+    timeout: Duration,
+    usage: UsageCounters,
+}
+
+impl fmt::Debug for HttpPlatform {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HttpPlatform")
+            .field("addr", &self.addr)
+            .field("zone", &self.zone)
+            .finish_non_exhaustive()
+    }
+}
+
+/// One request before it is sent.
+struct Outgoing {
+    method: Method,
+    path: String,
+    body: Vec<u8>,
+    /// Bytes of an answer that are still read.
+    limit: usize,
+}
+
+impl HttpPlatform {
+    /// Starts to build a client of the platform at `addr`, for a caller in
+    /// this availability zone.
+    #[must_use]
+    pub fn builder(addr: SocketAddr, zone: impl Into<SmolStr>) -> HttpPlatformBuilder {
+        HttpPlatformBuilder {
+            addr,
+            zone: zone.into(),
+            timeout: DEFAULT_TIMEOUT,
+            connect_timeout: DEFAULT_CONNECT_TIMEOUT,
+            connections: DEFAULT_CONNECTIONS,
+        }
+    }
+
+    /// What was asked so far.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        self.usage.get()
+    }
+
+    async fn send(&self, out: Outgoing) -> Result<Bytes, PlatformError> {
+        let result = match timeout(millis(self.timeout), self.exchange(out)).await {
+            Ok(result) => result,
+            // The request may have left before time ran out.
+            Err(()) => Err(unknown("timeout")),
+        };
+        if result.is_err() {
+            self.usage.update(|usage| usage.failed += 1);
+        }
+        result
+    }
+
+    async fn exchange(&self, out: Outgoing) -> Result<Bytes, PlatformError> {
+        let url = format!("http://{}{}", self.addr, out.path);
+        let req = self
+            .client
+            .request(out.method, url)
+            .header(header::ZONE, self.zone.as_str());
+        let sent = out.path.len() + header_bytes(req.headers()) + out.body.len();
+        self.usage.update(|usage| usage.bytes_sent += sent as u64);
+        let res = req.send_body(out.body).await.map_err(from_client_error)?;
+        let body = res.body().limit(out.limit).timeout(Millis::ZERO).await;
+        let body = body.map_err(|e| unknown(format_smolstr!("answer cut short: {e}")))?;
+        let received = header_bytes(res.headers()) + body.len();
+        self.usage
+            .update(|usage| usage.bytes_received += received as u64);
+        from_status(&res, &body)?;
+        Ok(body)
+    }
+
+    async fn object(
+        &self,
+        method: Method,
+        name: &str,
+        body: Vec<u8>,
+    ) -> Result<Bytes, PlatformError> {
+        if !is_object_name(name) {
+            return Err(PlatformError::Refused {
+                reason: format_smolstr!("{name:?} is no object name"),
+            });
+        }
+        self.send(Outgoing {
+            method,
+            path: format!("/objects/{name}"),
+            body,
+            limit: MAX_OBJECT,
+        })
+        .await
+    }
+}
+
+impl Platform for HttpPlatform {
+    async fn read(&self, req: ReadRequest) -> Result<ReadAnswer, PlatformError> {
+        self.usage.update(|usage| usage.reads += 1);
+        let shape = (req.gets.len(), req.ranges.len());
+        let out = Outgoing {
+            method: Method::POST,
+            path: "/table/read".to_owned(),
+            body: wire::encode_read(req),
+            limit: MAX_BODY,
+        };
+        let body = self.send(out).await?;
+        let answer = wire::decode_read_answer(&body).map_err(|e| bad_answer(&e))?;
+        // An answer of another shape would be read as if rows were absent.
+        if (answer.rows.len(), answer.ranges.len()) != shape {
+            return Err(PlatformError::BadAnswer {
+                reason: "the answer has other items than the request".into(),
+            });
+        }
+        Ok(answer)
+    }
+
+    async fn commit(&self, req: CommitRequest) -> Result<CommitAnswer, PlatformError> {
+        self.usage.update(|usage| usage.commits += 1);
+        let out = Outgoing {
+            method: Method::POST,
+            path: "/table/commit".to_owned(),
+            body: wire::encode_commit(req),
+            limit: MAX_BODY,
+        };
+        let body = self.send(out).await?;
+        wire::decode_commit_answer(&body).map_err(|e| bad_answer(&e))
+    }
+
+    async fn get_object(&self, name: &str) -> Result<Vec<u8>, PlatformError> {
+        self.usage.update(|usage| usage.object_reads += 1);
+        let body = self.object(Method::GET, name, Vec::new()).await?;
+        Ok(body.to_vec())
+    }
+
+    async fn put_object(&self, name: &str, bytes: Vec<u8>) -> Result<(), PlatformError> {
+        self.usage.update(|usage| usage.object_writes += 1);
+        self.object(Method::PUT, name, bytes).await.map(drop)
+    }
+
+    async fn delete_object(&self, name: &str) -> Result<(), PlatformError> {
+        self.usage.update(|usage| usage.object_writes += 1);
+        match self.object(Method::DELETE, name, Vec::new()).await {
+            Ok(_) | Err(PlatformError::NotFound) => Ok(()),
+            Err(e) => Err(e),
+        }
+    }
+
+    async fn list_objects(&self, prefix: &str) -> Result<Vec<SmolStr>, PlatformError> {
+        self.usage.update(|usage| usage.object_reads += 1);
+        let out = Outgoing {
+            method: Method::GET,
+            path: format!("/objects?prefix={prefix}"),
+            body: Vec::new(),
+            limit: MAX_BODY,
+        };
+        let body = self.send(out).await?;
+        wire::decode_names(&body).map_err(|e| bad_answer(&e))
+    }
+}
+
+/// Object names go into a URL as they are, hence the small alphabet.
+fn is_object_name(name: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "/_.-".contains(c);
+    !name.is_empty() && name.len() <= MAX_KEY && name.chars().all(allowed)
+}
+
+fn header_bytes(headers: &ntex::http::HeaderMap) -> usize {
+    const SEPARATORS: usize = ": \r\n".len();
+    headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS)
+        .sum()
+}
+
+fn millis(duration: Duration) -> Millis {
+    Millis(u32::try_from(duration.as_millis()).unwrap_or(u32::MAX))
+}
+
+fn unavailable(reason: SmolStr) -> PlatformError {
+    PlatformError::Unavailable {
+        reason,
+        retry_after: None,
+    }
+}
+
+fn unknown(reason: impl Into<SmolStr>) -> PlatformError {
+    PlatformError::Unknown {
+        reason: reason.into(),
+    }
+}
+
+fn bad_answer(e: &WireError) -> PlatformError {
+    PlatformError::BadAnswer {
+        reason: e.to_smolstr(),
+    }
+}
+
+/// Sorts the client's errors into "never sent" and "maybe sent".
+///
+/// The client reports a connection that ended while it waited for the answer
+/// as `Connect(Disconnected(None))`, as if it had never connected. Taking it
+/// for a failed connect would turn a write that took effect into "not done",
+/// and the retry into a duplicate; a failed connect has a cause.
+fn from_client_error(e: ClientError) -> PlatformError {
+    match e {
+        ClientError::Connect(ConnectError::Disconnected(None)) => {
+            unknown("connection ended before the answer")
+        }
+        ClientError::Connect(e) => unavailable(e.to_smolstr()),
+        ClientError::Url(_) | ClientError::Http(_) => PlatformError::Refused {
+            reason: e.to_smolstr(),
+        },
+        e => unknown(e.to_smolstr()),
+    }
+}
+
+/// Sorts the statuses: only those by which the service itself says that it
+/// did nothing count as not done; a 500 or a gateway's 502 tells nothing.
+fn from_status(res: &ClientResponse, body: &[u8]) -> Result<(), PlatformError> {
+    let status = res.status();
+    if status.is_success() {
+        return Ok(());
+    }
+    let reason = || format_smolstr!("{}: {}", status, String::from_utf8_lossy(body));
+    Err(match status {
+        StatusCode::NOT_FOUND => PlatformError::NotFound,
+        StatusCode::TOO_MANY_REQUESTS => PlatformError::Throttled {
+            retry_after: retry_after(res).unwrap_or(DEFAULT_RETRY_AFTER),
+        },
+        StatusCode::SERVICE_UNAVAILABLE => PlatformError::Unavailable {
+            reason: reason(),
+            retry_after: retry_after(res),
+        },
+        status if status.is_client_error() => PlatformError::Refused { reason: reason() },
+        _ => unknown(reason()),
+    })
+}
+
+fn retry_after(res: &ClientResponse) -> Option<Duration> {
+    let value = res.header(header::RETRY_AFTER_MS)?.to_str().ok()?;
+    value.parse().ok().map(Duration::from_millis)
+}
