Find out who is in the fleet by gossip and probes

Targets come and go, nobody keeps a list of them, and the platform's rows outlive both crashes and outages.

Ruled out: heartbeats from everyone to everyone (thousands of bytes a second in a zone of 76) and removal by a lapsed row (an outage would drain tables).

Tests run the machines under virtual time: cut zone, lost link, freeze, restart with the platform out, a successor under the same id, stale rows.

--- /dev/null
+++ b/crates/membership/src/hearing.rs
@@ -0,0 +1,240 @@
+//! Taking in what peers say, and what their silence means.
+
+use crate::action::Action;
+use crate::machine::Membership;
+use crate::member::{Member, MemberKey, MemberState, Time};
+use crate::table::Merge;
+use crate::wire::{Exchange, Row, Word};
+
+/// Exchanges in a row with another table digest before a table is pulled: news
+/// on its way makes digests differ for a moment, and that heals by itself.
+const MISMATCHES_BEFORE_PULL: u32 = 3;
+
+/// The same while this daemon itself has news to pass on.
+const MISMATCHES_WITH_NEWS: u32 = 15;
+
+/// Age of the process until which it pulls tables at the first mismatch: in a
+/// herd of restarts the first peers that it meets know as little as it does.
+const SETTLING: Time = Time::from_secs(10);
+
+/// Rows and words that one message may carry; the rest is ignored, so that a
+/// broken peer cannot make this daemon work without bound.
+const MAX_NEWS: usize = 64;
+
+/// Rows that a pulled table may carry.
+const MAX_TABLE: usize = 4096;
+
+impl Membership {
+    pub(crate) fn replied(&mut self, now: Time, peer: MemberKey, reply: Exchange) {
+        if reply.from != peer {
+            // Another instance took over the address: the expected one is gone.
+            self.unreached(now, peer);
+            return;
+        }
+        self.helpers.settle(peer);
+        self.note_contact(now, peer, true);
+        let introduce = reply.introduce;
+        self.hear(now, peer, reply);
+        let Some(entry) = self.table.get_mut(peer) else {
+            return;
+        };
+        entry.unreached = false;
+        entry.contacts = if introduce { 0 } else { entry.contacts + 1 };
+        if !entry.confirmed {
+            entry.confirmed = true;
+            self.changed(peer);
+        }
+        if introduce {
+            self.spread(self.me);
+        }
+    }
+
+    /// Takes in a message, whether request or reply.
+    pub(crate) fn hear(&mut self, now: Time, from: MemberKey, message: Exchange) {
+        let (own, rows): (Vec<_>, Vec<_>) = message
+            .rows
+            .into_iter()
+            .take(MAX_NEWS)
+            .partition(|row| row.key() == from);
+        for row in own {
+            self.hear_row(row);
+        }
+        let Some(entry) = self.table.get_mut(from) else {
+            return;
+        };
+        entry.version = entry.version.max(message.mark.version);
+        let addr = entry.member.peer;
+        if message.incarnation < entry.member.incarnation {
+            // The sender is an older life of this instance, or has not heard of
+            // its latest state. Its view may be from before a freeze: taking
+            // its words would bring back what the fleet has overruled.
+            return;
+        }
+        for row in rows {
+            self.hear_row(row);
+        }
+        for word in message.words.into_iter().take(MAX_NEWS) {
+            self.hear_word(word);
+        }
+        self.hear_head_age(now, message.head_age);
+        self.actions.push(Action::PeerHolds {
+            peer: from,
+            addr,
+            mark: message.mark,
+            floor: message.floor,
+        });
+        self.compare_tables(now, from, message.table);
+        self.has_met = true;
+    }
+
+    fn hear_head_age(&mut self, now: Time, age: u16) {
+        if age == u16::MAX {
+            return;
+        }
+        let at = now.saturating_sub(Time::from_secs(age.into()));
+        if self.head_read.is_none_or(|known| known < at) {
+            self.head_read = Some(at);
+        }
+    }
+
+    fn hear_row(&mut self, row: Row) {
+        let Ok(member) = Member::try_from(row) else {
+            return;
+        };
+        let key = member.key();
+        if key == self.me {
+            self.hear_of_self(&member);
+            return;
+        }
+        // A death of someone unknown here is no news, and taking it up would let
+        // the dead go round between tables that forget them at different times.
+        if self.table.get(key).is_none() && !member.is_present() {
+            return;
+        }
+        if self.table.merge_row(member, true) == Merge::Changed {
+            self.changed(key);
+        }
+    }
+
+    fn hear_word(&mut self, Word(key, incarnation, state): Word) {
+        let state = MemberState::from(state);
+        if key == self.me {
+            self.refute(incarnation, state);
+            return;
+        }
+        if self.table.merge_word(key, incarnation, state) == Merge::Changed {
+            self.changed(key);
+        }
+    }
+
+    /// A row about this instance: of this process, of an earlier one, or of a
+    /// newer one that runs while this one was frozen. A process that met nobody
+    /// yet can't be the older one: it started just now, by a clock that went
+    /// back.
+    fn hear_of_self(&mut self, row: &Member) {
+        let birth = self.own().member.birth;
+        if row.birth > birth && self.has_met {
+            self.actions.push(Action::Superseded { birth: row.birth });
+            return;
+        }
+        let state = if row.birth == birth {
+            row.state
+        } else {
+            MemberState::Dead
+        };
+        self.refute(row.incarnation, state);
+    }
+
+    /// Answers a word that overrules this daemon's own by one that overrules it
+    /// in turn. A leaving daemon stays leaving, under the higher incarnation.
+    fn refute(&mut self, incarnation: u64, state: MemberState) {
+        if (incarnation, state) <= self.own().rank() {
+            return;
+        }
+        self.raise_incarnation(incarnation);
+        let is_of_former_life = !self.has_met;
+        let me = self.me;
+        if is_of_former_life && let Some(own) = self.table.get_mut(me) {
+            own.member.birth = own.member.incarnation;
+        }
+    }
+
+    pub(crate) fn raise_incarnation(&mut self, above: u64) {
+        let me = self.me;
+        if let Some(own) = self.table.get_mut(me) {
+            own.member.incarnation = own.member.incarnation.max(above) + 1;
+        }
+        self.spread(me);
+    }
+
+    fn compare_tables(&mut self, now: Time, peer: MemberKey, digest: u64) {
+        if digest == self.table.digest() {
+            self.mismatches = 0;
+            return;
+        }
+        self.mismatches += 1;
+        let is_young = now < SETTLING;
+        let patience = match (is_young, self.updates.is_empty()) {
+            (true, _) => 1,
+            (false, true) => MISMATCHES_BEFORE_PULL,
+            (false, false) => MISMATCHES_WITH_NEWS,
+        };
+        if self.mismatches >= patience && self.next_pull <= now {
+            self.pull_table(now, peer, is_young);
+        }
+    }
+
+    fn pull_table(&mut self, now: Time, peer: MemberKey, is_young: bool) {
+        let Some(entry) = self.table.get(peer) else {
+            return;
+        };
+        let interval = self.config.pull_interval;
+        self.next_pull = now + if is_young { interval / 5 } else { interval };
+        self.mismatches = 0;
+        self.actions.push(Action::PullTable {
+            addr: entry.member.peer,
+            zones: self.table.zone_digests(),
+        });
+    }
+
+    pub(crate) fn table_pulled(&mut self, rows: Vec<Row>) {
+        for row in rows.into_iter().take(MAX_TABLE) {
+            self.hear_row(row);
+        }
+        self.has_met = true;
+    }
+
+    pub(crate) fn announced(&mut self, rows: Vec<Row>) {
+        for row in rows.into_iter().take(MAX_TABLE) {
+            let Ok(member) = Member::try_from(row) else {
+                continue;
+            };
+            if member.key() == self.me {
+                self.hear_of_self(&member);
+            } else {
+                self.table.merge_row(member, false);
+            }
+        }
+    }
+
+    pub(crate) fn changed(&mut self, key: MemberKey) {
+        self.spread(key);
+        self.actions.push(Action::Changed(key));
+    }
+
+    fn note_contact(&mut self, now: Time, peer: MemberKey, reached: bool) {
+        let Some(entry) = self.table.get(peer) else {
+            return;
+        };
+        let zone = entry.member.zone.clone();
+        let own_zone = self.is_own_zone(entry);
+        if let Some(reachable) = self.guard.note(now, peer, &zone, own_zone, reached) {
+            self.actions.push(Action::ZoneReachable { zone, reachable });
+        }
+    }
+
+    pub(crate) fn leave(&mut self) {
+        let me = self.me;
+        self.pronounce(me, MemberState::Leaving);
+    }
+}
--- /dev/null
+++ b/crates/membership/src/machine.rs
@@ -0,0 +1,246 @@
+//! The membership state machine: what it holds and how inputs reach its parts.
+
+use rand::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+use crate::action::{Action, Input};
+use crate::config::Config;
+use crate::guard::Guard;
+use crate::member::{Member, MemberKey, MemberState, Time};
+use crate::probe::{Helpers, Round};
+use crate::table::{Entry, Table};
+use crate::updates::Updates;
+use crate::wire::{Announcement, Exchange, Mark, Row, Word, ZoneDigest};
+
+/// Membership as one daemon sees it. See the crate's documentation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Membership {
+    pub(crate) config: Config,
+    pub(crate) me: MemberKey,
+    pub(crate) table: Table,
+    pub(crate) updates: Updates,
+    pub(crate) guard: Guard,
+    pub(crate) round: Round,
+    pub(crate) helpers: Helpers,
+    pub(crate) rng: Xoshiro256PlusPlus,
+    pub(crate) mark: Mark,
+    pub(crate) head_read: Option<Time>,
+    pub(crate) last_tick: Option<Time>,
+    pub(crate) next_probe: Time,
+    pub(crate) probes: u32,
+    pub(crate) next_pull: Time,
+    pub(crate) mismatches: u32,
+    pub(crate) has_met: bool,
+    pub(crate) actions: Vec<Action>,
+}
+
+impl Membership {
+    /// A machine for the daemon described by `me`, alone in its table.
+    #[must_use]
+    pub fn new(me: Member, config: Config, seed: u64) -> Self {
+        let key = me.key();
+        let mut table = Table::default();
+        table.merge_row(me, true);
+        let mut updates = Updates::default();
+        updates.add(key, 1);
+        Self {
+            config,
+            me: key,
+            table,
+            updates,
+            guard: Guard::default(),
+            round: Round::default(),
+            helpers: Helpers::default(),
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            mark: Mark::default(),
+            head_read: None,
+            last_tick: None,
+            next_probe: Time::ZERO,
+            probes: 0,
+            next_pull: Time::ZERO,
+            mismatches: 0,
+            has_met: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes one input and returns what is to be done, in order.
+    pub fn handle(&mut self, now: Time, input: Input) -> Vec<Action> {
+        match input {
+            Input::Tick => self.tick(now),
+            Input::Replied { peer, reply } => self.replied(now, peer, reply),
+            Input::Unreached { peer } => self.unreached(now, peer),
+            Input::Helped { target, reached } => self.helped(now, target, reached),
+            Input::TablePulled { rows } => self.table_pulled(rows),
+            Input::Announced { rows } => self.announced(rows),
+            Input::Leave => self.leave(),
+            Input::Holds(mark) => self.mark = mark,
+            Input::HeadRead => self.head_read = Some(now),
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Answers a peer's exchange.
+    pub fn answer(&mut self, now: Time, message: Exchange) -> (Exchange, Vec<Action>) {
+        let from = message.from;
+        let incarnation = message.incarnation;
+        self.hear(now, from, message);
+        let mut reply = self.compose(now, from);
+        let known = self.table.get(from).map(|it| it.member.incarnation);
+        reply.introduce = known.is_none();
+        if known.is_some_and(|known| incarnation < known) {
+            // A process that was replaced while it was frozen stops only when
+            // it hears of its successor.
+            self.tell(&mut reply, from);
+        }
+        (reply, std::mem::take(&mut self.actions))
+    }
+
+    /// Answers a peer's request for the rows of the zones that differ. The dead
+    /// are among them, so that who heard of no death learns it.
+    #[must_use]
+    pub fn rows_for(&self, theirs: &[ZoneDigest]) -> Vec<Row> {
+        let mine = self.table.zone_digests();
+        let same = |zone: &str| {
+            let of = |digests: &[ZoneDigest]| {
+                let found = digests.iter().find(|it| it.0 == zone);
+                found.map(|it| it.1)
+            };
+            of(theirs).is_some() && of(theirs) == of(&mine)
+        };
+        self.table
+            .iter()
+            .filter(|(_, entry)| entry.confirmed && !same(&entry.member.zone))
+            .map(|(_, entry)| Row::from(&entry.member))
+            .collect()
+    }
+
+    /// The key of this daemon.
+    #[must_use]
+    pub fn me(&self) -> MemberKey {
+        self.me
+    }
+
+    /// This daemon's own entry.
+    ///
+    /// # Panics
+    ///
+    /// Never: the own entry is made with the table and never forgotten.
+    #[must_use]
+    pub fn own(&self) -> &Entry {
+        self.table
+            .get(self.me)
+            .expect("the own entry is never forgotten")
+    }
+
+    /// The table of members.
+    #[must_use]
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Whether probes to this zone succeed, as far as was tried. Being
+    /// unreachable never makes anyone dead: only its own zone may say so.
+    #[must_use]
+    pub fn is_reachable(&self, zone: &str) -> bool {
+        self.guard.reachable(zone)
+    }
+
+    /// Whether this daemon seems to be cut off from everyone.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        self.guard.cut_off()
+    }
+
+    /// Time since anyone that this daemon heard of read the platform's head.
+    #[must_use]
+    pub fn head_age(&self, now: Time) -> Option<Time> {
+        self.head_read.map(|at| now.saturating_sub(at))
+    }
+
+    /// What to write into the announcement row.
+    #[must_use]
+    pub fn announcement(&self) -> Announcement {
+        Announcement {
+            row: Row::from(&self.own().member),
+            version: self.mark.version,
+        }
+    }
+
+    /// A message for one peer with the news that is due.
+    pub(crate) fn compose(&mut self, now: Time, peer: MemberKey) -> Exchange {
+        let mut message = self.bare(now, peer);
+        for key in self.updates.take() {
+            self.tell(&mut message, key);
+        }
+        let Some(entry) = self.table.get(peer) else {
+            return message;
+        };
+        if entry.member.state != MemberState::Alive {
+            self.tell(&mut message, peer);
+        }
+        let knows_me = entry.confirmed && entry.member.is_present() && entry.contacts > 0;
+        if !knows_me {
+            self.tell(&mut message, self.me);
+        }
+        message
+    }
+
+    fn bare(&self, now: Time, peer: MemberKey) -> Exchange {
+        // Rounded up: rounded down, two daemons would tell each other "just now"
+        // for ever, and nobody would notice that the platform is gone.
+        let age = self.head_age(now).map_or(u64::MAX, |age| age.as_secs() + 1);
+        Exchange {
+            from: self.me,
+            incarnation: self.own().member.incarnation,
+            mark: self.mark,
+            floor: self.table.get(peer).map_or(0, |entry| entry.version),
+            head_age: u16::try_from(age).unwrap_or(u16::MAX),
+            table: self.table.digest(),
+            introduce: false,
+            words: Vec::new(),
+            rows: Vec::new(),
+        }
+    }
+
+    /// Adds a member's state to a message: as a row where the receiver may lack
+    /// its addresses, as a word otherwise.
+    fn tell(&self, message: &mut Exchange, key: MemberKey) {
+        let Some(entry) = self.table.get(key).filter(|it| it.confirmed) else {
+            return;
+        };
+        let member = &entry.member;
+        let is_told = message.words.iter().any(|it| it.0 == key)
+            || message.rows.iter().any(|it| it.key() == key);
+        if is_told {
+            return;
+        }
+        if member.state == MemberState::Alive {
+            message.rows.push(Row::from(member));
+        } else {
+            let word = Word(key, member.incarnation, member.state.into());
+            message.words.push(word);
+        }
+    }
+
+    pub(crate) fn spread(&mut self, key: MemberKey) {
+        let fleet = self.table.present().count();
+        self.updates.add(key, fleet);
+    }
+
+    pub(crate) fn is_own_zone(&self, entry: &Entry) -> bool {
+        entry.member.zone == self.own().member.zone
+    }
+
+    pub(crate) fn send(&mut self, now: Time, peer: MemberKey) {
+        let Some(addr) = self.table.get(peer).map(|entry| entry.member.peer) else {
+            return;
+        };
+        let message = self.compose(now, peer);
+        self.actions.push(Action::Exchange {
+            peer,
+            addr,
+            message,
+        });
+    }
+}
--- /dev/null
+++ b/crates/membership/src/silence.rs
@@ -0,0 +1,78 @@
+//! What the silence of a peer means.
+
+use rand::seq::IndexedRandom;
+
+use crate::action::Action;
+use crate::machine::Membership;
+use crate::member::{MemberKey, MemberState, Time};
+use crate::table::Merge;
+
+impl Membership {
+    /// A peer did not answer. Only an own-zone peer comes under suspicion, and
+    /// only after helpers failed as well: another zone that can't be reached is
+    /// most likely cut off, and its members go on serving their own callers.
+    pub(crate) fn unreached(&mut self, now: Time, peer: MemberKey) {
+        let Some(entry) = self.table.get_mut(peer) else {
+            return;
+        };
+        if !entry.confirmed || !entry.member.is_present() {
+            return;
+        }
+        entry.unreached = true;
+        entry.contacts = 0;
+        let state = entry.member.state;
+        self.note_contact(now, peer, false);
+        let own_zone = self.table.get(peer).is_some_and(|it| self.is_own_zone(it));
+        if !own_zone || self.guard.cut_off() {
+            return;
+        }
+        match state {
+            MemberState::Alive => self.ask_helpers(now, peer),
+            MemberState::Leaving => self.pronounce(peer, MemberState::Dead),
+            MemberState::Suspect | MemberState::Dead => {}
+        }
+    }
+
+    fn ask_helpers(&mut self, now: Time, target: MemberKey) {
+        if self.helpers.is_asked(target) {
+            return;
+        }
+        let zone = &self.own().member.zone;
+        let candidates: Vec<_> = self
+            .table
+            .in_zone(zone)
+            .filter(|(key, entry)| *key != target && *key != self.me && !entry.unreached)
+            .map(|(_, entry)| entry.member.peer)
+            .collect();
+        let chosen: Vec<_> = candidates
+            .sample(&mut self.rng, self.config.helpers)
+            .copied()
+            .collect();
+        if chosen.is_empty() {
+            self.pronounce(target, MemberState::Suspect);
+            return;
+        }
+        self.helpers.ask(now, target, chosen.len());
+        for addr in chosen {
+            self.actions.push(Action::AskHelper { addr, target });
+        }
+    }
+
+    pub(crate) fn helped(&mut self, now: Time, target: MemberKey, reached: bool) {
+        self.guard.expire(now);
+        let all_failed = self.helpers.answered(target, reached);
+        if all_failed && !self.guard.cut_off() {
+            self.pronounce(target, MemberState::Suspect);
+        }
+    }
+
+    /// Says a word about a member on this daemon's own finding.
+    pub(crate) fn pronounce(&mut self, key: MemberKey, state: MemberState) {
+        let Some(incarnation) = self.table.get(key).map(|it| it.member.incarnation) else {
+            return;
+        };
+        if self.table.merge_word(key, incarnation, state) == Merge::Changed {
+            self.changed(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/table.rs
@@ -0,0 +1,207 @@
+//! The table of members.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::member::{Incarnation, Member, MemberKey, MemberState, Time};
+use crate::wire::ZoneDigest;
+
+/// A member with what this daemon knows of it beside its row.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Entry {
+    /// The member as last heard.
+    pub member: Member,
+    /// Highest configuration version that it reported.
+    pub version: u64,
+    /// Whether it, or a peer that met it, spoke for it. A row that only the
+    /// platform showed is a hint where to knock: it may be of an instance that
+    /// died long ago, and must not come back to life through it.
+    pub confirmed: bool,
+    /// Whether the last contact of this daemon with it failed.
+    pub unreached: bool,
+    pub(crate) suspect_until: Option<Time>,
+    pub(crate) dead_since: Option<Time>,
+    pub(crate) next_contact: Time,
+    pub(crate) contacts: u32,
+}
+
+/// What a merge changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Merge {
+    /// Nothing: the word was old, or already known.
+    Stale,
+    /// A word about a member whose row is missing here.
+    Unknown,
+    /// The member is new here or is heard of in another state or incarnation.
+    Changed,
+}
+
+/// All members that this daemon knows, itself included.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Table {
+    entries: BTreeMap<MemberKey, Entry>,
+}
+
+impl Table {
+    /// The entry of one member.
+    #[must_use]
+    pub fn get(&self, key: MemberKey) -> Option<&Entry> {
+        self.entries.get(&key)
+    }
+
+    pub(crate) fn get_mut(&mut self, key: MemberKey) -> Option<&mut Entry> {
+        self.entries.get_mut(&key)
+    }
+
+    /// Every entry, ordered by key; those without confirmation included.
+    pub fn iter(&self) -> impl Iterator<Item = (MemberKey, &Entry)> {
+        self.entries.iter().map(|(key, entry)| (*key, entry))
+    }
+
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = (MemberKey, &mut Entry)> {
+        self.entries.iter_mut().map(|(key, entry)| (*key, entry))
+    }
+
+    /// Confirmed members that are not dead.
+    pub fn present(&self) -> impl Iterator<Item = (MemberKey, &Entry)> {
+        self.iter()
+            .filter(|(_, entry)| entry.confirmed && entry.member.is_present())
+    }
+
+    /// Confirmed members of one zone that are not dead.
+    pub fn in_zone<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = (MemberKey, &'a Entry)> {
+        self.present()
+            .filter(move |(_, entry)| entry.member.zone == zone)
+    }
+
+    pub(crate) fn forget(&mut self, mut gone: impl FnMut(&Entry) -> bool) {
+        self.entries.retain(|_, entry| !gone(entry));
+    }
+
+    /// Takes a row. The higher (incarnation, state) wins, and addresses go with
+    /// the higher birth.
+    pub(crate) fn merge_row(&mut self, member: Member, confirmed: bool) -> Merge {
+        let key = member.key();
+        let Some(entry) = self.entries.get_mut(&key) else {
+            self.entries.insert(key, Entry::new(member, confirmed));
+            return Merge::Changed;
+        };
+        if !confirmed && member.birth <= entry.member.birth {
+            return Merge::Stale;
+        }
+        let newly_confirmed = confirmed && !entry.confirmed;
+        entry.confirmed |= confirmed;
+        let newer = (member.incarnation, member.state) > entry.rank();
+        if member.birth > entry.member.birth {
+            entry.adopt(member);
+            return Merge::Changed;
+        }
+        if newer {
+            entry.set(member.incarnation, member.state);
+        }
+        if newer || newly_confirmed {
+            Merge::Changed
+        } else {
+            Merge::Stale
+        }
+    }
+
+    /// Takes a word about a member's state.
+    pub(crate) fn merge_word(
+        &mut self,
+        key: MemberKey,
+        incarnation: Incarnation,
+        state: MemberState,
+    ) -> Merge {
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return Merge::Unknown;
+        };
+        if (incarnation, state) <= entry.rank() {
+            return Merge::Stale;
+        }
+        entry.set(incarnation, state);
+        Merge::Changed
+    }
+
+    /// Fingerprint of everyone present. Suspicion is left out, since it passes
+    /// within seconds, and so are the dead, since tables forget them at
+    /// different times; either would keep tables apart that agree.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.present()
+            .fold(0, |digest, (key, entry)| digest ^ entry.fingerprint(key))
+    }
+
+    /// The same fingerprint by zone.
+    #[must_use]
+    pub fn zone_digests(&self) -> Vec<ZoneDigest> {
+        let mut zones: BTreeMap<SmolStr, u64> = BTreeMap::new();
+        for (key, entry) in self.present() {
+            *zones.entry(entry.member.zone.clone()).or_default() ^= entry.fingerprint(key);
+        }
+        zones
+            .into_iter()
+            .map(|(zone, digest)| ZoneDigest(zone, digest))
+            .collect()
+    }
+}
+
+impl Entry {
+    pub(crate) fn new(member: Member, confirmed: bool) -> Self {
+        Self {
+            member,
+            version: 0,
+            confirmed,
+            unreached: false,
+            suspect_until: None,
+            dead_since: None,
+            next_contact: Time::ZERO,
+            contacts: 0,
+        }
+    }
+
+    /// Position of this entry's word in the order of precedence.
+    pub(crate) fn rank(&self) -> (Incarnation, MemberState) {
+        (self.member.incarnation, self.member.state)
+    }
+
+    fn set(&mut self, incarnation: Incarnation, state: MemberState) {
+        self.member.incarnation = incarnation;
+        self.member.state = state;
+        self.clear_timers();
+    }
+
+    /// A new process of the instance: its addresses replace the old ones, and
+    /// the words about the old one do not concern it.
+    fn adopt(&mut self, mut member: Member) {
+        if self.rank() > (member.incarnation, member.state) {
+            member.incarnation = self.member.incarnation;
+            member.state = self.member.state;
+        }
+        self.member = member;
+        self.clear_timers();
+    }
+
+    fn clear_timers(&mut self) {
+        self.suspect_until = None;
+        self.dead_since = None;
+        self.next_contact = Time::ZERO;
+        self.contacts = 0;
+        self.unreached = false;
+    }
+
+    fn fingerprint(&self, key: MemberKey) -> u64 {
+        let state: u8 = match self.member.state {
+            MemberState::Leaving => 2,
+            _ => 1,
+        };
+        let mut bytes = [0; 25];
+        bytes[..8].copy_from_slice(&key.to_le_bytes());
+        bytes[8..16].copy_from_slice(&self.member.incarnation.to_le_bytes());
+        bytes[16..24].copy_from_slice(&self.member.birth.to_le_bytes());
+        bytes[24] = state;
+        xxh3_64(&bytes)
+    }
+}
--- /dev/null
+++ b/crates/membership/src/tick.rs
@@ -0,0 +1,220 @@
+//! The systems that run over the table on each tick.
+
+use rand::RngExt;
+use rand::seq::{IndexedRandom, SliceRandom};
+
+use crate::action::Action;
+use crate::machine::Membership;
+use crate::member::{MemberKey, MemberState, Time};
+
+/// Longest time between two probes of a dead member's address.
+const MAX_DEAD_INTERVAL: Time = Time::from_mins(1);
+
+/// Contacts of unconfirmed members that one tick may start.
+const CANDIDATES_A_TICK: usize = 3;
+
+/// Tries at an unconfirmed member before it is forgotten: the instance of an
+/// old announcement row is gone.
+const CANDIDATE_TRIES: u32 = 5;
+
+impl Membership {
+    pub(crate) fn tick(&mut self, now: Time) {
+        self.notice_freeze(now);
+        self.guard.expire(now);
+        self.give_up_on_helpers(now);
+        self.start_suspect_timers(now);
+        self.end_suspect_timers(now);
+        self.forget_the_gone(now);
+        self.contact_candidates(now);
+        if self.updates.cool() {
+            self.send_eagerly(now);
+        }
+        if self.next_probe <= now {
+            self.next_probe = now + self.config.probe_interval;
+            self.probe(now);
+            self.probe_one_dead(now);
+        }
+    }
+
+    /// A process that slept held its timers still while the fleet went on. Were
+    /// they to fire now, it would declare dead whoever was due during the gap,
+    /// and pass on news that was overruled meanwhile. So its timers start anew,
+    /// its news is dropped, and it takes a higher incarnation, since the fleet
+    /// has likely suspected the present one.
+    fn notice_freeze(&mut self, now: Time) {
+        let last = self.last_tick.replace(now);
+        let gap = last.map_or(Time::ZERO, |last| now.saturating_sub(last));
+        if gap < self.config.freeze_bound {
+            return;
+        }
+        for (_, entry) in self.table.iter_mut() {
+            entry.suspect_until = None;
+        }
+        self.updates.clear();
+        self.guard.clear();
+        self.helpers.clear();
+        self.raise_incarnation(0);
+        self.actions.push(Action::Woke { gap });
+    }
+
+    fn give_up_on_helpers(&mut self, now: Time) {
+        for target in self.helpers.expire(now) {
+            if !self.guard.cut_off() {
+                self.pronounce(target, MemberState::Suspect);
+            }
+        }
+    }
+
+    /// Starts the timers of those who came under suspicion or died since the
+    /// last tick, whoever said so.
+    fn start_suspect_timers(&mut self, now: Time) {
+        let until = now + self.config.suspect_timeout;
+        let next_contact = now + self.config.dead_probe_interval;
+        for (_, entry) in self.table.iter_mut() {
+            match entry.member.state {
+                MemberState::Suspect if entry.suspect_until.is_none() => {
+                    entry.suspect_until = Some(until);
+                }
+                MemberState::Dead if entry.dead_since.is_none() => {
+                    entry.dead_since = Some(now);
+                    entry.next_contact = next_contact;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// A suspect of the own zone that did not refute in time is dead. For other
+    /// zones this daemon waits for their own word.
+    fn end_suspect_timers(&mut self, now: Time) {
+        let cut_off = self.guard.cut_off();
+        let extended = now + self.config.suspect_timeout;
+        let zone = self.own().member.zone.clone();
+        let mut due = Vec::new();
+        for (key, entry) in self.table.iter_mut() {
+            let is_due = entry.suspect_until.is_some_and(|until| until <= now);
+            if !is_due || entry.member.state != MemberState::Suspect {
+                continue;
+            }
+            if cut_off {
+                entry.suspect_until = Some(extended);
+            } else if entry.member.zone == zone {
+                due.push(key);
+            }
+        }
+        for key in due {
+            self.pronounce(key, MemberState::Dead);
+        }
+    }
+
+    fn forget_the_gone(&mut self, now: Time) {
+        let after = self.config.forget_after;
+        self.table.forget(|entry| {
+            let is_old = entry.dead_since.is_some_and(|since| since + after <= now);
+            let is_phantom = !entry.confirmed && entry.contacts >= CANDIDATE_TRIES;
+            is_old || is_phantom
+        });
+    }
+
+    fn contact_candidates(&mut self, now: Time) {
+        let mut due: Vec<_> = self
+            .table
+            .iter()
+            .filter(|(_, entry)| !entry.confirmed && entry.next_contact <= now)
+            .map(|(key, _)| key)
+            .collect();
+        due.shuffle(&mut self.rng);
+        due.truncate(CANDIDATES_A_TICK);
+        for key in due {
+            if let Some(entry) = self.table.get_mut(key) {
+                entry.contacts += 1;
+                let wait = Time::from_secs(1 << entry.contacts.min(5));
+                entry.next_contact = now + wait;
+            }
+            self.send(now, key);
+        }
+    }
+
+    /// Sends fresh news on at once, so that a departure is known everywhere in
+    /// a second or two and not in the ten rounds that probes alone take.
+    fn send_eagerly(&mut self, now: Time) {
+        let near = self.config.eager_peers.saturating_sub(1);
+        let own = self.peers(true);
+        let others = self.peers(false);
+        let mut chosen: Vec<_> = own.sample(&mut self.rng, near).copied().collect();
+        let far = self.config.eager_peers - chosen.len();
+        chosen.extend(others.sample(&mut self.rng, far).copied());
+        for key in chosen {
+            self.send(now, key);
+        }
+    }
+
+    fn probe(&mut self, now: Time) {
+        self.probes = self.probes.wrapping_add(1);
+        let others = self.peers(false);
+        let is_far = self.probes.is_multiple_of(self.config.other_zone_every);
+        if is_far && let Some(key) = others.choose(&mut self.rng) {
+            self.send(now, *key);
+            return;
+        }
+        if let Some(key) = self.suspect_to_probe().or_else(|| self.next_in_round()) {
+            self.send(now, key);
+        }
+    }
+
+    /// Half of the probes go to a suspect while there is one: it learns of the
+    /// suspicion from the probe and can refute in its answer.
+    fn suspect_to_probe(&mut self) -> Option<MemberKey> {
+        if self.rng.random_bool(0.5) {
+            return None;
+        }
+        let zone = self.own().member.zone.clone();
+        let suspects: Vec<_> = self
+            .table
+            .in_zone(&zone)
+            .filter(|(_, entry)| entry.member.state == MemberState::Suspect)
+            .map(|(key, _)| key)
+            .collect();
+        suspects.choose(&mut self.rng).copied()
+    }
+
+    fn next_in_round(&mut self) -> Option<MemberKey> {
+        loop {
+            let peers = self.peers(true);
+            let known = peers.clone();
+            let key = self.round.next(&mut self.rng, || peers)?;
+            if known.contains(&key) {
+                return Some(key);
+            }
+        }
+    }
+
+    /// Present members but this one, of its own zone or of all the others.
+    fn peers(&self, own_zone: bool) -> Vec<MemberKey> {
+        self.table
+            .present()
+            .filter(|(key, entry)| *key != self.me && self.is_own_zone(entry) == own_zone)
+            .map(|(key, _)| key)
+            .collect()
+    }
+
+    /// Knocks at one dead member's address. Who comes back there, restarted or
+    /// healed, hears of the fleet in this way even while the platform is out.
+    fn probe_one_dead(&mut self, now: Time) {
+        let first = self.config.dead_probe_interval;
+        let due = self
+            .table
+            .iter()
+            .find(|(_, it)| it.dead_since.is_some() && it.next_contact <= now)
+            .map(|(key, _)| key);
+        let Some(key) = due else {
+            return;
+        };
+        if let Some(entry) = self.table.get_mut(key) {
+            let doubled = first * (1 << entry.contacts.min(8));
+            entry.next_contact = now + doubled.min(MAX_DEAD_INTERVAL);
+            entry.contacts += 1;
+        }
+        self.send(now, key);
+    }
+}
--- /dev/null
+++ b/crates/membership/src/wire.rs
@@ -0,0 +1,211 @@
+//! What daemons say to each other about the fleet.
+//!
+//! Structs are encoded as arrays by `rmp-serde` and members are named by key,
+//! so an exchange without news takes some fifty bytes.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::member::{Incarnation, Member, MemberKey, MemberState, member_key};
+
+/// Longest id or label that a row may carry.
+const MAX_LABEL: usize = 128;
+
+/// Which configuration a daemon holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Mark {
+    /// Version in force.
+    pub version: u64,
+    /// First eight bytes of the state's digest.
+    pub digest: u64,
+}
+
+/// One half of a probe: the request and its answer have the same shape, so one
+/// round trip carries news both ways.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Exchange {
+    /// The sender.
+    pub from: MemberKey,
+    /// The sender's incarnation. Words of an older one are ignored.
+    pub incarnation: Incarnation,
+    /// What the sender holds.
+    pub mark: Mark,
+    /// Highest version that the sender has seen the receiver report, which a
+    /// receiver that restarted takes as its floor.
+    pub floor: u64,
+    /// Seconds since anyone that the sender heard of read the platform's head.
+    pub head_age: u16,
+    /// Digest of the sender's table.
+    pub table: u64,
+    /// The sender does not know the receiver and asks for its row.
+    pub introduce: bool,
+    /// News without addresses.
+    pub words: Vec<Word>,
+    /// News with addresses.
+    pub rows: Vec<Row>,
+}
+
+/// State of one member, for receivers that have its row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Word(pub MemberKey, pub Incarnation, pub WireState);
+
+/// A member's state as a number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(try_from = "u8", into = "u8")]
+pub struct WireState(pub(crate) MemberState);
+
+impl From<WireState> for u8 {
+    fn from(state: WireState) -> Self {
+        match state.0 {
+            MemberState::Alive => 0,
+            MemberState::Suspect => 1,
+            MemberState::Leaving => 2,
+            MemberState::Dead => 3,
+        }
+    }
+}
+
+impl TryFrom<u8> for WireState {
+    type Error = RowError;
+
+    fn try_from(value: u8) -> Result<Self, RowError> {
+        match value {
+            0 => Ok(Self(MemberState::Alive)),
+            1 => Ok(Self(MemberState::Suspect)),
+            2 => Ok(Self(MemberState::Leaving)),
+            3 => Ok(Self(MemberState::Dead)),
+            _ => Err(RowError::UnknownState(value)),
+        }
+    }
+}
+
+impl From<MemberState> for WireState {
+    fn from(state: MemberState) -> Self {
+        Self(state)
+    }
+}
+
+impl From<WireState> for MemberState {
+    fn from(state: WireState) -> Self {
+        state.0
+    }
+}
+
+/// A member with all that others need to reach it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Row {
+    /// See [`Member::instance`].
+    pub instance: SmolStr,
+    /// See [`Member::region`].
+    pub region: SmolStr,
+    /// See [`Member::zone`].
+    pub zone: SmolStr,
+    /// See [`Member::upstream`].
+    pub upstream: SmolStr,
+    /// See [`Member::caller`].
+    pub caller: SocketAddr,
+    /// See [`Member::peer`].
+    pub peer: SocketAddr,
+    /// See [`Member::operator`].
+    pub operator: SocketAddr,
+    /// See [`Member::birth`].
+    pub birth: Incarnation,
+    /// See [`Member::incarnation`].
+    pub incarnation: Incarnation,
+    /// See [`Member::state`].
+    pub state: WireState,
+}
+
+impl From<&Member> for Row {
+    fn from(member: &Member) -> Self {
+        Self {
+            instance: member.instance.clone(),
+            region: member.region.clone(),
+            zone: member.zone.clone(),
+            upstream: member.upstream.clone(),
+            caller: member.caller,
+            peer: member.peer,
+            operator: member.operator,
+            birth: member.birth,
+            incarnation: member.incarnation,
+            state: member.state.into(),
+        }
+    }
+}
+
+impl TryFrom<Row> for Member {
+    type Error = RowError;
+
+    fn try_from(row: Row) -> Result<Self, RowError> {
+        let labels = [&row.instance, &row.region, &row.zone, &row.upstream];
+        if labels
+            .iter()
+            .any(|it| it.is_empty() || it.len() > MAX_LABEL)
+        {
+            return Err(RowError::BadLabel);
+        }
+        if row.incarnation < row.birth {
+            return Err(RowError::BeforeBirth);
+        }
+        Ok(Self {
+            instance: row.instance,
+            region: row.region,
+            zone: row.zone,
+            upstream: row.upstream,
+            caller: row.caller,
+            peer: row.peer,
+            operator: row.operator,
+            birth: row.birth,
+            incarnation: row.incarnation,
+            state: row.state.0,
+        })
+    }
+}
+
+impl Row {
+    /// The key of the member that this row describes.
+    #[must_use]
+    pub fn key(&self) -> MemberKey {
+        member_key(&self.instance)
+    }
+}
+
+/// What a daemon writes into its announcement row at the platform, for daemons
+/// that start and know nobody yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// The announced member.
+    pub row: Row,
+    /// Version that it held when it wrote the row: a floor for its next life.
+    pub version: u64,
+}
+
+/// Digest of the part of a table that one zone makes up.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ZoneDigest(pub SmolStr, pub u64);
+
+/// Why a peer's row was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RowError {
+    /// An id or label is empty or too long.
+    BadLabel,
+    /// The incarnation is older than the process.
+    BeforeBirth,
+    /// The state is none that this build knows.
+    UnknownState(u8),
+}
+
+impl fmt::Display for RowError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::BadLabel => f.write_str("a label is empty or too long"),
+            Self::BeforeBirth => f.write_str("the incarnation is below the one of the start"),
+            Self::UnknownState(state) => write!(f, "member state {state} is unknown"),
+        }
+    }
+}
+
+impl std::error::Error for RowError {}
--- /dev/null
+++ b/crates/membership/tests/all/failures.rs
@@ -0,0 +1,216 @@
+//! Failures that the safeguards are there for.
+
+use std::time::Duration;
+
+use stoatstep_membership::{Action, Input, MemberState, Row};
+
+use crate::fleet::{Fleet, key, member};
+
+const SETTLE: Duration = Duration::from_secs(15);
+
+fn settled(zones: usize, per_zone: usize) -> Fleet {
+    let mut fleet = Fleet::new(zones, per_zone);
+    fleet.run(SETTLE);
+    assert!(fleet.agreed(), "tables agree after a cold start of all");
+    fleet.seen.clear();
+    fleet
+}
+
+#[test]
+fn everyone_meets_everyone_from_the_roster() {
+    let fleet = settled(4, 8);
+    for node in fleet.nodes.values() {
+        assert_eq!(node.table().present().count(), 32);
+    }
+}
+
+#[test]
+fn messages_at_rest_are_tens_of_bytes() {
+    let mut fleet = settled(4, 8);
+    fleet.run(Duration::from_mins(2));
+    fleet.bytes = 0;
+    fleet.run(Duration::from_mins(1));
+    let per_node_second = fleet.bytes / (32 * 60);
+    assert!(per_node_second < 130, "{per_node_second} bytes a second");
+}
+
+#[test]
+fn a_dead_daemon_is_known_everywhere_and_only_it() {
+    // A caller's call goes to a target whose daemon was killed. Probes miss it,
+    // helpers miss it, it does not refute, and so its zone says it is dead; the
+    // other zones take that word. Without it, calls go there for ever.
+    let mut fleet = settled(3, 6);
+    let dead = key(1, 2);
+    fleet.nodes.remove(&dead);
+    fleet.run(Duration::from_secs(20));
+    assert!(fleet.all_see(dead, MemberState::Dead));
+    for node in fleet.nodes.values() {
+        assert_eq!(node.table().present().count(), 17);
+    }
+}
+
+#[test]
+fn a_departure_is_known_everywhere_within_two_seconds() {
+    // A caller's call goes to a target that is leaving, which refuses it, and
+    // the retry costs time. The word must not wait for ten rounds of probes:
+    // fresh news is sent eagerly for its first ticks.
+    let mut fleet = settled(4, 12);
+    let leaving = key(2, 3);
+    fleet.input(leaving, Input::Leave);
+    fleet.run(Duration::from_secs(2));
+    assert!(fleet.all_see(leaving, MemberState::Leaving));
+}
+
+#[test]
+fn a_cut_zone_kills_nobody() {
+    // A caller in a zone that is cut off gets no answer, because every other
+    // zone's members were declared dead, and after the cut heals both sides
+    // have empty tables. Only own-zone probes may lead to a death.
+    let mut fleet = settled(3, 5);
+    fleet.cut_zones.insert("z1".into());
+    fleet.run(Duration::from_mins(3));
+    for node in fleet.nodes.values() {
+        assert_eq!(node.table().present().count(), 15, "nobody is dead");
+    }
+    assert!(!fleet.nodes[&key(0, 0)].is_reachable("z1"));
+    assert!(fleet.nodes[&key(0, 0)].is_reachable("z2"));
+    fleet.cut_zones.clear();
+    fleet.run(Duration::from_mins(1));
+    assert!(fleet.nodes[&key(0, 0)].is_reachable("z1"));
+    assert!(fleet.agreed());
+}
+
+#[test]
+fn a_daemon_that_lost_its_network_does_not_empty_its_table() {
+    // One daemon's link fails for a while. All its probes fail, so it would
+    // declare its zone dead and spread that word when it is back: callers then
+    // see targets vanish that are well. It must suspect itself instead.
+    let mut fleet = settled(2, 8);
+    let alone = key(0, 0);
+    fleet.cut_nodes.insert(alone);
+    fleet.run(Duration::from_mins(1));
+    let present = fleet.nodes[&alone].table().present().count();
+    assert!(fleet.nodes[&alone].is_cut_off());
+    assert_eq!(present, 16, "it took nobody for dead");
+    assert!(fleet.state(key(0, 1), alone) == Some(MemberState::Dead));
+    fleet.cut_nodes.clear();
+    fleet.run(Duration::from_mins(2));
+    assert!(fleet.all_see(alone, MemberState::Alive), "it refuted");
+    assert!(fleet.agreed());
+}
+
+#[test]
+fn who_wakes_from_a_freeze_declares_nobody_dead() {
+    // A process is stopped while two peers are under suspicion. Its timers run
+    // out during the freeze; firing them on waking would spread deaths that the
+    // peers refuted long ago, and callers lose healthy targets.
+    let mut fleet = settled(1, 6);
+    let sleeper = key(0, 0);
+    let suspect = key(0, 1);
+    fleet.cut_nodes.insert(suspect);
+    while fleet.state(sleeper, suspect) != Some(MemberState::Suspect) {
+        fleet.run(Duration::from_millis(250));
+    }
+    fleet.frozen.insert(sleeper);
+    fleet.cut_nodes.clear();
+    fleet.run(Duration::from_secs(4));
+    let before = fleet.nodes[&sleeper].own().member.incarnation;
+    fleet.seen.clear();
+    fleet.run(Duration::from_secs(20));
+    fleet.frozen.clear();
+    fleet.run(Duration::from_secs(20));
+    let woke = |it: &(u64, Action)| it.0 == sleeper && matches!(it.1, Action::Woke { .. });
+    assert!(fleet.seen.iter().any(woke));
+    assert!(fleet.nodes[&sleeper].own().member.incarnation > before);
+    assert!(fleet.all_see(suspect, MemberState::Alive));
+    assert!(fleet.all_see(sleeper, MemberState::Alive));
+}
+
+#[test]
+fn a_restarted_daemon_is_found_while_the_platform_is_out() {
+    // A daemon restarts at its address while the platform is down, so it can
+    // read no roster and knows nobody. Its callers wait. Peers that hold it
+    // dead still knock at its address, and their message carries the highest
+    // version that its last life reported.
+    let mut fleet = settled(2, 5);
+    let again = key(0, 0);
+    let mark = stoatstep_membership::Mark {
+        version: 7,
+        digest: 1,
+    };
+    fleet.input(again, Input::Holds(mark));
+    fleet.run(Duration::from_secs(10));
+    fleet.nodes.remove(&again);
+    fleet.run(Duration::from_secs(20));
+    assert!(fleet.all_see(again, MemberState::Dead));
+    fleet.seen.clear();
+    // Its wall clock went back: it must still overrule its former life.
+    fleet.start(member(0, 0, 900), &[]);
+    fleet.run(Duration::from_secs(30));
+    assert!(fleet.all_see(again, MemberState::Alive));
+    let floor = fleet
+        .seen
+        .iter()
+        .filter(|it| it.0 == again)
+        .map(|it| match &it.1 {
+            Action::PeerHolds { floor, .. } => *floor,
+            _ => 0,
+        });
+    assert_eq!(floor.max(), Some(7));
+    assert!(fleet.agreed());
+}
+
+#[test]
+fn a_frozen_process_learns_of_its_successor() {
+    // An instance's process froze, and a new one was started under its id. The
+    // old one wakes and would go on answering callers with an old version. Its
+    // first exchange tells it that a newer process bears its id.
+    let mut fleet = settled(1, 4);
+    let key0 = key(0, 0);
+    let mut old = fleet.nodes[&key0].clone();
+    fleet.nodes.remove(&key0);
+    let rows: Vec<_> = (0..4).map(|n| Row::from(&member(0, n, 1000))).collect();
+    fleet.start(member(0, 0, 2000), &rows);
+    fleet.run(Duration::from_secs(20));
+    let peer = key(0, 1);
+    let actions = old.handle(fleet.now, Input::Tick);
+    let message = actions.iter().find_map(|it| match it {
+        Action::Exchange { message, .. } => Some(message.clone()),
+        _ => None,
+    });
+    let message = message.expect("it probes on waking");
+    let answerer = fleet.nodes.get_mut(&peer).expect("runs");
+    let (reply, _) = answerer.answer(fleet.now, message);
+    let actions = old.handle(fleet.now, Input::Replied { peer, reply });
+    let superseded = |it: &Action| matches!(it, Action::Superseded { birth: 2000 });
+    assert!(actions.iter().any(superseded));
+}
+
+#[test]
+fn an_announcement_of_the_long_dead_raises_nobody() {
+    // The platform keeps the row of an instance that crashed days ago. A
+    // starting daemon reads it; were it taken for a member, calls would go to
+    // an address where nobody is, and the word would spread through the fleet.
+    let mut fleet = settled(1, 4);
+    let rows = vec![Row::from(&member(5, 5, 10))];
+    fleet.input(key(0, 0), Input::Announced { rows });
+    fleet.run(Duration::from_mins(3));
+    for node in fleet.nodes.values() {
+        assert_eq!(node.table().present().count(), 4);
+        assert!(node.table().get(key(5, 5)).is_none(), "forgotten");
+    }
+}
+
+#[test]
+fn the_age_of_the_head_grows_though_everyone_repeats_it() {
+    // The platform goes away. Each daemon repeats to the others how long ago
+    // its head was read; were ages rounded down, they would confirm each other
+    // for ever and nobody would begin to ask for itself.
+    let mut fleet = settled(1, 6);
+    fleet.input(key(0, 0), Input::HeadRead);
+    fleet.run(Duration::from_mins(1));
+    for node in fleet.nodes.values() {
+        let age = node.head_age(fleet.now).expect("heard");
+        assert!(age >= Duration::from_secs(59), "{age:?}");
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the membership state machine under virtual time.
+
+mod codec;
+mod failures;
+mod fleet;
+mod merging;
--- /dev/null
+++ b/crates/membership/tests/all/merging.rs
@@ -0,0 +1,63 @@
+//! Words that cross each other lead to one end.
+
+use stoatstep_membership::{Config, Input, MemberState, Membership, Row};
+
+use crate::fleet::{key, member};
+
+fn rows() -> Vec<Row> {
+    let states = [
+        (5, MemberState::Alive),
+        (5, MemberState::Suspect),
+        (6, MemberState::Alive),
+        (6, MemberState::Leaving),
+        (5, MemberState::Dead),
+    ];
+    let row = |(incarnation, state)| {
+        let mut it = member(0, 1, 5);
+        it.incarnation = incarnation;
+        it.state = state;
+        Row::from(&it)
+    };
+    states.map(row).to_vec()
+}
+
+#[test]
+fn any_order_of_words_ends_in_the_same_table() {
+    // Two daemons hear of a suspicion, its refutation and a departure in
+    // different orders. If order mattered, one would send calls to a target
+    // that the other knows to be leaving, and their digests would differ for
+    // ever. Every rotation of the rows, applied twice over, must agree.
+    let mut digests = Vec::new();
+    for shift in 0..5 {
+        let mut rows = rows();
+        rows.rotate_left(shift);
+        let mut node = Membership::new(member(0, 0, 5), Config::default(), 1);
+        let alive = vec![Row::from(&member(0, 1, 5))];
+        node.handle(
+            std::time::Duration::ZERO,
+            Input::TablePulled { rows: alive },
+        );
+        for _ in 0..2 {
+            let rows = rows.clone();
+            node.handle(std::time::Duration::ZERO, Input::TablePulled { rows });
+        }
+        let state = node.table().get(key(0, 1)).map(|it| it.member.state);
+        assert_eq!(state, Some(MemberState::Leaving));
+        digests.push(node.table().digest());
+    }
+    digests.dedup();
+    assert_eq!(digests.len(), 1);
+}
+
+#[test]
+fn a_new_birth_brings_its_addresses() {
+    let mut node = Membership::new(member(0, 0, 5), Config::default(), 1);
+    let mut moved = member(0, 1, 9);
+    moved.peer = ([127, 0, 0, 9], 9).into();
+    for birth in [member(0, 1, 5), moved.clone(), member(0, 1, 5)] {
+        let rows = vec![Row::from(&birth)];
+        node.handle(std::time::Duration::ZERO, Input::TablePulled { rows });
+    }
+    let held = &node.table().get(key(0, 1)).expect("held").member;
+    assert_eq!(held.peer, moved.peer);
+}
