--- a/crates/membership/src/hearing.rs
+++ b/crates/membership/src/hearing.rs
@@ -222,7 +222,7 @@
         self.actions.push(Action::Changed(key));
     }
 
-    fn note_contact(&mut self, now: Time, peer: MemberKey, reached: bool) {
+    pub(crate) fn note_contact(&mut self, now: Time, peer: MemberKey, reached: bool) {
         let Some(entry) = self.table.get(peer) else {
             return;
         };
