Add the target stand-in

Tests of call promises need a target that runs in slots, fails on command and writes down what ran. Its ledger counts a run from the first moment, since a cancelled run may have had effects. Ten tests over real sockets cover shedding, cancellation, deadlines, silent connections, cut answers and misleading health.

--- /dev/null
+++ b/crates/standin-target/tests/target.rs
@@ -0,0 +1,277 @@
+//! The target stand-in over real sockets.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use ntex::rt::{DefaultRuntime, System};
+use serde::de::DeserializeOwned;
+use stoatstep_standin_target::{Answer, Behaviour, Counts, Entry, Options, serve};
+
+/// Long enough to tell silence from a slow run.
+const PATIENCE: Duration = Duration::from_millis(400);
+
+fn start(behaviour: Behaviour) -> SocketAddr {
+    let free = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = free.local_addr().unwrap();
+    drop(free);
+    let options = Options {
+        addr,
+        name: "target-1".into(),
+        behaviour,
+    };
+    thread::spawn(move || {
+        System::new("target", DefaultRuntime).block_on(async move { serve(options)?.await })
+    });
+    let begin = Instant::now();
+    while TcpStream::connect(addr).is_err() {
+        assert!(begin.elapsed() < Duration::from_secs(5), "no listener");
+        thread::sleep(Duration::from_millis(5));
+    }
+    addr
+}
+
+fn slow() -> Behaviour {
+    Behaviour {
+        slots: 1,
+        service_time: Duration::from_millis(150),
+        ..Behaviour::default()
+    }
+}
+
+fn connect(addr: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream
+}
+
+fn send(stream: &mut TcpStream, method: &str, path: &str, headers: &str, body: &str) {
+    let length = body.len();
+    let text = format!(
+        "{method} {path} HTTP/1.1\r\nhost: t\r\ncontent-type: application/json\r\n\
+         content-length: {length}\r\n{headers}\r\n{body}"
+    );
+    stream.write_all(text.as_bytes()).unwrap();
+}
+
+/// Reads the head and as much of the body as comes: status and body, or
+/// `None` where nothing came in time.
+fn receive(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
+    let mut data = Vec::new();
+    let mut buf = [0; 4096];
+    loop {
+        if let Some(end) = data.windows(4).position(|it| it == b"\r\n\r\n") {
+            let head = String::from_utf8(data[..end].to_vec()).unwrap();
+            let length = head
+                .lines()
+                .find_map(|line| {
+                    line.to_lowercase()
+                        .strip_prefix("content-length: ")?
+                        .parse()
+                        .ok()
+                })
+                .unwrap_or(0);
+            if data.len() >= end + 4 + length {
+                return Some((head, data.split_off(end + 4)));
+            }
+        }
+        match stream.read(&mut buf) {
+            Ok(0) if data.is_empty() => return None,
+            Ok(0) => {
+                let text = String::from_utf8_lossy(&data).into_owned();
+                let body = text.split_once("\r\n\r\n")?.1.as_bytes().to_vec();
+                return Some((text, body));
+            }
+            Ok(count) => data.extend_from_slice(&buf[..count]),
+            Err(_) => return None,
+        }
+    }
+}
+
+fn fetch<T: DeserializeOwned>(addr: SocketAddr, path: &str) -> T {
+    let mut stream = connect(addr);
+    send(&mut stream, "GET", path, "", "");
+    serde_json::from_slice(&receive(&mut stream).unwrap().1).unwrap()
+}
+
+fn change(addr: SocketAddr, body: &str) {
+    let mut stream = connect(addr);
+    send(&mut stream, "POST", "/admin/behaviour", "", body);
+    assert!(receive(&mut stream).unwrap().0.contains(" 204 "));
+}
+
+#[test]
+fn an_answer_carries_the_marker_and_the_run_is_in_the_ledger() {
+    let addr = start(Behaviour::default());
+    let mut stream = connect(addr);
+    let headers = "stoat-marker: m1\r\nidempotency-key: k1\r\nstoatstep-attempt: a1\r\n";
+    send(&mut stream, "POST", "/float?bytes=100", headers, "x");
+    let (_, body) = receive(&mut stream).unwrap();
+    let answer = Answer::check(&body, "m1", 100).unwrap();
+    assert_eq!(answer.target, "target-1");
+    let entries: Vec<Entry> = fetch(addr, "/admin/ledger");
+    assert_eq!(entries.len(), 1);
+    let entry = &entries[0];
+    assert_eq!(
+        (&*entry.key, &*entry.attempt, &*entry.marker, &*entry.method),
+        ("k1", "a1", "m1", "POST")
+    );
+    assert_eq!((entry.count, entry.cancelled), (1, 0));
+}
+
+#[test]
+fn a_changed_answer_is_told_apart() {
+    let answer = Answer::new("m".into(), "t".into(), 7, 20);
+    let body = serde_json::to_vec(&answer).unwrap();
+    assert!(Answer::check(&body, "m", 20).is_ok());
+    assert!(Answer::check(&body, "other", 20).is_err());
+    assert!(Answer::check(&body, "m", 21).is_err());
+    assert!(Answer::check(&body[..body.len() - 1], "m", 20).is_err());
+    let changed = String::from_utf8(body)
+        .unwrap()
+        .replace("\"run\":7", "\"run\":8");
+    assert!(Answer::check(changed.as_bytes(), "m", 20).is_err());
+}
+
+#[test]
+fn a_call_over_the_slots_is_shed_and_did_not_run() {
+    let addr = start(slow());
+    let mut first = connect(addr);
+    send(&mut first, "GET", "/one", "", "");
+    thread::sleep(Duration::from_millis(50));
+    let mut second = connect(addr);
+    send(&mut second, "GET", "/two", "", "");
+    let (head, _) = receive(&mut second).unwrap();
+    assert!(
+        head.contains("503") && head.contains("stoatstep-shed: 1"),
+        "{head}"
+    );
+    assert!(receive(&mut first).unwrap().0.contains("200"));
+    let entries: Vec<Entry> = fetch(addr, "/admin/ledger");
+    assert_eq!(entries.len(), 1);
+    let counts: Counts = fetch(addr, "/admin/counts");
+    assert_eq!((counts.started, counts.finished, counts.shed), (1, 1, 1));
+}
+
+/// The caller gives up and closes its connection while its call, which has a
+/// body, runs. The run must stop and free its slot, or else calls that nobody
+/// waits for would fill the target.
+#[test]
+fn closing_the_connection_cancels_the_run() {
+    let addr = start(slow());
+    let mut stream = connect(addr);
+    send(&mut stream, "POST", "/one", "", "body");
+    thread::sleep(Duration::from_millis(50));
+    drop(stream);
+    thread::sleep(Duration::from_millis(50));
+    let counts: Counts = fetch(addr, "/admin/counts");
+    assert_eq!(
+        (counts.started, counts.cancelled, counts.running),
+        (1, 1, 0)
+    );
+}
+
+#[test]
+fn a_run_ends_at_its_deadline_and_a_spent_deadline_does_not_run() {
+    let addr = start(slow());
+    let mut stream = connect(addr);
+    send(
+        &mut stream,
+        "GET",
+        "/one",
+        "stoatstep-deadline-ms: 20\r\n",
+        "",
+    );
+    assert!(receive(&mut stream).unwrap().0.contains("504"));
+    send(
+        &mut stream,
+        "GET",
+        "/two",
+        "stoatstep-deadline-ms: 0\r\n",
+        "",
+    );
+    assert!(receive(&mut stream).unwrap().0.contains("503"));
+    let counts: Counts = fetch(addr, "/admin/counts");
+    assert_eq!((counts.started, counts.cancelled, counts.shed), (1, 1, 1));
+}
+
+/// Something between the two ends loses track of a connection: what is sent on
+/// it neither arrives nor fails, and the answer of a call that runs already is
+/// lost. A connection opened later works.
+#[test]
+fn a_silenced_connection_never_answers_while_new_ones_do() {
+    let addr = start(slow());
+    let mut old = connect(addr);
+    send(&mut old, "GET", "/one", "", "");
+    thread::sleep(Duration::from_millis(50));
+    change(addr, r#"{"silence_connections": true}"#);
+    assert!(receive(&mut old).is_none());
+    send(&mut old, "GET", "/two", "", "");
+    assert!(receive(&mut old).is_none());
+    let mut new = connect(addr);
+    send(&mut new, "GET", "/three", "", "");
+    assert!(receive(&mut new).unwrap().0.contains("200"));
+    let entries: Vec<Entry> = fetch(addr, "/admin/ledger");
+    let markers: Vec<&str> = entries.iter().map(|entry| &*entry.marker).collect();
+    assert_eq!(markers, ["/one", "/three"]);
+}
+
+#[test]
+fn answers_can_be_cut_short_or_lost_after_the_run() {
+    let addr = start(Behaviour::default());
+    change(addr, r#"{"truncate_every": 1}"#);
+    let mut stream = connect(addr);
+    send(&mut stream, "GET", "/one?bytes=500", "", "");
+    let (_, body) = receive(&mut stream).unwrap();
+    assert!(!body.is_empty());
+    assert!(Answer::check(&body, "/one", 500).is_err());
+    change(addr, r#"{"truncate_every": 0, "drop_every": 1}"#);
+    let mut stream = connect(addr);
+    send(&mut stream, "GET", "/two", "", "");
+    assert!(receive(&mut stream).is_none());
+    let counts: Counts = fetch(addr, "/admin/counts");
+    assert_eq!(counts.finished, 2);
+}
+
+#[test]
+fn health_can_lie() {
+    let addr = start(slow());
+    let mut busy = connect(addr);
+    send(&mut busy, "GET", "/one", "", "");
+    thread::sleep(Duration::from_millis(50));
+    let load = |addr| fetch::<serde_json::Value>(addr, "/healthz")["load"].clone();
+    assert_eq!(load(addr), 1.0);
+    change(addr, r#"{"health": "always_idle"}"#);
+    assert_eq!(load(addr), 0.0);
+    change(addr, r#"{"health": "never_ready"}"#);
+    let mut stream = connect(addr);
+    send(&mut stream, "GET", "/healthz", "", "");
+    assert!(receive(&mut stream).unwrap().0.contains("503"));
+}
+
+#[test]
+fn an_unknown_behaviour_is_refused() {
+    let addr = start(Behaviour::default());
+    let mut stream = connect(addr);
+    send(
+        &mut stream,
+        "POST",
+        "/admin/behaviour",
+        "",
+        r#"{"slotz": 1}"#,
+    );
+    assert!(receive(&mut stream).unwrap().0.contains("400"));
+}
+
+#[test]
+fn a_cold_target_gets_faster() {
+    let behaviour = Behaviour {
+        cold_start: Duration::from_secs(10),
+        ..Behaviour::default()
+    };
+    let at = |seconds| behaviour.run_time(1, Duration::from_secs(seconds));
+    assert_eq!(at(0), Duration::from_millis(20));
+    assert!(at(0) > at(5) && at(5) > at(10));
+    assert_eq!(at(10), Duration::from_millis(5));
+}
