--- /dev/null
+++ b/crates/daemon/src/config.rs
@@ -0,0 +1,114 @@
+//! Settings of the daemon, checked before anything starts.
+
+use std::net::SocketAddr;
+
+use smol_str::SmolStr;
+use stoatstep_resource::{InstanceId, UpstreamName, ZoneName};
+use stoatstep_settings::{Program, Setting, Stop};
+use stoatstep_telemetry::Level;
+
+/// Shorter tokens could be guessed over the network.
+const SHORTEST_TOKEN: usize = 16;
+
+const PROGRAM: Program = Program {
+    name: "stoatstepd",
+    about: "Daemon beside a target: takes and runs calls, holds the configuration.",
+    operands: "",
+    settings: &[
+        Setting::new("instance", "ID", "id of this instance, unique at any time"),
+        Setting::new("region", "NAME", "region in which the instance runs").default("local"),
+        Setting::new(
+            "zone",
+            "NAME",
+            "availability zone in which the instance runs",
+        ),
+        Setting::new(
+            "upstream",
+            "NAME",
+            "upstream resource that this instance's target serves",
+        ),
+        Setting::new("caller-addr", "IP:PORT", "where callers connect"),
+        Setting::new("peer-addr", "IP:PORT", "where other daemons connect"),
+        Setting::new(
+            "operator-addr",
+            "IP:PORT",
+            "where operators, health checks and metrics connect",
+        ),
+        Setting::new(
+            "target-addr",
+            "IP:PORT",
+            "where this instance's target listens",
+        ),
+        Setting::new("platform", "IP:PORT", "the platform's service"),
+        Setting::new("operator-token", "TEXT", "secret that operators present"),
+        Setting::new(
+            "peer-token",
+            "TEXT",
+            "secret that daemons present to each other",
+        ),
+        Setting::new("log-level", "LEVEL", "error, warning, info or debug").default("info"),
+    ],
+};
+
+/// The daemon's settings.
+#[derive(Clone, Debug)]
+pub(crate) struct Config {
+    pub(crate) instance: InstanceId,
+    pub(crate) region: SmolStr,
+    pub(crate) zone: ZoneName,
+    pub(crate) upstream: UpstreamName,
+    pub(crate) caller_addr: SocketAddr,
+    pub(crate) peer_addr: SocketAddr,
+    pub(crate) operator_addr: SocketAddr,
+    pub(crate) target_addr: SocketAddr,
+    pub(crate) platform: SocketAddr,
+    pub(crate) operator_token: SmolStr,
+    pub(crate) peer_token: SmolStr,
+    pub(crate) log_level: Level,
+}
+
+impl Config {
+    /// Reads the settings of this process. Every wrong one is reported, not
+    /// only the first.
+    pub(crate) fn read() -> Result<Self, Stop> {
+        let mut values = PROGRAM.read()?;
+        let instance = values.required("instance");
+        let region = values.required("region");
+        let zone = values.required("zone");
+        let upstream = values.required("upstream");
+        let caller_addr = values.required("caller-addr");
+        let peer_addr = values.required("peer-addr");
+        let operator_addr = values.required("operator-addr");
+        let target_addr = values.required("target-addr");
+        let platform = values.required("platform");
+        let operator_token = values.required::<SmolStr>("operator-token");
+        let peer_token = values.required::<SmolStr>("peer-token");
+        let log_level = values.required("log-level");
+        for (flag, token) in [
+            ("operator-token", &operator_token),
+            ("peer-token", &peer_token),
+        ] {
+            if token.as_ref().is_some_and(|it| it.len() < SHORTEST_TOKEN) {
+                values.reject(flag, "must have at least 16 characters");
+            }
+        }
+        let cfg = (|| {
+            Some(Self {
+                instance: instance?,
+                region: region?,
+                zone: zone?,
+                upstream: upstream?,
+                caller_addr: caller_addr?,
+                peer_addr: peer_addr?,
+                operator_addr: operator_addr?,
+                target_addr: target_addr?,
+                platform: platform?,
+                operator_token: operator_token?,
+                peer_token: peer_token?,
+                log_level: log_level?,
+            })
+        })();
+        values.finish()?;
+        Ok(cfg.expect("a missing value is a finding"))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http.rs
@@ -0,0 +1,67 @@
+//! Small helpers over the HTTP library, shared by all three ports.
+
+use ntex::http::{Payload, Response, StatusCode};
+use ntex::util::{Bytes, BytesMut};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use subtle::ConstantTimeEq;
+
+/// Why a body was not read whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyError {
+    /// More bytes than the limit.
+    TooLarge,
+    /// The connection ended or broke before the body did.
+    CutShort,
+}
+
+/// Reads a whole body of at most `limit` bytes. The library checks the length
+/// that the sender stated, so a body cut short is an error here and never a
+/// shorter body.
+pub(crate) async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, BodyError> {
+    let mut whole: Option<Bytes> = None;
+    let mut buf = BytesMut::new();
+    while let Some(chunk) = payload.recv().await {
+        let chunk = chunk.map_err(|_| BodyError::CutShort)?;
+        let held = buf.len() + whole.as_ref().map_or(0, Bytes::len);
+        if held + chunk.len() > limit {
+            return Err(BodyError::TooLarge);
+        }
+        // A body that came in one piece, as most do, is passed on uncopied.
+        match whole.take() {
+            None if buf.is_empty() => whole = Some(chunk),
+            None => buf.extend_from_slice(&chunk),
+            Some(first) => {
+                buf.extend_from_slice(&first);
+                buf.extend_from_slice(&chunk);
+            }
+        }
+    }
+    Ok(whole.unwrap_or_else(|| buf.freeze()))
+}
+
+/// An answer with a JSON body.
+pub(crate) fn json<T: Serialize>(status: StatusCode, body: &T) -> Response {
+    Response::build(status).json(body)
+}
+
+/// An answer with a MessagePack body, as daemons send each other.
+pub(crate) fn msgpack<T: Serialize>(status: StatusCode, body: &T) -> Response {
+    match rmp_serde::to_vec(body) {
+        Ok(bytes) => Response::build(status).body(bytes),
+        Err(_) => Response::build(StatusCode::INTERNAL_SERVER_ERROR).finish(),
+    }
+}
+
+/// Decodes a MessagePack body.
+pub(crate) fn from_msgpack<T: DeserializeOwned>(
+    body: &[u8],
+) -> Result<T, rmp_serde::decode::Error> {
+    rmp_serde::from_slice(body)
+}
+
+/// Compares secrets in a time that does not depend on where they differ, so
+/// that a caller cannot find a token byte by byte.
+pub(crate) fn same_secret(given: &[u8], expected: &[u8]) -> bool {
+    given.ct_eq(expected).into()
+}
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,80 @@
+//! What all parts of one daemon share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Instant;
+
+use ntex::client::Client;
+use slog::Logger;
+use stoatstep_platform::HttpPlatform;
+use stoatstep_telemetry::Metrics;
+
+use crate::call::Calls;
+use crate::config::Config;
+use crate::control::Control;
+
+/// One daemon: its settings, its tables and its clients. Everything runs on
+/// one thread, so the cells are never contended.
+pub(crate) struct Node {
+    pub(crate) cfg: Config,
+    pub(crate) log: Logger,
+    pub(crate) metrics: Metrics,
+    pub(crate) platform: HttpPlatform,
+    /// Connections to other daemons.
+    pub(crate) peers: Client,
+    pub(crate) control: Control,
+    pub(crate) calls: Calls,
+    /// Set once the daemon is told to stop; new work is refused from then on.
+    pub(crate) draining: Cell<bool>,
+    pub(crate) started: Instant,
+}
+
+thread_local! {
+    static NODE: RefCell<Option<Rc<Node>>> = const { RefCell::new(None) };
+}
+
+impl Node {
+    /// The node of this thread. The first listener to start creates it.
+    pub(crate) async fn of_thread(cfg: Config) -> Rc<Self> {
+        if let Some(node) = NODE.with_borrow(Clone::clone) {
+            return node;
+        }
+        let node = Rc::new(Self::new(cfg).await);
+        NODE.set(Some(Rc::clone(&node)));
+        crate::control::start(&node);
+        crate::call::start(&node);
+        node
+    }
+
+    /// Every metric of this daemon as text lines.
+    pub(crate) fn metrics_text(&self) -> String {
+        self.metrics.render()
+    }
+
+    async fn new(cfg: Config) -> Self {
+        let log = stoatstep_telemetry::logger("stoatstepd", cfg.log_level);
+        let platform = HttpPlatform::builder(cfg.platform, cfg.zone.clone())
+            .build()
+            .await
+            .expect("a client without TLS always builds");
+        let peers = Client::builder()
+            .no_default_headers()
+            .disable_redirects()
+            .build(ntex::SharedCfg::new("peers"))
+            .await
+            .expect("a client without TLS always builds");
+        let calls = Calls::new(&cfg).await;
+        let control = Control::new(&cfg);
+        Self {
+            cfg,
+            log,
+            metrics: Metrics::new(),
+            platform,
+            peers,
+            control,
+            calls,
+            draining: Cell::new(false),
+            started: Instant::now(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/operator/mod.rs
@@ -0,0 +1,74 @@
+//! The operators' port: resources, watches, status, health and metrics.
+
+mod changes;
+mod health;
+mod resources;
+mod status;
+mod watch;
+
+use std::rc::Rc;
+use std::str::FromStr;
+
+use ntex::http::{Method, Request, Response, StatusCode};
+use stoatstep_resource::wire::FindingsAnswer;
+use stoatstep_resource::{Finding, Place};
+
+use crate::http::{json, same_secret};
+use crate::node::Node;
+
+/// Answers one request of an operator.
+pub(crate) async fn handle(node: &Rc<Node>, mut req: Request) -> Response {
+    let method = req.method().clone();
+    let path = req.path().to_owned();
+    if let Some(res) = health::handle(node, &method, &path) {
+        return res;
+    }
+    if !is_operator(node, &req) {
+        return refusal(
+            StatusCode::UNAUTHORIZED,
+            "an operator's token is needed: authorization: Bearer TOKEN",
+        );
+    }
+    let segments: Vec<&str> = path.split('/').skip(1).collect();
+    match (&method, segments.as_slice()) {
+        (&Method::GET, ["v1", "resources", rest @ ..]) => resources::handle(node, rest),
+        (&Method::POST, ["v1", "changes"]) => changes::handle(node, req.take_payload()).await,
+        (&Method::GET, ["v1", "watch"]) => watch::handle(node, &req).await,
+        (&Method::GET, ["v1", "status"]) => status::handle(node).await,
+        (&Method::POST, ["v1", "drain"]) => status::drain(node),
+        _ => refusal(StatusCode::NOT_FOUND, "no such path or method"),
+    }
+}
+
+/// An answer with a single finding that has no place.
+fn refusal(status: StatusCode, message: &str) -> Response {
+    let finding = Finding::new(Place::default(), message);
+    findings(status, vec![finding])
+}
+
+fn findings(status: StatusCode, findings: Vec<Finding>) -> Response {
+    json(status, &FindingsAnswer { findings })
+}
+
+/// The value of a query parameter, or a finding that names it.
+fn parameter<T: FromStr>(req: &Request, name: &str, default: T) -> Result<T, Finding> {
+    let query = req.uri().query().unwrap_or_default();
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let Some((_, text)) = pairs.find(|(key, _)| *key == name) else {
+        return Ok(default);
+    };
+    text.parse().map_err(|_| {
+        let place = Place {
+            field: Some(name.into()),
+            ..Place::default()
+        };
+        Finding::new(place, "is not a whole number")
+    })
+}
+
+fn is_operator(node: &Node, req: &Request) -> bool {
+    let given = req.headers().get("authorization");
+    given
+        .and_then(|it| it.as_bytes().strip_prefix(b"Bearer "))
+        .is_some_and(|token| same_secret(token, node.cfg.operator_token.as_bytes()))
+}
--- /dev/null
+++ b/crates/daemon/src/server.rs
@@ -0,0 +1,80 @@
+//! Starts the three listeners and ends them gracefully.
+
+use std::io;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use ntex::http::{HttpService, HttpServiceConfig, Request};
+use ntex::time::{Millis, Seconds};
+
+use crate::config::Config;
+use crate::node::Node;
+use crate::{call, control, operator};
+
+/// Time that calls in flight get to end after SIGTERM.
+const DRAIN_LIMIT: Seconds = Seconds(60);
+/// Connections that one daemon accepts at a time over all of its listeners.
+const MAX_CONNECTIONS: usize = 4096;
+/// Header bytes of one request.
+const MAX_HEADER_BYTES: usize = 16 * 1024;
+/// Time for a caller to send its headers.
+const HEADER_TIMEOUT: Seconds = Seconds(5);
+/// Time that an unused connection stays open.
+const KEEP_ALIVE: Seconds = Seconds(75);
+
+/// Runs the daemon until SIGTERM or SIGINT.
+pub(crate) fn run(cfg: Config) -> ExitCode {
+    let system = ntex::rt::System::new("stoatstepd", ntex::rt::DefaultRuntime);
+    match system.block_on(serve(cfg)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("stoatstepd: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(cfg: Config) -> io::Result<()> {
+    let (callers, peers, operators) = (cfg.clone(), cfg.clone(), cfg.clone());
+    ntex::server::build()
+        .workers(1)
+        .maxconn(MAX_CONNECTIONS)
+        .shutdown_timeout(Millis::from(DRAIN_LIMIT))
+        .bind("callers", cfg.caller_addr, async move |_| {
+            let node = Node::of_thread(callers.clone()).await;
+            HttpService::h1(move |req: Request| {
+                let node = Rc::clone(&node);
+                async move { Ok::<_, io::Error>(call::entry::handle(&node, req).await) }
+            })
+        })?
+        .config("callers", http_config("callers"))
+        .bind("peers", cfg.peer_addr, async move |_| {
+            let node = Node::of_thread(peers.clone()).await;
+            HttpService::h1(move |req: Request| {
+                let node = Rc::clone(&node);
+                async move { Ok::<_, io::Error>(control::peer::handle(&node, req).await) }
+            })
+        })?
+        .config("peers", http_config("peers"))
+        .bind("operators", cfg.operator_addr, async move |_| {
+            let node = Node::of_thread(operators.clone()).await;
+            HttpService::h1(move |req: Request| {
+                let node = Rc::clone(&node);
+                async move { Ok::<_, io::Error>(operator::handle(&node, req).await) }
+            })
+        })?
+        .config("operators", http_config("operators"))
+        .run()
+        .await
+}
+
+fn http_config(name: &'static str) -> ntex::SharedCfg {
+    ntex::SharedCfg::new(name)
+        .add(
+            HttpServiceConfig::new()
+                .set_max_buf_size(MAX_HEADER_BYTES)
+                .set_keepalive(KEEP_ALIVE)
+                .set_headers_read_rate(HEADER_TIMEOUT, HEADER_TIMEOUT, 256),
+        )
+        .into()
+}
