--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the programs as they run: separate processes over TCP on loopback
+//! addresses. See `docs/contributing/testing.md`.
+
+mod fleet;
+mod http;
+mod lifecycle;
+mod process;
+mod process_rules;
