Time the target's runs exactly and keep its ledger over restarts

The timers of ntex are rounded up to 16 ms, so a run of 5 ms took three times as long. Runs now use futures-timer; a test holds the mean of 20 runs of 5 ms between 5 and 12 ms.

--- a/crates/standin-target/src/ledger.rs
+++ b/crates/standin-target/src/ledger.rs
@@ -1,6 +1,9 @@
 //! What ran: one entry for each intent, attempt and marker.
 
 use std::collections::HashMap;
+use std::fs::{File, OpenOptions};
+use std::io::{self, BufRead, BufReader, Write};
+use std::path::Path;
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -51,7 +54,7 @@
 }
 
 /// What identifies an entry.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct Intent {
     pub(crate) key: SmolStr,
     pub(crate) attempt: SmolStr,
@@ -64,10 +67,37 @@
 pub(crate) struct Ledger {
     entries: Vec<Entry>,
     places: HashMap<Intent, EntryIndex>,
+    file: Option<File>,
 }
 
 impl Ledger {
+    /// A ledger that outlives the process: a test that kills a target must
+    /// still see what ran there before. Each run is written as a JSON line
+    /// before it begins.
+    pub(crate) fn open(path: &Path) -> io::Result<Self> {
+        let mut options = OpenOptions::new();
+        let file = options.create(true).append(true).read(true).open(path)?;
+        let mut ledger = Self::default();
+        for line in BufReader::new(&file).lines() {
+            let intent = serde_json::from_str(&line?)?;
+            ledger.begin(intent);
+        }
+        ledger.file = Some(file);
+        Ok(ledger)
+    }
+
+    /// Notes that a run begins.
+    ///
+    /// # Panics
+    ///
+    /// The file cannot be written. A ledger with gaps would make a call that
+    /// ran look like one that did not, so the target fails instead.
     pub(crate) fn begin(&mut self, intent: Intent) -> EntryIndex {
+        if let Some(file) = &mut self.file {
+            let line = serde_json::to_string(&intent).expect("plain data always encodes");
+            file.write_all(format!("{line}\n").as_bytes())
+                .expect("the ledger's file must be writable");
+        }
         let entries = &mut self.entries;
         let index = *self.places.entry(intent).or_insert_with_key(|intent| {
             entries.push(Entry {
--- a/crates/standin-target/src/program.rs
+++ b/crates/standin-target/src/program.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use slog::{Logger, error, info, o};
@@ -27,6 +28,11 @@
             "Time after the start in which runs are slower.",
         )
         .default("0ms"),
+        Setting::new(
+            "ledger",
+            "FILE",
+            "File that keeps the ledger over restarts; in memory alone where absent.",
+        ),
         Setting::new("log-level", "LEVEL", "Least severe level that is logged.").default("info"),
     ],
     operands: "",
@@ -56,6 +62,7 @@
     let service_time = values.required::<Span>("service-time");
     let service_spread = values.required::<Span>("service-spread");
     let cold_start = values.required::<Span>("cold-start");
+    let ledger = values.optional::<PathBuf>("ledger");
     let level = values.required::<Level>("log-level");
     values.finish()?;
     let addr = addr.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
@@ -71,6 +78,7 @@
         addr,
         name: name.unwrap_or_else(|| addr.to_smolstr()),
         behaviour,
+        ledger,
     };
     Ok((options, level.unwrap_or(Level::Info)))
 }
--- a/crates/standin-target/src/server.rs
+++ b/crates/standin-target/src/server.rs
@@ -1,19 +1,24 @@
 //! The HTTP server around a target.
+//!
+//! Runs are timed by `futures-timer`: ntex's own timers are rounded up to 16 ms,
+//! which would make a 5 ms run three times as long.
 
 use std::error::Error;
 use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use futures_timer::Delay;
 use ntex::SharedCfg;
 use ntex::http::body::SizedStream;
 use ntex::http::{HttpServiceConfig, KeepAlive, StatusCode};
 use ntex::server::Server;
-use ntex::time::{Seconds, sleep};
+use ntex::time::Seconds;
 use ntex::util::{Bytes, Stream};
 use ntex::web::types::{Json, JsonConfig, State};
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
@@ -21,7 +26,7 @@
 
 use crate::answer::Answer;
 use crate::behaviour::{Behaviour, BehaviourChange};
-use crate::ledger::Intent;
+use crate::ledger::{Intent, Ledger};
 use crate::target::{Delivery, Run, Target};
 
 /// Largest padding that a request may ask for.
@@ -43,6 +48,8 @@
     pub name: SmolStr,
     /// Behaviour at the start.
     pub behaviour: Behaviour,
+    /// File that keeps the ledger over restarts; in memory alone where absent.
+    pub ledger: Option<PathBuf>,
 }
 
 /// Starts listening; the returned server runs until it is stopped, and ends
@@ -50,9 +57,13 @@
 ///
 /// # Errors
 ///
-/// The address cannot be bound.
+/// The address cannot be bound, or the ledger's file cannot be read.
 pub fn serve(options: Options) -> io::Result<Server> {
-    let target = Target::new(options.name, options.behaviour);
+    let ledger = match &options.ledger {
+        Some(path) => Ledger::open(path)?,
+        None => Ledger::default(),
+    };
+    let target = Target::new(options.name, options.behaviour, ledger);
     let http = HttpServiceConfig::new()
         .set_keepalive(KeepAlive::Timeout(KEEP_ALIVE))
         .set_client_timeout(KEEP_ALIVE);
@@ -62,7 +73,7 @@
             .state(JsonConfig::default().limit(ADMIN_BODY_LIMIT))
             .service((
                 web::resource("/healthz").route(web::get().to(health)),
-                web::resource("/admin/ledger").route(web::get().to(ledger)),
+                web::resource("/admin/ledger").route(web::get().to(entries)),
                 web::resource("/admin/counts").route(web::get().to(counts)),
                 web::resource("/admin/behaviour").route(web::post().to(behaviour)),
             ))
@@ -98,7 +109,7 @@
     let delivery = match deadline {
         Some(limit) if limit < run.time => return cut_at_deadline(run, limit).await,
         _ => {
-            sleep(run.time).await;
+            Delay::new(run.time).await;
             run.finish()
         }
     };
@@ -108,7 +119,7 @@
 
 /// Nobody waits for an answer after the deadline, so the run ends there.
 async fn cut_at_deadline(run: Run, limit: Duration) -> HttpResponse {
-    sleep(limit).await;
+    Delay::new(limit).await;
     drop(run);
     HttpResponse::GatewayTimeout().finish()
 }
@@ -170,7 +181,7 @@
     HttpResponse::build(status).json(&report)
 }
 
-async fn ledger(target: State<Target>) -> HttpResponse {
+async fn entries(target: State<Target>) -> HttpResponse {
     HttpResponse::Ok().json(&target.entries())
 }
 
--- a/crates/standin-target/src/target.rs
+++ b/crates/standin-target/src/target.rs
@@ -50,10 +50,10 @@
 }
 
 impl Target {
-    pub(crate) fn new(name: SmolStr, behaviour: Behaviour) -> Self {
+    pub(crate) fn new(name: SmolStr, behaviour: Behaviour, ledger: Ledger) -> Self {
         let tables = Tables {
             behaviour,
-            ledger: Ledger::default(),
+            ledger,
             counts: Counts::default(),
             last_load: 0.0,
             connections: HashMap::new(),
--- a/crates/standin-target/tests/target.rs
+++ b/crates/standin-target/tests/target.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,10 @@
 const PATIENCE: Duration = Duration::from_millis(400);
 
 fn start(behaviour: Behaviour) -> SocketAddr {
+    start_with(behaviour, None)
+}
+
+fn start_with(behaviour: Behaviour, ledger: Option<PathBuf>) -> SocketAddr {
     let free = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = free.local_addr().unwrap();
     drop(free);
@@ -20,6 +25,7 @@
         addr,
         name: "target-1".into(),
         behaviour,
+        ledger,
     };
     thread::spawn(move || {
         System::new("target", DefaultRuntime).block_on(async move { serve(options)?.await })
@@ -275,3 +281,35 @@
     assert!(at(0) > at(5) && at(5) > at(10));
     assert_eq!(at(10), Duration::from_millis(5));
 }
+
+#[test]
+fn a_run_takes_its_service_time() {
+    let addr = start(Behaviour::default());
+    let mut stream = connect(addr);
+    let begin = Instant::now();
+    for _ in 0..20 {
+        send(&mut stream, "GET", "/one", "", "");
+        assert!(receive(&mut stream).is_some());
+    }
+    let mean = begin.elapsed() / 20;
+    assert!(mean >= Duration::from_millis(5), "{mean:?}");
+    assert!(mean < Duration::from_millis(12), "{mean:?}");
+}
+
+/// A target is killed and started again at once. What ran before must still be
+/// in its ledger, or a duplicate run would pass for a first one.
+#[test]
+fn a_ledger_file_outlives_the_process() {
+    let path = std::env::temp_dir().join(format!("stoat-ledger-{}", std::process::id()));
+    for _ in 0..2 {
+        let addr = start_with(Behaviour::default(), Some(path.clone()));
+        let mut stream = connect(addr);
+        send(&mut stream, "POST", "/one", "idempotency-key: k1\r\n", "x");
+        assert!(receive(&mut stream).is_some());
+    }
+    let addr = start_with(Behaviour::default(), Some(path.clone()));
+    let entries: Vec<Entry> = fetch(addr, "/admin/ledger");
+    std::fs::remove_file(path).unwrap();
+    assert_eq!(entries.len(), 1);
+    assert_eq!(entries[0].count, 2);
+}
