Decide about calls: routing, admission, ledger and intents as pure tables

The call promises need decisions that can be searched and replayed, so they come first and without sockets: Router, Admission, RetryBudget, Backoff, Deadline, Silence, Drain, Ledger, IntentTable and HomeSets.

Ruled out: absolute expiry on attempts (clocks of two machines are not comparable) and forgetting fences by age alone. An attempt instead carries a ticket that its executor issued, so age is told by one clock. A full ledger fences by refusing all earlier tickets.

--- /dev/null
+++ b/crates/calls/src/answer.rs
@@ -0,0 +1,34 @@
+//! A target's whole answer, as the executor keeps it.
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// One header of an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Header {
+    /// Name in lower case.
+    pub name: SmolStr,
+    /// Value, any bytes that HTTP allows.
+    pub value: Vec<u8>,
+}
+
+/// A whole answer. It is built only after the last byte of the body came in:
+/// nothing in this crate can hold part of an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers of the answer, without those of the connection.
+    pub headers: Vec<Header>,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// Bytes that keeping this answer takes, about.
+    #[must_use]
+    pub fn weight(&self) -> usize {
+        let header = |it: &Header| it.name.len() + it.value.len() + size_of::<Header>();
+        size_of::<Self>() + self.body.len() + self.headers.iter().map(header).sum::<usize>()
+    }
+}
--- /dev/null
+++ b/crates/calls/src/intent/mod.rs
@@ -0,0 +1,16 @@
+//! At most once over all of a caller's retries, by idempotency key.
+//!
+//! A key has one home: the executor that rendezvous hashing gives it among the
+//! service's configured upstreams ([`home_of`]). Only the home runs it, from
+//! its memory of keys ([`IntentTable`]), and only while that memory can be
+//! trusted: since its own start for keys that state their time, and after the
+//! previous home has confirmed a change of homes ([`HomeSets`]). See
+//! `docs/design/at-most-once.md`.
+
+mod home;
+mod key;
+mod table;
+
+pub use home::{Handover, Home, HomeSets, home_of, set_id};
+pub use key::{Fingerprint, IntentKey, KeyError, KeyText};
+pub use table::{Begin, HomeAnswer, IntentConfig, IntentTable};
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -1,1 +1,48 @@
-//! To be written.
+//! Decisions about calls: which upstream takes an attempt, what the executor
+//! admits, what may be tried again, and what is known about an attempt whose
+//! answer went missing.
+//!
+//! Nothing here opens a socket, reads a clock or starts a thread. State lies in
+//! tables, time and randomness come in as arguments, and so the same code runs
+//! in the daemon, under scripted scenarios with virtual time, and under the
+//! model checker.
+//!
+//! The two sides of a call are the *entry* (the daemon that took it from the
+//! caller) and the *executor* (the daemon on the target's own instance):
+//!
+//! * the entry uses [`Router`], [`RetryBudget`], [`Backoff`], [`Deadline`] and
+//!   [`Silence`];
+//! * the executor uses [`Admission`], [`Ledger`], [`IntentTable`] and [`Drain`].
+//!
+//! The reasons are in `docs/design/calls.md` and `docs/design/at-most-once.md`.
+
+mod admission;
+mod answer;
+mod class;
+mod deadline;
+mod drain;
+mod estimate;
+mod ids;
+mod intent;
+mod ledger;
+mod refusal;
+mod retry;
+mod router;
+mod silence;
+
+pub use admission::{Admission, AdmissionConfig, Ask, Dispatch, Load, Verdict};
+pub use answer::{Answer, Header};
+pub use class::{Class, UnknownClass};
+pub use deadline::Deadline;
+pub use drain::{Drain, DrainStep};
+pub use estimate::Estimate;
+pub use ids::{AttemptId, Incarnation, SetId, Time, Wall};
+pub use intent::{
+    Begin, Fingerprint, Handover, Home, HomeAnswer, HomeSets, IntentConfig, IntentKey, IntentTable,
+    KeyError, KeyText, home_of, set_id,
+};
+pub use ledger::{Arrival, Ledger, LedgerConfig, Settled, Ticket};
+pub use refusal::{Outcome, Reason, Refusal};
+pub use retry::{Backoff, RetryBudget, Settlement, may_retry};
+pub use router::{Candidate, CandidateState, Pick, Report, Router};
+pub use silence::{Silence, SilenceAction, SilenceConfig};
--- /dev/null
+++ b/crates/calls/src/retry.rs
@@ -0,0 +1,118 @@
+//! What is tried again, how often and when.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+/// Retries that a service may use before it has earned any, and the most that
+/// it can save up. Lets a service with few calls be retried at all.
+const RESERVE_MILLI: u64 = 10_000;
+
+/// One retry, in thousandths.
+const ONE_MILLI: u64 = 1_000;
+
+/// Retries as a share of first attempts, one bucket for each service.
+///
+/// Without it, refusals under overload turn into more attempts, these into more
+/// refusals, and the overload outlives its cause. With a share of `p` percent
+/// the attempts are at most `1 + p/100` times the calls over any long stretch.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct RetryBudget {
+    milli: u64,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        let milli = RESERVE_MILLI;
+        Self { milli }
+    }
+}
+
+impl RetryBudget {
+    /// Counts a first attempt, which earns `percent` hundredths of a retry.
+    pub fn earn(&mut self, percent: u32) {
+        let earned = u64::from(percent) * ONE_MILLI / 100;
+        self.milli = (self.milli + earned).min(RESERVE_MILLI);
+    }
+
+    /// Takes one retry, or says that none is left.
+    pub fn take(&mut self) -> bool {
+        let Some(rest) = self.milli.checked_sub(ONE_MILLI) else {
+            return false;
+        };
+        self.milli = rest;
+        true
+    }
+}
+
+/// What is known about an attempt that brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Settlement {
+    /// It did not run and never will.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// Whether another attempt may follow.
+///
+/// Only the entry of a chain retries (`depth` 0). If each of 8 hops tried three
+/// times, one failing target at the end would see 3^8 attempts for one call.
+/// The hops below pass the refusal up, where the one budget is.
+#[must_use]
+pub fn may_retry(
+    settlement: Settlement,
+    idempotent: bool,
+    depth: u32,
+    made: u32,
+    allowed: u32,
+) -> bool {
+    if depth > 0 || made >= allowed {
+        return false;
+    }
+    match settlement {
+        Settlement::NotRun => true,
+        Settlement::Unknown => idempotent,
+    }
+}
+
+/// Exponential back-off with full jitter, inside the deadline.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Backoff {
+    base: Duration,
+    longest: Duration,
+}
+
+impl Default for Backoff {
+    fn default() -> Self {
+        Self {
+            base: Duration::from_millis(5),
+            longest: Duration::from_millis(500),
+        }
+    }
+}
+
+impl Backoff {
+    /// Doubles from `base` up to `longest`.
+    #[must_use]
+    pub fn new(base: Duration, longest: Duration) -> Self {
+        Self { base, longest }
+    }
+
+    /// Pause before the attempt after `made`, at least `floor`. `None` where the
+    /// deadline would leave less than `needed` for the attempt itself: the
+    /// refusal then goes out now instead of after a pointless wait.
+    pub fn pause(
+        &self,
+        made: u32,
+        floor: Duration,
+        needed: Duration,
+        left: Duration,
+        rng: &mut dyn Rng,
+    ) -> Option<Duration> {
+        let doublings = made.saturating_sub(1).min(16);
+        let ceiling = (self.base * (1 << doublings)).min(self.longest);
+        let pause = floor + ceiling.mul_f64(rng.random::<f64>());
+        (pause + needed < left).then_some(pause)
+    }
+}
--- /dev/null
+++ b/crates/calls/tests/all/intent.rs
@@ -0,0 +1,174 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use stoatstep_calls::{
+    Answer, Begin, Fingerprint, HomeAnswer, IntentConfig, IntentKey, IntentTable, KeyError,
+    KeyText, Reason,
+};
+use uuid::{NoContext, Timestamp, Uuid};
+
+const START: Duration = Duration::from_secs(1_000_000);
+const SECOND: Duration = Duration::from_secs(1);
+const MINUTE: Duration = Duration::from_mins(1);
+const REQUEST: Fingerprint = Fingerprint(1);
+
+/// A key made at `created`.
+pub(crate) fn timed_key(created: Duration) -> IntentKey {
+    let stamp = Timestamp::from_unix(NoContext, created.as_secs(), created.subsec_nanos());
+    key(&Uuid::new_v7(stamp).to_string())
+}
+
+fn key(text: &str) -> IntentKey {
+    IntentKey {
+        service: "floatdesk".into(),
+        tenant: "elm-school".into(),
+        key: KeyText::try_from(text).expect("the key is well formed"),
+    }
+}
+
+fn table() -> IntentTable {
+    IntentTable::new(START, IntentConfig::default())
+}
+
+fn answer() -> Arc<Answer> {
+    Arc::new(Answer {
+        status: 201,
+        headers: Vec::new(),
+        body: b"claim 17".to_vec(),
+    })
+}
+
+fn reason(begin: &Begin) -> Option<Reason> {
+    match begin {
+        Begin::Refused(refusal) => Some(refusal.reason),
+        Begin::Run | Begin::Wait(_) | Begin::Replay(_) => None,
+    }
+}
+
+// A caller loses the answer and sends its claim again with the same key. It
+// gets the first run's answer, and the claim is not posted twice.
+#[test]
+fn same_key_runs_once() {
+    let mut table = table();
+    let now = START + MINUTE;
+    let key = timed_key(now);
+    assert_eq!(table.begin(&key, REQUEST, 1, now), Begin::Run);
+    assert_eq!(table.begin(&key, REQUEST, 2, now), Begin::Wait(1));
+    table.done(&key, 1, answer());
+    assert_eq!(table.begin(&key, REQUEST, 3, now), Begin::Replay(answer()));
+}
+
+// The daemon restarts between two sends of one claim. The new process has no
+// record of the first send, so it must not take the key for a new one.
+#[test]
+fn key_from_before_the_start_is_unsettled() {
+    let mut table = table();
+    let now = START + MINUTE;
+    let within_skew = timed_key(START + SECOND);
+    let begin = table.begin(&within_skew, REQUEST, 1, now);
+    assert_eq!(reason(&begin), Some(Reason::KeyUnsettled));
+    assert_eq!(table.hand_over(&within_skew), HomeAnswer::Unknown);
+}
+
+// A run's record is dropped by age, and the caller sends again after that.
+#[test]
+fn key_older_than_its_record_is_expired() {
+    let mut table = table();
+    let now = START + MINUTE;
+    let key = timed_key(now);
+    assert_eq!(table.begin(&key, REQUEST, 1, now), Begin::Run);
+    table.done(&key, 1, answer());
+    let later = now + 11 * MINUTE;
+    table.tick(later);
+    assert!(table.is_empty());
+    let begin = table.begin(&key, REQUEST, 2, later);
+    assert_eq!(reason(&begin), Some(Reason::KeyExpired));
+}
+
+// A key that claims to be made tomorrow would be accepted for a day, long after
+// its record is gone.
+#[test]
+fn key_from_the_future_is_refused() {
+    let now = START + MINUTE;
+    let begin = table().begin(&timed_key(now + 5 * SECOND), REQUEST, 1, now);
+    assert_eq!(reason(&begin), Some(Reason::KeyFromFuture));
+}
+
+// The target's connection breaks in the middle of a run. Nobody knows whether
+// it ran; another send must not run it.
+#[test]
+fn broken_run_keeps_the_key_taken() {
+    let mut table = table();
+    let now = START + MINUTE;
+    let key = timed_key(now);
+    table.begin(&key, REQUEST, 1, now);
+    table.lost(&key, 1);
+    let begin = table.begin(&key, REQUEST, 2, now);
+    assert_eq!(reason(&begin), Some(Reason::LostAnswer));
+}
+
+// A queue refuses the first send as not run; the second send may run. The first
+// attempt's late words must not free or settle the key of the second.
+#[test]
+fn refused_run_frees_the_key_for_the_next_attempt_only() {
+    let mut table = table();
+    let now = START + MINUTE;
+    let key = timed_key(now);
+    table.begin(&key, REQUEST, 1, now);
+    table.release(&key, 1);
+    assert_eq!(table.begin(&key, REQUEST, 2, now), Begin::Run);
+    table.release(&key, 1);
+    table.done(&key, 1, answer());
+    assert_eq!(table.begin(&key, REQUEST, 3, now), Begin::Wait(2));
+}
+
+#[test]
+fn key_with_another_request_is_refused() {
+    let mut table = table();
+    let now = START + MINUTE;
+    let key = timed_key(now);
+    table.begin(&key, REQUEST, 1, now);
+    let begin = table.begin(&key, Fingerprint(2), 2, now);
+    assert_eq!(reason(&begin), Some(Reason::KeyReused));
+}
+
+// Keys come faster than they expire. New ones are refused as not run; none that
+// may come again is dropped.
+#[test]
+fn full_table_refuses_instead_of_forgetting() {
+    let mut table = IntentTable::new(START, IntentConfig::default().keys(1));
+    let now = START + MINUTE;
+    let first = timed_key(now);
+    assert_eq!(table.begin(&first, REQUEST, 1, now), Begin::Run);
+    let second = table.begin(&timed_key(now), REQUEST, 2, now);
+    assert_eq!(reason(&second), Some(Reason::MemoryFull));
+    assert_eq!(table.begin(&first, REQUEST, 3, now), Begin::Wait(1));
+}
+
+// A key without a time was refused and taken again later. The first record's
+// expiry must not take the second one with it.
+#[test]
+fn retaken_plain_key_keeps_its_own_time() {
+    let mut table = table();
+    let key = key("refund-2211");
+    table.begin(&key, REQUEST, 1, START);
+    table.release(&key, 1);
+    let retaken = START + 9 * MINUTE;
+    table.begin(&key, REQUEST, 2, retaken);
+    table.done(&key, 2, answer());
+    let now = START + 15 * MINUTE;
+    table.tick(now);
+    assert_eq!(table.begin(&key, REQUEST, 3, now), Begin::Replay(answer()));
+}
+
+#[test]
+fn keys_are_checked() {
+    assert_eq!(KeyText::try_from(""), Err(KeyError::Empty));
+    assert_eq!(KeyText::try_from("a b"), Err(KeyError::NotGraphic));
+    let long = "k".repeat(65);
+    assert_eq!(KeyText::try_from(long.as_str()), Err(KeyError::TooLong(65)));
+    let upper = "01890A5D-AC96-774B-BCCE-B302099A8057";
+    let lower = KeyText::try_from(upper.to_lowercase().as_str());
+    assert_eq!(KeyText::try_from(upper), lower);
+    assert!(lower.is_ok_and(|it| it.created().is_some()));
+}
--- /dev/null
+++ b/crates/calls/tests/all/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the call decisions, with time passed in.
+
+mod admission;
+mod homes;
+mod intent;
+mod ledger;
+mod retry;
+mod router;
+mod silence;
--- /dev/null
+++ b/crates/calls/tests/all/retry.rs
@@ -0,0 +1,92 @@
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+use stoatstep_calls::{Backoff, Deadline, Drain, DrainStep, RetryBudget, Settlement, may_retry};
+
+const MS: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+
+// Every attempt of a service fails. Retries stay at the budget's share of first
+// attempts, so that they cannot keep the overload alive.
+#[test]
+fn retries_stay_within_their_share() {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.earn(20);
+        while budget.take() {
+            retries += 1;
+        }
+    }
+    // A reserve of 10 and a fifth of 1,000, less one: the first call finds the
+    // reserve full and earns nothing.
+    assert_eq!(retries, 209);
+}
+
+// A chain 8 deep whose last target fails. Only the first daemon tries again.
+#[test]
+fn chain_does_not_multiply() {
+    assert!(may_retry(Settlement::NotRun, false, 0, 1, 3));
+    for depth in 1..8 {
+        assert!(!may_retry(Settlement::NotRun, true, depth, 1, 3));
+    }
+}
+
+// The outcome of a claim is unknown. Another attempt could post it twice.
+#[test]
+fn unknown_is_tried_again_only_if_idempotent() {
+    assert!(!may_retry(Settlement::Unknown, false, 0, 1, 3));
+    assert!(may_retry(Settlement::Unknown, true, 0, 1, 3));
+    assert!(!may_retry(Settlement::Unknown, true, 0, 3, 3));
+}
+
+#[test]
+fn pause_is_jittered_and_inside_the_deadline() {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(1);
+    let backoff = Backoff::new(10 * MS, 40 * MS);
+    for made in 1..8 {
+        let pause = backoff.pause(made, MS, MS, SECOND, &mut rng);
+        assert!(pause.is_some_and(|it| it >= MS && it <= 41 * MS));
+    }
+    assert_eq!(backoff.pause(1, 5 * MS, 5 * MS, 9 * MS, &mut rng), None);
+}
+
+// Each of 8 hops holds something back for the way home, and the last one still
+// gets most of a short deadline.
+#[test]
+fn deadline_shrinks_hop_by_hop() {
+    let mut left = 20 * MS;
+    for _ in 0..8 {
+        let next = Deadline::after(left, SECOND).for_next_hop(SECOND + MS);
+        let next = next.expect("20 ms last for 8 hops");
+        assert!(next + MS < left);
+        left = next;
+    }
+    assert!(left >= 6 * MS, "{left:?}");
+    let passed = Deadline::after(MS, SECOND).for_next_hop(2 * SECOND);
+    assert_eq!(passed, None);
+}
+
+// A target leaves with calls in flight. It announces itself first, lingers for
+// entries that have not heard, and leaves when the last answer is out.
+#[test]
+fn drain_answers_all_before_it_leaves() {
+    let mut drain = Drain::new(30 * SECOND);
+    assert!(drain.admits());
+    drain.begin(SECOND);
+    assert!(!drain.admits());
+    assert_eq!(drain.tick(0, SECOND), DrainStep::Announce);
+    assert_eq!(drain.tick(0, 2 * SECOND), DrainStep::Wait);
+    assert_eq!(drain.tick(1, 4 * SECOND), DrainStep::Wait);
+    drain.begin(5 * SECOND);
+    assert_eq!(drain.tick(0, 5 * SECOND), DrainStep::Leave);
+}
+
+#[test]
+fn drain_is_bounded() {
+    let mut drain = Drain::new(30 * SECOND);
+    drain.begin(SECOND);
+    drain.tick(2, SECOND);
+    assert_eq!(drain.tick(2, 31 * SECOND), DrainStep::LeaveUnfinished(2));
+}
