Decide how versions spread, are repaired and come into force

Cause: a change must be in force everywhere within seconds, at most once in each daemon's traffic, whoever dies, and the platform may be away.

Change: a replica that takes versions in order, whole and never back; pushes down a hash-ordered forest for each zone, reaching past who does not answer; pulls from the peer whose mark shows a newer version; two pollers a zone, and a read budget for the moment when all ask for themselves; a cold start that takes the configuration from peers; a floor for daemons that restart.

Ruled out: every daemon polling (610 reads a second at the platform), one pushing to all (the origin's 610 sends), flooding (each change several times at each daemon). The age of the head is now told in tenths of a second.

--- /dev/null
+++ b/crates/distribution/src/collect.rs
@@ -0,0 +1,122 @@
+//! Where each version holds, gathered up the same trees.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use stoatstep_membership::MemberKey;
+use stoatstep_resource::Version;
+
+/// Longest reason that is carried.
+const MAX_REASON: usize = 256;
+
+/// One instance that serves by a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Hold {
+    /// The instance.
+    pub member: MemberKey,
+    /// Since when, in milliseconds since the Unix epoch by its own clock.
+    pub since_unix_ms: u64,
+}
+
+/// A version that an instance refused.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Refusal {
+    /// The version.
+    pub version: Version,
+    /// Why.
+    pub reason: String,
+    /// Who refused it.
+    pub members: BTreeSet<MemberKey>,
+}
+
+/// What one daemon, or all daemons below it in a tree, hold.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holdings {
+    /// For each version, who serves by it.
+    pub holds: BTreeMap<Version, Vec<Hold>>,
+    /// Refused versions.
+    pub refusals: Vec<Refusal>,
+    /// Members that were asked and did not answer.
+    pub silent: BTreeSet<MemberKey>,
+}
+
+impl Holdings {
+    /// Holdings of one daemon.
+    #[must_use]
+    pub fn of_one(version: Version, hold: Hold) -> Self {
+        Self {
+            holds: BTreeMap::from([(version, vec![hold])]),
+            ..Self::default()
+        }
+    }
+
+    /// Adds a version that `member` refused.
+    pub fn refuse(&mut self, version: Version, mut reason: String, member: MemberKey) {
+        let end = reason.floor_char_boundary(MAX_REASON);
+        reason.truncate(end);
+        self.add_refusal(Refusal {
+            version,
+            reason,
+            members: BTreeSet::from([member]),
+        });
+    }
+
+    /// Notes that a member did not answer.
+    pub fn note_silent(&mut self, member: MemberKey) {
+        self.silent.insert(member);
+    }
+
+    /// Takes in the holdings of another part of the fleet. Views differ a
+    /// little, so a member may be reported twice; its newest report counts.
+    pub fn merge(&mut self, other: Self) {
+        for (version, holds) in other.holds {
+            for hold in holds {
+                self.add_hold(version, hold);
+            }
+        }
+        for refusal in other.refusals {
+            self.add_refusal(refusal);
+        }
+        self.silent.extend(other.silent);
+        for hold in self.holds.values().flatten() {
+            self.silent.remove(&hold.member);
+        }
+    }
+
+    /// Everyone who reported.
+    pub fn heard(&self) -> impl Iterator<Item = MemberKey> {
+        self.holds.values().flatten().map(|hold| hold.member)
+    }
+
+    fn add_hold(&mut self, version: Version, hold: Hold) {
+        let known = self
+            .holds
+            .iter()
+            .find(|(_, holds)| holds.iter().any(|it| it.member == hold.member))
+            .map(|(version, _)| *version);
+        match known {
+            Some(known) if known >= version => return,
+            Some(known) => self.remove_hold(known, hold.member),
+            None => {}
+        }
+        self.holds.entry(version).or_default().push(hold);
+    }
+
+    fn remove_hold(&mut self, version: Version, member: MemberKey) {
+        let Some(holds) = self.holds.get_mut(&version) else {
+            return;
+        };
+        holds.retain(|it| it.member != member);
+        if holds.is_empty() {
+            self.holds.remove(&version);
+        }
+    }
+
+    fn add_refusal(&mut self, refusal: Refusal) {
+        let same = |it: &&mut Refusal| it.version == refusal.version && it.reason == refusal.reason;
+        match self.refusals.iter_mut().find(same) {
+            Some(known) => known.members.extend(refusal.members),
+            None => self.refusals.push(refusal),
+        }
+    }
+}
--- /dev/null
+++ b/crates/distribution/src/poller.rs
@@ -0,0 +1,141 @@
+//! Who asks the platform for its head, and how often.
+
+use rand::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+use stoatstep_membership::{MemberKey, Time};
+
+use crate::jitter::{backoff, full_jitter};
+use crate::tree::rendezvous;
+
+/// Pollers of each zone. Two, so that the death of one goes unnoticed.
+const POLLERS: usize = 2;
+
+/// Seed that sets the choice of pollers apart from that of trees.
+const POLLER_SEED: u64 = 0x706f_6c6c;
+
+/// Time between two polls of a poller.
+const INTERVAL: Time = Time::from_secs(1);
+
+/// Age of the newest word about the head from which a daemon asks for itself.
+const SILENCE: Time = Time::from_secs(20);
+
+/// Reads a second that all daemons together may spend on asking for
+/// themselves. With 16 pollers in 8 zones it stays well under 100.
+const SELF_READS_PER_S: f64 = 50.0;
+
+const MAX_BACKOFF: Time = Time::from_secs(8);
+
+/// How a poll ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PollOutcome {
+    /// The head was read.
+    Read,
+    /// The platform did not answer.
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    Idle,
+    Poller,
+    OnOwnBehalf,
+}
+
+/// Decides when this daemon reads the head.
+///
+/// Nobody is elected: each daemon takes the two of its zone with the lowest
+/// hash among those it believes alive. Where views differ, a third daemon polls
+/// for a while, or only one does; neither does harm.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Poller {
+    rng: Xoshiro256PlusPlus,
+    role: Role,
+    next: Time,
+    under_way: bool,
+    failures: u32,
+}
+
+impl Poller {
+    /// A machine with randomness from `seed`.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            role: Role::Idle,
+            next: Time::ZERO,
+            under_way: false,
+            failures: 0,
+        }
+    }
+
+    /// Whether to read the head now. `zone` are the live members of the own
+    /// zone, `fleet` the number of all live members, and `head_age` the time
+    /// since anyone this daemon heard of read the head.
+    pub fn tick(
+        &mut self,
+        now: Time,
+        me: MemberKey,
+        zone: &[MemberKey],
+        fleet: usize,
+        head_age: Option<Time>,
+    ) -> bool {
+        let role = role(me, zone, head_age);
+        if role != self.role {
+            self.role = role;
+            let wait = self.next_wait(fleet);
+            self.next = now + wait;
+        }
+        let is_due = role != Role::Idle && !self.under_way && self.next <= now;
+        if is_due {
+            self.under_way = true;
+            let wait = self.next_wait(fleet);
+            self.next = now + wait;
+        }
+        is_due
+    }
+
+    /// Notes how the poll ended. Failures make the next ones rarer; a success
+    /// does not bring them all at once, since every wait is drawn anew.
+    pub fn polled(&mut self, outcome: PollOutcome) {
+        self.under_way = false;
+        self.failures = match outcome {
+            PollOutcome::Read => 0,
+            PollOutcome::Failed => self.failures.saturating_add(1),
+        };
+    }
+
+    fn next_wait(&mut self, fleet: usize) -> Time {
+        match self.role {
+            Role::Idle => Time::ZERO,
+            Role::Poller if self.failures == 0 => INTERVAL,
+            Role::Poller => {
+                let bound = backoff(INTERVAL, self.failures, MAX_BACKOFF);
+                INTERVAL / 2 + full_jitter(&mut self.rng, bound)
+            }
+            Role::OnOwnBehalf => self.own_wait(fleet),
+        }
+    }
+
+    /// Drawn evenly up to twice the mean that keeps a fleet of this size within
+    /// its budget, also when all of it falls silent in the same second.
+    fn own_wait(&mut self, fleet: usize) -> Time {
+        let fleet = u32::try_from(fleet).unwrap_or(u32::MAX);
+        let mean = Time::from_secs_f64(f64::from(fleet) / SELF_READS_PER_S).max(INTERVAL);
+        full_jitter(&mut self.rng, mean * 2)
+    }
+}
+
+fn role(me: MemberKey, zone: &[MemberKey], head_age: Option<Time>) -> Role {
+    let weight = rendezvous(POLLER_SEED, me);
+    let before = zone
+        .iter()
+        .filter(|key| **key != me && rendezvous(POLLER_SEED, **key) < weight)
+        .count();
+    if before < POLLERS {
+        return Role::Poller;
+    }
+    if head_age.is_none_or(|age| age > SILENCE) {
+        return Role::OnOwnBehalf;
+    }
+    Role::Idle
+}
--- /dev/null
+++ b/crates/distribution/src/replica.rs
@@ -0,0 +1,302 @@
+//! The gate through which every version goes, whoever brought it.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use stoatstep_membership::{Mark, Time};
+use stoatstep_resource::{ApplyError, Delta, Digest, State, Version};
+
+use crate::quarantine::{Quarantine, Quarantined, Reason};
+use crate::short_digest;
+
+/// Deltas kept for peers and watches that are a little behind.
+const DEFAULT_TAIL: usize = 256;
+
+/// Deltas that arrived ahead of their turn and are kept until the gap closes.
+const MAX_PENDING: usize = 64;
+
+/// What became of an offer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// These versions came into force, in this order.
+    Applied(Vec<Arc<Delta>>),
+    /// A whole state came into force.
+    Replaced(Version),
+    /// Nothing new.
+    Held,
+    /// Kept until the versions before it arrive.
+    Waiting {
+        /// The first version that is missing.
+        missing: Version,
+    },
+    /// Refused whole; the old version stays in force.
+    Refused(Quarantined),
+}
+
+/// The configuration that a daemon holds.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    state: Arc<State>,
+    digest: Digest,
+    since: Time,
+    tail: VecDeque<Arc<Delta>>,
+    tail_capacity: usize,
+    pending: BTreeMap<Version, Arc<Delta>>,
+    quarantine: Quarantine,
+    head: Option<(Version, Digest)>,
+    needs_state: bool,
+}
+
+impl Default for Replica {
+    fn default() -> Self {
+        let state = Arc::new(State::default());
+        Self {
+            digest: state.digest(),
+            state,
+            since: Time::ZERO,
+            tail: VecDeque::new(),
+            tail_capacity: DEFAULT_TAIL,
+            pending: BTreeMap::new(),
+            quarantine: Quarantine::default(),
+            head: None,
+            needs_state: false,
+        }
+    }
+}
+
+impl Replica {
+    /// Deltas kept for others. Default 256. A longer tail lets peers and
+    /// watches that were away for longer catch up without the full state.
+    #[must_use]
+    pub fn tail_capacity(mut self, capacity: usize) -> Self {
+        self.tail_capacity = capacity;
+        self
+    }
+
+    /// The state in force. It is immutable: who holds it keeps one consistent
+    /// view, whatever comes into force meanwhile.
+    #[must_use]
+    pub fn state(&self) -> &Arc<State> {
+        &self.state
+    }
+
+    /// The version in force.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.state.version()
+    }
+
+    /// Version and digest in force, in the form that peers exchange.
+    #[must_use]
+    pub fn mark(&self) -> Mark {
+        Mark {
+            version: self.version(),
+            digest: short_digest(&self.digest),
+        }
+    }
+
+    /// When the version in force came into force.
+    #[must_use]
+    pub fn since(&self) -> Time {
+        self.since
+    }
+
+    /// Refused versions that no good one has replaced.
+    #[must_use]
+    pub fn quarantine(&self) -> &[Quarantined] {
+        self.quarantine.rows()
+    }
+
+    /// Whether deltas can't help any more, so that a whole state must be asked
+    /// for elsewhere.
+    #[must_use]
+    pub fn needs_state(&self) -> bool {
+        self.needs_state
+    }
+
+    /// Notes what the platform states of its newest version. A version of that
+    /// number with another digest is refused from then on, whoever offers it.
+    pub fn learn_head(&mut self, version: Version, digest: Digest) {
+        if self.head.is_none_or(|(known, _)| known < version) {
+            self.head = Some((version, digest));
+        }
+    }
+
+    /// Offers the next version, or one that is ahead of its turn.
+    pub fn offer_delta(&mut self, now: Time, delta: Arc<Delta>) -> Offer {
+        if delta.version <= self.version() {
+            return Offer::Held;
+        }
+        let missing = self.version() + 1;
+        if delta.version > missing {
+            self.keep_for_later(delta);
+            return Offer::Waiting { missing };
+        }
+        if let Err(reason) = self.apply(now, delta.clone()) {
+            return self.refuse(now, delta.version, Some(delta.digest), reason);
+        }
+        let mut applied = vec![delta];
+        self.apply_pending(now, &mut applied);
+        Offer::Applied(applied)
+    }
+
+    /// Offers several versions, oldest first, as a log's tail brings them. The
+    /// first that is refused ends it.
+    pub fn offer_deltas(&mut self, now: Time, deltas: Vec<Arc<Delta>>) -> Offer {
+        let mut all = Vec::new();
+        let mut last = Offer::Held;
+        for delta in deltas {
+            match self.offer_delta(now, delta) {
+                Offer::Applied(applied) => all.extend(applied),
+                Offer::Refused(row) => {
+                    last = Offer::Refused(row);
+                    break;
+                }
+                other => last = other,
+            }
+        }
+        if all.is_empty() {
+            last
+        } else {
+            Offer::Applied(all)
+        }
+    }
+
+    /// Offers a whole state, whose digest was checked when it was decoded.
+    pub fn offer_state(&mut self, now: Time, state: State) -> Offer {
+        // Without this test a snapshot that was slow on its way would replace a
+        // newer version, and callers would see a removed route come back.
+        if state.version() <= self.version() {
+            return Offer::Held;
+        }
+        let (version, digest) = (state.version(), state.digest());
+        let checked = state
+            .check_references()
+            .map_err(Reason::Apply)
+            .and_then(|()| self.check_head(version, digest));
+        if let Err(reason) = checked {
+            return self.refuse(now, version, Some(digest), reason);
+        }
+        self.tail.clear();
+        self.put_in_force(now, state);
+        let mut applied = Vec::new();
+        self.apply_pending(now, &mut applied);
+        Offer::Replaced(self.version())
+    }
+
+    /// Notes that a peer holds the same version with another digest. One of the
+    /// two is wrong, and only the platform can tell which.
+    pub fn note_fork(&mut self, now: Time, theirs: Mark) -> Option<Quarantined> {
+        let mine = self.mark();
+        if theirs.version != mine.version || theirs.digest == mine.digest {
+            return None;
+        }
+        let row = Quarantined {
+            version: theirs.version,
+            digest: None,
+            reason: Reason::Forked {
+                held: mine.digest,
+                theirs: theirs.digest,
+            },
+            since: now,
+        };
+        self.quarantine.add(row.clone());
+        Some(row)
+    }
+
+    /// The platform states the digest that is held here for this version: the
+    /// peer's was the wrong one.
+    pub fn settle_fork(&mut self, version: Version, digest: Digest) {
+        if version == self.version() && digest == self.digest {
+            self.quarantine.release(version);
+        }
+    }
+
+    /// Deltas after `version`, oldest first; `None` where some are no longer
+    /// held.
+    #[must_use]
+    pub fn tail_after(&self, version: Version) -> Option<Vec<Arc<Delta>>> {
+        let first = self
+            .tail
+            .front()
+            .map_or(self.version() + 1, |it| it.version);
+        if version + 1 < first {
+            return None;
+        }
+        let newer = self.tail.iter().filter(|it| it.version > version);
+        Some(newer.cloned().collect())
+    }
+
+    fn keep_for_later(&mut self, delta: Arc<Delta>) {
+        if self.pending.len() < MAX_PENDING {
+            self.pending.insert(delta.version, delta);
+        }
+    }
+
+    fn apply_pending(&mut self, now: Time, applied: &mut Vec<Arc<Delta>>) {
+        let held = self.version();
+        self.pending.retain(|version, _| *version > held);
+        while let Some(delta) = self.pending.remove(&(self.version() + 1)) {
+            let (version, digest) = (delta.version, delta.digest);
+            match self.apply(now, delta.clone()) {
+                Ok(()) => applied.push(delta),
+                Err(reason) => {
+                    self.refuse(now, version, Some(digest), reason);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn apply(&mut self, now: Time, delta: Arc<Delta>) -> Result<(), Reason> {
+        self.check_head(delta.version, delta.digest)?;
+        let next = self.state.apply(&delta).map_err(Reason::Apply)?;
+        self.tail.push_back(delta);
+        if self.tail.len() > self.tail_capacity {
+            self.tail.pop_front();
+        }
+        self.put_in_force(now, next);
+        Ok(())
+    }
+
+    fn check_head(&self, version: Version, found: Digest) -> Result<(), Reason> {
+        match self.head {
+            Some((head, expected)) if head == version && expected != found => {
+                Err(Reason::NotTheHead { expected, found })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn put_in_force(&mut self, now: Time, state: State) {
+        self.digest = state.digest();
+        self.state = Arc::new(state);
+        self.since = now;
+        self.needs_state = false;
+        self.quarantine.release(self.version());
+    }
+
+    /// Keeps the old version, remembers why, and asks for a whole state: the
+    /// delta may be broken, or the state that it was applied to.
+    fn refuse(
+        &mut self,
+        now: Time,
+        version: Version,
+        digest: Option<Digest>,
+        reason: Reason,
+    ) -> Offer {
+        debug_assert!(!matches!(
+            reason,
+            Reason::Apply(ApplyError::OutOfOrder { .. })
+        ));
+        let row = Quarantined {
+            version,
+            digest,
+            reason,
+            since: now,
+        };
+        self.quarantine.add(row.clone());
+        self.needs_state = true;
+        Offer::Refused(row)
+    }
+}
--- /dev/null
+++ b/crates/distribution/src/serving.rs
@@ -0,0 +1,93 @@
+//! When a daemon that started may serve.
+//!
+//! An instance keeps nothing, so after a restart it has forgotten which version
+//! it served by. Serving an older one would show callers a route that was
+//! removed, or hide one that they used. It is therefore told by those who
+//! remember.
+//!
+//! A daemon serves once all of this holds:
+//!
+//! 1. the platform's head was read, or as many peers answered as are required
+//!    (two, or all others where there are fewer, but at least one);
+//! 2. its version is at least its *floor*: the highest that the peers which
+//!    answered, or its own announcement row, ever saw this instance report;
+//! 3. before its first service only: its version is at least the newest that
+//!    the platform or any such peer held.
+//!
+//! Afterwards only the floor binds, since being a little behind a peer is the
+//! normal state while a change spreads.
+//!
+//! Covered: restart with the platform up, whatever happened to peers, because
+//! the head is never older than what anyone served; restart with the platform
+//! out while one of the peers that answered had exchanged with the former life
+//! after its last change, or holds that version itself. Not covered: the
+//! platform is out, and all who answered hold an older version and never heard
+//! of the newer one, because every daemon that did is dead or cut off. Waiting
+//! for the platform instead would keep a whole cut-off zone from serving after
+//! a restart, which the users' brief rules out.
+
+use std::collections::BTreeSet;
+
+use stoatstep_membership::MemberKey;
+use stoatstep_resource::Version;
+
+/// Answers of peers that replace the platform's.
+const PEERS_NEEDED: usize = 2;
+
+/// What a daemon learned about the version by which it may serve.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Serving {
+    floor: Version,
+    newest: Version,
+    heard_platform: bool,
+    heard_peers: BTreeSet<MemberKey>,
+    has_served: bool,
+}
+
+impl Serving {
+    /// The platform's head was read at this version.
+    pub fn heard_platform(&mut self, version: Version) {
+        self.heard_platform = true;
+        self.newest = self.newest.max(version);
+    }
+
+    /// A peer answered: what it holds, and the highest version that it saw this
+    /// instance report.
+    pub fn heard_peer(&mut self, peer: MemberKey, holds: Version, floor: Version) {
+        self.floor = self.floor.max(floor);
+        if self.has_served {
+            return;
+        }
+        self.heard_peers.insert(peer);
+        self.newest = self.newest.max(holds);
+    }
+
+    /// The announcement row of the former life carried this version.
+    pub fn learn_floor(&mut self, version: Version) {
+        self.floor = self.floor.max(version);
+    }
+
+    /// The highest version that this instance is known to have served by.
+    #[must_use]
+    pub fn floor(&self) -> Version {
+        self.floor
+    }
+
+    /// Whether a daemon that holds `version`, in a fleet of `others` more, may
+    /// serve now.
+    pub fn may_serve(&mut self, version: Version, others: usize) -> bool {
+        if version < self.floor {
+            return false;
+        }
+        if !self.has_served {
+            let needed = others.clamp(1, PEERS_NEEDED);
+            let heard_enough = self.heard_platform || self.heard_peers.len() >= needed;
+            self.has_served = heard_enough && version >= self.newest;
+        }
+        if self.has_served {
+            self.floor = version;
+            self.heard_peers.clear();
+        }
+        self.has_served
+    }
+}
--- /dev/null
+++ b/crates/distribution/tests/all/cold_start.rs
@@ -0,0 +1,102 @@
+//! A zone that restarts as a whole.
+
+use std::time::Duration;
+
+use stoatstep_distribution::{ColdStart, Step};
+
+const STEP: Duration = Duration::from_millis(50);
+
+struct Herd {
+    reads_by_second: Vec<usize>,
+    snapshots: usize,
+    last_done: Option<Duration>,
+}
+
+/// Starts `n` daemons at once whose near peers are as cold as they are; far
+/// peers hold version 7 where `far_hold`.
+fn start(n: u64, far_hold: bool) -> Herd {
+    let mut herd = Herd {
+        reads_by_second: vec![0; 60],
+        snapshots: 0,
+        last_done: None,
+    };
+    let mut starts: Vec<_> = (0..n)
+        .map(|seed| ColdStart::new(Duration::ZERO, seed))
+        .collect();
+    let mut versions = vec![0; starts.len()];
+    let near: Vec<u64> = (0..n).collect();
+    let far: Vec<u64> = if far_hold {
+        (1000..1100).collect()
+    } else {
+        Vec::new()
+    };
+    for step in 0..1200 {
+        let now = STEP * step;
+        for (i, it) in starts.iter_mut().enumerate() {
+            let second = usize::try_from(now.as_secs()).expect("small");
+            match it.tick(now, versions[i], &near, &far) {
+                Some(Step::ReadRoster) => {
+                    herd.reads_by_second[second] += 1;
+                    it.roster_read(now, 7);
+                }
+                Some(Step::PullPeer(peer)) => {
+                    let theirs = usize::try_from(peer).ok().and_then(|it| versions.get(it));
+                    versions[i] = theirs.copied().unwrap_or(7).max(versions[i]);
+                    it.pulled(now, versions[i]);
+                }
+                Some(Step::PullPlatform) => {
+                    herd.reads_by_second[second] += 2;
+                    herd.snapshots += 1;
+                    versions[i] = 7;
+                    it.pulled(now, 7);
+                }
+                None => {}
+            }
+        }
+        if herd.last_done.is_none() && versions.iter().all(|it| *it == 7) {
+            herd.last_done = Some(now);
+        }
+    }
+    herd
+}
+
+#[test]
+fn a_zone_that_restarts_reads_little_and_holds_all_within_three_seconds() {
+    // A zone's 76 daemons restart together. If each read the snapshot at once,
+    // the platform would see hundreds of reads in that second; if all asked
+    // only each other, nobody would ever have anything.
+    let herd = start(76, true);
+    let most = herd.reads_by_second.iter().max().copied();
+    assert!(most < Some(100), "{:?}", herd.reads_by_second);
+    assert_eq!(herd.snapshots, 0, "peers of other zones have it");
+    assert!(herd.last_done < Some(Duration::from_secs(3)));
+}
+
+#[test]
+fn a_fleet_that_starts_as_a_whole_takes_few_snapshots() {
+    // Nobody holds anything, so somebody must read the snapshot. The others
+    // wait their turn and get it from those who did.
+    let herd = start(76, false);
+    assert!(herd.snapshots >= 1);
+    assert!(
+        herd.last_done < Some(Duration::from_secs(4)),
+        "{:?}",
+        herd.last_done
+    );
+    let most = herd.reads_by_second.iter().max().copied();
+    assert!(most < Some(100), "{:?}", herd.reads_by_second);
+}
+
+#[test]
+fn a_platform_that_is_out_is_asked_ever_more_seldom() {
+    let mut reads = 0;
+    let mut it = ColdStart::new(Duration::ZERO, 3);
+    for step in 0..1200 {
+        let now = STEP * step;
+        if it.tick(now, 0, &[], &[]) == Some(Step::ReadRoster) {
+            reads += 1;
+            it.roster_failed(now);
+        }
+    }
+    assert!((6..40).contains(&reads), "{reads} reads in a minute");
+}
--- /dev/null
+++ b/crates/distribution/tests/all/collect.rs
@@ -0,0 +1,59 @@
+//! Status of the fleet from its parts.
+
+use stoatstep_distribution::{Hold, Holdings};
+
+fn one(version: u64, member: u64) -> Holdings {
+    let since_unix_ms = version;
+    Holdings::of_one(
+        version,
+        Hold {
+            member,
+            since_unix_ms,
+        },
+    )
+}
+
+#[test]
+fn a_member_reported_twice_counts_once_at_its_newest() {
+    // Views differ while a daemon joins, and two inner nodes ask it. Counted
+    // twice, an operator would see more instances than there are, or one that
+    // holds the old and the new version at the same time.
+    let mut all = one(4, 1);
+    all.merge(one(5, 1));
+    all.merge(one(4, 1));
+    all.merge(one(4, 2));
+    assert_eq!(all.holds[&5].len(), 1);
+    assert_eq!(
+        all.holds[&4],
+        vec![Hold {
+            member: 2,
+            since_unix_ms: 4
+        }]
+    );
+}
+
+#[test]
+fn who_answers_another_asker_is_not_silent() {
+    let mut all = Holdings::default();
+    all.note_silent(7);
+    all.note_silent(8);
+    all.merge(one(4, 7));
+    assert_eq!(all.silent.into_iter().collect::<Vec<_>>(), vec![8]);
+}
+
+#[test]
+fn one_reason_gathers_all_who_gave_it() {
+    let mut all = Holdings::default();
+    all.refuse(6, "digest differs".into(), 1);
+    let mut more = Holdings::default();
+    more.refuse(6, "digest differs".into(), 2);
+    more.refuse(6, "é".repeat(300), 3);
+    all.merge(more);
+    assert_eq!(all.refusals[0].members.len(), 2);
+    assert!(all.refusals[1].reason.len() <= 256);
+    let bytes = rmp_serde::to_vec(&all).expect("encodes");
+    assert_eq!(
+        rmp_serde::from_slice::<Holdings>(&bytes).expect("decodes"),
+        all
+    );
+}
--- /dev/null
+++ b/crates/distribution/tests/all/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the distribution state machines under virtual time.
+
+mod cold_start;
+mod collect;
+mod poller;
+mod repair;
+mod replica;
+mod serving;
+mod spread;
+mod support;
--- /dev/null
+++ b/crates/distribution/tests/all/repair.rs
@@ -0,0 +1,74 @@
+//! Pulling what pushes did not bring.
+
+use std::time::Duration;
+
+use stoatstep_distribution::{Mark, Pull, Repair, Source};
+
+fn mark(version: u64) -> Mark {
+    Mark {
+        version,
+        digest: version,
+    }
+}
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn a_lost_push_is_pulled_from_the_peer_that_shows_it() {
+    // A push is lost and the daemon's callers are routed by the old version.
+    // The next exchange shows that a peer is ahead; it is asked, once.
+    let mut repair = Repair::new(1);
+    repair.peer_holds(Duration::ZERO, 5, mark(3), mark(2));
+    let pull = repair.tick(SECOND, mark(2), false);
+    let source = Source::Peer(5);
+    assert_eq!(
+        pull,
+        Some(Pull {
+            source,
+            whole: false
+        })
+    );
+    repair.peer_holds(SECOND, 6, mark(4), mark(2));
+    assert_eq!(repair.tick(SECOND, mark(2), false), None, "one at a time");
+}
+
+#[test]
+fn a_push_that_arrives_meanwhile_saves_the_pull() {
+    let mut repair = Repair::new(1);
+    repair.peer_holds(Duration::ZERO, 5, mark(3), mark(2));
+    assert_eq!(repair.tick(SECOND, mark(3), false), None);
+}
+
+#[test]
+fn a_silent_peer_is_given_up_and_another_one_asked() {
+    // The peer that was asked dies before it answers. A daemon that waited for
+    // ever would never pull again.
+    let mut repair = Repair::new(1);
+    repair.peer_holds(Duration::ZERO, 5, mark(3), mark(2));
+    assert!(repair.tick(SECOND, mark(2), false).is_some());
+    let later = 7 * SECOND;
+    repair.tick(later, mark(2), false);
+    repair.peer_holds(later, 6, mark(3), mark(2));
+    let pull = repair.tick(later + SECOND, mark(2), false);
+    assert_eq!(pull.map(|it| it.source), Some(Source::Peer(6)));
+}
+
+#[test]
+fn a_herd_that_lags_does_not_pull_in_the_same_moment() {
+    // A cut heals and 76 daemons see at once that they are behind. All asking
+    // in the same instant would meet at the few that answer.
+    let mut due = Vec::new();
+    for seed in 0..76 {
+        let mut repair = Repair::new(seed);
+        repair.peer_holds(Duration::ZERO, 5, mark(3), mark(2));
+        let step = |it: &u64| {
+            let now = Duration::from_millis(*it);
+            repair.tick(now, mark(2), false).is_some()
+        };
+        due.push((0..1000).find(step).expect("is due within a second"));
+    }
+    let most = (0..10)
+        .map(|bin| due.iter().filter(|it| **it / 30 == bin).count())
+        .max();
+    assert!(most < Some(20), "{most:?} of 76 within 30 ms");
+}
--- /dev/null
+++ b/crates/distribution/tests/all/replica.rs
@@ -0,0 +1,134 @@
+//! What the replica lets in.
+
+use std::sync::Arc;
+
+use stoatstep_distribution::{Mark, Offer, Reason, Replica};
+use stoatstep_resource::{ApplyError, Digest, State};
+
+use crate::support::{T0, log, route, service_key};
+
+#[test]
+fn versions_that_cross_each_other_are_applied_in_order() {
+    // Two changes are pushed shortly after one another and the second arrives
+    // first. Applied at once it would skip the first; dropped, it would have to
+    // be sent again. It waits, and both come into force in order.
+    let (deltas, state) = log(3);
+    let mut replica = Replica::default();
+    let third = replica.offer_delta(T0, deltas[2].clone());
+    assert_eq!(third, Offer::Waiting { missing: 1 });
+    assert_eq!(
+        replica.offer_delta(T0, deltas[1].clone()),
+        Offer::Waiting { missing: 1 }
+    );
+    assert_eq!(
+        replica.offer_delta(T0, deltas[0].clone()),
+        Offer::Applied(deltas)
+    );
+    assert_eq!(replica.state().digest(), state.digest());
+}
+
+#[test]
+fn an_older_state_never_replaces_a_newer_one() {
+    // A snapshot is slow on its way, and meanwhile a newer version arrived. If
+    // it were taken, callers would see a removed route come back.
+    let (deltas, _) = log(3);
+    let (_, older) = log(2);
+    let mut replica = Replica::default();
+    replica.offer_deltas(T0, deltas.clone());
+    assert_eq!(replica.offer_state(T0, older), Offer::Held);
+    assert_eq!(replica.offer_delta(T0, deltas[0].clone()), Offer::Held);
+    assert_eq!(replica.version(), 3);
+}
+
+#[test]
+fn a_bad_digest_is_refused_whole_and_explained() {
+    // A delta was damaged or computed on another state. Applied in part or with
+    // other content, one proxy would route differently from all others under
+    // the same version. The old version stays, and a whole state is asked for.
+    let (deltas, state) = log(2);
+    let mut replica = Replica::default();
+    replica.offer_delta(T0, deltas[0].clone());
+    let mut bad = (*deltas[1]).clone();
+    bad.digest = Digest([7; 16]);
+    let offer = replica.offer_delta(T0, Arc::new(bad));
+    assert!(matches!(offer, Offer::Refused(_)));
+    assert_eq!(replica.version(), 1);
+    assert!(replica.needs_state());
+    assert_eq!(replica.quarantine()[0].version, 2);
+    assert_eq!(replica.offer_state(T0, state), Offer::Replaced(2));
+    assert!(
+        replica.quarantine().is_empty(),
+        "a good state of it is held now"
+    );
+    assert!(!replica.needs_state());
+}
+
+#[test]
+fn a_dangling_route_is_refused_in_delta_and_state() {
+    // A version takes a service away under its route. A caller of that route
+    // would get "no such service" though the operator never meant it.
+    let (deltas, state) = log(1);
+    let with_route = state.delta(vec![route("r", "s1")], Vec::new());
+    let state = state.apply(&with_route).expect("the service is there");
+    let dangling = state.delta(Vec::new(), vec![service_key("s1")]);
+    let mut replica = Replica::default();
+    replica.offer_delta(T0, deltas[0].clone());
+    replica.offer_delta(T0, Arc::new(with_route));
+    let offer = replica.offer_delta(T0, Arc::new(dangling.clone()));
+    let Offer::Refused(row) = offer else {
+        panic!("taken: {offer:?}");
+    };
+    let reason = Reason::Apply(ApplyError::DanglingReference {
+        from: stoatstep_resource::Key {
+            kind: stoatstep_resource::Kind::Route,
+            name: "r".into(),
+        },
+        to: service_key("s1"),
+    });
+    assert_eq!(row.reason, reason);
+    let items = state.iter().filter(|(key, _)| **key != service_key("s1"));
+    let items: Vec<_> = items.map(|(_, held)| held.clone()).collect();
+    let whole = State::from_snapshot(3, items).expect("keys are unique");
+    assert!(matches!(replica.offer_state(T0, whole), Offer::Refused(_)));
+    assert_eq!(replica.version(), 2);
+}
+
+#[test]
+fn a_state_that_the_platform_does_not_know_is_refused() {
+    // A peer holds something else under the newest version's number. Without
+    // the head's digest both look right, and the fork would spread.
+    let (_, state) = log(2);
+    let mut replica = Replica::default();
+    replica.learn_head(2, Digest([9; 16]));
+    let offer = replica.offer_state(T0, state);
+    assert!(
+        matches!(offer, Offer::Refused(row) if matches!(row.reason, Reason::NotTheHead { .. }))
+    );
+    assert_eq!(replica.version(), 0);
+}
+
+#[test]
+fn a_fork_is_noticed_and_settled_by_the_platform() {
+    let (deltas, state) = log(2);
+    let mut replica = Replica::default();
+    replica.offer_deltas(T0, deltas);
+    let theirs = Mark {
+        version: 2,
+        digest: 1,
+    };
+    assert!(replica.note_fork(T0, theirs).is_some());
+    assert_eq!(replica.note_fork(T0, replica.mark()), None);
+    assert_eq!(replica.quarantine().len(), 1);
+    replica.settle_fork(2, state.digest());
+    assert!(replica.quarantine().is_empty());
+}
+
+#[test]
+fn the_tail_says_when_it_no_longer_reaches_back() {
+    let (deltas, _) = log(6);
+    let mut replica = Replica::default().tail_capacity(3);
+    replica.offer_deltas(T0, deltas.clone());
+    assert_eq!(replica.tail_after(6), Some(Vec::new()));
+    assert_eq!(replica.tail_after(3), Some(deltas[3..].to_vec()));
+    assert_eq!(replica.tail_after(2), None);
+}
--- /dev/null
+++ b/crates/distribution/tests/all/serving.rs
@@ -0,0 +1,40 @@
+//! When a daemon that started may serve.
+
+use stoatstep_distribution::Serving;
+
+#[test]
+fn a_restarted_daemon_does_not_serve_below_its_former_version() {
+    // An instance served version 9, restarts, and the platform is out. One peer
+    // is behind at 8 but remembers that this instance reported 9. Serving 8
+    // would bring back what 9 removed; it waits until it holds 9.
+    let mut serving = Serving::default();
+    serving.heard_peer(1, 8, 9);
+    serving.heard_peer(2, 8, 0);
+    assert!(!serving.may_serve(8, 10));
+    assert!(serving.may_serve(9, 10));
+}
+
+#[test]
+fn it_serves_nothing_before_it_has_asked_enough() {
+    // A daemon that starts holds version 0 and knows of no floor. Were silence
+    // taken for "there is none", it would answer callers from an empty state.
+    let mut serving = Serving::default();
+    assert!(!serving.may_serve(0, 10));
+    serving.heard_peer(1, 4, 0);
+    assert!(!serving.may_serve(4, 10), "one peer of ten is too few");
+    assert!(serving.may_serve(4, 1), "but all that there is of one");
+    let mut serving = Serving::default();
+    serving.heard_platform(4);
+    assert!(!serving.may_serve(3, 10));
+    assert!(serving.may_serve(4, 10));
+}
+
+#[test]
+fn being_behind_a_peer_does_not_end_the_service() {
+    let mut serving = Serving::default();
+    serving.heard_platform(4);
+    assert!(serving.may_serve(4, 10));
+    serving.heard_peer(1, 5, 4);
+    assert!(serving.may_serve(4, 10));
+    assert!(!serving.may_serve(3, 10), "but never back");
+}
--- a/crates/membership/src/hearing.rs
+++ b/crates/membership/src/hearing.rs
@@ -91,7 +91,7 @@
         if age == u16::MAX {
             return;
         }
-        let at = now.saturating_sub(Time::from_secs(age.into()));
+        let at = now.saturating_sub(Time::from_millis(u64::from(age) * 100));
         if self.head_read.is_none_or(|known| known < at) {
             self.head_read = Some(at);
         }
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -189,7 +189,9 @@
     fn bare(&self, now: Time, peer: MemberKey) -> Exchange {
         // Rounded up: rounded down, two daemons would tell each other "just now"
         // for ever, and nobody would notice that the platform is gone.
-        let age = self.head_age(now).map_or(u64::MAX, |age| age.as_secs() + 1);
+        let age = self
+            .head_age(now)
+            .map_or(u128::MAX, |age| age.as_millis() / 100 + 1);
         Exchange {
             from: self.me,
             incarnation: self.own().member.incarnation,
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -36,7 +36,8 @@
     /// Highest version that the sender has seen the receiver report, which a
     /// receiver that restarted takes as its floor.
     pub floor: u64,
-    /// Seconds since anyone that the sender heard of read the platform's head.
+    /// Tenths of a second since anyone that the sender heard of read the
+    /// platform's head.
     pub head_age: u16,
     /// Digest of the sender's table.
     pub table: u64,
