--- a/crates/distribution/tests/all/main.rs
+++ b/crates/distribution/tests/all/main.rs
@@ -6,5 +6,6 @@
 mod repair;
 mod replica;
 mod serving;
+mod sizes;
 mod spread;
 mod support;
