--- a/crates/resource/src/delta.rs
+++ b/crates/resource/src/delta.rs
@@ -6,7 +6,8 @@
 
 use crate::digest::Digest;
 use crate::ids::Version;
-use crate::types::{Key, Resource};
+use crate::key::Key;
+use crate::types::Resource;
 
 /// The change that leads from version `version - 1` to `version`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/resource/src/files/kinds.rs
+++ b/crates/resource/src/files/kinds.rs
@@ -11,7 +11,8 @@
 use super::table::{Reader, Record, Source};
 use super::{FileSet, SourceFile};
 use crate::finding::{Finding, Place};
-use crate::types::{Key, Kind, Policy, Resource, Retry, Route, Service, TenantLimit, Upstream};
+use crate::key::{Key, Kind};
+use crate::types::{Policy, Resource, Retry, Route, Service, TenantLimit, Upstream};
 use crate::wire::{RetryWire, default_weight, parse_duration};
 
 /// Longest piece of a file that a message repeats.
--- a/crates/resource/src/files/mod.rs
+++ b/crates/resource/src/files/mod.rs
@@ -15,8 +15,9 @@
 use smol_str::SmolStr;
 
 use crate::finding::{Finding, Place};
+use crate::key::Key;
 use crate::state::{Held, State};
-use crate::types::{Key, Resource};
+use crate::types::Resource;
 use crate::validate::validate;
 use lines::FieldLines;
 
--- a/crates/resource/src/files/table.rs
+++ b/crates/resource/src/files/table.rs
@@ -9,7 +9,7 @@
 
 use super::lines::{FieldLines, LineIndex};
 use crate::finding::{Finding, Place};
-use crate::types::Key;
+use crate::key::Key;
 
 /// The text behind a table.
 pub(super) struct Source<'a> {
--- a/crates/resource/src/finding.rs
+++ b/crates/resource/src/finding.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::types::Key;
+use crate::key::Key;
 
 /// Where a finding belongs. A part that is not known is absent: the daemon
 /// knows resource and field, and only the operator's side knows file and line.
--- a/crates/resource/src/lib.rs
+++ b/crates/resource/src/lib.rs
@@ -10,6 +10,7 @@
 mod files;
 mod finding;
 mod ids;
+mod key;
 mod state;
 mod types;
 mod validate;
@@ -23,8 +24,9 @@
     InstanceId, OperationId, PolicyName, Revision, RouteName, ServiceName, TenantName,
     UpstreamName, Version, ZoneName,
 };
+pub use key::{Key, KeyError, Kind, UnknownKind};
 pub use state::{Held, SnapshotError, State};
-pub use types::{Key, Kind, Policy, Resource, Retry, Route, Service, TenantLimit, Upstream};
+pub use types::{Policy, Resource, Retry, Route, Service, TenantLimit, Upstream};
 pub use validate::{
     MAX_ATTEMPTS, MAX_BUDGET_PERCENT, MAX_CONNECTIONS, MAX_NAME_LEN, MAX_PREFIX_LEN, MAX_RESOURCES,
     MAX_SLOTS, MAX_TENANT_LIMITS, MAX_TIMEOUT, MAX_WEIGHT, MIN_TIMEOUT, check_name, validate,
--- a/crates/resource/src/state.rs
+++ b/crates/resource/src/state.rs
@@ -9,7 +9,8 @@
 use crate::delta::{ApplyError, Delta};
 use crate::digest::Digest;
 use crate::ids::{Revision, Version};
-use crate::types::{Key, Kind, Resource};
+use crate::key::{Key, Kind};
+use crate::types::Resource;
 
 /// A resource as a state holds it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/resource/src/types.rs
+++ b/crates/resource/src/types.rs
@@ -1,63 +1,12 @@
 //! The four kinds of resource that operators write.
 
-use std::fmt;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use crate::ids::{PolicyName, RouteName, ServiceName, TenantName, UpstreamName};
-
-/// The closed set of resource kinds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Kind {
-    /// See [`Policy`].
-    Policy,
-    /// See [`Service`].
-    Service,
-    /// See [`Upstream`].
-    Upstream,
-    /// See [`Route`].
-    Route,
-}
-
-impl Kind {
-    /// Every kind, in the order in which references point backwards.
-    pub const ALL: [Self; 4] = [Self::Policy, Self::Service, Self::Upstream, Self::Route];
-
-    /// The kind's name in files, URLs and messages.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Policy => "policy",
-            Self::Service => "service",
-            Self::Upstream => "upstream",
-            Self::Route => "route",
-        }
-    }
-}
-
-impl fmt::Display for Kind {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
-    }
-}
-
-/// Names one resource: its kind and its name within that kind.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Key {
-    /// The resource's kind.
-    pub kind: Kind,
-    /// The resource's name.
-    pub name: SmolStr,
-}
-
-impl fmt::Display for Key {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}", self.kind, self.name)
-    }
-}
+use crate::key::{Key, Kind};
 
 /// A service: what callers ask for, carried by its upstreams.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/resource/src/validate/mod.rs
+++ b/crates/resource/src/validate/mod.rs
@@ -13,8 +13,9 @@
 use smol_str::SmolStr;
 
 use crate::finding::{Finding, Place};
+use crate::key::{Key, Kind};
 use crate::state::State;
-use crate::types::{Key, Kind, Resource};
+use crate::types::Resource;
 
 pub use limits::{
     MAX_ATTEMPTS, MAX_BUDGET_PERCENT, MAX_CONNECTIONS, MAX_NAME_LEN, MAX_PREFIX_LEN, MAX_RESOURCES,
--- a/crates/resource/src/validate/resources.rs
+++ b/crates/resource/src/validate/resources.rs
@@ -11,7 +11,8 @@
 };
 use super::names::{check_name, check_prefix};
 use crate::finding::{Finding, Place};
-use crate::types::{Key, Policy, Resource, Route, TenantLimit, Upstream};
+use crate::key::Key;
+use crate::types::{Policy, Resource, Route, TenantLimit, Upstream};
 use crate::wire::duration_text;
 
 /// Adds every finding of one resource, seen by itself.
--- a/crates/resource/src/wire/change.rs
+++ b/crates/resource/src/wire/change.rs
@@ -6,8 +6,9 @@
 use crate::delta::Delta;
 use crate::finding::Finding;
 use crate::ids::{OperationId, Revision, Version};
+use crate::key::{Key, Kind};
 use crate::state::{Held, State};
-use crate::types::{Key, Kind, Resource};
+use crate::types::Resource;
 
 /// Body of `POST /v1/changes`: one change, all of it or none.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/resource/src/wire/checks.rs
+++ b/crates/resource/src/wire/checks.rs
@@ -4,7 +4,7 @@
 
 use super::change::ChangeRequest;
 use crate::finding::{Finding, Place};
-use crate::types::Key;
+use crate::key::Key;
 
 /// Longest operation id; it is part of a row's key at the platform.
 const MAX_OPERATION_LEN: usize = 64;
--- a/crates/resource/src/wire/delta.rs
+++ b/crates/resource/src/wire/delta.rs
@@ -7,8 +7,9 @@
 use crate::delta::Delta;
 use crate::digest::Digest;
 use crate::ids::{Revision, Version};
+use crate::key::Key;
 use crate::state::{Held, SnapshotError, State};
-use crate::types::{Key, Resource};
+use crate::types::Resource;
 
 /// See [`Delta`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/resource/src/wire/resource.rs
+++ b/crates/resource/src/wire/resource.rs
@@ -6,7 +6,8 @@
 use super::duration::{duration_text, parse_duration};
 use crate::finding::{Finding, Place};
 use crate::ids::{PolicyName, RouteName, ServiceName, TenantName, UpstreamName};
-use crate::types::{Key, Kind, Policy, Resource, Retry, Route, Service, TenantLimit, Upstream};
+use crate::key::{Key, Kind};
+use crate::types::{Policy, Resource, Retry, Route, Service, TenantLimit, Upstream};
 
 /// Any resource: `{"kind": "upstream", "name": ...}`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/resource/tests/all/wire.rs
+++ b/crates/resource/tests/all/wire.rs
@@ -4,7 +4,7 @@
 use stoatstep_resource::wire::{
     DeltaWire, ResourceWire, SnapshotWire, duration_text, parse_duration,
 };
-use stoatstep_resource::{Delta, Resource, SnapshotError, State};
+use stoatstep_resource::{Delta, Key, KeyError, Kind, Resource, SnapshotError, State};
 
 use crate::support::{any_resource, service, state_of, upstream};
 
@@ -87,3 +87,23 @@
     assert_eq!(policy.limits[0].weight, 1);
     assert_eq!(policy.limits[0].concurrency, None);
 }
+
+#[test]
+fn keys_read_what_they_write() {
+    for kind in Kind::ALL {
+        let key = Key {
+            kind,
+            name: "floatdesk-1".into(),
+        };
+        assert_eq!(key.to_string().parse(), Ok(key));
+    }
+    assert_eq!("floatdesk".parse::<Key>(), Err(KeyError::NoSlash));
+    assert!(matches!(
+        "listener/a".parse::<Key>(),
+        Err(KeyError::Kind(_))
+    ));
+    assert!(matches!(
+        "service/../a".parse::<Key>(),
+        Err(KeyError::Name(_))
+    ));
+}
