Add the open-loop load with its audit

Calls go out on a fixed schedule and latency counts from the moment at which a call was due. A caller tries refusals again when they say so and unknown outcomes under the same key. The audit holds every attempt's outcome against the targets' ledgers; tests feed it a server that lies about refusals, runs a key twice and mixes up answers, and see each found.

--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,9 +1,15 @@
-//! To be written.
+//! Load on a fleet, and what came of it.
+//!
+//! `stoat-load` sends calls on a fixed schedule, so that a slow answer doesn't
+//! hold back the calls after it and latency counts from the moment at which a
+//! call was due. It behaves like a careful caller: a refusal is tried again
+//! when it says so, an unknown outcome under the same idempotency key. At the
+//! end it holds what it was told against the ledgers of the targets. See
+//! `docs/contributing/testing.md`.
 
-use std::process::ExitCode;
+mod load;
 
-/// Runs the program with the arguments and environment of the process.
-#[must_use]
-pub fn main() -> ExitCode {
-    ExitCode::SUCCESS
-}
+pub use load::{
+    Audit, BUCKET, Bucket, Histogram, LoadOptions, Mix, MixError, Report, Series, Tally, fetch,
+    main, run,
+};
--- a/crates/standin-target/tests/target.rs
+++ b/crates/standin-target/tests/target.rs
@@ -1,8 +1,9 @@
 //! The target stand-in over real sockets.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -13,12 +14,19 @@
 /// Long enough to tell silence from a slow run.
 const PATIENCE: Duration = Duration::from_millis(400);
 
+/// A loopback address that no other server of these tests uses, so that a port
+/// which one gives up is not taken by the next.
+fn own_address() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    Ipv4Addr::new(127, 0, 30, NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
 fn start(behaviour: Behaviour) -> SocketAddr {
     start_with(behaviour, None)
 }
 
 fn start_with(behaviour: Behaviour, ledger: Option<PathBuf>) -> SocketAddr {
-    let free = TcpListener::bind("127.0.0.1:0").unwrap();
+    let free = TcpListener::bind((own_address(), 0)).unwrap();
     let addr = free.local_addr().unwrap();
     drop(free);
     let options = Options {
