--- /dev/null
+++ b/tests/all/docs.rs
@@ -0,0 +1,79 @@
+//! Pages and sources point only at pages that exist.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+const ROOT: &str = env!("CARGO_MANIFEST_DIR");
+
+/// Folders that hold no source of ours.
+const SKIPPED: [&str; 3] = ["target", ".git", ".work"];
+
+fn files(dir: &Path, extension: &str, found: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(dir).expect("a readable folder") {
+        let path = entry.expect("a folder's entry").path();
+        let name = path.file_name().and_then(|name| name.to_str());
+        if path.is_dir() && !SKIPPED.contains(&name.unwrap_or_default()) {
+            files(&path, extension, found);
+        } else if path.extension().is_some_and(|it| it == extension) {
+            found.push(path);
+        }
+    }
+}
+
+fn all_files(extension: &str) -> Vec<PathBuf> {
+    let mut found = Vec::new();
+    files(Path::new(ROOT), extension, &mut found);
+    found
+}
+
+/// Targets of `[text](target)` that are files of this repository.
+fn links(page: &str) -> Vec<&str> {
+    let ends = page.split("](").skip(1);
+    ends.filter_map(|rest| rest.split_once(')'))
+        .map(|(target, _)| target)
+        .filter(|target| !target.contains("://") && !target.starts_with('#'))
+        .map(|target| target.split('#').next().unwrap_or(target))
+        .collect()
+}
+
+/// Words such as `docs/concepts/calls.md` in a source.
+fn mentions(source: &str) -> Vec<&str> {
+    let is_path = |c: char| c.is_ascii_alphanumeric() || "/-_.".contains(c);
+    source
+        .split(|c: char| !is_path(c))
+        .map(|word| word.trim_end_matches('.'))
+        .filter(|word| word.starts_with("docs/") && has_extension(word, "md"))
+        .collect()
+}
+
+fn has_extension(path: &str, extension: &str) -> bool {
+    Path::new(path)
+        .extension()
+        .is_some_and(|it| it == extension)
+}
+
+#[test]
+fn every_link_between_pages_leads_somewhere() {
+    let mut dangling = Vec::new();
+    for path in all_files("md") {
+        let page = fs::read_to_string(&path).expect("a page");
+        let folder = path.parent().expect("a folder");
+        let missing = links(&page)
+            .into_iter()
+            .filter(|it| !folder.join(it).exists());
+        dangling.extend(missing.map(|it| format!("{}: {it}", path.display())));
+    }
+    assert!(dangling.is_empty(), "{dangling:#?}");
+}
+
+#[test]
+fn every_page_that_a_source_names_exists() {
+    let mut dangling = Vec::new();
+    for path in all_files("rs") {
+        let source = fs::read_to_string(&path).expect("a source");
+        let exists = |it: &&str| Path::new(ROOT).join(it).exists();
+        let missing = mentions(&source).into_iter().filter(|it| !exists(it));
+        dangling.extend(missing.map(|it| format!("{}: {it}", path.display())));
+    }
+    assert!(dangling.is_empty(), "{dangling:#?}");
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the programs as they run: separate processes over TCP on loopback
 //! addresses. See `docs/contributing/testing.md`.
 
+mod docs;
 mod fleet;
 mod http;
 mod lifecycle;
 mod process;
 mod process_rules;
+mod programs;
