Add the platform stand-in with limits, faults and counts by zone

The table and the object store that tests use in memory are served over HTTP, so that a run of real processes and a test in memory mean the same by a conflict. Work that is delayed by a fault runs in a task of its own: the server drops a handler whose caller hung up, and a write that lands long after its caller gave up is the very case that the pause is for.

--- /dev/null
+++ b/crates/standin-platform/src/standin.rs
@@ -0,0 +1,152 @@
+//! All that the program holds, and what becomes of a request.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use stoatstep_platform::{Fault, Faults, Objects, RateLimit, Service, Table};
+
+use crate::counts::{Access, Counts, CountsReport};
+use crate::server::Options;
+
+/// Hint to come back while the service is down.
+const RETRY_WHEN_DOWN: Duration = Duration::from_millis(500);
+
+/// A request, as far as admission is concerned.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Arrival<'a> {
+    pub(crate) service: Service,
+    pub(crate) zone: &'a str,
+    pub(crate) access: Access,
+    /// Operations that it counts as against the limit a second.
+    pub(crate) cost: usize,
+    pub(crate) bytes: usize,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Decision {
+    Refuse {
+        retry_after: Duration,
+    },
+    Throttle {
+        retry_after: Duration,
+    },
+    Run {
+        delay: Duration,
+        lose_answer: Option<Duration>,
+    },
+}
+
+#[derive(Debug)]
+struct Limits {
+    reads: RateLimit,
+    writes: RateLimit,
+}
+
+impl Limits {
+    fn new(options: &Options) -> Self {
+        Self {
+            reads: RateLimit::new(options.reads_per_second),
+            writes: RateLimit::new(options.writes_per_second),
+        }
+    }
+
+    fn take(&mut self, now: Duration, access: Access, cost: usize) -> Result<(), Duration> {
+        let cost = u32::try_from(cost.max(1)).unwrap_or(u32::MAX);
+        match access {
+            Access::Read => self.reads.take(now, cost),
+            Access::Write => self.writes.take(now, cost),
+        }
+    }
+}
+
+/// What the requests work on.
+#[derive(Debug)]
+pub(crate) struct Inner {
+    pub(crate) table: Table,
+    pub(crate) objects: Objects,
+    pub(crate) faults: Faults,
+    table_limits: Limits,
+    object_limits: Limits,
+    counts: Counts,
+}
+
+/// The stand-in's state, shared by all of its connections.
+#[derive(Clone, Debug)]
+pub(crate) struct Standin {
+    inner: Arc<Mutex<Inner>>,
+    started: Instant,
+}
+
+impl Standin {
+    pub(crate) fn new(options: &Options) -> Self {
+        let inner = Inner {
+            table: Table::default(),
+            objects: Objects::default(),
+            faults: Faults::default(),
+            table_limits: Limits::new(options),
+            object_limits: Limits::new(options),
+            counts: Counts::default(),
+        };
+        Self {
+            inner: Arc::new(Mutex::new(inner)),
+            started: Instant::now(),
+        }
+    }
+
+    /// Time since start.
+    pub(crate) fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Nothing that is done under the lock panics halfway through a change, so
+    /// a poisoned lock still guards whole data.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn admit(&self, arrival: Arrival<'_>) -> Decision {
+        self.lock().admit(self.now(), arrival)
+    }
+
+    pub(crate) fn answered(&self, zone: &str, bytes: usize) {
+        self.lock().counts.answered(zone, bytes);
+    }
+
+    pub(crate) fn add_fault(&self, fault: Fault) {
+        self.lock().faults.add(fault);
+    }
+
+    pub(crate) fn counts(&self) -> CountsReport {
+        self.lock().counts.report(self.now())
+    }
+}
+
+impl Inner {
+    fn admit(&mut self, now: Duration, arrival: Arrival<'_>) -> Decision {
+        let Arrival { zone, access, .. } = arrival;
+        self.counts.arrived(now, zone, access, arrival.bytes);
+        let verdict = self.faults.verdict(now, arrival.service, zone);
+        if verdict.refuse {
+            self.counts.refused(zone);
+            return Decision::Refuse {
+                retry_after: RETRY_WHEN_DOWN,
+            };
+        }
+        let limits = match arrival.service {
+            Service::Objects => &mut self.object_limits,
+            Service::Table | Service::All => &mut self.table_limits,
+        };
+        if let Err(retry_after) = limits.take(now, access, arrival.cost) {
+            self.counts.throttled(zone);
+            return Decision::Throttle { retry_after };
+        }
+        if verdict.lose_answer.is_some() {
+            self.counts.lost_answer(zone);
+        }
+        Decision::Run {
+            delay: verdict.delay,
+            lose_answer: verdict.lose_answer,
+        }
+    }
+}
