Bound the reaching past failed pushes, and prove four safeguards

Cause: with their safeguard taken out on a scratch copy, four tests stayed green: suspicion of other zones' members, the rounding of the head's age, the head's digest for a delta, and the bound on reaching past dead daemons. The last was no bound at all: three generations cover a zone of 76.

--- a/crates/distribution/src/spread.rs
+++ b/crates/distribution/src/spread.rs
@@ -12,7 +12,7 @@
 /// Generations of failed pushes that a sender reaches past. Beyond that the
 /// zone is more likely cut off than full of dead daemons, and exchanges of
 /// marks repair what is left.
-const MAX_BYPASSES: u32 = 3;
+const MAX_BYPASSES: u32 = 2;
 
 /// Decides who passes a version on to whom.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/distribution/tests/all/replica.rs
+++ b/crates/distribution/tests/all/replica.rs
@@ -104,7 +104,14 @@
     assert!(
         matches!(offer, Offer::Refused(row) if matches!(row.reason, Reason::NotTheHead { .. }))
     );
-    assert_eq!(replica.version(), 0);
+    let (deltas, _) = log(2);
+    let offer = replica.offer_deltas(T0, deltas);
+    assert!(matches!(offer, Offer::Applied(applied) if applied.len() == 1));
+    assert_eq!(
+        replica.version(),
+        1,
+        "the delta to the head is refused as well"
+    );
 }
 
 #[test]
--- a/crates/distribution/tests/all/spread.rs
+++ b/crates/distribution/tests/all/spread.rs
@@ -78,7 +78,7 @@
     let dead = view["z1"].iter().copied().collect();
     let outcome = push(&view, 5, 1, &dead);
     assert_eq!(outcome.received.len(), 75);
-    assert!(outcome.pushes[&5] <= 76 + 10);
+    assert!(outcome.pushes[&5] <= 2 + 8 + 32 + 6, "{:?}", outcome.pushes);
 }
 
 #[test]
--- a/crates/membership/tests/all/failures.rs
+++ b/crates/membership/tests/all/failures.rs
@@ -71,6 +71,12 @@
     fleet.run(Duration::from_mins(3));
     for node in fleet.nodes.values() {
         assert_eq!(node.table().present().count(), 15, "nobody is dead");
+        let state = |key| node.table().get(key).map(|it| it.member.state);
+        let suspected = fleet
+            .nodes
+            .keys()
+            .filter(|it| state(**it) != Some(MemberState::Alive));
+        assert_eq!(suspected.count(), 0, "nor under suspicion");
     }
     assert!(!fleet.nodes[&key(0, 0)].is_reachable("z1"));
     assert!(fleet.nodes[&key(0, 0)].is_reachable("z2"));
@@ -207,10 +213,11 @@
     // its head was read; were ages rounded down, they would confirm each other
     // for ever and nobody would begin to ask for itself.
     let mut fleet = settled(1, 6);
+    fleet.run(Duration::from_millis(500));
     fleet.input(key(0, 0), Input::HeadRead);
     fleet.run(Duration::from_mins(1));
     for node in fleet.nodes.values() {
         let age = node.head_age(fleet.now).expect("heard");
-        assert!(age >= Duration::from_secs(59), "{age:?}");
+        assert!(age >= Duration::from_mins(1), "{age:?}");
     }
 }
