--- a/crates/resource/src/wire/change.rs
+++ b/crates/resource/src/wire/change.rs
@@ -1,10 +1,12 @@
 //! Bodies of the operator API that read and change configuration.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use super::resource::ResourceWire;
 use crate::delta::Delta;
-use crate::finding::Finding;
+use crate::finding::{Finding, Place};
 use crate::ids::{OperationId, Revision, Version};
 use crate::key::{Key, Kind};
 use crate::state::{Held, State};
@@ -139,6 +141,31 @@
     }
 }
 
+/// The state that a list of every resource describes, with all findings of
+/// items that make no sense.
+impl TryFrom<ListAnswer> for State {
+    type Error = Vec<Finding>;
+
+    fn try_from(list: ListAnswer) -> Result<Self, Vec<Finding>> {
+        let mut findings = Vec::new();
+        let mut items = Vec::with_capacity(list.items.len());
+        for item in list.items {
+            match Resource::try_from(item.resource) {
+                Ok(resource) => items.push(Held {
+                    revision: item.revision,
+                    resource: Arc::new(resource),
+                }),
+                Err(finding) => findings.push(finding),
+            }
+        }
+        if !findings.is_empty() {
+            return Err(findings);
+        }
+        let state = Self::from_snapshot(list.version, items);
+        state.map_err(|error| vec![Finding::new(Place::default(), error.to_string())])
+    }
+}
+
 /// Answer to a watch: the changes after the version asked from, oldest first.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WatchAnswer {
