--- a/tests/all/docs.rs
+++ b/tests/all/docs.rs
@@ -5,14 +5,13 @@
 
 const ROOT: &str = env!("CARGO_MANIFEST_DIR");
 
-/// Folders that hold no source of ours.
+/// Folders at the root that hold no source of ours.
 const SKIPPED: [&str; 3] = ["target", ".git", ".work"];
 
 fn files(dir: &Path, extension: &str, found: &mut Vec<PathBuf>) {
     for entry in fs::read_dir(dir).expect("a readable folder") {
         let path = entry.expect("a folder's entry").path();
-        let name = path.file_name().and_then(|name| name.to_str());
-        if path.is_dir() && !SKIPPED.contains(&name.unwrap_or_default()) {
+        if path.is_dir() {
             files(&path, extension, found);
         } else if path.extension().is_some_and(|it| it == extension) {
             found.push(path);
@@ -22,7 +21,10 @@
 
 fn all_files(extension: &str) -> Vec<PathBuf> {
     let mut found = Vec::new();
-    files(Path::new(ROOT), extension, &mut found);
+    let root = Path::new(ROOT);
+    files(root, extension, &mut found);
+    let is_skipped = |path: &PathBuf| SKIPPED.iter().any(|it| path.starts_with(root.join(it)));
+    found.retain(|path| !is_skipped(path));
     found
 }
 
--- a/tests/all/http.rs
+++ b/tests/all/http.rs
@@ -7,6 +7,7 @@
 use ntex::client::error::ClientError;
 use ntex::client::{Client, Connector};
 use ntex::http::{HeaderMap, Method};
+use ntex::rt::{DefaultRuntime, System};
 use ntex::time::{Millis, timeout};
 
 /// Longest time of one request.
@@ -15,6 +16,12 @@
 /// Largest answer that is read.
 const MAX_BODY: usize = 16 << 20;
 
+/// Runs a test's future to its end. The library's own attribute for tests would
+/// also log every byte that it reads, in which a failure's message drowns.
+pub(crate) fn run(test: impl Future<Output = ()> + 'static) {
+    System::new("test", DefaultRuntime).block_on(test);
+}
+
 /// A request to one program.
 #[derive(Clone, Debug)]
 pub(crate) struct Request {
--- a/tests/all/lifecycle.rs
+++ b/tests/all/lifecycle.rs
@@ -5,7 +5,7 @@
 use stoatstep_resource::wire::{ResourceWire, ServiceWire};
 
 use crate::fleet::Fleet;
-use crate::http::Request;
+use crate::http::{Request, run};
 
 const READY: Duration = Duration::from_secs(10);
 
@@ -22,110 +22,122 @@
 /// An operator replaces an instance: the service manager sends SIGTERM and
 /// waits. A daemon that lingers is killed after the manager's patience, with
 /// its calls; one that ends with an error sets off an alarm for nothing.
-#[ntex::test]
-async fn daemon_stops_gracefully_on_sigterm() {
-    let mut fleet = Fleet::builder().instances(2).start();
-    fleet.ready(READY).await;
-    let daemon = &mut fleet.instances[1].daemon;
-    let status = daemon.terminate(READY).await;
-    let log = daemon.log();
-    let status = status.unwrap_or_else(|| panic!("the daemon still runs: {log}"));
-    assert!(status.success(), "{status}: {log}");
+#[test]
+fn daemon_stops_gracefully_on_sigterm() {
+    run(async {
+        let mut fleet = Fleet::builder().instances(2).start();
+        fleet.ready(READY).await;
+        let daemon = &mut fleet.instances[1].daemon;
+        let status = daemon.terminate(READY).await;
+        let log = daemon.log();
+        let status = status.unwrap_or_else(|| panic!("the daemon still runs: {log}"));
+        assert!(status.success(), "{status}: {log}");
+    });
 }
 
 /// A daemon is killed, a change is accepted while it is away, and it starts
 /// again with nothing kept. It must come back with the newest version, since
 /// a caller that it serves by an older one sees a route that is gone.
-#[ntex::test]
-async fn killed_daemon_comes_back_with_the_newest_version() {
-    let mut fleet = Fleet::builder().instances(3).zones(2).start();
-    fleet.ready(READY).await;
-    let first = fleet.apply(0, fleet.default_resources()).await;
-    fleet.holds_everywhere(first, CONVERGENCE).await;
-    fleet.instances[2].daemon.kill();
-    let second = fleet.apply(1, service("added-meanwhile")).await;
-    fleet.restart_daemon(2);
-    fleet.ready(READY).await;
-    fleet.holds_everywhere(second, CONVERGENCE).await;
+#[test]
+fn killed_daemon_comes_back_with_the_newest_version() {
+    run(async {
+        let mut fleet = Fleet::builder().instances(3).zones(2).start();
+        fleet.ready(READY).await;
+        let first = fleet.apply(0, fleet.default_resources()).await;
+        fleet.holds_everywhere(first, CONVERGENCE).await;
+        fleet.instances[2].daemon.kill();
+        let second = fleet.apply(1, service("added-meanwhile")).await;
+        fleet.restart_daemon(2);
+        fleet.ready(READY).await;
+        fleet.holds_everywhere(second, CONVERGENCE).await;
+    });
 }
 
 /// A host stalls for some seconds, a change is accepted meanwhile, and the
 /// daemon wakes believing that no time has passed. It must catch up within
 /// the limit that counts for all others.
-#[ntex::test]
-async fn frozen_daemon_catches_up_after_it_wakes() {
-    let mut fleet = Fleet::builder().instances(3).zones(2).start();
-    fleet.ready(READY).await;
-    let first = fleet.apply(0, fleet.default_resources()).await;
-    fleet.holds_everywhere(first, CONVERGENCE).await;
-    fleet.instances[2].daemon.freeze();
-    let second = fleet.apply(0, service("added-meanwhile")).await;
-    ntex::time::sleep(Duration::from_secs(3)).await;
-    fleet.instances[2].daemon.thaw();
-    fleet.holds_everywhere(second, CONVERGENCE).await;
+#[test]
+fn frozen_daemon_catches_up_after_it_wakes() {
+    run(async {
+        let mut fleet = Fleet::builder().instances(3).zones(2).start();
+        fleet.ready(READY).await;
+        let first = fleet.apply(0, fleet.default_resources()).await;
+        fleet.holds_everywhere(first, CONVERGENCE).await;
+        fleet.instances[2].daemon.freeze();
+        let second = fleet.apply(0, service("added-meanwhile")).await;
+        ntex::time::sleep(Duration::from_secs(3)).await;
+        fleet.instances[2].daemon.thaw();
+        fleet.holds_everywhere(second, CONVERGENCE).await;
+    });
 }
 
 /// A target's process dies and is started again beside its daemon. Calls to
 /// its service must be answered again, without a restart of the daemon.
-#[ntex::test]
-async fn restarted_target_is_used_again() {
-    let mut fleet = Fleet::builder().instances(1).start();
-    fleet.ready(READY).await;
-    let version = fleet.apply(0, fleet.default_resources()).await;
-    fleet.holds_everywhere(version, CONVERGENCE).await;
-    fleet.instances[0].target.kill();
-    fleet.restart_target(0);
-    let end = std::time::Instant::now() + READY;
-    loop {
-        let answer = fleet
-            .call(0, "/floatdesk/balance")
-            .await
-            .expect("an answer");
-        if answer.header("stoatstep-outcome") == "answered" {
-            return;
+#[test]
+fn restarted_target_is_used_again() {
+    run(async {
+        let mut fleet = Fleet::builder().instances(1).start();
+        fleet.ready(READY).await;
+        let version = fleet.apply(0, fleet.default_resources()).await;
+        fleet.holds_everywhere(version, CONVERGENCE).await;
+        fleet.instances[0].target.kill();
+        fleet.restart_target(0);
+        let end = std::time::Instant::now() + READY;
+        loop {
+            let answer = fleet
+                .call(0, "/floatdesk/balance")
+                .await
+                .expect("an answer");
+            if answer.header("stoatstep-outcome") == "answered" {
+                return;
+            }
+            assert!(std::time::Instant::now() < end, "{}", answer.text());
+            ntex::time::sleep(Duration::from_millis(50)).await;
         }
-        assert!(std::time::Instant::now() < end, "{}", answer.text());
-        ntex::time::sleep(Duration::from_millis(50)).await;
-    }
+    });
 }
 
 /// A daemon is told to stop while a call runs in its target. The caller must
 /// get the whole answer: a connection cut here leaves it not knowing whether
 /// its claim was posted.
-#[ntex::test]
-async fn call_in_flight_is_answered_before_the_daemon_stops() {
-    let slow = Duration::from_secs(1);
-    let builder = Fleet::builder().instances(1).slots(2).service_time(slow);
-    let mut fleet = builder.start();
-    fleet.ready(READY).await;
-    let version = fleet.apply(0, fleet.default_resources()).await;
-    fleet.holds_everywhere(version, CONVERGENCE).await;
-    let call = Request::get(fleet.instances[0].caller_addr, "/floatdesk/balance");
-    let call = ntex::rt::spawn(call.send());
-    ntex::time::sleep(slow / 2).await;
-    let status = fleet.instances[0].daemon.terminate(READY).await;
-    let answer = call.await.expect("a task").expect("a whole answer");
-    assert_eq!(answer.header("stoatstep-outcome"), "answered");
-    assert!(status.is_some_and(|status| status.success()));
+#[test]
+fn call_in_flight_is_answered_before_the_daemon_stops() {
+    run(async {
+        let slow = Duration::from_secs(1);
+        let builder = Fleet::builder().instances(1).slots(2).service_time(slow);
+        let mut fleet = builder.start();
+        fleet.ready(READY).await;
+        let version = fleet.apply(0, fleet.default_resources()).await;
+        fleet.holds_everywhere(version, CONVERGENCE).await;
+        let call = Request::get(fleet.instances[0].caller_addr, "/floatdesk/balance");
+        let call = ntex::rt::spawn(call.send());
+        ntex::time::sleep(slow / 2).await;
+        let status = fleet.instances[0].daemon.terminate(READY).await;
+        let answer = call.await.expect("a task").expect("a whole answer");
+        assert_eq!(answer.header("stoatstep-outcome"), "answered");
+        assert!(status.is_some_and(|status| status.success()));
+    });
 }
 
 /// The platform's service stops answering without closing a connection. The
 /// configuration that daemons hold stays in force, and no call may wait for
 /// the platform.
-#[ntex::test]
-async fn calls_go_on_while_the_platform_is_silent() {
-    let mut fleet = Fleet::builder().instances(2).start();
-    fleet.ready(READY).await;
-    let version = fleet.apply(0, fleet.default_resources()).await;
-    fleet.holds_everywhere(version, CONVERGENCE).await;
-    fleet.platform.freeze();
-    for _ in 0..20 {
-        let answer = fleet
-            .call(0, "/refundhall/limits")
-            .await
-            .expect("an answer");
-        assert_eq!(answer.header("stoatstep-outcome"), "answered");
-        ntex::time::sleep(Duration::from_millis(100)).await;
-    }
-    fleet.platform.thaw();
+#[test]
+fn calls_go_on_while_the_platform_is_silent() {
+    run(async {
+        let mut fleet = Fleet::builder().instances(2).start();
+        fleet.ready(READY).await;
+        let version = fleet.apply(0, fleet.default_resources()).await;
+        fleet.holds_everywhere(version, CONVERGENCE).await;
+        fleet.platform.freeze();
+        for _ in 0..20 {
+            let answer = fleet
+                .call(0, "/refundhall/limits")
+                .await
+                .expect("an answer");
+            assert_eq!(answer.header("stoatstep-outcome"), "answered");
+            ntex::time::sleep(Duration::from_millis(100)).await;
+        }
+        fleet.platform.thaw();
+    });
 }
--- a/tests/all/process_rules.rs
+++ b/tests/all/process_rules.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::fleet::Fleet;
+use crate::http::run;
 use crate::process::Process;
 
 const READY: Duration = Duration::from_secs(10);
@@ -62,18 +63,20 @@
 /// ended by the site, with all calls in it. The library below could turn to
 /// any of them with an update or a changed feature flag, which no other test
 /// would show. The daemon is looked at while it serves.
-#[ntex::test]
-async fn daemon_has_no_ring_no_child_and_no_shared_memory() {
-    let mut fleet = Fleet::builder().instances(2).start();
-    fleet.ready(READY).await;
-    let version = fleet.apply(0, fleet.default_resources()).await;
-    fleet.holds_everywhere(version, READY).await;
-    let answer = fleet
-        .call(0, "/refundhall/limits")
-        .await
-        .expect("an answer");
-    assert_eq!(answer.header("stoatstep-outcome"), "answered");
-    for instance in &fleet.instances {
-        check(&instance.daemon);
-    }
+#[test]
+fn daemon_has_no_ring_no_child_and_no_shared_memory() {
+    run(async {
+        let mut fleet = Fleet::builder().instances(2).start();
+        fleet.ready(READY).await;
+        let version = fleet.apply(0, fleet.default_resources()).await;
+        fleet.holds_everywhere(version, READY).await;
+        let answer = fleet
+            .call(0, "/refundhall/limits")
+            .await
+            .expect("an answer");
+        assert_eq!(answer.header("stoatstep-outcome"), "answered");
+        for instance in &fleet.instances {
+            check(&instance.daemon);
+        }
+    });
 }
