--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use ntex::SharedCfg;
-use ntex::client::error::ClientError;
+use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client as HttpClient, ClientRequest};
 use ntex::http::{Method, StatusCode};
 use ntex::time::{Millis, sleep, timeout};
@@ -255,9 +255,16 @@
     }
 }
 
+/// Sorts errors by whether the request can have left. The library reports a
+/// connection that ended before the answer came as `Disconnected(None)`, beside
+/// the failures to connect. Taken for one of those, a change that took effect
+/// would be reported as one that never left.
 fn miss(error: &ClientError) -> Miss {
     match error {
-        ClientError::Connect(_) => Miss::NotConnected(error.to_string()),
+        ClientError::Connect(ConnectError::Disconnected(None)) => {
+            Miss::NoAnswer("the connection ended before the answer".to_owned())
+        }
+        ClientError::Connect(error) => Miss::NotConnected(error.to_string()),
         _ => Miss::NoAnswer(error.to_string()),
     }
 }
