Keep leaving upstreams out on their own word, and fence plain keys by claim row alone

An upstream that drains was picked again until membership had heard of it; its own refusal now counts for 5 s. A key that states no time was asked of every previous home for ever, since nothing says that it is newer than the change; its claim row already fences it, so its homes no longer matter.

--- a/crates/calls/src/answer.rs
+++ b/crates/calls/src/answer.rs
@@ -9,6 +9,7 @@
     /// Name in lower case.
     pub name: SmolStr,
     /// Value, any bytes that HTTP allows.
+    #[serde(with = "serde_bytes")]
     pub value: Vec<u8>,
 }
 
@@ -21,6 +22,7 @@
     /// Headers of the answer, without those of the connection.
     pub headers: Vec<Header>,
     /// The whole body.
+    #[serde(with = "serde_bytes")]
     pub body: Vec<u8>,
 }
 
--- a/crates/calls/src/intent/home.rs
+++ b/crates/calls/src/intent/home.rs
@@ -143,14 +143,31 @@
         }
     }
 
+    /// Whether the current set of a service has this upstream.
+    #[must_use]
+    pub fn is_member(&self, service: &ServiceName, upstream: &UpstreamName) -> bool {
+        let sets = self.services.get(service);
+        sets.is_some_and(|sets| sets.current.contains(upstream))
+    }
+
     /// Id of the current set of a service.
     #[must_use]
     pub fn current_id(&self, service: &ServiceName) -> Option<SetId> {
         self.services.get(service).map(|sets| set_id(&sets.current))
     }
 
+    /// When the change of sets that `version` made was noted; zero where none is
+    /// known.
+    #[must_use]
+    pub fn noted_at(&self, version: Version) -> Wall {
+        let earlier = self.services.values().flat_map(|sets| &sets.earlier);
+        let of_version = earlier.filter(|it| it.ended == version);
+        of_version.map(|it| it.ended_at).max().unwrap_or_default()
+    }
+
     /// Whether this executor may run `key`, which an entry sent under the set
-    /// `id`. A key that states no time counts as made long ago.
+    /// `id`. A key that states no time is fenced by its claim row, whoever its
+    /// earlier homes were.
     #[must_use]
     pub fn check(&self, key: &IntentKey, id: SetId) -> Home {
         let Some(sets) = self.services.get(&key.service) else {
@@ -162,11 +179,13 @@
         if home_of(&sets.current, key) != Some(&self.me) {
             return Home::NotMine;
         }
-        self.check_earlier(sets, key)
+        match key.key.created() {
+            Some(created) => self.check_earlier(sets, key, created),
+            None => Home::Mine,
+        }
     }
 
-    fn check_earlier(&self, sets: &Sets, key: &IntentKey) -> Home {
-        let created = key.key.created().unwrap_or_default();
+    fn check_earlier(&self, sets: &Sets, key: &IntentKey, created: Wall) -> Home {
         let mut ask = BTreeMap::new();
         for earlier in &sets.earlier {
             for upstream in self.previous_homes(earlier, key) {
@@ -208,9 +227,9 @@
         self.settle(upstream, version, now, true);
     }
 
-    /// Nobody knows an instance of this upstream any more: the operator's
-    /// deletion, or a set that names an upstream that never came up, is the word
-    /// that it runs nothing. Keys made up to now may have run there.
+    /// The upstream was deleted, and nobody knows an instance of it any more:
+    /// the operator's deletion is the word that it runs nothing. Keys made up to
+    /// now may have run there.
     pub fn gone(&mut self, upstream: &UpstreamName, version: Version, now: Wall) {
         self.settle(upstream, version, now, false);
     }
--- a/crates/calls/src/router/mod.rs
+++ b/crates/calls/src/router/mod.rs
@@ -71,6 +71,8 @@
     Refused(Option<Load>, Duration),
     /// No connection, no whole answer, or silence.
     Failed,
+    /// It refused because it is leaving.
+    Leaving,
     /// Ended for reasons of the caller's.
     Cancelled,
 }
@@ -116,7 +118,7 @@
         rng: &mut dyn Rng,
     ) -> Option<Pick> {
         let rows = self.services.get(service)?;
-        let open = |row: &&Row| !row.is_leaving() && !tried.contains(&row.name);
+        let open = |row: &&Row| !row.is_leaving(now) && !tried.contains(&row.name);
         let open: Vec<&Row> = rows.values().filter(open).collect();
         let sound = |row: &&&Row| row.is_sound(now);
         let sound: Vec<&Row> = open.iter().filter(sound).copied().collect();
--- a/crates/calls/src/router/upstream.rs
+++ b/crates/calls/src/router/upstream.rs
@@ -22,6 +22,10 @@
 /// Longest pause after a refusal that the router believes.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time for which an upstream's own word that it is leaving counts, unless
+/// membership says so too. Its daemon may have been replaced meanwhile.
+const LEAVING_LIFE: Duration = Duration::from_secs(5);
+
 /// Score added while an upstream has asked for a pause.
 const REFUSED_SCORE: f64 = 1.0;
 
@@ -37,6 +41,7 @@
     reported: Load,
     reported_at: Time,
     paused_until: Time,
+    leaving_until: Time,
     ejection: Ejection,
 }
 
@@ -53,6 +58,7 @@
             reported: Load::default(),
             reported_at: now,
             paused_until: Time::ZERO,
+            leaving_until: Time::ZERO,
             ejection: Ejection::default(),
         }
     }
@@ -70,8 +76,8 @@
         self.slots = candidate.slots;
     }
 
-    pub(super) fn is_leaving(&self) -> bool {
-        self.state == CandidateState::Leaving
+    pub(super) fn is_leaving(&self, now: Time) -> bool {
+        self.state == CandidateState::Leaving || now < self.leaving_until
     }
 
     pub(super) fn is_ejected(&self, now: Time) -> bool {
@@ -122,6 +128,7 @@
                 self.paused_until = now + pause.min(LONGEST_PAUSE);
             }
             Report::Failed => self.ejection.failed(may_eject, now),
+            Report::Leaving => self.leaving_until = now + LEAVING_LIFE,
             Report::Cancelled => {}
         }
     }
--- a/crates/calls/tests/all/router.rs
+++ b/crates/calls/tests/all/router.rs
@@ -105,6 +105,17 @@
     assert!(picks(&router, WARM).is_empty());
 }
 
+// An upstream drains before membership has told anyone. Its first refusal is
+// enough: no further call goes there only to be refused.
+#[test]
+fn upstream_that_says_it_is_leaving_gets_no_new_work() {
+    let mut router = router(&candidates(CandidateState::Ready));
+    router.started(&SERVICE, &"a0".into());
+    router.finished(&SERVICE, &"a0".into(), Report::Leaving, WARM);
+    router.set_candidates(&SERVICE, &candidates(CandidateState::Ready), WARM);
+    assert_eq!(names(&picks(&router, WARM)), ["a1"]);
+}
+
 // An upstream breaks every connection. It is left out, comes back, breaks again
 // and is left out for longer.
 #[test]
