Answer what is under way when the platform stand-in stops

Cause: the HTTP library's own handling of SIGTERM cuts requests under way. A request held for 1.5 s by a slow fault was cut in 5 of 5 stops, after about 0.36 s. Ruled out: a longer shutdown_timeout (it was 5 s), and waiting for the requests after the server's end (they are already gone then: 10 of 10 cut). Change: the signal is taken by the program, the listener pauses, and the server is stopped once no request is under way, or after 5 s. After: 15 of 15 stops answered the request, with delays of 1 ms, 1.5 s and 3.5 s; an idle stop takes 0.4 s.

--- a/crates/standin-platform/src/lib.rs
+++ b/crates/standin-platform/src/lib.rs
@@ -19,4 +19,4 @@
 pub use admin::{FaultWire, ObjectWire, RowWire};
 pub use counts::{CountsReport, ZoneCounts};
 pub use program::main;
-pub use server::{Options, serve};
+pub use server::{Options, Running, serve};
--- a/crates/standin-platform/src/program.rs
+++ b/crates/standin-platform/src/program.rs
@@ -75,7 +75,7 @@
     ntex::rt::System::new("stoat-platform", ntex::rt::DefaultRuntime).block_on(async move {
         let server = serve(&options)?;
         info!(log, "platform listens"; "addr" => %options.addr);
-        let ended = server.await;
+        let ended = server.ended().await;
         info!(log, "platform stopped");
         ended
     })
--- a/crates/standin-platform/src/request.rs
+++ b/crates/standin-platform/src/request.rs
@@ -44,6 +44,7 @@
 where
     F: FnOnce(&mut Inner) -> Done + 'static,
 {
+    let _in_flight = standin.begin();
     let zone = zone(&req);
     let arrival = Arrival {
         service: work.service,
--- a/crates/standin-platform/src/server.rs
+++ b/crates/standin-platform/src/server.rs
@@ -2,11 +2,13 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use ntex::SharedCfg;
 use ntex::http::{HttpServiceConfig, KeepAlive};
-use ntex::server::Server;
-use ntex::time::Seconds;
+use ntex::rt::{System, spawn};
+use ntex::server::{Server, Signal, signal};
+use ntex::time::{Millis, Seconds, sleep};
 use ntex::web::types::{JsonConfig, PayloadConfig};
 use ntex::web::{self, App, HttpServer};
 use stoatstep_platform::MAX_OBJECT;
@@ -34,7 +36,11 @@
 const MAX_CONNECTIONS: usize = 8_192;
 
 /// Requests under way have this long to end once the program is told to stop.
-const STOP_TIMEOUT: Seconds = Seconds(5);
+const STOP_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How often a stopping server looks whether all requests have ended, and how
+/// long it leaves the last answer to get out.
+const STOP_POLL: Millis = Millis(20);
 
 /// What the stand-in needs to start.
 #[derive(Clone, Debug)]
@@ -47,22 +53,64 @@
     pub writes_per_second: u32,
 }
 
-/// Starts listening; the returned server runs until it is stopped, and ends
-/// gracefully on SIGTERM.
+/// A server that listens.
+#[derive(Debug)]
+pub struct Running {
+    server: Server,
+    standin: Standin,
+}
+
+impl Running {
+    /// Serves until SIGTERM or SIGINT, and then until the requests under way
+    /// are answered or a few seconds have passed.
+    ///
+    /// Left to itself, the library cuts the requests under way some 0.4 s
+    /// after the signal; a caller would see its write end as "unknown". So the
+    /// signal is taken here, and the server is stopped once it has no work.
+    ///
+    /// # Errors
+    ///
+    /// The server failed.
+    pub async fn ended(self) -> io::Result<()> {
+        System::current().enable_signals();
+        spawn(stop_on_signal(self.server.clone(), self.standin));
+        self.server.await
+    }
+}
+
+async fn stop_on_signal(server: Server, standin: Standin) {
+    while let Ok(signals) = signal().await {
+        let stops = |signal: &Signal| matches!(signal, Signal::Term | Signal::Int);
+        if signals.iter().any(stops) {
+            break;
+        }
+    }
+    // No new connection is accepted from here on.
+    server.pause().await;
+    let stopping = Instant::now();
+    while !standin.is_idle() && stopping.elapsed() < STOP_TIMEOUT {
+        sleep(STOP_POLL).await;
+    }
+    sleep(STOP_POLL).await;
+    server.stop(true).await;
+}
+
+/// Starts listening.
 ///
 /// # Errors
 ///
 /// The address cannot be bound.
-pub fn serve(options: &Options) -> io::Result<Server> {
+pub fn serve(options: &Options) -> io::Result<Running> {
     let standin = Standin::new(options);
     let http = HttpServiceConfig::new()
         .set_keepalive(KeepAlive::Timeout(KEEP_ALIVE))
         .set_client_timeout(HEAD_TIMEOUT)
         .set_max_headers(MAX_HEADERS)
         .set_max_buf_size(HEAD_LIMIT);
+    let shared = standin.clone();
     let app = async move || {
         App::new()
-            .state(standin.clone())
+            .state(shared.clone())
             .state(JsonConfig::default().limit(ADMIN_BODY_LIMIT))
             .state(PayloadConfig::new(MAX_OBJECT))
             .service((
@@ -86,10 +134,10 @@
     };
     let server = HttpServer::new(app)
         .workers(1)
+        .disable_signals()
         .maxconn(MAX_CONNECTIONS)
-        .shutdown_timeout(STOP_TIMEOUT)
         .config(SharedCfg::new("platform").add(http))
         .bind(options.addr)?
         .run();
-    Ok(server)
+    Ok(Running { server, standin })
 }
--- a/crates/standin-platform/src/standin.rs
+++ b/crates/standin-platform/src/standin.rs
@@ -1,5 +1,6 @@
 //! All that the program holds, and what becomes of a request.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -75,9 +76,20 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Standin {
     inner: Arc<Mutex<Inner>>,
+    in_flight: Arc<AtomicUsize>,
     started: Instant,
 }
 
+/// Counts a request as under way until it is dropped.
+#[derive(Debug)]
+pub(crate) struct InFlight(Arc<AtomicUsize>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Standin {
     pub(crate) fn new(options: &Options) -> Self {
         let inner = Inner {
@@ -90,6 +102,7 @@
         };
         Self {
             inner: Arc::new(Mutex::new(inner)),
+            in_flight: Arc::default(),
             started: Instant::now(),
         }
     }
@@ -99,6 +112,17 @@
         self.started.elapsed()
     }
 
+    /// Counts a request for as long as the guard lives.
+    pub(crate) fn begin(&self) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight(Arc::clone(&self.in_flight))
+    }
+
+    /// Whether no request is under way.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.in_flight.load(Ordering::Relaxed) == 0
+    }
+
     /// Nothing that is done under the lock panics halfway through a change, so
     /// a poisoned lock still guards whole data.
     pub(crate) fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/crates/standin-platform/tests/service.rs
+++ b/crates/standin-platform/tests/service.rs
@@ -27,7 +27,8 @@
         reads_per_second,
         writes_per_second,
     };
-    ntex::rt::spawn(serve(&options).expect("the port is free"));
+    let running = serve(&options).expect("the port is free");
+    ntex::rt::spawn(running.ended());
     addr
 }
 
