--- a/crates/resource/benches/digest.rs
+++ b/crates/resource/benches/digest.rs
@@ -25,8 +25,22 @@
     });
     let snapshot = rmp_serde::to_vec(&SnapshotWire::from(&state)).unwrap_or_default();
     print_size("snapshot_bytes", snapshot.len());
-    let change = rmp_serde::to_vec(&DeltaWire::from(&delta)).unwrap_or_default();
-    print_size("one_upstream_change_bytes", change.len());
+    print_mean_change(&state);
+}
+
+/// Digests differ in how long they are on the wire in some encodings, so the
+/// size of a change is a mean over many.
+fn print_mean_change(state: &State) {
+    let sizes = (0..UPSTREAMS).map(|i| {
+        let delta = state.delta(vec![upstream(i, 12)], Vec::new());
+        let bytes = rmp_serde::to_vec(&DeltaWire::from(&delta));
+        bytes.unwrap_or_default().len()
+    });
+    let total: usize = sizes.sum();
+    let mean = total / UPSTREAMS;
+    println!(
+        r#"{{"name":"one_upstream_change_bytes","value":{mean},"unit":"bytes","count":{UPSTREAMS}}}"#
+    );
 }
 
 fn state() -> State {
--- a/crates/resource/src/wire/delta.rs
+++ b/crates/resource/src/wire/delta.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::packed::{PackedKey, PackedResource};
 use crate::delta::Delta;
 use crate::digest::Digest;
 use crate::ids::{Revision, Version};
@@ -15,8 +16,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DeltaWire {
     version: Version,
-    puts: Vec<Resource>,
-    deletes: Vec<Key>,
+    puts: Vec<PackedResource>,
+    deletes: Vec<PackedKey>,
     digest: Digest,
 }
 
@@ -24,8 +25,8 @@
     fn from(delta: &Delta) -> Self {
         Self {
             version: delta.version,
-            puts: delta.puts.clone(),
-            deletes: delta.deletes.clone(),
+            puts: delta.puts.iter().map(PackedResource::from).collect(),
+            deletes: delta.deletes.iter().map(PackedKey::from).collect(),
             digest: delta.digest,
         }
     }
@@ -35,8 +36,8 @@
     fn from(wire: DeltaWire) -> Self {
         Self {
             version: wire.version,
-            puts: wire.puts,
-            deletes: wire.deletes,
+            puts: wire.puts.into_iter().map(Resource::from).collect(),
+            deletes: wire.deletes.into_iter().map(Key::from).collect(),
             digest: wire.digest,
         }
     }
@@ -46,7 +47,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SnapshotWire {
     version: Version,
-    items: Vec<(Revision, Arc<Resource>)>,
+    items: Vec<(Revision, PackedResource)>,
     digest: Digest,
 }
 
@@ -56,7 +57,7 @@
         Self {
             version: state.version(),
             items: items
-                .map(|held| (held.revision, Arc::clone(&held.resource)))
+                .map(|held| (held.revision, PackedResource::from(&*held.resource)))
                 .collect(),
             digest: state.digest(),
         }
@@ -68,7 +69,10 @@
 
     fn try_from(wire: SnapshotWire) -> Result<Self, SnapshotError> {
         let items = wire.items.into_iter();
-        let items = items.map(|(revision, resource)| Held { revision, resource });
+        let items = items.map(|(revision, packed)| Held {
+            revision,
+            resource: Arc::new(packed.into()),
+        });
         let state = Self::from_snapshot(wire.version, items)?;
         let found = state.digest();
         if found != wire.digest {
--- a/crates/resource/src/wire/mod.rs
+++ b/crates/resource/src/wire/mod.rs
@@ -16,6 +16,7 @@
 mod checks;
 mod delta;
 mod duration;
+mod packed;
 mod resource;
 mod status;
 
--- /dev/null
+++ b/crates/resource/src/wire/packed.rs
@@ -0,0 +1,189 @@
+//! Resources and keys in the fewest bytes that `rmp` can give them.
+//!
+//! `rmp` writes structs as arrays but enum variants by name, so the names here
+//! are single letters. They are part of the wire format: never reuse one.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::ids::{PolicyName, RouteName, ServiceName, TenantName, UpstreamName};
+use crate::key::{Key, Kind};
+use crate::types::{Policy, Resource, Retry, Route, Service, TenantLimit, Upstream};
+
+/// See [`Resource`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) enum PackedResource {
+    #[serde(rename = "p")]
+    Policy {
+        name: PolicyName,
+        timeout: Duration,
+        attempts: u32,
+        budget_percent: u32,
+        limits: Vec<PackedLimit>,
+    },
+    #[serde(rename = "s")]
+    Service {
+        name: ServiceName,
+        policy: Option<PolicyName>,
+    },
+    #[serde(rename = "u")]
+    Upstream {
+        name: UpstreamName,
+        service: ServiceName,
+        slots: u32,
+        connections: u32,
+    },
+    #[serde(rename = "r")]
+    Route {
+        name: RouteName,
+        prefix: SmolStr,
+        service: ServiceName,
+        policy: Option<PolicyName>,
+        idempotent: bool,
+    },
+}
+
+/// See [`TenantLimit`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct PackedLimit {
+    tenant: TenantName,
+    weight: u32,
+    concurrency: Option<u32>,
+}
+
+/// See [`Key`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) enum PackedKey {
+    #[serde(rename = "p")]
+    Policy(PolicyName),
+    #[serde(rename = "s")]
+    Service(ServiceName),
+    #[serde(rename = "u")]
+    Upstream(UpstreamName),
+    #[serde(rename = "r")]
+    Route(RouteName),
+}
+
+impl From<&Resource> for PackedResource {
+    fn from(resource: &Resource) -> Self {
+        match resource {
+            Resource::Policy(policy) => Self::Policy {
+                name: policy.name.clone(),
+                timeout: policy.timeout,
+                attempts: policy.retry.attempts,
+                budget_percent: policy.retry.budget_percent,
+                limits: policy.limits.iter().map(PackedLimit::from).collect(),
+            },
+            Resource::Service(service) => Self::Service {
+                name: service.name.clone(),
+                policy: service.policy.clone(),
+            },
+            Resource::Upstream(upstream) => Self::Upstream {
+                name: upstream.name.clone(),
+                service: upstream.service.clone(),
+                slots: upstream.slots,
+                connections: upstream.connections,
+            },
+            Resource::Route(route) => Self::Route {
+                name: route.name.clone(),
+                prefix: route.prefix.clone(),
+                service: route.service.clone(),
+                policy: route.policy.clone(),
+                idempotent: route.idempotent,
+            },
+        }
+    }
+}
+
+impl From<PackedResource> for Resource {
+    fn from(packed: PackedResource) -> Self {
+        match packed {
+            PackedResource::Policy {
+                name,
+                timeout,
+                attempts,
+                budget_percent,
+                limits,
+            } => Self::Policy(Policy {
+                name,
+                timeout,
+                retry: Retry {
+                    attempts,
+                    budget_percent,
+                },
+                limits: limits.into_iter().map(TenantLimit::from).collect(),
+            }),
+            PackedResource::Service { name, policy } => Self::Service(Service { name, policy }),
+            PackedResource::Upstream {
+                name,
+                service,
+                slots,
+                connections,
+            } => Self::Upstream(Upstream {
+                name,
+                service,
+                slots,
+                connections,
+            }),
+            PackedResource::Route {
+                name,
+                prefix,
+                service,
+                policy,
+                idempotent,
+            } => Self::Route(Route {
+                name,
+                prefix,
+                service,
+                policy,
+                idempotent,
+            }),
+        }
+    }
+}
+
+impl From<&TenantLimit> for PackedLimit {
+    fn from(limit: &TenantLimit) -> Self {
+        Self {
+            tenant: limit.tenant.clone(),
+            weight: limit.weight,
+            concurrency: limit.concurrency,
+        }
+    }
+}
+
+impl From<PackedLimit> for TenantLimit {
+    fn from(packed: PackedLimit) -> Self {
+        Self {
+            tenant: packed.tenant,
+            weight: packed.weight,
+            concurrency: packed.concurrency,
+        }
+    }
+}
+
+impl From<&Key> for PackedKey {
+    fn from(key: &Key) -> Self {
+        let name = key.name.clone();
+        match key.kind {
+            Kind::Policy => Self::Policy(name),
+            Kind::Service => Self::Service(name),
+            Kind::Upstream => Self::Upstream(name),
+            Kind::Route => Self::Route(name),
+        }
+    }
+}
+
+impl From<PackedKey> for Key {
+    fn from(packed: PackedKey) -> Self {
+        let (kind, name) = match packed {
+            PackedKey::Policy(name) => (Kind::Policy, name),
+            PackedKey::Service(name) => (Kind::Service, name),
+            PackedKey::Upstream(name) => (Kind::Upstream, name),
+            PackedKey::Route(name) => (Kind::Route, name),
+        };
+        Self { kind, name }
+    }
+}
