--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -98,7 +98,9 @@
     fn refusal(&self) -> Failure {
         let exit = match self.status {
             StatusCode::CONFLICT => Exit::Conflict,
-            StatusCode::BAD_REQUEST | StatusCode::UNPROCESSABLE_ENTITY => Exit::Invalid,
+            StatusCode::BAD_REQUEST
+            | StatusCode::PAYLOAD_TOO_LARGE
+            | StatusCode::UNPROCESSABLE_ENTITY => Exit::Invalid,
             StatusCode::NOT_FOUND | StatusCode::GONE => Exit::NotFound,
             _ => Exit::Failure,
         };
