--- /dev/null
+++ b/crates/versionlog/src/snapshot/format.rs
@@ -0,0 +1,36 @@
+//! The bytes of a snapshot.
+
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
+use stoatstep_resource::State;
+use stoatstep_resource::wire::SnapshotWire;
+
+/// Leads the bytes of every snapshot: a name, and the encoding's number.
+const MAGIC: &[u8] = b"stoatstep-snapshot-1\n";
+
+/// Encodes a state. Equal states give equal bytes, so two who write the same
+/// version's object can't harm each other.
+///
+/// # Panics
+///
+/// Never: encoding plain data into memory cannot fail.
+#[must_use]
+pub fn encode_snapshot(state: &State) -> Vec<u8> {
+    let mut bytes = MAGIC.to_vec();
+    let wire = SnapshotWire::from(state);
+    rmp_serde::encode::write(&mut bytes, &wire).expect("plain data always encodes");
+    bytes
+}
+
+/// Decodes a state and checks its own digest.
+///
+/// # Errors
+///
+/// What is wrong with the bytes.
+pub fn decode_snapshot(bytes: &[u8]) -> Result<State, SmolStr> {
+    let body = bytes
+        .strip_prefix(MAGIC)
+        .ok_or_else(|| SmolStr::new_static("is no snapshot of this format"))?;
+    let wire: SnapshotWire =
+        rmp_serde::from_slice(body).map_err(|e| format_smolstr!("is damaged: {e}"))?;
+    State::try_from(wire).map_err(|e| e.to_smolstr())
+}
--- /dev/null
+++ b/crates/versionlog/src/snapshot/mod.rs
@@ -0,0 +1,251 @@
+//! Snapshots in the object store, and the trimming of the log that they allow.
+
+mod error;
+mod format;
+mod trim;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use stoatstep_platform::{CommitAnswer, CommitRequest, PlatformError, ReadAnswer, ReadRequest};
+use stoatstep_resource::State;
+
+use crate::backoff::Backoff;
+use crate::config::LogConfig;
+use crate::error::LogError;
+use crate::keys::{SNAPSHOT_PREFIX, log_range, snapshot_name, snapshot_version};
+use crate::rows::{Head, SnapshotRef};
+use crate::tail::{head_request, read_head};
+
+pub use error::SnapshotError;
+pub use format::{decode_snapshot, encode_snapshot};
+
+/// What the snapshotter is told.
+#[derive(Clone, Debug)]
+pub enum SnapshotInput {
+    /// Begin.
+    Start,
+    /// The answer to [`SnapshotAction::PutObject`].
+    Put(Result<(), PlatformError>),
+    /// The answer to [`SnapshotAction::Read`].
+    Read(Result<ReadAnswer, PlatformError>),
+    /// The answer to [`SnapshotAction::Commit`].
+    Commit(Result<CommitAnswer, PlatformError>),
+    /// The answer to [`SnapshotAction::ListObjects`].
+    Listed(Result<Vec<SmolStr>, PlatformError>),
+    /// The answer to [`SnapshotAction::DeleteObject`].
+    Deleted(Result<(), PlatformError>),
+    /// The time of [`SnapshotAction::Wait`] is over.
+    Woke,
+}
+
+/// What the snapshotter wants done next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SnapshotAction {
+    /// Store this object.
+    PutObject(SmolStr, Vec<u8>),
+    /// Read these rows.
+    Read(ReadRequest),
+    /// Try this transaction.
+    Commit(CommitRequest),
+    /// List the objects whose names begin so.
+    ListObjects(SmolStr),
+    /// Delete this object.
+    DeleteObject(SmolStr),
+    /// Come back after this time.
+    Wait(Duration),
+    /// The end.
+    Finish(Result<Snapshot, SnapshotError>),
+}
+
+/// How a snapshot ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Snapshot {
+    /// The head as it is now.
+    pub head: Head,
+    /// Objects that nothing refers to any more and that were deleted.
+    pub deleted: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Put,
+    Refer,
+    List,
+    Delete,
+}
+
+/// Takes a snapshot of one state.
+///
+/// The order is what makes a crash harmless at any point. The object is there
+/// before the head refers to it, so no reader is ever sent to an object that
+/// was never written. The rows and older objects go only once the head no
+/// longer needs them. What a crash leaves behind is an object that nothing
+/// refers to, and the next snapshot deletes it. Two who do it at once write
+/// the same bytes under the same name, and only one of them moves the head.
+#[derive(Clone, Debug)]
+pub struct Snapshotter {
+    cfg: LogConfig,
+    backoff: Backoff,
+    state: Arc<State>,
+    stage: Stage,
+    head: Option<Head>,
+    garbage: Vec<SmolStr>,
+    deleted: usize,
+}
+
+impl Snapshotter {
+    /// Whether a new snapshot is due at this head.
+    #[must_use]
+    pub fn is_due(head: &Head, cfg: &LogConfig) -> bool {
+        head.version - head.snapshot_version() >= cfg.snapshot_every
+    }
+
+    /// A snapshot of `state`, which has to be a version of the log.
+    #[must_use]
+    pub fn new(state: Arc<State>, cfg: &LogConfig, seed: u64) -> Self {
+        Self {
+            cfg: cfg.clone(),
+            backoff: Backoff::new(cfg, seed),
+            state,
+            stage: Stage::Put,
+            head: None,
+            garbage: Vec::new(),
+            deleted: 0,
+        }
+    }
+
+    /// Takes what happened at `now` and names what to do next. The input has
+    /// to be the answer to the last action.
+    pub fn step(&mut self, now: Duration, input: SnapshotInput) -> SnapshotAction {
+        self.backoff.start(now);
+        match input {
+            SnapshotInput::Start | SnapshotInput::Woke => self.next(),
+            SnapshotInput::Put(Ok(())) => self.go_to(Stage::Refer),
+            SnapshotInput::Read(Ok(answer)) => self
+                .after_read(&answer)
+                .unwrap_or_else(|e| finish(Err(SnapshotError::Log(e)))),
+            SnapshotInput::Commit(Ok(CommitAnswer::Committed { .. })) => self.go_to(Stage::List),
+            SnapshotInput::Commit(Ok(CommitAnswer::Conflict { .. })) => self.wait(now),
+            SnapshotInput::Listed(Ok(names)) => self.after_list(names),
+            SnapshotInput::Deleted(Ok(())) => {
+                self.deleted += 1;
+                self.garbage.pop();
+                self.next()
+            }
+            SnapshotInput::Put(Err(e))
+            | SnapshotInput::Read(Err(e))
+            | SnapshotInput::Commit(Err(e))
+            | SnapshotInput::Listed(Err(e))
+            | SnapshotInput::Deleted(Err(e)) => self.after_error(now, &e),
+        }
+    }
+
+    fn go_to(&mut self, stage: Stage) -> SnapshotAction {
+        self.stage = stage;
+        self.next()
+    }
+
+    /// The next request. Each one may be repeated, so after a lost answer the
+    /// same stage is simply gone through again.
+    fn next(&mut self) -> SnapshotAction {
+        match self.stage {
+            Stage::Put => {
+                let name = snapshot_name(self.state.version());
+                SnapshotAction::PutObject(name, encode_snapshot(&self.state))
+            }
+            Stage::Refer => {
+                let oldest_rows = log_range(0, self.cfg.rows_at_once);
+                SnapshotAction::Read(ReadRequest {
+                    ranges: vec![oldest_rows],
+                    ..head_request()
+                })
+            }
+            Stage::List => SnapshotAction::ListObjects(SmolStr::new_static(SNAPSHOT_PREFIX)),
+            Stage::Delete => match self.garbage.last() {
+                Some(name) => SnapshotAction::DeleteObject(name.clone()),
+                None => self.done(),
+            },
+        }
+    }
+
+    fn after_read(&mut self, answer: &ReadAnswer) -> Result<SnapshotAction, LogError> {
+        let row = read_head(answer)?;
+        let oldest_rows = answer.ranges.first().ok_or(LogError::Shape)?;
+        let version = self.state.version();
+        if row.head.version < version {
+            return Err(LogError::Regressed {
+                held: version,
+                head: row.head.version,
+            });
+        }
+        // Another's snapshot, or this one's whose answer was lost.
+        if row.head.snapshot_version() >= version {
+            self.head = Some(row.head);
+            return Ok(self.go_to(Stage::List));
+        }
+        let snapshot = SnapshotRef {
+            version,
+            digest: self.state.digest(),
+        };
+        let (head, req) = trim::trim(&row, snapshot, oldest_rows, &self.cfg)?;
+        self.head = Some(head);
+        Ok(SnapshotAction::Commit(req))
+    }
+
+    /// Only names below this snapshot's version are looked at. An object above
+    /// it may be another's, written and not yet referred to; deleting that one
+    /// would leave a head that points at nothing.
+    fn after_list(&mut self, names: Vec<SmolStr>) -> SnapshotAction {
+        let kept: Vec<SnapshotRef> = match &self.head {
+            Some(head) => head.snapshots.clone(),
+            None => return self.go_to(Stage::Refer),
+        };
+        let below = self.state.version();
+        let is_garbage = |name: &SmolStr| {
+            snapshot_version(name)
+                .is_some_and(|it| it < below && kept.iter().all(|kept| kept.version != it))
+        };
+        self.garbage = names.into_iter().filter(is_garbage).collect();
+        self.go_to(Stage::Delete)
+    }
+
+    fn done(&mut self) -> SnapshotAction {
+        match self.head.take() {
+            Some(head) => finish(Ok(Snapshot {
+                head,
+                deleted: self.deleted,
+            })),
+            None => self.go_to(Stage::Refer),
+        }
+    }
+
+    fn wait(&mut self, now: Duration) -> SnapshotAction {
+        match self.backoff.next(now, None) {
+            Some(wait) => SnapshotAction::Wait(wait),
+            None => self.out_of_time(),
+        }
+    }
+
+    fn after_error(&mut self, now: Duration, error: &PlatformError) -> SnapshotAction {
+        if let PlatformError::Refused { reason } = error {
+            let reason = reason.clone();
+            return finish(Err(SnapshotError::Refused { reason }));
+        }
+        match self.backoff.after(now, error) {
+            Some(wait) => SnapshotAction::Wait(wait),
+            None => self.out_of_time(),
+        }
+    }
+
+    fn out_of_time(&mut self) -> SnapshotAction {
+        finish(Err(SnapshotError::Unavailable {
+            retry_after: self.backoff.hint(),
+        }))
+    }
+}
+
+fn finish(result: Result<Snapshot, SnapshotError>) -> SnapshotAction {
+    SnapshotAction::Finish(result)
+}
--- /dev/null
+++ b/crates/versionlog/src/writer/error.rs
@@ -0,0 +1,125 @@
+//! Why a change was not written.
+
+use std::fmt;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use stoatstep_resource::{Finding, Key, Place, Revision, Version};
+
+use crate::error::LogError;
+use crate::recovery::RecoveryError;
+
+/// A resource that is not at the revision that the operator expected.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Race {
+    /// The resource.
+    pub key: Key,
+    /// The revision expected; 0: absent.
+    pub expected: Revision,
+    /// The revision found, which is the winner's; 0: absent.
+    pub found: Revision,
+}
+
+impl Race {
+    /// The race as a finding.
+    #[must_use]
+    pub fn finding(&self) -> Finding {
+        let revision = |revision: Revision| match revision {
+            0 => "absent".to_owned(),
+            revision => format!("at revision {revision}"),
+        };
+        let found = revision(self.found);
+        let expected = revision(self.expected);
+        let message = format!("is {found}, expected {expected}");
+        Finding::new(Place::resource(self.key.clone()), message)
+    }
+}
+
+/// Why a change was not written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WriteError {
+    /// Somebody else changed the same resources first.
+    Conflict(Vec<Race>),
+    /// The state that would result is not valid.
+    Invalid(Vec<Finding>),
+    /// The operation id belongs to another change.
+    OperationReused {
+        /// The version that the other change became.
+        version: Version,
+    },
+    /// The platform could not be used in time. The change did not take effect
+    /// and will not.
+    Unavailable {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// The change may have taken effect, or may still. The same request with
+    /// the same operation id finds out and is safe.
+    Unsettled {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// The platform will not take this change at any time.
+    Refused {
+        /// What it objects to.
+        reason: SmolStr,
+    },
+    /// The log can't be followed; the change was not tried.
+    Log(LogError),
+    /// The newest state could not be fetched; the change was not tried.
+    Recovery(RecoveryError),
+}
+
+impl WriteError {
+    /// The findings to show to the operator, all of them together.
+    #[must_use]
+    pub fn findings(&self) -> Vec<Finding> {
+        match self {
+            Self::Conflict(races) => races.iter().map(Race::finding).collect(),
+            Self::Invalid(findings) => findings.clone(),
+            other => vec![Finding::new(Place::default(), other.to_string())],
+        }
+    }
+
+    /// When to come back, where that may help.
+    #[must_use]
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::Unavailable { retry_after } | Self::Unsettled { retry_after } => {
+                Some(*retry_after)
+            }
+            Self::Recovery(e) => e.retry_after(),
+            Self::Conflict(_)
+            | Self::Invalid(_)
+            | Self::OperationReused { .. }
+            | Self::Refused { .. }
+            | Self::Log(_) => None,
+        }
+    }
+}
+
+impl fmt::Display for WriteError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Conflict(races) => write!(f, "{} resources were changed since", races.len()),
+            Self::Invalid(findings) => {
+                write!(f, "the result would have {} findings", findings.len())
+            }
+            Self::OperationReused { version } => {
+                write!(
+                    f,
+                    "the operation id belongs to another change, version {version}"
+                )
+            }
+            Self::Unavailable { .. } => f.write_str("the platform is not available"),
+            Self::Unsettled { .. } => f.write_str(
+                "the change may have taken effect; send it again with the same operation id",
+            ),
+            Self::Refused { reason } => write!(f, "the platform refuses the change: {reason}"),
+            Self::Log(e) => e.fmt(f),
+            Self::Recovery(e) => e.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for WriteError {}
--- /dev/null
+++ b/crates/versionlog/src/writer/prepare.rs
@@ -0,0 +1,96 @@
+//! What a change would make of a state, and whether that is allowed.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use stoatstep_resource::wire::Change;
+use stoatstep_resource::{
+    Delta, Digest, Finding, Held, Key, Place, Resource, Revision, State, validate,
+};
+
+use super::error::{Race, WriteError};
+
+/// The delta of `change` on top of `state`, and the state that results.
+pub(super) fn prepare(change: &Change, state: &State) -> Result<(Delta, State), WriteError> {
+    let races = races(change, state);
+    if !races.is_empty() {
+        return Err(WriteError::Conflict(races));
+    }
+    let next = changed(change, state)?;
+    let findings = validate(&next);
+    if !findings.is_empty() {
+        return Err(WriteError::Invalid(findings));
+    }
+    let delta = Delta {
+        version: next.version(),
+        puts: resources(change),
+        deletes: keys(change),
+        digest: next.digest(),
+    };
+    Ok((delta, next))
+}
+
+/// What the change asks for, so that an operation id that comes with another
+/// body is told from a retry.
+pub(super) fn fingerprint(change: &Change) -> Digest {
+    let body = (&change.puts, &change.deletes);
+    let bytes = rmp_serde::to_vec(&body).expect("plain data always encodes");
+    let mut fingerprint = [0; 16];
+    fingerprint.copy_from_slice(&blake3::hash(&bytes).as_bytes()[..16]);
+    Digest(fingerprint)
+}
+
+/// Every resource that is not at the expected revision. Deciding by revision
+/// and not by the head lets operators who work on different resources pass,
+/// and still shows each who was first on the same one.
+fn races(change: &Change, state: &State) -> Vec<Race> {
+    let puts = change
+        .puts
+        .iter()
+        .map(|(resource, expected)| (resource.key(), *expected));
+    let deletes = change.deletes.iter().cloned();
+    puts.chain(deletes)
+        .filter_map(|(key, expected)| race(state, key, expected?))
+        .collect()
+}
+
+fn race(state: &State, key: Key, expected: Revision) -> Option<Race> {
+    let found = state.get(&key).map_or(0, |held| held.revision);
+    (found != expected).then_some(Race {
+        key,
+        expected,
+        found,
+    })
+}
+
+/// The resulting state before it is known to be valid.
+fn changed(change: &Change, state: &State) -> Result<State, WriteError> {
+    let version = state.version() + 1;
+    let mut items: BTreeMap<Key, Held> = state
+        .iter()
+        .map(|(key, held)| (key.clone(), held.clone()))
+        .collect();
+    for (key, _) in &change.deletes {
+        items.remove(key);
+    }
+    for (resource, _) in &change.puts {
+        let held = Held {
+            revision: version,
+            resource: Arc::new(resource.clone()),
+        };
+        items.insert(resource.key(), held);
+    }
+    State::from_snapshot(version, items.into_values()).map_err(|e| {
+        let finding = Finding::new(Place::default(), e.to_string());
+        WriteError::Invalid(vec![finding])
+    })
+}
+
+fn resources(change: &Change) -> Vec<Resource> {
+    let puts = change.puts.iter();
+    puts.map(|(resource, _)| resource.clone()).collect()
+}
+
+fn keys(change: &Change) -> Vec<Key> {
+    change.deletes.iter().map(|(key, _)| key.clone()).collect()
+}
