Read a few neighbours' rows at a start, and the rest only if none answers

Cause: the platform counts rows, so a zone of 76 that reads the whole roster of 610 asks for 46,000 rows at once, at 2,000 a second.

Change: a cold start reads head, own row and up to three neighbours; peers tell the rest. If nobody answers for a second, all rows are read once, since those neighbours may have crashed. A daemon that a peer found first does without the read. Gossip gets its request and answer types, and a collect request the time that it has.

--- a/crates/distribution/src/cold_start.rs
+++ b/crates/distribution/src/cold_start.rs
@@ -28,17 +28,37 @@
 /// Wait between two peers that had nothing.
 const PEER_PAUSE: Time = Time::from_millis(100);
 
+/// Time within which someone from the roster should have answered.
+const MEET_WAIT: Time = Time::from_secs(1);
+
 /// What to do next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// Read the platform's head and roster in one read.
-    ReadRoster,
+    /// Read the platform's head and announcement rows in one read.
+    ReadRoster {
+        /// Read all rows, and not only a few neighbours': those that were read
+        /// first are all of instances that are gone.
+        wide: bool,
+    },
     /// Ask this peer for its whole state.
     PullPeer(MemberKey),
     /// Read the platform's snapshot and the log after it.
     PullPlatform,
 }
 
+/// Where the daemon stands at a tick.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standing<'a> {
+    /// The version that it holds.
+    pub held: Version,
+    /// Whether it has learned enough to serve; see [`crate::Serving`].
+    pub may_serve: bool,
+    /// Peers of the own zone that answered.
+    pub near: &'a [MemberKey],
+    /// Peers of other zones that answered.
+    pub far: &'a [MemberKey],
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     Roster,
@@ -49,9 +69,11 @@
 
 /// Leads a starting daemon from nothing to the newest version.
 ///
-/// Its one early read of the platform tells it the head and whom to ask. The
-/// configuration then comes from peers, so that a zone of 76 that restarts
-/// costs the platform 76 small reads and, in the usual case, no snapshot.
+/// Its one early read of the platform tells it the head and a few neighbours;
+/// whom they know, it learns from them. The configuration comes from peers, so
+/// that a zone of 76 that restarts costs the platform at most 76 small reads
+/// and, in the usual case, no snapshot. Who is found by a neighbour before its
+/// own read is due does without it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ColdStart {
     rng: Xoshiro256PlusPlus,
@@ -61,6 +83,10 @@
     failures: u32,
     tries: u32,
     head: Version,
+    has_read: bool,
+    has_read_wide: bool,
+    meet_until: Time,
+    candidates: usize,
 }
 
 impl ColdStart {
@@ -77,6 +103,10 @@
             failures: 0,
             tries: 0,
             head: 0,
+            has_read: false,
+            has_read_wide: false,
+            meet_until: Time::ZERO,
+            candidates: 0,
         }
     }
 
@@ -86,16 +116,15 @@
         self.phase == Phase::Done
     }
 
-    /// The next step, if one is due. `near` and `far` are the known peers of
-    /// the own zone and of others.
-    pub fn tick(
-        &mut self,
-        now: Time,
-        held: Version,
-        near: &[MemberKey],
-        far: &[MemberKey],
-    ) -> Option<Step> {
-        if self.phase != Phase::Roster && held >= self.head {
+    /// Whether the platform answered once since the start.
+    #[must_use]
+    pub fn has_read_roster(&self) -> bool {
+        self.has_read
+    }
+
+    /// The next step, if one is due.
+    pub fn tick(&mut self, now: Time, standing: Standing<'_>) -> Option<Step> {
+        if self.has_all(standing) {
             self.phase = Phase::Done;
         }
         if self.under_way || now < self.next {
@@ -103,25 +132,58 @@
         }
         let step = match self.phase {
             Phase::Done => return None,
-            Phase::Roster => Step::ReadRoster,
-            Phase::Peers => self.choose_peer(now, near, far)?,
+            Phase::Roster => Step::ReadRoster {
+                wide: self.has_read_wide,
+            },
+            Phase::Peers => self.choose_peer(now, standing)?,
             Phase::Platform => Step::PullPlatform,
         };
         self.under_way = true;
         Some(step)
     }
 
-    fn choose_peer(&mut self, now: Time, near: &[MemberKey], far: &[MemberKey]) -> Option<Step> {
+    fn has_all(&self, standing: Standing<'_>) -> bool {
+        let knows_someone = !standing.near.is_empty() || !standing.far.is_empty();
+        if self.phase == Phase::Roster {
+            return knows_someone && standing.held > 0 && standing.may_serve;
+        }
+        let is_alone = self.candidates == 0;
+        standing.held >= self.head && (knows_someone || is_alone)
+    }
+
+    fn choose_peer(&mut self, now: Time, standing: Standing<'_>) -> Option<Step> {
+        let Standing { near, far, .. } = standing;
+        if near.is_empty() && far.is_empty() {
+            return self.meet_someone(now);
+        }
         let own_first = self.tries < PEER_TRIES && !near.is_empty();
-        let from = if own_first { near } else { far };
-        let from = if from.is_empty() { near } else { from };
-        let peer = from.choose(&mut self.rng).copied();
+        let from = if own_first || far.is_empty() {
+            near
+        } else {
+            far
+        };
         self.tries += 1;
-        if self.tries > 2 * PEER_TRIES || peer.is_none() {
+        if self.tries > 2 * PEER_TRIES {
             self.turn_to_platform(now, near.len() + far.len() + 1);
             return None;
         }
-        peer.map(Step::PullPeer)
+        from.choose(&mut self.rng).copied().map(Step::PullPeer)
+    }
+
+    /// Nobody has answered yet. Neighbours' rows outlive a crash, and where all
+    /// that were read are of the dead, a daemon that read no further would
+    /// stay alone for ever.
+    fn meet_someone(&mut self, now: Time) -> Option<Step> {
+        if self.candidates > 0 && now < self.meet_until {
+            return None;
+        }
+        if self.candidates > 0 && !self.has_read_wide {
+            self.has_read_wide = true;
+            return Some(Step::ReadRoster { wide: true });
+        }
+        self.candidates = 0;
+        self.turn_to_platform(now, 1);
+        None
     }
 
     /// Waits so that a fleet which starts as a whole reads its first few
@@ -134,9 +196,13 @@
         self.next = now + full_jitter(&mut self.rng, bound);
     }
 
-    /// The roster was read; `head` is the newest version.
-    pub fn roster_read(&mut self, now: Time, head: Version) {
+    /// The roster was read: `head` is the newest version, and `candidates` others
+    /// announced themselves.
+    pub fn roster_read(&mut self, now: Time, head: Version, candidates: usize) {
         self.under_way = false;
+        self.has_read = true;
+        self.candidates = candidates;
+        self.meet_until = now + MEET_WAIT;
         self.failures = 0;
         self.head = head;
         self.phase = Phase::Peers;
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -24,7 +24,7 @@
 mod tree;
 mod wire;
 
-pub use cold_start::{ColdStart, Step};
+pub use cold_start::{ColdStart, Standing, Step};
 pub use collect::{Hold, Holdings, Refusal};
 pub use poller::{PollOutcome, Poller};
 pub use quarantine::{Quarantined, Reason};
--- a/crates/distribution/src/wire.rs
+++ b/crates/distribution/src/wire.rs
@@ -72,6 +72,8 @@
 pub struct CollectRequest {
     /// Whether the receiver also asks those below it in its zone's tree.
     pub below: bool,
+    /// Milliseconds within which the sender wants the answer.
+    pub bound_ms: u16,
 }
 
 /// Answer to a [`CollectRequest`].
--- a/crates/distribution/tests/all/cold_start.rs
+++ b/crates/distribution/tests/all/cold_start.rs
@@ -2,10 +2,17 @@
 
 use std::time::Duration;
 
-use stoatstep_distribution::{ColdStart, Step};
+use stoatstep_distribution::{ColdStart, Standing, Step};
 
 const STEP: Duration = Duration::from_millis(50);
 
+const ALONE: Standing<'_> = Standing {
+    held: 0,
+    may_serve: false,
+    near: &[],
+    far: &[],
+};
+
 struct Herd {
     reads_by_second: Vec<usize>,
     snapshots: usize,
@@ -34,10 +41,16 @@
         let now = STEP * step;
         for (i, it) in starts.iter_mut().enumerate() {
             let second = usize::try_from(now.as_secs()).expect("small");
-            match it.tick(now, versions[i], &near, &far) {
-                Some(Step::ReadRoster) => {
+            let standing = Standing {
+                held: versions[i],
+                may_serve: versions[i] == 7,
+                near: &near,
+                far: &far,
+            };
+            match it.tick(now, standing) {
+                Some(Step::ReadRoster { .. }) => {
                     herd.reads_by_second[second] += 1;
-                    it.roster_read(now, 7);
+                    it.roster_read(now, 7, 3);
                 }
                 Some(Step::PullPeer(peer)) => {
                     let theirs = usize::try_from(peer).ok().and_then(|it| versions.get(it));
@@ -93,10 +106,44 @@
     let mut it = ColdStart::new(Duration::ZERO, 3);
     for step in 0..1200 {
         let now = STEP * step;
-        if it.tick(now, 0, &[], &[]) == Some(Step::ReadRoster) {
+        if it.tick(now, ALONE) == Some(Step::ReadRoster { wide: false }) {
             reads += 1;
             it.roster_failed(now);
         }
     }
     assert!((6..40).contains(&reads), "{reads} reads in a minute");
 }
+
+#[test]
+fn neighbours_that_are_gone_do_not_leave_a_daemon_alone() {
+    // The few rows that a starting daemon reads are of instances that crashed.
+    // Nobody answers; without a second, wider read it would take itself for the
+    // whole fleet and never hear of a change again.
+    let mut it = ColdStart::new(Duration::ZERO, 3);
+    let mut steps = Vec::new();
+    for step in 0..100 {
+        let now = STEP * step;
+        match it.tick(now, ALONE) {
+            Some(Step::ReadRoster { wide }) => {
+                steps.push(wide);
+                it.roster_read(now, 7, 3);
+            }
+            Some(Step::PullPlatform) => it.pulled(now, 7),
+            Some(Step::PullPeer(_)) | None => {}
+        }
+    }
+    assert_eq!(steps, [false, true]);
+}
+
+#[test]
+fn who_is_found_by_a_peer_does_without_the_platform() {
+    let mut it = ColdStart::new(Duration::ZERO, 3);
+    let standing = Standing {
+        held: 7,
+        may_serve: true,
+        near: &[1],
+        far: &[],
+    };
+    assert_eq!(it.tick(Duration::from_secs(9), standing), None);
+    assert!(it.is_done() && !it.has_read_roster());
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -31,4 +31,7 @@
     Incarnation, Member, MemberKey, MemberState, Time, member_key, starting_incarnation,
 };
 pub use table::{Entry, Table};
-pub use wire::{Announcement, Exchange, Mark, Row, RowError, WireState, Word, ZoneDigest};
+pub use wire::{
+    Announcement, Exchange, GossipReply, GossipRequest, Mark, Row, RowError, WireState, Word,
+    ZoneDigest,
+};
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -167,6 +167,12 @@
         }
     }
 
+    /// A probe without news, on behalf of a peer that can't reach the member.
+    #[must_use]
+    pub fn probe_message(&self, now: Time, member: MemberKey) -> Exchange {
+        self.bare(now, member)
+    }
+
     /// A message for one peer with the news that is due.
     pub(crate) fn compose(&mut self, now: Time, peer: MemberKey) -> Exchange {
         let mut message = self.bare(now, peer);
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -210,3 +210,31 @@
 }
 
 impl std::error::Error for RowError {}
+
+/// Body of a request to `/peer/gossip`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GossipRequest {
+    /// A probe with news.
+    #[serde(rename = "e")]
+    Exchange(Exchange),
+    /// Asks the receiver to probe a member that the sender can't reach.
+    #[serde(rename = "p")]
+    Probe(MemberKey),
+    /// Asks for the rows of the zones that differ.
+    #[serde(rename = "t")]
+    Table(Vec<ZoneDigest>),
+}
+
+/// Answer to a [`GossipRequest`] of the same variant.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GossipReply {
+    /// The other half of the exchange.
+    #[serde(rename = "e")]
+    Exchange(Exchange),
+    /// Whether the member answered.
+    #[serde(rename = "p")]
+    Probe(bool),
+    /// The rows.
+    #[serde(rename = "t")]
+    Table(Vec<Row>),
+}
