Show what comes before a gap in a watch, and pause before asking again

Cause: an answer with a gap in its middle moved the cursor past events that were then not printed, so the version that a watch said to go on from was one that it had not shown. A test that looked at the printed lines found it.

Change: events before the gap are shown, and the next answer ends the watch. A daemon that answers at once with nothing new is asked ten times a second at most. Also tests: bytes of a delta on the wire, and files against the API's fields.

Ruled out: asking another daemon at a gap; it would hide a daemon that drops changes.

--- a/crates/ctl/src/commands/watch.rs
+++ b/crates/ctl/src/commands/watch.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use ntex::http::StatusCode;
+use ntex::time::{Millis, sleep};
 use stoatstep_resource::Version;
 use stoatstep_resource::wire::{EventWire, ListAnswer, ResourceWire, WatchAnswer};
 use stoatstep_settings::{Program, Setting, Span, Stop, Values};
@@ -32,6 +33,9 @@
 /// Longest time that a daemon holds one request back.
 const HOLD: Duration = Duration::from_secs(10);
 
+/// Time between two requests that bring nothing new.
+const LEAST_PAUSE: Duration = Duration::from_millis(100);
+
 pub(super) struct Options {
     remote: Remote,
     from: Option<Version>,
@@ -62,15 +66,46 @@
     };
     console.note(&format!("watching from version {from}"))?;
     let mut cursor = WatchCursor::new(from);
-    let end = options.length.map(|length| Instant::now() + length);
+    let bounds = Bounds {
+        until: options.until,
+        end: options.length.map(|length| Instant::now() + length),
+    };
+    let result = follow(&mut client, &mut cursor, &bounds, console).await;
+    if result.is_err() {
+        console.note(&format!("shown up to version {}", cursor.version()))?;
+    }
+    result.map(|()| Exit::Success)
+}
+
+/// When a watch ends by itself.
+struct Bounds {
+    until: Option<Version>,
+    end: Option<Instant>,
+}
+
+async fn follow(
+    client: &mut Client,
+    cursor: &mut WatchCursor,
+    bounds: &Bounds,
+    console: &mut Console,
+) -> Result<(), Failure> {
     loop {
-        let left = end.map(|end| end.saturating_duration_since(Instant::now()));
-        let shown = options.until.is_some_and(|until| cursor.version() >= until);
+        let left = bounds
+            .end
+            .map(|end| end.saturating_duration_since(Instant::now()));
+        let shown = bounds.until.is_some_and(|until| cursor.version() >= until);
         if shown || left == Some(Duration::ZERO) {
-            return Ok(Exit::Success);
+            return Ok(());
         }
         let hold = left.map_or(HOLD, |left| left.min(HOLD));
-        for event in next(&mut client, &mut cursor, hold).await? {
+        let asked = Instant::now();
+        let events = next(client, cursor, hold).await?;
+        // A daemon that lags answers at once with what was shown already. Asked
+        // again at once, it would spend its time on that.
+        if events.is_empty() && asked.elapsed() < LEAST_PAUSE {
+            sleep(Millis::from(LEAST_PAUSE)).await;
+        }
+        for event in events {
             console.print(&text(&event), &event)?;
         }
     }
--- a/crates/ctl/src/watch_cursor.rs
+++ b/crates/ctl/src/watch_cursor.rs
@@ -36,7 +36,8 @@
 
     /// The events that are new. After a daemon dies the next one may lag, and
     /// its answer may begin with changes that were shown already; those are
-    /// left out, since a reader that applied them again would go back.
+    /// left out, since a reader that applied them again would go back. What
+    /// comes before a gap is still shown; the next answer then begins with it.
     pub(crate) fn advance(&mut self, answer: WatchAnswer) -> Result<Vec<EventWire>, Gap> {
         let mut events = Vec::new();
         for event in answer.events {
@@ -44,10 +45,13 @@
                 continue;
             }
             let expected = self.version + 1;
-            if event.version != expected {
-                let found = event.version;
+            let found = event.version;
+            if found != expected && events.is_empty() {
                 return Err(Gap { expected, found });
             }
+            if found != expected {
+                break;
+            }
             self.version = event.version;
             events.push(event);
         }
--- a/crates/ctl/tests/all/watching.rs
+++ b/crates/ctl/tests/all/watching.rs
@@ -72,6 +72,8 @@
     fake.answer("/v1/watch", 200, answer(&[3, 5]));
     let done = stoatctl_at(&[fake.addr], "watch --from 2 --until 5");
     assert_eq!(done.exit, Exit::Failure);
+    assert_eq!(done.out, "version 3  put     service/s-3\n");
+    assert!(done.err.contains("shown up to version 3"), "{}", done.err);
     assert!(
         done.err.contains("version 4 should come next, not 5"),
         "{}",
--- a/crates/resource/tests/all/files.rs
+++ b/crates/resource/tests/all/files.rs
@@ -1,8 +1,12 @@
 //! Sets of several files.
 
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use stoatstep_resource::wire::ResourceWire;
 use stoatstep_resource::{FileSet, Finding, Key, Kind, Place, SourceFile};
 
-use crate::support::{service, state_of};
+use crate::support::{any_resource, service, state_of};
 
 fn file(name: &str, text: &str) -> SourceFile {
     SourceFile {
@@ -62,3 +66,16 @@
     assert_eq!(line_of("limits[7].weight"), Some(4));
     assert_eq!(line_of("retry.attempts"), Some(1));
 }
+
+proptest! {
+    // The files and the API's JSON have the same fields with the same meaning.
+    #[test]
+    fn files_read_every_field_of_the_api(resource in any_resource()) {
+        let mut json = serde_json::to_value(ResourceWire::from(&resource)).unwrap();
+        json.as_object_mut().unwrap().remove("kind");
+        let tables = BTreeMap::from([(resource.kind().as_str(), [json])]);
+        let set = FileSet::read(&[file("a.toml", &toml::to_string(&tables).unwrap())]);
+        prop_assert_eq!(set.findings(), []);
+        prop_assert_eq!(set.resources().collect::<Vec<_>>(), [&resource]);
+    }
+}
--- a/crates/resource/tests/all/wire.rs
+++ b/crates/resource/tests/all/wire.rs
@@ -31,6 +31,25 @@
     }
 }
 
+// Daemons of two builds run side by side during an upgrade, and the platform
+// keeps deltas for long. If the bytes changed unnoticed, a daemon would refuse
+// every version that the other build wrote.
+#[test]
+fn delta_bytes_stay_as_they_are() {
+    let key = Key {
+        kind: Kind::Route,
+        name: "claims".into(),
+    };
+    let mut delta = State::default().delta(vec![upstream("f-1", "f")], vec![key]);
+    delta.digest.0 = [0xee; 16];
+    let bytes = rmp_serde::to_vec(&DeltaWire::from(&delta)).unwrap();
+    let expected = [
+        b"\x94\x01\x91\x81\xa1u\x94\xa3f-1\xa1f\x0d\x78\x91\x81\xa1r\xa6claims\xc4\x10".as_slice(),
+        &[0xee; 16],
+    ];
+    assert_eq!(bytes, expected.concat());
+}
+
 #[test]
 fn snapshot_round_trip() {
     let state = state_of(vec![
