Add the measurements of calls, each with the plainest router beside it

scripts/measure starts a fleet for hop, drain, overload and faults, and then the same targets behind plain routers.

--- a/crates/load/src/fleet/line.rs
+++ b/crates/load/src/fleet/line.rs
@@ -62,10 +62,12 @@
         }
     }
 
-    /// The same figure of a baseline.
+    /// The same figure of a baseline, where a suffix names one.
     #[must_use]
-    pub fn baseline(mut self, suffix: &str) -> Self {
-        self.name = format!("{}_{suffix}", self.name).into();
+    pub fn suffixed(mut self, suffix: Option<&str>) -> Self {
+        if let Some(suffix) = suffix {
+            self.name = format!("{}_{suffix}", self.name).into();
+        }
         self
     }
 
--- a/crates/load/src/fleet/start.rs
+++ b/crates/load/src/fleet/start.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::fs;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use futures_timer::Delay;
@@ -60,13 +60,24 @@
     }
 }
 
+/// A router of a plain fleet.
+#[derive(Debug)]
+pub struct Router {
+    /// Where callers connect.
+    pub addr: SocketAddr,
+    /// Its process.
+    pub process: Process,
+}
+
 /// A running fleet. Dropping it ends every process that it started.
 #[derive(Debug)]
 pub struct Fleet {
     /// The instances.
     pub nodes: Vec<Node>,
-    /// The platform's stand-in.
-    pub platform: Process,
+    /// The platform's stand-in; a plain fleet has none.
+    pub platform: Option<Process>,
+    /// The routers of a plain fleet.
+    pub routers: Vec<Router>,
     /// Addresses of this fleet.
     pub net: Net,
     /// Speaks to the daemons.
@@ -100,51 +111,108 @@
     ///
     /// As for [`Fleet::start`].
     pub async fn launch(shape: Shape) -> Result<Self, FleetError> {
+        let mut fleet = Self::new(shape).await?;
+        fleet.start_platform().await?;
+        fleet.start_targets().await?;
+        for node in &mut fleet.nodes {
+            node.start_daemon(&fleet.places)?;
+        }
+        for node in &fleet.nodes {
+            fleet.wait_answer(node.operator, "/healthz").await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts the same targets behind `routers` plain routers instead of
+    /// daemons.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Fleet::start`].
+    pub async fn start_plain(shape: Shape, routers: u8) -> Result<Self, FleetError> {
+        let mut fleet = Self::new(shape).await?;
+        fleet.start_targets().await?;
+        let table = format!("--routes={}", fleet.plain_routes());
+        let program = fleet.places.program("stoat-baseline");
+        for index in 1..=routers {
+            let addr = fleet.net.extra(index);
+            let log = fleet.places.log(&format!("router-{index}"));
+            let args = [format!("--addr={addr}"), table.clone()];
+            let process = Process::start(&program, &args, &log)?;
+            fleet.routers.push(Router { addr, process });
+            fleet.wait_listen(addr).await?;
+        }
+        Ok(fleet)
+    }
+
+    async fn new(shape: Shape) -> Result<Self, FleetError> {
         let net = Net::of_this_process();
         let logs = std::env::temp_dir().join(format!("stoat-measure-{}", std::process::id()));
+        // A ledger of an earlier fleet of this process would count as runs.
+        let _ = fs::remove_dir_all(&logs);
         fs::create_dir_all(&logs)?;
         let places = Places {
             programs: own_folder()?,
             logs,
         };
-        let args = [format!("--addr={}", net.platform())];
-        let program = places.program("stoat-platform");
-        let platform = Process::start(&program, &args, &places.log("platform"))?;
-        let operator = Operator::new().await;
-        let mut fleet = Self {
+        Ok(Self {
             nodes: nodes(net, &shape),
-            platform,
+            platform: None,
+            routers: Vec::new(),
             net,
-            operator,
+            operator: Operator::new().await,
             shape,
             places,
-        };
-        fleet.start_processes().await?;
-        Ok(fleet)
+        })
     }
 
-    async fn start_processes(&mut self) -> Result<(), FleetError> {
-        let platform = self.net.platform();
-        wait_for("the platform", START_LIMIT, async || {
-            self.operator.http().is_ok(platform, "/admin/counts").await
-        })
-        .await?;
+    async fn start_platform(&mut self) -> Result<(), FleetError> {
+        let addr = self.net.platform();
+        let args = [format!("--addr={addr}")];
+        let program = self.places.program("stoat-platform");
+        let log = self.places.log("platform");
+        self.platform = Some(Process::start(&program, &args, &log)?);
+        self.wait_answer(addr, "/admin/counts").await
+    }
+
+    async fn start_targets(&mut self) -> Result<(), FleetError> {
+        let Some(target) = self.shape.target else {
+            return Ok(());
+        };
         for node in &mut self.nodes {
-            if let Some(target) = &self.shape.target {
-                node.start_target(&self.places, target)?;
-            }
-            node.start_daemon(&self.places)?;
+            node.start_target(&self.places, &target)?;
         }
         for node in &self.nodes {
-            let what = format!("daemon {}", node.instance);
-            wait_for(&what, START_LIMIT, async || {
-                self.operator.http().is_ok(node.operator, "/healthz").await
-            })
-            .await?;
+            self.wait_answer(node.target_addr, "/admin/counts").await?;
         }
         Ok(())
     }
 
+    async fn wait_answer(&self, addr: SocketAddr, path: &str) -> Result<(), FleetError> {
+        let what = format!("an answer from {addr}{path}");
+        wait_for(&what, START_LIMIT, async || {
+            self.operator.http().is_ok(addr, path).await
+        })
+        .await
+    }
+
+    async fn wait_listen(&self, addr: SocketAddr) -> Result<(), FleetError> {
+        let what = format!("a listener on {addr}");
+        wait_for(&what, START_LIMIT, async || {
+            TcpStream::connect(addr).is_ok()
+        })
+        .await
+    }
+
+    fn plain_routes(&self) -> String {
+        let services = self.shape.services.iter().map(|service| {
+            let of_service = self.nodes.iter().filter(|it| it.service == service.name);
+            let targets: Vec<_> = of_service.map(|it| it.target_addr.to_string()).collect();
+            format!("/{}={}", service.name, targets.join("+"))
+        });
+        services.collect::<Vec<_>>().join(",")
+    }
+
     /// Starts the daemon of one node again.
     ///
     /// # Errors
@@ -213,10 +281,11 @@
         self.nodes.iter().filter(|node| node.daemon.is_some())
     }
 
-    /// Caller ports of the running daemons.
+    /// Where callers connect: the running daemons, or else the routers.
     #[must_use]
     pub fn callers(&self) -> Vec<SocketAddr> {
-        self.running().map(|node| node.caller).collect()
+        let routers = self.routers.iter().map(|router| router.addr);
+        self.running().map(|it| it.caller).chain(routers).collect()
     }
 
     /// The ledgers of all targets.
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -9,9 +9,12 @@
 //! `stoat-measure` starts fleets of real processes around such loads and prints
 //! figures. See `docs/contributing/testing.md`.
 
+mod baseline;
 mod fleet;
 mod load;
+mod measure;
 
+pub use baseline::main as baseline_main;
 pub use fleet::{
     Fault, Fleet, FleetError, Http, Line, Net, Node, OPERATOR_TOKEN, Operator, PEER_TOKEN, Process,
     ServiceShape, Shape, TargetShape, Unit, Usage,
@@ -20,3 +23,4 @@
     Audit, BUCKET, Bucket, Histogram, LoadOptions, Mix, MixError, Report, Series, Tally, fetch,
     main, run,
 };
+pub use measure::main as measure_main;
--- a/crates/load/src/load/program.rs
+++ b/crates/load/src/load/program.rs
@@ -19,7 +19,7 @@
 const PROGRAM: Program = Program {
     name: "stoat-load",
     about: "Open-loop load on a fleet, checked against the targets' ledgers. Exit code 1 \
-            where an answer was wrong or a promise was broken.",
+            where an answer was wrong, an idempotent call was lost or a promise was broken.",
     settings: &[
         Setting::new("targets", "IP:PORT,...", "Caller ports of daemons."),
         Setting::new(
@@ -141,7 +141,8 @@
     let audit = (!ledgers.is_empty()).then(|| Audit::new(&report, &ledgers));
     show(&report, audit.as_ref(), settings.json)?;
     let kept = audit.is_none_or(|audit| audit.is_clean());
-    Ok(kept && report.total.tally.wrong == 0)
+    let tally = &report.total.tally;
+    Ok(kept && tally.wrong == 0 && tally.lost == 0)
 }
 
 /// A ledger that cannot be read ends the program: the check would pass over
--- a/crates/load/src/load/report.rs
+++ b/crates/load/src/load/report.rs
@@ -12,8 +12,9 @@
 /// Length of one [`Bucket`] of the timeline.
 pub const BUCKET: Duration = Duration::from_millis(100);
 
-/// Longest latency that the histograms tell apart, in microseconds.
-const HIGHEST_US: u64 = 120_000_000;
+/// Shortest and longest latency that the histograms tell apart, in nanoseconds.
+const LOWEST_NS: u64 = 100;
+const HIGHEST_NS: u64 = 120_000_000_000;
 
 /// How calls ended.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
@@ -50,13 +51,13 @@
     }
 }
 
-/// Latencies, in microseconds.
+/// Latencies, kept in nanoseconds with three digits.
 #[derive(Clone, Debug)]
 pub struct Histogram(hdrhistogram::Histogram<u64>);
 
 impl Default for Histogram {
     fn default() -> Self {
-        let made = hdrhistogram::Histogram::new_with_bounds(1, HIGHEST_US, 3);
+        let made = hdrhistogram::Histogram::new_with_bounds(LOWEST_NS, HIGHEST_NS, 3);
         Self(made.expect("the bounds are valid constants"))
     }
 }
@@ -64,15 +65,15 @@
 impl Histogram {
     /// Adds one latency.
     pub fn record(&mut self, latency: Duration) {
-        let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
-        self.0.saturating_record(micros.max(1));
+        let nanos = u64::try_from(latency.as_nanos()).unwrap_or(u64::MAX);
+        self.0.saturating_record(nanos);
     }
 
     /// The latency that `percent` of all stay within, in milliseconds.
     #[must_use]
     #[allow(clippy::cast_precision_loss, reason = "bounded by two minutes")]
     pub fn percentile_ms(&self, percent: f64) -> f64 {
-        self.0.value_at_percentile(percent) as f64 / 1e3
+        self.0.value_at_percentile(percent) as f64 / 1e6
     }
 
     /// The highest latency, in milliseconds.
@@ -123,6 +124,20 @@
 }
 
 impl Report {
+    /// Calls that had to run at most once.
+    #[must_use]
+    pub fn keyed_calls(&self) -> u64 {
+        let keyed = self.records.iter().filter(|it| it.key.is_some());
+        keyed.count() as u64
+    }
+
+    /// Idempotent calls that ended without an answer, refusals included.
+    #[must_use]
+    pub fn idempotent_unanswered(&self) -> u64 {
+        let unanswered = |it: &&Record| it.verb == Verb::Get && it.outcome != Outcome::Answered;
+        self.records.iter().filter(unanswered).count() as u64
+    }
+
     pub(crate) fn add(&mut self, record: Record, since_start: Duration) {
         let place = (record.tenant.clone(), record.class.clone());
         let answered = record.outcome == Outcome::Answered;
