--- /dev/null
+++ b/crates/versionlog/tests/random.rs
@@ -0,0 +1,119 @@
+//! Random faults, interleavings and damage.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use stoatstep_platform::{MemoryPlatform, Operation, Outcome, Row};
+use stoatstep_versionlog::{
+    Accepted, Head, LogEntry, OperationEntry, WriteAction, WriteError, decode_snapshot,
+};
+use support::{Stepper, change, operations, service};
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// One request of this writer.
+    Step(usize),
+    /// The oldest transaction that hangs arrives.
+    Land,
+    /// The next request of this kind goes wrong in this way.
+    Fault(Operation, Outcome),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let request = prop_oneof![Just(Operation::Read), Just(Operation::Commit)];
+    let outcome = prop_oneof![
+        Just(Outcome::LoseAnswer),
+        Just(Outcome::LoseRequest),
+        Just(Outcome::Delay),
+        Just(Outcome::Unavailable),
+    ];
+    prop_oneof![
+        6 => (0_usize..WRITERS).prop_map(Event::Step),
+        1 => Just(Event::Land),
+        2 => (request, outcome).prop_map(|(request, outcome)| Event::Fault(request, outcome)),
+    ]
+}
+
+const WRITERS: usize = 4;
+
+/// Four writers, of which the first two are the same operator's request at two
+/// daemons; all race on two resources.
+fn writers() -> Vec<Stepper> {
+    let edit =
+        |operation: &str, name: &str, expected| change(operation, vec![(service(name), expected)]);
+    vec![
+        Stepper::new(edit("op-a", "floatdesk", Some(0)), 1),
+        Stepper::new(edit("op-a", "floatdesk", Some(0)), 2),
+        Stepper::new(edit("op-b", "floatdesk", Some(0)), 3),
+        Stepper::new(edit("op-c", "refundhall", None), 4),
+    ]
+}
+
+fn told(stepper: &Stepper) -> Option<Result<Accepted, WriteError>> {
+    match &stepper.action {
+        WriteAction::Finish(result) => Some(result.clone()),
+        _ => None,
+    }
+}
+
+fn count(all: &[String], operation: &str) -> usize {
+    all.iter().filter(|it| *it == operation).count()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    /// Whatever goes wrong and whenever late transactions arrive, no operation
+    /// is in the log twice; who was told a version finds the operation there;
+    /// and who was told of a failure does not, then or later.
+    #[test]
+    fn what_writers_are_told_is_true(events in prop::collection::vec(event(), 0..120)) {
+        let platform = MemoryPlatform::new();
+        let mut writers = writers();
+        for event in events {
+            match event {
+                Event::Step(writer) => {
+                    writers[writer].step(&platform);
+                }
+                Event::Land => {
+                    let _ = platform.land_delayed();
+                }
+                Event::Fault(request, outcome) => platform.script(request, outcome),
+            }
+        }
+        // At the end some give up, and what hangs arrives after that.
+        for writer in &mut writers {
+            let _ = writer.finish(&platform);
+        }
+        while platform.land_delayed() {}
+
+        let log = operations(&platform);
+        let names = ["op-a", "op-a", "op-b", "op-c"];
+        for (name, writer) in names.iter().zip(&writers) {
+            prop_assert!(count(&log, name) <= 1, "{name} in {log:?}");
+            match told(writer) {
+                Some(Ok(accepted)) => {
+                    let index = usize::try_from(accepted.version).unwrap() - 1;
+                    prop_assert_eq!(&log[index], name);
+                }
+                Some(Err(WriteError::Unsettled { .. })) | None => {}
+                // The same operation at the other daemon may have landed.
+                Some(Err(_)) if *name == "op-a" => {}
+                Some(Err(e)) => prop_assert_eq!(count(&log, name), 0, "{} told {}", name, e),
+            }
+        }
+        let both = BTreeMap::from([("a", count(&log, "op-a")), ("b", count(&log, "op-b"))]);
+        prop_assert!(both["a"] + both["b"] <= 1, "two creates of one resource: {log:?}");
+    }
+
+    #[test]
+    fn rows_of_any_bytes_are_refused_or_understood(key: String, value: Vec<u8>) {
+        let row = Row { key: key.as_str().into(), revision: 1, value };
+        let _ = Head::try_from(&row);
+        let _ = LogEntry::try_from(&row);
+        let _ = OperationEntry::try_from(&row);
+        let _ = decode_snapshot(&row.value);
+    }
+}
--- /dev/null
+++ b/crates/versionlog/tests/snapshots.rs
@@ -0,0 +1,272 @@
+//! Snapshots through crashes, lost answers and rivals.
+
+mod support;
+
+use std::sync::Arc;
+
+use smol_str::SmolStr;
+use stoatstep_platform::{MemoryPlatform, Operation, Outcome, Platform};
+use stoatstep_resource::State;
+use stoatstep_versionlog::{
+    Head, LogConfig, OPERATION_PREFIX, Snapshot, SnapshotAction, SnapshotError, SnapshotInput,
+    Snapshotter, Tail, decode_snapshot, encode_snapshot, snapshot_name, snapshot_version,
+};
+use support::{fill, log, log_entries, put_service, run, write};
+
+fn short_tail() -> LogConfig {
+    let builder = LogConfig::builder();
+    builder.snapshot_every(8).retained_tail(4).build()
+}
+
+/// A snapshotter that a test moves on by hand.
+struct Stepper {
+    snapshotter: Snapshotter,
+    action: SnapshotAction,
+    now: std::time::Duration,
+}
+
+impl Stepper {
+    fn new(state: Arc<State>, cfg: &LogConfig, seed: u64) -> Self {
+        let mut snapshotter = Snapshotter::new(state, cfg, seed);
+        let now = std::time::Duration::ZERO;
+        let action = snapshotter.step(now, SnapshotInput::Start);
+        Self {
+            snapshotter,
+            action,
+            now,
+        }
+    }
+
+    fn step(&mut self, platform: &MemoryPlatform) -> bool {
+        let input = match self.action.clone() {
+            SnapshotAction::PutObject(name, bytes) => {
+                SnapshotInput::Put(run(platform.put_object(&name, bytes)))
+            }
+            SnapshotAction::Read(req) => SnapshotInput::Read(run(platform.read(req))),
+            SnapshotAction::Commit(req) => SnapshotInput::Commit(run(platform.commit(req))),
+            SnapshotAction::ListObjects(prefix) => {
+                SnapshotInput::Listed(run(platform.list_objects(&prefix)))
+            }
+            SnapshotAction::DeleteObject(name) => {
+                SnapshotInput::Deleted(run(platform.delete_object(&name)))
+            }
+            SnapshotAction::Wait(time) => {
+                self.now += time;
+                SnapshotInput::Woke
+            }
+            SnapshotAction::Finish(_) => return false,
+        };
+        self.action = self.snapshotter.step(self.now, input);
+        true
+    }
+
+    fn finish(&mut self, platform: &MemoryPlatform) -> Result<Snapshot, SnapshotError> {
+        while self.step(platform) {}
+        match self.action.clone() {
+            SnapshotAction::Finish(result) => result,
+            other => panic!("ended at {other:?}"),
+        }
+    }
+}
+
+fn snapshot(platform: &MemoryPlatform, state: &Arc<State>) -> Result<Snapshot, SnapshotError> {
+    run(log(platform, &short_tail()).snapshot(Arc::clone(state)))
+}
+
+fn head(platform: &MemoryPlatform) -> Head {
+    run(log(platform, &short_tail()).head()).unwrap()
+}
+
+fn objects(platform: &MemoryPlatform) -> Vec<SmolStr> {
+    platform.with_objects(|objects| objects.list(""))
+}
+
+/// Whatever happened: a cold start finds the newest state, every snapshot that
+/// the head names is there and whole, and the log leads on from each.
+fn check(platform: &MemoryPlatform, newest: &Arc<State>) {
+    let recovered = run(log(platform, &short_tail()).recover()).unwrap();
+    assert_eq!(&recovered.state, newest);
+    assert_eq!(recovered.skipped, []);
+    let head = head(platform);
+    for snapshot in &head.snapshots {
+        let name = snapshot_name(snapshot.version);
+        let bytes = platform.with_objects(|objects| objects.get(&name).unwrap().to_vec());
+        let state = decode_snapshot(&bytes).unwrap();
+        assert_eq!(state.digest(), snapshot.digest);
+        assert!(head.leads_on_from(snapshot.version));
+    }
+}
+
+#[test]
+fn a_snapshot_trims_log_and_operations_but_keeps_a_tail() {
+    let platform = MemoryPlatform::new();
+    let state = fill(&platform, 8);
+    let log = log(&platform, &short_tail());
+    assert!(log.snapshot_is_due(&head(&platform)));
+    let snapshot = run(log.snapshot(Arc::clone(&state))).unwrap();
+    assert_eq!(snapshot.head.log_start, 5);
+    assert_eq!(snapshot.head, head(&platform));
+    assert!(!log.snapshot_is_due(&snapshot.head));
+    assert_eq!(log_entries(&platform).len(), 4);
+    let operations = platform.with_table(|table| table.with_prefix(OPERATION_PREFIX).count());
+    assert_eq!(operations, 4);
+    assert!(matches!(run(log.tail(4)), Ok(Tail::Deltas { .. })));
+    assert!(matches!(run(log.tail(3)), Ok(Tail::Trimmed { .. })));
+    check(&platform, &state);
+}
+
+#[test]
+fn a_writer_whose_state_was_trimmed_away_recovers_and_writes() {
+    let platform = MemoryPlatform::new();
+    let state = fill(&platform, 8);
+    snapshot(&platform, &state).unwrap();
+    let accepted = write(&platform, put_service("op", "late")).unwrap();
+    assert_eq!(accepted.version, 9);
+    assert_eq!(accepted.state.version(), 9);
+}
+
+#[test]
+fn a_crash_at_any_point_leaves_nothing_that_matters() {
+    // The daemon dies after its first, second, ... request. Each time a cold
+    // start still finds the newest state, and the next snapshot cleans up.
+    // Safeguard: the object is written before the head refers to it, and rows
+    // and objects go in or after the transaction that no longer needs them.
+    for survived in 0..8 {
+        let platform = MemoryPlatform::new();
+        let state = fill(&platform, 8);
+        let mut crashing = Stepper::new(Arc::clone(&state), &short_tail(), 1);
+        for _ in 0..survived {
+            crashing.step(&platform);
+        }
+        check(&platform, &state);
+        let state = fill(&platform, 20);
+        snapshot(&platform, &state).unwrap();
+        check(&platform, &state);
+        assert_eq!(objects(&platform), [snapshot_name(20)]);
+    }
+}
+
+#[test]
+fn answers_lost_at_any_point_change_nothing() {
+    // Every kind of request has its answer lost, is lost itself, or is late by
+    // minutes. The snapshot is taken once, and late writes harm nothing.
+    // Safeguard: every step may be repeated; the head row's revision decides.
+    let requests = [
+        Operation::PutObject,
+        Operation::Read,
+        Operation::Commit,
+        Operation::ListObjects,
+        Operation::DeleteObject,
+    ];
+    let outcomes = [
+        Outcome::LoseAnswer,
+        Outcome::LoseRequest,
+        Outcome::Delay,
+        Outcome::Unavailable,
+    ];
+    for request in requests {
+        for outcome in outcomes {
+            let platform = MemoryPlatform::new();
+            let first = fill(&platform, 8);
+            snapshot(&platform, &first).unwrap();
+            let second = fill(&platform, 16);
+            platform.script(request, outcome);
+            let taken = snapshot(&platform, &second).unwrap();
+            assert_eq!(taken.head.snapshot_version(), 16, "{request:?} {outcome:?}");
+            let state = fill(&platform, 17);
+            while platform.land_delayed() {}
+            check(&platform, &state);
+            assert_eq!(head(&platform).snapshot_version(), 16);
+        }
+    }
+}
+
+#[test]
+fn two_at_once_come_to_one_snapshot() {
+    // Two daemons see that a snapshot is due and both take it, of the same
+    // version or of neighbours, in any interleaving of their requests. One
+    // moves the head; the other sees it and ends well.
+    // Safeguard: the transaction is conditioned on the head row.
+    let versions = [(16, 16), (16, 17), (17, 16)];
+    for (left, right) in versions {
+        for order in 0_u32..1 << 10 {
+            let platform = MemoryPlatform::new();
+            let first = fill(&platform, 8);
+            snapshot(&platform, &first).unwrap();
+            let older = fill(&platform, 16);
+            let newer = fill(&platform, 17);
+            let of = |version| if version == 16 { &older } else { &newer };
+            let mut left = Stepper::new(Arc::clone(of(left)), &short_tail(), 1);
+            let mut right = Stepper::new(Arc::clone(of(right)), &short_tail(), 2);
+            for turn in 0..10 {
+                let stepper = if order >> turn & 1 == 0 {
+                    &mut left
+                } else {
+                    &mut right
+                };
+                stepper.step(&platform);
+            }
+            left.finish(&platform).unwrap();
+            right.finish(&platform).unwrap();
+            check(&platform, &newer);
+        }
+    }
+}
+
+#[test]
+fn a_snapshotter_that_was_frozen_harms_no_newer_one() {
+    // It freezes with its object written, others take newer snapshots, and it
+    // wakes: it must neither move the head's reference back nor delete what
+    // the newer ones wrote.
+    // Safeguard: a head with a newer snapshot ends it, and it cleans only
+    // below its own version.
+    let platform = MemoryPlatform::new();
+    let old = fill(&platform, 8);
+    let mut frozen = Stepper::new(old, &short_tail(), 1);
+    frozen.step(&platform);
+    let state = fill(&platform, 16);
+    snapshot(&platform, &state).unwrap();
+    let written_ahead = encode_snapshot(&fill(&platform, 17));
+    platform.with_objects(|it| it.put(snapshot_name(17), written_ahead));
+    frozen.finish(&platform).unwrap();
+    assert_eq!(head(&platform).snapshot_version(), 16);
+    assert_eq!(objects(&platform), [snapshot_name(16), snapshot_name(17)]);
+}
+
+#[test]
+fn snapshots_that_the_tail_starts_from_are_kept() {
+    let platform = MemoryPlatform::new();
+    let cfg = LogConfig::builder()
+        .snapshot_every(4)
+        .retained_tail(8)
+        .build();
+    for version in [4, 8, 12, 16, 20] {
+        let state = fill(&platform, version);
+        run(log(&platform, &cfg).snapshot(state)).unwrap();
+    }
+    let kept: Vec<_> = head(&platform)
+        .snapshots
+        .iter()
+        .map(|it| it.version)
+        .collect();
+    assert_eq!(kept, [20, 16, 12]);
+    let names: Vec<_> = kept
+        .iter()
+        .rev()
+        .map(|version| snapshot_name(*version))
+        .collect();
+    assert_eq!(objects(&platform), names);
+}
+
+#[test]
+fn other_objects_are_left_alone() {
+    let platform = MemoryPlatform::new();
+    let names = ["snapshot/notes", "snapshot/1", "other/00000000000000000001"];
+    for name in names {
+        platform.with_objects(|objects| objects.put(name.into(), vec![1]));
+        assert_eq!(snapshot_version(name), None);
+    }
+    let state = fill(&platform, 8);
+    snapshot(&platform, &state).unwrap();
+    assert_eq!(objects(&platform).len(), 4);
+}
--- /dev/null
+++ b/crates/versionlog/tests/writer.rs
@@ -0,0 +1,385 @@
+//! One change and many, through lost answers, races and outages.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use stoatstep_platform::{MemoryPlatform, Operation, Outcome};
+use stoatstep_resource::State;
+use stoatstep_versionlog::{HEAD, LogConfig, LogError, Race, Tail, WriteAction, WriteError};
+use support::{
+    Stepper, change, fill, log, log_entries, operations, put_service, route, run, service,
+    service_key, write,
+};
+
+#[test]
+fn a_change_becomes_the_next_version() {
+    let platform = MemoryPlatform::new();
+    let first = write(&platform, put_service("op-1", "floatdesk")).unwrap();
+    let second = write(&platform, put_service("op-2", "refundhall")).unwrap();
+    assert_eq!((first.version, second.version), (1, 2));
+    assert_eq!(second.deltas.len(), 2);
+    assert_eq!(second.state.digest(), second.head.digest);
+    let entries = log_entries(&platform);
+    assert_eq!(entries[1].author, "tester");
+    let log = log(&platform, &LogConfig::default());
+    let Tail::Deltas { head, deltas } = run(log.tail(0)).unwrap() else {
+        panic!("the log is whole");
+    };
+    assert_eq!((head, deltas), (second.head, second.deltas));
+}
+
+#[test]
+fn a_poll_is_one_read() {
+    let platform = MemoryPlatform::new();
+    fill(&platform, 3);
+    let before = platform.usage().reads;
+    let log = log(&platform, &LogConfig::default());
+    assert_eq!(run(log.head()).unwrap().version, 3);
+    assert!(matches!(run(log.tail(1)), Ok(Tail::Deltas { .. })));
+    assert_eq!(platform.usage().reads - before, 2);
+}
+
+#[test]
+fn a_lost_answer_after_the_effect_is_settled_by_reading_back() {
+    // The operator sees one version, accepted. The transaction lands, its
+    // answer is lost; the writer reads the operation's row back and finds its
+    // own change. Without that look it commits again on top of itself.
+    // Safeguard: `Writer::follow` asks for the operation's row first.
+    let platform = MemoryPlatform::new();
+    platform.script(Operation::Commit, Outcome::LoseAnswer);
+    let accepted = write(&platform, put_service("op-1", "floatdesk")).unwrap();
+    assert_eq!(accepted.version, 1);
+    assert!(!accepted.replayed);
+    assert_eq!(accepted.state.version(), 1);
+    assert_eq!(operations(&platform), ["op-1"]);
+}
+
+#[test]
+fn its_own_lost_create_is_no_race() {
+    // The operator creates a resource that must not exist yet. It lands, the
+    // answer is lost. Checked in the wrong order, the writer would find "its"
+    // resource taken and report a conflict with itself.
+    // Safeguard: the operation's row is looked at before the revisions.
+    let platform = MemoryPlatform::new();
+    platform.script(Operation::Commit, Outcome::LoseAnswer);
+    let create = change("op-1", vec![(service("floatdesk"), Some(0))]);
+    assert_eq!(write(&platform, create).unwrap().version, 1);
+}
+
+#[test]
+fn a_lost_request_is_sent_again() {
+    let platform = MemoryPlatform::new();
+    platform.script(Operation::Commit, Outcome::LoseRequest);
+    let accepted = write(&platform, put_service("op-1", "floatdesk")).unwrap();
+    assert_eq!(accepted.version, 1);
+    assert_eq!(operations(&platform), ["op-1"]);
+}
+
+#[test]
+fn an_original_that_lands_late_never_lands_beside_its_retry() {
+    // The first transaction hangs in the network; the writer reads that it is
+    // absent and tries again. The original lands before the look, between the
+    // look and the retry, or after the retry: there is one version each time.
+    // Safeguard: both are conditioned on the same head row.
+    for lands_after in 0..4 {
+        let platform = MemoryPlatform::new();
+        platform.script(Operation::Commit, Outcome::Delay);
+        let mut stepper = Stepper::new(put_service("op-1", "floatdesk"), 1);
+        // Read, commit (hangs), and as many steps as the original takes.
+        for _ in 0..2 + lands_after {
+            stepper.step(&platform);
+        }
+        assert!(platform.land_delayed());
+        let accepted = stepper.finish(&platform).unwrap();
+        assert_eq!(accepted.version, 1, "landed after {lands_after} steps");
+        assert_eq!(operations(&platform), ["op-1"]);
+    }
+}
+
+#[test]
+fn an_original_that_lands_after_others_wrote_is_refused() {
+    // The original hangs; its retry lands, then another operator deletes what
+    // it made. When the original arrives at last, it must not bring it back.
+    // Safeguard: the head row's revision never comes back.
+    let platform = MemoryPlatform::new();
+    platform.script(Operation::Commit, Outcome::Delay);
+    write(&platform, put_service("op-1", "floatdesk")).unwrap();
+    let mut delete = change("op-2", Vec::new());
+    delete.deletes.push((service_key("floatdesk"), Some(1)));
+    write(&platform, delete).unwrap();
+    assert!(platform.land_delayed());
+    assert_eq!(operations(&platform), ["op-1", "op-2"]);
+    let log = log(&platform, &LogConfig::default());
+    let state = run(log.recover()).unwrap().state;
+    assert_eq!(state.get(&service_key("floatdesk")), None);
+}
+
+#[test]
+fn the_operators_own_retry_gets_the_first_result() {
+    // The operator's connection ends before the answer; the tool sends the
+    // same operation to another daemon, later and after other changes.
+    // Safeguard: the operation's row outlives the writer that wrote it.
+    let platform = MemoryPlatform::new();
+    write(&platform, put_service("op-1", "floatdesk")).unwrap();
+    write(&platform, put_service("op-2", "refundhall")).unwrap();
+    let again = write(&platform, put_service("op-1", "floatdesk")).unwrap();
+    assert_eq!((again.version, again.replayed), (1, true));
+    assert_eq!(again.state.version(), 2);
+    assert_eq!(operations(&platform), ["op-1", "op-2"]);
+}
+
+#[test]
+fn an_operation_id_with_another_body_is_an_error() {
+    // Two tools made the same id, or one was edited between two tries. Told
+    // "accepted", its operator would believe in a change that never was.
+    // Safeguard: the operation's row holds a fingerprint of the request.
+    let platform = MemoryPlatform::new();
+    write(&platform, put_service("op-1", "floatdesk")).unwrap();
+    let other = write(&platform, put_service("op-1", "refundhall"));
+    assert_eq!(other, Err(WriteError::OperationReused { version: 1 }));
+    assert_eq!(operations(&platform), ["op-1"]);
+}
+
+#[test]
+fn an_outage_after_a_lost_answer_is_unsettled() {
+    // The answer is lost and then the platform is gone for good. "Failed"
+    // would be a lie half of the time: the change is there. The operator is
+    // told to send the same id again, and that settles it.
+    // Safeguard: `Writer::fail` minds the unanswered transaction.
+    let platform = MemoryPlatform::new();
+    platform.script(Operation::Commit, Outcome::LoseAnswer);
+    let mut stepper = Stepper::new(put_service("op-1", "floatdesk"), 1);
+    stepper.step(&platform);
+    stepper.step(&platform);
+    platform.set_down(true);
+    let error = stepper.finish(&platform).unwrap_err();
+    assert!(
+        matches!(error, WriteError::Unsettled { .. }),
+        "told {error}"
+    );
+    assert!(error.retry_after().is_some());
+    platform.set_down(false);
+    let again = write(&platform, put_service("op-1", "floatdesk")).unwrap();
+    assert_eq!((again.version, again.replayed), (1, true));
+}
+
+#[test]
+fn an_outage_before_anything_was_sent_is_a_true_failure() {
+    let platform = MemoryPlatform::new();
+    platform.set_down(true);
+    let error = write(&platform, put_service("op-1", "floatdesk")).unwrap_err();
+    assert!(
+        matches!(error, WriteError::Unavailable { .. }),
+        "told {error}"
+    );
+    assert!(operations(&platform).is_empty());
+}
+
+#[test]
+fn what_can_no_longer_land_is_not_called_unsettled() {
+    // The answer is lost with the request, others move the head, and the
+    // writer sees that before the platform goes: its first transaction is dead.
+    let platform = MemoryPlatform::new();
+    platform.script(Operation::Commit, Outcome::Delay);
+    let mut stepper = Stepper::new(put_service("op-1", "floatdesk"), 1);
+    stepper.step(&platform);
+    stepper.step(&platform);
+    write(&platform, put_service("op-2", "refundhall")).unwrap();
+    while !stepper.commits_next() {
+        stepper.step(&platform);
+    }
+    platform.set_down(true);
+    let error = stepper.finish(&platform).unwrap_err();
+    assert!(
+        matches!(error, WriteError::Unavailable { .. }),
+        "told {error}"
+    );
+    platform.set_down(false);
+    assert!(platform.land_delayed());
+    assert_eq!(operations(&platform), ["op-2"]);
+}
+
+#[test]
+fn a_race_on_the_same_resources_shows_each_winners_revision() {
+    // Two operators read the same revisions and both edit. The second is told
+    // which resources moved and to which revision, all of them at once.
+    // Safeguard: expected revisions are checked at every head anew.
+    let platform = MemoryPlatform::new();
+    write(&platform, put_service("op-1", "floatdesk")).unwrap();
+    write(&platform, put_service("op-2", "refundhall")).unwrap();
+    let edit = |operation| {
+        let floatdesk = (service("floatdesk"), Some(1));
+        let refundhall = (service("refundhall"), Some(2));
+        change(operation, vec![floatdesk, refundhall])
+    };
+    let mut slow = Stepper::new(edit("op-slow"), 1);
+    slow.step(&platform);
+    assert!(slow.commits_next());
+    write(&platform, edit("op-fast")).unwrap();
+    let race = |name, expected| Race {
+        key: service_key(name),
+        expected,
+        found: 3,
+    };
+    let error = slow.finish(&platform).unwrap_err();
+    let races = vec![race("floatdesk", 1), race("refundhall", 2)];
+    assert_eq!(error, WriteError::Conflict(races));
+    let findings = error.findings();
+    let text = "service/floatdesk: is at revision 3, expected at revision 1";
+    assert_eq!(findings[0].to_string(), text);
+}
+
+#[test]
+fn operators_on_different_resources_all_pass() {
+    // Ten operators write at once, each its own resource, in lock step so that
+    // every round has one winner. Nobody sees a conflict.
+    // Safeguard: a lost race for the head is rebased and tried again.
+    let platform = MemoryPlatform::new();
+    let edit = |number: u64| {
+        let resource = service(&format!("service-{number}"));
+        change(&format!("op-{number}"), vec![(resource, Some(0))])
+    };
+    let mut steppers: Vec<Stepper> = (0..10).map(|it| Stepper::new(edit(it), it)).collect();
+    let mut moved = true;
+    while moved {
+        moved = false;
+        for stepper in &mut steppers {
+            moved |= stepper.step(&platform);
+        }
+    }
+    for mut stepper in steppers {
+        stepper.finish(&platform).unwrap();
+    }
+    assert_eq!(operations(&platform).len(), 10);
+}
+
+#[test]
+fn a_throttled_writer_waits_as_long_as_it_was_asked() {
+    let platform = MemoryPlatform::new();
+    let hint = Duration::from_millis(300);
+    platform.script(Operation::Read, Outcome::Throttled(hint));
+    platform.script(Operation::Commit, Outcome::Throttled(hint));
+    let log = log(&platform, &LogConfig::default());
+    let accepted = run(log.write(
+        put_service("op-1", "floatdesk"),
+        "tester".into(),
+        Arc::default(),
+    ));
+    assert_eq!(accepted.unwrap().version, 1);
+    let slept = log.edge().slept.borrow();
+    assert_eq!(slept.len(), 2);
+    assert!(slept.iter().all(|it| *it >= hint), "slept {slept:?}");
+}
+
+#[test]
+fn writers_that_failed_together_come_back_apart() {
+    // After an outage every daemon tries again; equal waits would hit the
+    // platform in one beat again and again.
+    // Safeguard: the wait is drawn from the whole interval (full jitter).
+    let platform = MemoryPlatform::new();
+    platform.set_down(true);
+    let mut waits: Vec<Duration> = (0..100)
+        .map(|seed| {
+            let mut stepper = Stepper::new(put_service("op", "floatdesk"), seed);
+            // Four tries: the bound is 160 ms by then.
+            for _ in 0..7 {
+                stepper.step(&platform);
+            }
+            match stepper.action {
+                WriteAction::Wait(time) => time,
+                other => panic!("{other:?}"),
+            }
+        })
+        .collect();
+    waits.sort();
+    assert!(waits[25] < Duration::from_millis(80), "{:?}", waits[25]);
+    assert!(waits[75] > Duration::from_millis(80), "{:?}", waits[75]);
+    assert!(waits[99] <= Duration::from_millis(160));
+}
+
+#[test]
+fn a_state_that_would_not_be_valid_is_refused_with_all_findings() {
+    // Two routes to services that are not there, in one change: both are
+    // named and nothing is written, so no proxy ever sees a dangling route.
+    // Safeguard: the whole resulting state is validated before the commit.
+    let platform = MemoryPlatform::new();
+    let routes = vec![
+        (route("claims", "/claims", "floatdesk"), None),
+        (route("refunds", "/refunds", "refundhall"), None),
+    ];
+    let error = write(&platform, change("op-1", routes)).unwrap_err();
+    assert_eq!(error.findings().len(), 2, "{:?}", error.findings());
+    assert!(operations(&platform).is_empty());
+}
+
+#[test]
+fn a_service_with_routes_cannot_go_while_another_adds_a_route() {
+    // One operator deletes a service, another adds a route to it at the same
+    // time; they touch different resources. Whoever is second is refused.
+    // Safeguard: validation runs again on top of the new head.
+    let platform = MemoryPlatform::new();
+    write(&platform, put_service("op-1", "floatdesk")).unwrap();
+    let mut delete = change("op-delete", Vec::new());
+    delete.deletes.push((service_key("floatdesk"), Some(1)));
+    let mut slow = Stepper::new(delete, 1);
+    slow.step(&platform);
+    assert!(slow.commits_next());
+    let add = vec![(route("claims", "/claims", "floatdesk"), Some(0))];
+    write(&platform, change("op-add", add)).unwrap();
+    let error = slow.finish(&platform).unwrap_err();
+    assert!(matches!(error, WriteError::Invalid(_)), "told {error}");
+    assert_eq!(operations(&platform), ["op-1", "op-add"]);
+}
+
+#[test]
+fn a_platform_that_lost_its_data_is_not_written_over() {
+    // The platform comes back empty, or from an old copy. A writer that went
+    // on from there would number new versions below those in force, and every
+    // proxy would have to go back or stand still.
+    // Safeguard: `read_tail` refuses a head below the version held.
+    let state = fill(&MemoryPlatform::new(), 5);
+    let emptied = MemoryPlatform::new();
+    let log = log(&emptied, &LogConfig::default());
+    let refused = run(log.write(put_service("op", "late"), "tester".into(), state));
+    let regressed = LogError::Regressed { held: 5, head: 0 };
+    assert_eq!(refused, Err(WriteError::Log(regressed)));
+    assert!(operations(&emptied).is_empty());
+}
+
+#[test]
+fn a_tail_longer_than_one_read_is_read_in_parts() {
+    let platform = MemoryPlatform::new();
+    fill(&platform, 10);
+    let cfg = LogConfig::builder().rows_at_once(3).build();
+    let log = log(&platform, &cfg);
+    let accepted = run(log.write(
+        put_service("op", "late"),
+        "tester".into(),
+        Arc::<State>::default(),
+    ));
+    let accepted = accepted.unwrap();
+    assert_eq!((accepted.version, accepted.deltas.len()), (11, 11));
+}
+
+#[test]
+fn a_bad_row_is_named_and_nothing_is_written() {
+    let platform = MemoryPlatform::new();
+    fill(&platform, 2);
+    platform.with_table(|table| {
+        let key = "log/00000000000000000002".into();
+        let value = vec![0xc1, 0, 1];
+        table.commit(stoatstep_platform::CommitRequest {
+            conditions: Vec::new(),
+            writes: vec![stoatstep_platform::Write::Put { key, value }],
+        });
+    });
+    let error = write(&platform, put_service("op", "late")).unwrap_err();
+    assert!(
+        error.to_string().contains("log/00000000000000000002"),
+        "{error}"
+    );
+    let head = platform.with_table(|table| table.with_prefix(HEAD).count());
+    assert_eq!(head, 1);
+}
