Count the time to converge from the first try

Cause: with four daemons and the platform's answers lost for 3 s, a change was accepted by a daemon that could not tell, and another daemon passed on the result. The printed time counted from the request to the latter, so it could be shorter than the true one.

Change: it counts from the first request that may have had its effect.

Seen with real processes (4 daemons, debug build) before the change: answers lost for 3 s, version 5 after 3.183 s; platform down for 4 s, the command took 4.537 s and printed 1.076 s; a pause of 3 s, 3.128 s. Each command made exactly one version. A test now holds the count.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -1,11 +1,9 @@
 //! Requests to whichever daemon answers.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use ntex::SharedCfg;
-use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client as HttpClient, ClientRequest};
 use ntex::http::{Method, StatusCode};
 use ntex::time::{Millis, sleep, timeout};
@@ -17,6 +15,7 @@
 
 use crate::exit::Exit;
 use crate::failure::Failure;
+use crate::miss::{Miss, Misses, Unreachable};
 use crate::settings::Remote;
 
 /// Largest answer that is read; the largest state allowed fits several times.
@@ -72,7 +71,10 @@
 #[derive(Debug)]
 pub(crate) struct Reply {
     pub(crate) status: StatusCode,
-    /// When the request that got this answer was sent.
+    /// When the request was sent to the first daemon at which it may have had
+    /// its effect. That can be an earlier one than the one that answered, and
+    /// counted from the later one a change would seem to hold sooner than it
+    /// did.
     pub(crate) sent: Instant,
     body: Bytes,
 }
@@ -119,46 +121,6 @@
     }
 }
 
-/// Why one daemon gave no usable answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Miss {
-    /// The request never left, so it had no effect.
-    NotConnected(String),
-    /// The request may have had its effect before the answer was lost.
-    NoAnswer(String),
-    /// The daemon says that it cannot do it now.
-    Busy(String),
-}
-
-impl fmt::Display for Miss {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::NotConnected(why) => write!(f, "not reached: {why}"),
-            Self::NoAnswer(why) => write!(f, "no answer: {why}"),
-            Self::Busy(why) => write!(f, "cannot do it now: {why}"),
-        }
-    }
-}
-
-/// No daemon gave a usable answer in time.
-#[derive(Debug)]
-pub(crate) struct Unreachable {
-    /// The last miss of each daemon, in the order in which they were given.
-    pub(crate) misses: Vec<(SocketAddr, Miss)>,
-    /// Whether a request may have had its effect at one of them.
-    pub(crate) unsettled: bool,
-}
-
-impl fmt::Display for Unreachable {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("no daemon answered in time")?;
-        for (daemon, miss) in &self.misses {
-            write!(f, "; {daemon}: {miss}")?;
-        }
-        Ok(())
-    }
-}
-
 /// Sends requests to one daemon after the other until one answers, and stays
 /// with the one that did.
 pub(crate) struct Client {
@@ -196,9 +158,13 @@
         loop {
             for _ in 0..self.remote.daemons.len() {
                 let daemon = self.remote.daemons[self.current];
+                let sent = Instant::now();
                 match self.attempt(daemon, req, until).await {
-                    Ok(reply) => return Ok(reply),
-                    Err(miss) => misses.add(daemon, miss),
+                    Ok(mut reply) => {
+                        reply.sent = misses.unsettled.unwrap_or(reply.sent);
+                        return Ok(reply);
+                    }
+                    Err(miss) => misses.add(daemon, miss, sent),
                 }
                 self.current = (self.current + 1) % self.remote.daemons.len();
             }
@@ -238,7 +204,7 @@
     async fn exchange(&self, daemon: SocketAddr, req: &Request) -> Result<Reply, Miss> {
         let sent = Instant::now();
         let res = self.build(daemon, req).send_body(req.body.clone()).await;
-        let res = res.map_err(|error| miss(&error))?;
+        let res = res.map_err(|error| Miss::of(&error))?;
         let body = res.body().limit(MAX_ANSWER).timeout(Millis::ZERO).await;
         let body = body.map_err(|error| Miss::NoAnswer(error.to_string()))?;
         Ok(Reply {
@@ -256,40 +222,3 @@
             .content_type("application/json")
     }
 }
-
-/// Sorts errors by whether the request can have left. The library reports a
-/// connection that ended before the answer came as `Disconnected(None)`, beside
-/// the failures to connect. Taken for one of those, a change that took effect
-/// would be reported as one that never left.
-fn miss(error: &ClientError) -> Miss {
-    match error {
-        ClientError::Connect(ConnectError::Disconnected(None)) => {
-            Miss::NoAnswer("the connection ended before the answer".to_owned())
-        }
-        ClientError::Connect(error) => Miss::NotConnected(error.to_string()),
-        _ => Miss::NoAnswer(error.to_string()),
-    }
-}
-
-#[derive(Default)]
-struct Misses {
-    last: Vec<(SocketAddr, Miss)>,
-    unsettled: bool,
-}
-
-impl Misses {
-    fn add(&mut self, daemon: SocketAddr, miss: Miss) {
-        self.unsettled |= !matches!(miss, Miss::NotConnected(_));
-        match self.last.iter_mut().find(|(known, _)| *known == daemon) {
-            Some((_, last)) => *last = miss,
-            None => self.last.push((daemon, miss)),
-        }
-    }
-
-    fn into_error(self) -> Unreachable {
-        Unreachable {
-            misses: self.last,
-            unsettled: self.unsettled,
-        }
-    }
-}
--- a/crates/ctl/src/commands/drain.rs
+++ b/crates/ctl/src/commands/drain.rs
@@ -6,10 +6,11 @@
 use serde::Serialize;
 use stoatstep_settings::{Program, Setting, Stop, Values};
 
-use crate::client::{Client, Miss, Request};
+use crate::client::{Client, Request};
 use crate::console::Console;
 use crate::exit::Exit;
 use crate::failure::Failure;
+use crate::miss::Miss;
 use crate::settings::{DAEMON, OUTPUT, Remote, TIMEOUT, TOKEN, WAIT_TIMEOUT, span};
 
 const WAIT: Setting = Setting::switch("wait", "Wait until the daemon has answered all and left.");
--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -5,8 +5,8 @@
 
 use stoatstep_resource::Finding;
 
-use crate::client::Unreachable;
 use crate::exit::Exit;
+use crate::miss::Unreachable;
 
 /// Why a command ended without having done its work.
 #[derive(Debug)]
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -12,6 +12,7 @@
 mod failure;
 mod file_set;
 mod in_force;
+mod miss;
 mod settings;
 mod table;
 mod watch_cursor;
--- a/crates/ctl/tests/all/waiting.rs
+++ b/crates/ctl/tests/all/waiting.rs
@@ -48,6 +48,28 @@
     assert_eq!(fake.seen().len(), 4);
 }
 
+// The first daemon may have accepted the change before it failed, and the
+// second only passes on the result. The time counts from the first, since the
+// change may have begun to spread then.
+#[test]
+fn time_to_converge_counts_from_the_first_try() {
+    let fake = Fake::start();
+    fake.answer("/v1/changes", 503, json!({"findings": []}))
+        .answer("/v1/changes", 200, json!({"version": 2}))
+        .answer("/v1/status", 200, status(&[]));
+    let file = TempFile::new("[[service]]\nname = \"floatdesk\"\n");
+    let args = format!("apply {} --wait --output json", file.path());
+    let start = std::time::Instant::now();
+    let done = stoatctl_at(&[fake.addr], &args);
+    let whole = start.elapsed().as_secs_f64();
+    let report: Value = serde_json::from_str(&done.out).unwrap();
+    let converged = report["converged_s"].as_f64().unwrap();
+    assert!(
+        converged > 0.1 && converged < whole,
+        "{converged} of {whole}"
+    );
+}
+
 #[test]
 fn wait_ends_with_its_own_exit_code() {
     let fake = Fake::start();
