Say why a daemon was not reached

The client library's text for a failed connection leaves out the system's reason. An instant that a daemon does not know is shown as a dash; it read as 20789 days.

--- a/crates/ctl/src/commands/status.rs
+++ b/crates/ctl/src/commands/status.rs
@@ -195,8 +195,12 @@
 }
 
 /// Time since an instant on the daemon's clock. Clocks differ a little, so an
-/// instant in the future counts as now.
+/// instant in the future counts as now. Zero stands for an instant that the
+/// daemon does not know.
 fn ago(unix_ms: u64) -> String {
+    if unix_ms == 0 {
+        return "-".to_owned();
+    }
     let then = SystemTime::UNIX_EPOCH + Duration::from_millis(unix_ms);
     let seconds = then.elapsed().unwrap_or_default().as_secs();
     match seconds {
--- a/crates/ctl/src/miss.rs
+++ b/crates/ctl/src/miss.rs
@@ -27,6 +27,10 @@
             ClientError::Connect(ConnectError::Disconnected(None)) => {
                 Self::NoAnswer("the connection ended before the answer".to_owned())
             }
+            // The library's own text leaves out what the system said.
+            ClientError::Connect(ConnectError::Disconnected(Some(error))) => {
+                Self::NotConnected(error.to_string())
+            }
             ClientError::Connect(error) => Self::NotConnected(error.to_string()),
             _ => Self::NoAnswer(error.to_string()),
         }
--- a/crates/ctl/tests/all/changes.rs
+++ b/crates/ctl/tests/all/changes.rs
@@ -123,6 +123,7 @@
     for daemon in daemons {
         assert!(done.err.contains(&daemon.to_string()), "{}", done.err);
     }
+    assert!(done.err.contains("refused"), "{}", done.err);
     assert!(!done.err.contains("may have taken effect"), "{}", done.err);
 }
 
