--- a/crates/distribution/src/quarantine.rs
+++ b/crates/distribution/src/quarantine.rs
@@ -10,7 +10,7 @@
 const MAX_QUARANTINED: usize = 16;
 
 /// Why a version was refused.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Reason {
     /// It could not be applied.
     Apply(ApplyError),
@@ -48,7 +48,7 @@
 }
 
 /// A refused version.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Quarantined {
     /// The version.
     pub version: Version,
@@ -61,7 +61,7 @@
 }
 
 /// All refused versions that nothing newer has replaced.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Quarantine {
     rows: Vec<Quarantined>,
 }
--- a/crates/distribution/src/replica.rs
+++ b/crates/distribution/src/replica.rs
@@ -34,7 +34,7 @@
 }
 
 /// The configuration that a daemon holds.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Replica {
     state: Arc<State>,
     digest: Digest,
--- a/crates/distribution/src/serving.rs
+++ b/crates/distribution/src/serving.rs
@@ -35,7 +35,7 @@
 const PEERS_NEEDED: usize = 2;
 
 /// What a daemon learned about the version by which it may serve.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Serving {
     floor: Version,
     newest: Version,
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -50,7 +50,7 @@
 }
 
 /// What has to be so for a commit to happen.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Condition {
     /// No row has this key.
     Absent(RowKey),
@@ -61,7 +61,7 @@
 }
 
 /// One row's change.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Write {
     /// Writes the row, new or in place of the old one.
     Put {
@@ -78,7 +78,7 @@
 }
 
 /// A transaction: all writes if all conditions hold, else nothing.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct CommitRequest {
     /// What has to be so.
     pub conditions: Vec<Condition>,
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -7,14 +7,14 @@
     TableRevision, Write,
 };
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Stored {
     revision: TableRevision,
     value: Vec<u8>,
 }
 
 /// An ordered table of rows with conditional transactions over several rows.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Table {
     revision: TableRevision,
     rows: BTreeMap<RowKey, Stored>,
--- a/crates/resource/src/delta.rs
+++ b/crates/resource/src/delta.rs
@@ -10,7 +10,7 @@
 use crate::types::Resource;
 
 /// The change that leads from version `version - 1` to `version`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Delta {
     /// The version that this delta leads to.
     pub version: Version,
@@ -23,7 +23,7 @@
 }
 
 /// Why a delta was not applied; the state stays as it was.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum ApplyError {
     /// The delta does not follow the held version.
     OutOfOrder {
--- a/crates/resource/src/state.rs
+++ b/crates/resource/src/state.rs
@@ -13,7 +13,7 @@
 use crate::types::Resource;
 
 /// A resource as a state holds it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Held {
     /// The version at which the resource last changed.
     pub revision: Revision,
@@ -24,7 +24,7 @@
 /// A whole, immutable configuration. A new version is a new `State`: whoever
 /// holds the old one keeps a consistent view until it lets go, and no reader
 /// ever sees a version in part.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct State {
     version: Version,
     resources: BTreeMap<Key, Held>,
--- a/crates/versionlog/src/lib.rs
+++ b/crates/versionlog/src/lib.rs
@@ -37,4 +37,4 @@
     encode_snapshot,
 };
 pub use tail::{Tail, head_request, read_head, read_tail, tail_request};
-pub use writer::{Accepted, Race, WriteAction, WriteError, WriteInput, Writer};
+pub use writer::{Accepted, Progress, Race, WriteAction, WriteError, WriteInput, Writer};
--- a/crates/versionlog/src/writer/mod.rs
+++ b/crates/versionlog/src/writer/mod.rs
@@ -34,6 +34,21 @@
     unchanged: Condition,
 }
 
+/// How far a writer has come: all that its further decisions depend on, but for
+/// the lengths of its waits. Two writers of one change that have the same do the
+/// same, by which a search over all orders of events knows that it has been
+/// there.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Progress {
+    /// Digest of the state from which the next try starts; it covers the
+    /// version.
+    pub held: Digest,
+    /// What the transaction under way is conditioned on.
+    pub sent: Option<Condition>,
+    /// What an unanswered transaction is conditioned on.
+    pub unanswered: Option<Condition>,
+}
+
 /// Writes one change.
 ///
 /// Every try reads the head, the operation's row and the missing versions in
@@ -99,6 +114,16 @@
         }
     }
 
+    /// How far this writer has come.
+    #[must_use]
+    pub fn progress(&self) -> Progress {
+        Progress {
+            held: self.state.digest(),
+            sent: self.prepared.as_ref().map(|it| it.unchanged.clone()),
+            unanswered: self.unanswered.clone(),
+        }
+    }
+
     fn read(&self) -> WriteAction {
         let mut req = tail_request(self.state.version(), self.cfg.rows_at_once);
         req.gets.push(operation_key(&self.change.operation));
