--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod http;
 mod lifecycle;
+mod operators;
 mod process;
 mod process_rules;
 mod programs;
