Run membership and spreading in the daemon

The daemon announced itself and read all rows every two seconds, and never heard of a version. Now its control side feeds the machines of membership and distribution: gossip, pushes down the trees, pulls, pollers, cold start, and status gathered up the trees. Changes go through the version log and are pushed as soon as they are accepted. Bytes are counted by class for metrics.

A daemon that met nobody looks at the roster again sooner.

--- a/crates/daemon/src/control/announce.rs
+++ b/crates/daemon/src/control/announce.rs
@@ -1,78 +1,115 @@
-//! Announces this instance and learns of the others.
+//! This instance's row at the platform, by which starting daemons find it.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use ntex::time::{Millis, sleep};
-use smol_str::{SmolStr, format_smolstr};
-use stoatstep_platform::{CommitRequest, Platform, PlatformError, RangeRead, ReadRequest, Write};
+use rand::RngExt;
 
-use super::Member;
-use crate::config::Config;
+use super::{cold_start, platform};
 use crate::node::Node;
 
-const INTERVAL: Millis = Millis(2_000);
-const PREFIX: &str = "instance/";
-/// The first key after every key that starts with [`PREFIX`].
-const PREFIX_END: &str = "instance0";
-const MOST_INSTANCES: usize = 4096;
+/// Time between two writes of the row. Peers know more and know it sooner, so
+/// it need not be fresh: 610 daemons write it about once a second in all.
+const INTERVAL: Duration = Duration::from_mins(10);
+
+/// Wait until the first daemon of a herd tries again after a failure.
+const RETRY: Duration = Duration::from_secs(5);
+
+/// How often it is looked whether the time has come, or the daemon drains.
+const STEP: Millis = Millis(500);
+
+/// Earliest second look at the roster, and how far the looks are spread. Those
+/// who started together may have read it before any of them was in it, and
+/// would go on as fleets that don't know of each other.
+const SECOND_LOOK: Duration = Duration::from_secs(4);
+const SECOND_LOOK_SPREAD: Duration = Duration::from_secs(6);
+
+/// First further look of a daemon that met nobody.
+const FIRST_LOOK_ALONE: Duration = Duration::from_millis(750);
 
 pub(super) async fn run(node: Rc<Node>) {
-    while let Err(err) = announce(&node).await {
-        slog::warn!(node.log, "announcement failed"; "error" => %err);
-        sleep(INTERVAL).await;
+    // Platform or peers name the last life's incarnation, above which this one
+    // must start; a row written before would be taken for an old one.
+    while !is_settled(&node) {
+        sleep(STEP).await;
     }
-    loop {
-        match read(&node).await {
-            Ok(members) => node.control.set_members(members),
-            Err(err) => slog::warn!(node.log, "roster not read"; "error" => %err),
+    let mut write_due = node.control.now();
+    let mut looks = Looks::new(write_due);
+    while !node.draining.get() {
+        if write_due <= node.control.now() {
+            write_due = node.control.now() + write(&node).await;
+        }
+        let is_alone = node.control.members().len() == 1;
+        if looks.is_due(node.control.now(), is_alone) {
+            look(&node).await;
         }
-        sleep(INTERVAL).await;
+        sleep(STEP).await;
+    }
+    // A row that stays behind costs those who start a few knocks, no more.
+    if let Err(err) = platform::delete_announcement(&node).await {
+        slog::warn!(node.log, "announcement not deleted"; "error" => %err);
     }
 }
 
-async fn announce(node: &Node) -> Result<(), PlatformError> {
-    let member = myself(&node.cfg);
-    let value = rmp_serde::to_vec(&member).expect("plain data always encodes");
-    let put = Write::Put {
-        key: key(&node.cfg),
-        value,
-    };
-    let req = CommitRequest {
-        conditions: Vec::new(),
-        writes: vec![put],
-    };
-    node.platform.commit(req).await.map(|_| ())
+/// When the roster is read again.
+struct Looks {
+    due: Duration,
+    due_alone: Duration,
+    pause_alone: Duration,
 }
 
-async fn read(node: &Node) -> Result<Vec<Member>, PlatformError> {
-    let range = RangeRead {
-        start: SmolStr::new_static(PREFIX),
-        end: SmolStr::new_static(PREFIX_END),
-        limit: MOST_INSTANCES,
-    };
-    let req = ReadRequest {
-        gets: Vec::new(),
-        ranges: vec![range],
-    };
-    let answer = node.platform.read(req).await?;
-    let rows = answer.ranges.into_iter().flatten();
-    Ok(rows
-        .filter_map(|row| rmp_serde::from_slice(&row.value).ok())
-        .collect())
+impl Looks {
+    fn new(now: Duration) -> Self {
+        let share = rand::rng().random_range(0.0..1.0);
+        Self {
+            due: now + SECOND_LOOK + SECOND_LOOK_SPREAD.mul_f64(share),
+            due_alone: now + FIRST_LOOK_ALONE,
+            pause_alone: FIRST_LOOK_ALONE,
+        }
+    }
+
+    /// A daemon that knows nobody looks sooner, and ever more seldom: it may be
+    /// the only one that there is.
+    fn is_due(&mut self, now: Duration, is_alone: bool) -> bool {
+        if is_alone && self.due_alone <= now {
+            self.pause_alone = (self.pause_alone * 2).min(INTERVAL);
+            let share = rand::rng().random_range(0.5..1.5);
+            self.due_alone = now + self.pause_alone.mul_f64(share);
+            return true;
+        }
+        let is_due = self.due <= now;
+        if is_due {
+            self.due = now + INTERVAL;
+        }
+        is_due
+    }
+}
+
+fn is_settled(node: &Node) -> bool {
+    let cold_start = node.control.cold_start.borrow();
+    cold_start.has_read_roster() || cold_start.is_done()
 }
 
-fn key(cfg: &Config) -> SmolStr {
-    format_smolstr!("{PREFIX}{}/{}", cfg.zone, cfg.instance)
+async fn look(node: &Rc<Node>) {
+    match platform::read_roster(node, false).await {
+        Ok(roster) => {
+            cold_start::take_in(node, roster);
+        }
+        Err(err) => slog::warn!(node.log, "roster not read"; "error" => %err),
+    }
 }
 
-fn myself(cfg: &Config) -> Member {
-    Member {
-        instance: cfg.instance.clone(),
-        region: cfg.region.clone(),
-        zone: cfg.zone.clone(),
-        upstream: cfg.upstream.clone(),
-        caller_addr: cfg.caller_addr,
-        peer_addr: cfg.peer_addr,
-        operator_addr: cfg.operator_addr,
+/// Writes the row and returns the time until the next write.
+async fn write(node: &Rc<Node>) -> Duration {
+    let announcement = node.control.membership.borrow().announcement();
+    let written = platform::announce(node, &announcement).await;
+    let share = rand::rng().random_range(0.5..1.5);
+    match written {
+        Ok(()) => INTERVAL.mul_f64(share),
+        Err(err) => {
+            slog::warn!(node.log, "announcement failed"; "error" => %err);
+            RETRY.mul_f64(share)
+        }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/control/client.rs
@@ -0,0 +1,103 @@
+//! Control messages to other daemons.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ntex::http::StatusCode;
+use ntex::time::{Millis, timeout};
+use ntex::util::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::peer::PEER_TOKEN;
+use super::traffic::{ANSWER_HEAD, Class, request_head};
+use crate::http::{from_msgpack, read_body};
+use crate::node::Node;
+
+/// Largest answer: a whole state with room to grow.
+const MAX_ANSWER: usize = 16 << 20;
+
+/// Why a peer gave no usable answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PeerError {
+    /// No answer in time, or no connection.
+    Unreached,
+    /// It answered with an error or something that can't be decoded.
+    Refused,
+}
+
+impl fmt::Display for PeerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Unreached => "no answer in time",
+            Self::Refused => "an answer that is no use",
+        })
+    }
+}
+
+/// A message, encoded once however many peers it goes to.
+#[derive(Clone, Debug)]
+pub(super) struct Message {
+    path: &'static str,
+    class: Class,
+    body: Bytes,
+}
+
+impl Message {
+    pub(super) fn new(path: &'static str, class: Class, message: &impl Serialize) -> Self {
+        let body = rmp_serde::to_vec(message).expect("plain data always encodes");
+        Self {
+            path,
+            class,
+            body: body.into(),
+        }
+    }
+}
+
+/// Sends a message and decodes the answer.
+pub(super) async fn ask<A: DeserializeOwned>(
+    node: &Node,
+    addr: SocketAddr,
+    message: &Message,
+    bound: Duration,
+) -> Result<A, PeerError> {
+    let body = send(node, addr, message, bound).await?;
+    from_msgpack(&body).map_err(|_| PeerError::Refused)
+}
+
+/// Sends a message and returns the answer's body. The bound covers everything
+/// from connecting on: a connection that went silent is dropped with it, and
+/// the next message takes another.
+pub(super) async fn send(
+    node: &Node,
+    addr: SocketAddr,
+    message: &Message,
+    bound: Duration,
+) -> Result<Bytes, PeerError> {
+    let answer = timeout(Millis::from(bound), exchange(node, addr, message)).await;
+    answer.unwrap_or(Err(PeerError::Unreached))
+}
+
+async fn exchange(node: &Node, addr: SocketAddr, message: &Message) -> Result<Bytes, PeerError> {
+    let token = node.cfg.peer_token.as_str();
+    let len = message.body.len();
+    let head = request_head(message.path, addr, token, len);
+    let traffic = &node.control.traffic;
+    traffic.sent(&node.metrics, message.class, head + len);
+    let answer = node
+        .peers
+        .post(format!("http://{addr}{}", message.path))
+        .header(PEER_TOKEN, token)
+        .send_body(message.body.clone())
+        .await
+        .map_err(|_| PeerError::Unreached)?;
+    let status = answer.status();
+    let body = read_body(answer.take_payload(), MAX_ANSWER).await;
+    let body = body.map_err(|_| PeerError::Unreached)?;
+    traffic.received(&node.metrics, message.class, ANSWER_HEAD + body.len());
+    match status {
+        StatusCode::OK => Ok(body),
+        _ => Err(PeerError::Refused),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/directory.rs
@@ -0,0 +1,73 @@
+//! Members in the form in which calls look for them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use smol_str::SmolStr;
+use stoatstep_membership::{self as membership, MemberState, Table};
+use stoatstep_resource::{InstanceId, UpstreamName, ZoneName};
+
+/// Another instance, or this one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Member {
+    pub(crate) instance: InstanceId,
+    pub(crate) region: SmolStr,
+    pub(crate) zone: ZoneName,
+    pub(crate) upstream: UpstreamName,
+    pub(crate) caller_addr: SocketAddr,
+    pub(crate) peer_addr: SocketAddr,
+    pub(crate) operator_addr: SocketAddr,
+    /// Incarnation with which its process started. A process keeps it for life,
+    /// also where it refutes a suspicion.
+    pub(crate) birth: u64,
+    /// It takes no new calls but still answers for those it ran.
+    pub(crate) leaving: bool,
+}
+
+impl From<&membership::Member> for Member {
+    fn from(member: &membership::Member) -> Self {
+        Self {
+            instance: member.instance.clone(),
+            region: member.region.clone(),
+            zone: member.zone.clone(),
+            upstream: member.upstream.clone(),
+            caller_addr: member.caller,
+            peer_addr: member.peer,
+            operator_addr: member.operator,
+            birth: member.birth,
+            leaving: member.state == MemberState::Leaving,
+        }
+    }
+}
+
+/// Present members by upstream. Calls look here for each attempt, so the table
+/// of members is not gone through each time.
+#[derive(Debug, Default)]
+pub(super) struct Directory {
+    by_upstream: BTreeMap<UpstreamName, Vec<Member>>,
+}
+
+impl Directory {
+    pub(super) fn new(table: &Table) -> Self {
+        let mut by_upstream: BTreeMap<_, Vec<Member>> = BTreeMap::new();
+        for (_, entry) in table.present() {
+            let member = Member::from(&entry.member);
+            let upstream = member.upstream.clone();
+            by_upstream.entry(upstream).or_default().push(member);
+        }
+        for members in by_upstream.values_mut() {
+            // An instance was replaced under the same upstream, and both are
+            // still known: the newest that stays comes last, where users look.
+            members.sort_by_key(|it| (!it.leaving, it.birth));
+        }
+        Self { by_upstream }
+    }
+
+    pub(super) fn serving(&self, upstream: &str) -> Vec<Member> {
+        self.by_upstream.get(upstream).cloned().unwrap_or_default()
+    }
+
+    pub(super) fn members(&self) -> Vec<Member> {
+        self.by_upstream.values().flatten().cloned().collect()
+    }
+}
--- a/crates/daemon/src/control/poll.rs
+++ b/crates/daemon/src/control/poll.rs
@@ -1,24 +1,57 @@
-//! Asks the platform for newer versions.
+//! Reads of the platform's head.
 
 use std::rc::Rc;
 
-use ntex::time::{Millis, sleep};
+use stoatstep_distribution::PollOutcome;
+use stoatstep_membership::{Input, MemberKey};
+use stoatstep_versionlog::Head;
 
+use super::{gossip, platform, pull};
 use crate::node::Node;
 
-/// Time between two polls.
-const INTERVAL: Millis = Millis(1_000);
+pub(super) fn tick(node: &Rc<Node>, zone: &[MemberKey]) {
+    let control = &node.control;
+    if !control.cold_start.borrow().is_done() {
+        return;
+    }
+    let now = control.now();
+    let (me, fleet, head_age) = {
+        let membership = control.membership.borrow();
+        let fleet = membership.table().present().count();
+        (membership.me(), fleet, membership.head_age(now))
+    };
+    let mut poller = control.poller.borrow_mut();
+    if poller.tick(now, me, zone, fleet, head_age) {
+        ntex::rt::spawn(poll(Rc::clone(node)));
+    }
+}
 
-pub(super) async fn run(node: Rc<Node>) {
-    loop {
-        if let Err(err) = poll(&node).await {
-            slog::warn!(node.log, "poll failed"; "error" => %err);
+async fn poll(node: Rc<Node>) {
+    let head = platform::version_log(&node).head().await;
+    let outcome = match &head {
+        Ok(_) => PollOutcome::Read,
+        Err(_) => PollOutcome::Failed,
+    };
+    node.control.poller.borrow_mut().polled(outcome);
+    match head {
+        Ok(head) => {
+            learn(&node, &head);
+            if head.version > node.control.replica.borrow().version() {
+                pull::from_platform(&node, false).await;
+            }
         }
-        sleep(INTERVAL).await;
+        Err(err) => slog::warn!(node.log, "head not read"; "error" => %err),
     }
 }
 
-async fn poll(node: &Rc<Node>) -> Result<(), String> {
-    let _ = node;
-    Ok(())
+/// Takes in what the platform states of its newest version.
+pub(super) fn learn(node: &Rc<Node>, head: &Head) {
+    let mut replica = node.control.replica.borrow_mut();
+    replica.learn_head(head.version, head.digest);
+    replica.settle_fork(head.version, head.digest);
+    drop(replica);
+    let mut serving = node.control.serving.borrow_mut();
+    serving.heard_platform(head.version);
+    drop(serving);
+    gossip::input(node, Input::HeadRead);
 }
--- /dev/null
+++ b/crates/daemon/src/control/push.rs
@@ -0,0 +1,128 @@
+//! Versions on their way down the tree.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use stoatstep_distribution::{Offer, PushRequest, View};
+use stoatstep_membership::MemberKey;
+use stoatstep_resource::Delta;
+use stoatstep_resource::wire::DeltaWire;
+
+use super::client::{Message, send};
+use super::peer::PUSH;
+use super::traffic::Class;
+use crate::node::Node;
+
+/// Time for a push to be taken.
+const BOUND: Duration = Duration::from_secs(1);
+
+/// A push to one member, and how many silent ones it already went past.
+#[derive(Clone, Copy, Debug)]
+struct Branch {
+    target: MemberKey,
+    bypassed: u32,
+}
+
+/// Takes a version that the platform accepted from this daemon, and sends it to
+/// the whole fleet.
+pub(super) fn accepted(node: &Rc<Node>, delta: &Arc<Delta>) {
+    offer(node, delta);
+    let view = node.control.view();
+    originate(node, delta, &view);
+}
+
+/// Sends versions that this daemon was the first of its zone to find at the
+/// platform to the rest of the zone. It is needed where the daemon that had
+/// them accepted died before it told anyone.
+pub(super) fn found(node: &Rc<Node>, deltas: &[Arc<Delta>]) {
+    let mut view = node.control.view();
+    view.retain(|zone, _| *zone == node.cfg.zone);
+    for delta in deltas {
+        originate(node, delta, &view);
+    }
+}
+
+fn originate(node: &Rc<Node>, delta: &Arc<Delta>, view: &View) {
+    let me = node.control.me();
+    let mut spread = node.control.spread.borrow_mut();
+    let targets = spread.originate(delta.version, view, me);
+    drop(spread);
+    start(node, delta, me, targets);
+}
+
+/// Takes a version that another daemon pushed, and passes it on.
+pub(super) async fn answer(node: &Rc<Node>, message: PushRequest) -> bool {
+    let origin = message.origin;
+    let delta = Arc::new(Delta::from(message.delta));
+    let mut due = offer(node, &delta);
+    let is_held = delta.version <= node.control.replica.borrow().version();
+    if due.is_empty() && is_held {
+        due.push(delta);
+    }
+    let view = node.control.view();
+    let me = node.control.me();
+    for delta in due {
+        let mut spread = node.control.spread.borrow_mut();
+        let targets = spread.forward(delta.version, &view, me, origin);
+        drop(spread);
+        start(node, &delta, origin, targets);
+    }
+    true
+}
+
+fn offer(node: &Rc<Node>, delta: &Arc<Delta>) -> Vec<Arc<Delta>> {
+    let delta = Arc::clone(delta);
+    let outcome = node
+        .control
+        .offer(|replica, now| replica.offer_delta(now, delta));
+    match outcome {
+        Offer::Applied(applied) => applied,
+        Offer::Refused(row) => {
+            slog::error!(node.log, "refused a version";
+                "version" => row.version, "reason" => %row.reason);
+            Vec::new()
+        }
+        Offer::Waiting { .. } | Offer::Held | Offer::Replaced(_) => Vec::new(),
+    }
+}
+
+fn start(node: &Rc<Node>, delta: &Arc<Delta>, origin: MemberKey, targets: Vec<MemberKey>) {
+    if targets.is_empty() {
+        return;
+    }
+    let request = PushRequest {
+        origin,
+        delta: DeltaWire::from(delta.as_ref()),
+    };
+    let message = Message::new(PUSH, Class::Configuration, &request);
+    for target in targets {
+        let branch = Branch {
+            target,
+            bypassed: 0,
+        };
+        let (node, message) = (Rc::clone(node), message.clone());
+        ntex::rt::spawn(push(node, message, delta.version, branch));
+    }
+}
+
+/// Pushes to one member, or to those below it where it does not answer.
+async fn push(node: Rc<Node>, message: Message, version: u64, branch: Branch) {
+    let mut due = vec![branch];
+    while let Some(branch) = due.pop() {
+        let Some(addr) = node.control.peer_addr(branch.target) else {
+            continue;
+        };
+        if send(&node, addr, &message, BOUND).await.is_ok() {
+            continue;
+        }
+        node.metrics.count("control.push_failures", 1);
+        let view = node.control.view();
+        let spread = node.control.spread.borrow();
+        let below = spread.bypass(version, &view, branch.target, branch.bypassed);
+        due.extend(below.into_iter().map(|target| Branch {
+            target,
+            bypassed: branch.bypassed + 1,
+        }));
+    }
+}
--- a/crates/daemon/src/control/tables.rs
+++ b/crates/daemon/src/control/tables.rs
@@ -1,64 +1,71 @@
-//! The tables that calls and operators read.
+//! The machines of the control side, and the views that others take of them.
 
-use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use ntex::channel::condition::{Condition, Waiter};
-use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
-use stoatstep_resource::wire::{MemberState, MemberStatus, QuarantineStatus, VersionHold};
-use stoatstep_resource::{ApplyError, Delta, InstanceId, State, UpstreamName, Version, ZoneName};
-
+use stoatstep_distribution::{
+    ColdStart, Offer, Poller, Quarantined, Repair, Replica, Serving, Spread, View,
+};
+use stoatstep_membership::{
+    self as membership, Input, MemberKey, MemberState, Membership, Time, starting_incarnation,
+};
+use stoatstep_resource::{Delta, State, Version};
+
+use super::directory::{Directory, Member};
+use super::traffic::Traffic;
 use crate::config::Config;
 use crate::in_force::InForce;
-use crate::node::Node;
-
-/// Deltas kept for watches and for peers that are a little behind.
-const RETAINED_DELTAS: usize = 256;
-
-/// Another instance, as it announced itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Member {
-    pub(crate) instance: InstanceId,
-    pub(crate) region: SmolStr,
-    pub(crate) zone: ZoneName,
-    pub(crate) upstream: UpstreamName,
-    pub(crate) caller_addr: SocketAddr,
-    pub(crate) peer_addr: SocketAddr,
-    pub(crate) operator_addr: SocketAddr,
-}
-
-/// What the whole fleet reports.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct FleetStatus {
-    pub(crate) members: Vec<MemberStatus>,
-    pub(crate) holds: Vec<VersionHold>,
-    pub(crate) quarantine: Vec<QuarantineStatus>,
-}
 
 /// The deltas asked for are no longer held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Trimmed;
 
-/// Configuration and membership as this daemon knows them.
+/// Configuration and membership as this daemon knows them. Borrows of the cells
+/// never last over an `await`, so that no two tasks meet in one.
 pub(crate) struct Control {
+    started: Instant,
     in_force: RefCell<Rc<InForce>>,
-    deltas: RefCell<VecDeque<Arc<Delta>>>,
-    members: RefCell<BTreeMap<InstanceId, Member>>,
+    directory: RefCell<Directory>,
     changed: Condition,
+    pub(super) membership: RefCell<Membership>,
+    pub(super) replica: RefCell<Replica>,
+    pub(super) serving: RefCell<Serving>,
+    pub(super) spread: RefCell<Spread>,
+    pub(super) repair: RefCell<Repair>,
+    pub(super) poller: RefCell<Poller>,
+    pub(super) cold_start: RefCell<ColdStart>,
+    pub(super) has_announced_leave: Cell<bool>,
+    pub(super) takes_snapshot: Cell<bool>,
+    pub(super) traffic: Traffic,
 }
 
 impl Control {
-    pub(crate) fn new(_cfg: &Config) -> Self {
+    pub(crate) fn new(cfg: &Config) -> Self {
+        let me = myself(cfg);
+        // Different for each life of the instance, or a herd of restarts would
+        // draw the same waits again.
+        let seed = me.key() ^ me.birth;
+        let membership = Membership::new(me, membership::Config::default(), seed);
+        let directory = Directory::new(membership.table());
         let empty = InForce::new(Arc::new(State::default()));
         Self {
+            started: Instant::now(),
             in_force: RefCell::new(Rc::new(empty)),
-            deltas: RefCell::default(),
-            members: RefCell::default(),
+            directory: RefCell::new(directory),
             changed: Condition::default(),
+            membership: RefCell::new(membership),
+            replica: RefCell::default(),
+            serving: RefCell::default(),
+            spread: RefCell::default(),
+            repair: RefCell::new(Repair::new(seed)),
+            poller: RefCell::new(Poller::new(seed)),
+            cold_start: RefCell::new(ColdStart::new(Time::ZERO, seed)),
+            has_announced_leave: Cell::new(false),
+            takes_snapshot: Cell::new(false),
+            traffic: Traffic::default(),
         }
     }
 
@@ -68,85 +75,35 @@
         Rc::clone(&self.in_force.borrow())
     }
 
-    /// Every instance known.
+    /// Every instance that takes part, this one included.
     pub(crate) fn members(&self) -> Vec<Member> {
-        self.members.borrow().values().cloned().collect()
+        self.directory.borrow().members()
     }
 
-    /// The instances that announced themselves as `upstream`.
+    /// The instances whose target serves `upstream`, the one to use last.
     pub(crate) fn serving(&self, upstream: &str) -> Vec<Member> {
-        let members = self.members.borrow();
-        let serving = members.values().filter(|it| it.upstream == upstream);
-        serving.cloned().collect()
-    }
-
-    pub(crate) fn set_members(&self, members: Vec<Member>) {
-        let by_id = members.into_iter().map(|it| (it.instance.clone(), it));
-        *self.members.borrow_mut() = by_id.collect();
-    }
-
-    /// Puts the next version in force, or leaves everything as it was.
-    pub(crate) fn apply(&self, delta: Delta) -> Result<(), ApplyError> {
-        let next = self.in_force().state.apply(&delta)?;
-        let mut deltas = self.deltas.borrow_mut();
-        deltas.push_back(Arc::new(delta));
-        if deltas.len() > RETAINED_DELTAS {
-            deltas.pop_front();
-        }
-        self.swap(Arc::new(next));
-        Ok(())
-    }
-
-    /// Puts a whole state in force if it is newer than the one held.
-    pub(crate) fn replace(&self, state: Arc<State>) {
-        if state.version() > self.in_force().state.version() {
-            self.deltas.borrow_mut().clear();
-            self.swap(state);
-        }
+        self.directory.borrow().serving(upstream)
     }
 
     /// The deltas after `version`, oldest first.
     pub(crate) fn deltas_after(&self, version: Version) -> Result<Vec<Arc<Delta>>, Trimmed> {
-        let held = self.in_force().state.version();
-        let deltas = self.deltas.borrow();
-        let first = deltas.front().map_or(held + 1, |it| it.version);
-        if version + 1 < first {
-            return Err(Trimmed);
-        }
-        Ok(deltas
-            .iter()
-            .filter(|it| it.version > version)
-            .cloned()
-            .collect())
+        let replica = self.replica.borrow();
+        replica.tail_after(version).ok_or(Trimmed)
     }
 
     /// The newest version received, in force or not.
     pub(crate) fn version_held(&self) -> Version {
-        self.in_force().state.version()
+        let replica = self.replica.borrow();
+        let refused = replica.quarantine().iter().map(|it| it.version).max();
+        refused.unwrap_or(0).max(replica.version())
     }
 
-    /// Whether a configuration is held by which calls can be served.
+    /// Whether this daemon knows enough to serve by what it holds; see
+    /// [`Serving`].
     pub(crate) fn may_serve(&self) -> bool {
-        self.version_held() > 0
-    }
-
-    /// Where each version holds, as far as this daemon knows.
-    #[allow(clippy::unused_async)]
-    pub(crate) async fn fleet_status(&self, _node: &Rc<Node>) -> FleetStatus {
-        let members = self.members().into_iter().map(|it| MemberStatus {
-            instance: it.instance,
-            region: it.region,
-            zone: it.zone,
-            upstream: it.upstream,
-            incarnation: 0,
-            state: MemberState::Alive,
-            version: 0,
-            since_unix_ms: 0,
-        });
-        FleetStatus {
-            members: members.collect(),
-            ..FleetStatus::default()
-        }
+        let others = self.membership.borrow().table().present().count() - 1;
+        let version = self.replica.borrow().version();
+        self.serving.borrow_mut().may_serve(version, others)
     }
 
     /// Ends when the version in force changes.
@@ -154,8 +111,89 @@
         self.changed.wait()
     }
 
-    fn swap(&self, state: Arc<State>) {
-        *self.in_force.borrow_mut() = Rc::new(InForce::new(state));
-        self.changed.notify();
+    /// Time since the start, as the machines want it. The clock goes on while
+    /// the process is stopped, by which it notices that it was.
+    pub(super) fn now(&self) -> Time {
+        self.started.elapsed()
+    }
+
+    /// The wall clock at an earlier time of this process.
+    pub(super) fn unix_ms(&self, at: Time) -> u64 {
+        let ago = self.now().saturating_sub(at);
+        let unix = unix_time().saturating_sub(ago);
+        u64::try_from(unix.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Offers something to the replica and puts in force what it takes.
+    pub(super) fn offer(&self, offer: impl FnOnce(&mut Replica, Time) -> Offer) -> Offer {
+        let outcome = offer(&mut self.replica.borrow_mut(), self.now());
+        self.put_in_force();
+        outcome
+    }
+
+    /// Puts in force what the replica holds, once this daemon may serve by it.
+    pub(super) fn put_in_force(&self) {
+        let state = Arc::clone(self.replica.borrow().state());
+        let is_newer = state.version() > self.in_force().state.version();
+        if is_newer && self.may_serve() {
+            *self.in_force.borrow_mut() = Rc::new(InForce::new(state));
+            self.changed.notify();
+        }
+        let mark = self.replica.borrow().mark();
+        let now = self.now();
+        self.membership.borrow_mut().handle(now, Input::Holds(mark));
+    }
+
+    /// Makes membership's changes visible to calls.
+    pub(super) fn refresh_directory(&self) {
+        let membership = self.membership.borrow();
+        *self.directory.borrow_mut() = Directory::new(membership.table());
+    }
+
+    pub(super) fn me(&self) -> MemberKey {
+        self.membership.borrow().me()
+    }
+
+    /// Members that take part in spreading, by zone.
+    pub(super) fn view(&self) -> View {
+        let mut view = View::new();
+        for (key, entry) in self.membership.borrow().table().present() {
+            let zone = entry.member.zone.clone();
+            view.entry(zone).or_default().push(key);
+        }
+        view
+    }
+
+    /// Where a member listens for other daemons.
+    pub(super) fn peer_addr(&self, key: MemberKey) -> Option<std::net::SocketAddr> {
+        let membership = self.membership.borrow();
+        membership.table().get(key).map(|it| it.member.peer)
+    }
+
+    /// Refused versions and forks that are not settled.
+    pub(super) fn quarantine(&self) -> Vec<Quarantined> {
+        self.replica.borrow().quarantine().to_vec()
+    }
+}
+
+fn unix_time() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
+
+fn myself(cfg: &Config) -> membership::Member {
+    let birth = starting_incarnation(unix_time(), None);
+    membership::Member {
+        instance: cfg.instance.clone(),
+        region: cfg.region.clone(),
+        zone: cfg.zone.clone(),
+        upstream: cfg.upstream.clone(),
+        caller: cfg.caller_addr,
+        peer: cfg.peer_addr,
+        operator: cfg.operator_addr,
+        birth,
+        incarnation: birth,
+        state: MemberState::Alive,
     }
 }
--- a/crates/daemon/src/operator/changes.rs
+++ b/crates/daemon/src/operator/changes.rs
@@ -2,11 +2,14 @@
 
 use std::rc::Rc;
 
+use ntex::http::header::{self, HeaderValue};
 use ntex::http::{Payload, Response, StatusCode};
-use stoatstep_resource::wire::{Change, ChangeRequest};
+use stoatstep_resource::wire::{Change, ChangeAnswer, ChangeRequest};
+use stoatstep_versionlog::WriteError;
 
 use super::{findings, refusal};
-use crate::http::read_body;
+use crate::control;
+use crate::http::{json, read_body};
 use crate::node::Node;
 
 /// Largest change, in bytes of JSON.
@@ -31,6 +34,31 @@
 }
 
 async fn submit(node: &Rc<Node>, change: Change) -> Response {
-    let _ = (node, change);
-    refusal(StatusCode::SERVICE_UNAVAILABLE, "not yet")
+    match control::submit(node, change).await {
+        Ok(accepted) => {
+            let version = accepted.version;
+            json(StatusCode::OK, &ChangeAnswer { version })
+        }
+        Err(err) => refused(&err),
+    }
+}
+
+fn refused(err: &WriteError) -> Response {
+    let status = match err {
+        WriteError::Conflict(_) | WriteError::OperationReused { .. } => StatusCode::CONFLICT,
+        WriteError::Invalid(_) | WriteError::Refused { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+        WriteError::Unavailable { .. }
+        | WriteError::Unsettled { .. }
+        | WriteError::Log(_)
+        | WriteError::Recovery(_) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut res = findings(status, err.findings());
+    if let Some(after) = err.retry_after() {
+        let seconds = after.as_secs_f64().ceil().max(1.0);
+        let value = HeaderValue::from_str(&format!("{seconds:.0}"));
+        if let Ok(value) = value {
+            res.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    res
 }
--- a/crates/membership/src/hearing.rs
+++ b/crates/membership/src/hearing.rs
@@ -167,6 +167,23 @@
         self.spread(me);
     }
 
+    /// Notes that a peer's request showed the same table as this one, before
+    /// anything that it carried was taken in. A reply tells nothing of the kind,
+    /// since whoever gives it has just taken in this daemon's own news.
+    pub(crate) fn note_agreement(&mut self, theirs: u64) {
+        if self.updates.is_empty() || theirs != self.table.digest() {
+            return;
+        }
+        let table = &self.table;
+        // A suspicion is not part of the digest, so agreement says nothing
+        // about it.
+        let is_in_digest = |key| {
+            let entry = table.get(key);
+            entry.is_none_or(|it| it.member.state != MemberState::Suspect)
+        };
+        self.updates.note_agreement(is_in_digest);
+    }
+
     fn compare_tables(&mut self, now: Time, peer: MemberKey, digest: u64) {
         if digest == self.table.digest() {
             self.mismatches = 0;
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -84,6 +84,7 @@
     pub fn answer(&mut self, now: Time, message: Exchange) -> (Exchange, Vec<Action>) {
         let from = message.from;
         let incarnation = message.incarnation;
+        self.note_agreement(message.table);
         self.hear(now, from, message);
         let mut reply = self.compose(now, from);
         let known = self.table.get(from).map(|it| it.member.incarnation);
--- a/crates/membership/src/updates.rs
+++ b/crates/membership/src/updates.rs
@@ -11,6 +11,9 @@
 /// Ticks for which fresh news is also sent to peers of its own.
 const HOT_TICKS: u8 = 2;
 
+/// Sends that one agreement with a peer stands for.
+const AGREEMENT: u32 = 6;
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Pending {
     sends_left: u32,
@@ -59,6 +62,18 @@
         }
     }
 
+    /// A peer's table turned out to be the same as this one: it knows the news,
+    /// and if some peers in a row do, everyone most likely does. Without this a
+    /// herd of 200 goes on telling each other its 200 rows for minutes.
+    pub(crate) fn note_agreement(&mut self, counts: impl Fn(MemberKey) -> bool) {
+        self.pending.retain(|key, pending| {
+            if pending.hot == 0 && counts(*key) {
+                pending.sends_left = pending.sends_left.saturating_sub(AGREEMENT);
+            }
+            pending.sends_left > 0
+        });
+    }
+
     /// Whether anything is fresh; counts one tick off.
     pub(crate) fn cool(&mut self) -> bool {
         let mut hot = false;
--- a/crates/membership/tests/all/failures.rs
+++ b/crates/membership/tests/all/failures.rs
@@ -27,7 +27,9 @@
 #[test]
 fn messages_at_rest_are_tens_of_bytes() {
     let mut fleet = settled(4, 8);
-    fleet.run(Duration::from_mins(2));
+    // Soon after a start of all: rows that everyone has must not go on being
+    // told for minutes.
+    fleet.run(Duration::from_secs(10));
     fleet.bytes = 0;
     fleet.run(Duration::from_mins(1));
     let per_node_second = fleet.bytes / (32 * 60);
