Drop a condition that nothing needed, and prove the others

The operation's own condition matters only where the platform's reads are not one view; the comment says so and a test tears the view. Three checks of damaged rows got tests of their own.

--- a/crates/versionlog/src/writer/mod.rs
+++ b/crates/versionlog/src/writer/mod.rs
@@ -15,7 +15,7 @@
 use crate::backoff::Backoff;
 use crate::config::LogConfig;
 use crate::error::LogError;
-use crate::keys::{log_key, operation_key};
+use crate::keys::operation_key;
 use crate::rows::{Head, HeadRow, LogEntry, OperationEntry};
 use crate::tail::{Tail, apply_all, read_head, read_tail, tail_request};
 
@@ -217,6 +217,10 @@
         WriteAction::Commit(req)
     }
 
+    /// The head's condition alone keeps one operation from landing twice, as
+    /// long as head and operation were read in one view. Should the platform
+    /// ever break that promise, a stale "absent" next to a fresh head would
+    /// make a second version; the operation's own condition refuses it.
     fn transaction(&self, prepared: &Prepared) -> CommitRequest {
         let operation = &self.change.operation;
         let entry = LogEntry {
@@ -232,7 +236,6 @@
             conditions: vec![
                 prepared.unchanged.clone(),
                 Condition::Absent(operation_key(operation)),
-                Condition::Absent(log_key(prepared.delta.version)),
             ],
             writes: vec![prepared.head.put(), entry.put(), done.put(operation)],
         }
--- a/crates/versionlog/tests/recovery.rs
+++ b/crates/versionlog/tests/recovery.rs
@@ -7,7 +7,7 @@
 use stoatstep_platform::{CommitRequest, MemoryPlatform, Operation, Outcome, Write};
 use stoatstep_resource::State;
 use stoatstep_versionlog::{
-    HEAD, LogConfig, LogError, RecoveryError, encode_snapshot, log_key, snapshot_name,
+    HEAD, Head, LogConfig, LogError, RecoveryError, encode_snapshot, log_key, snapshot_name,
 };
 use support::{fill, log, run};
 
@@ -28,13 +28,15 @@
 }
 
 fn put_row(platform: &MemoryPlatform, key: &str, value: Vec<u8>) {
+    let key = key.into();
+    commit(platform, Write::Put { key, value });
+}
+
+fn commit(platform: &MemoryPlatform, write: Write) {
     platform.with_table(|table| {
         table.commit(CommitRequest {
             conditions: Vec::new(),
-            writes: vec![Write::Put {
-                key: key.into(),
-                value,
-            }],
+            writes: vec![write],
         })
     });
 }
@@ -153,16 +155,41 @@
     // A row that the head vouches for is gone. Taken for the end, the daemon
     // would serve an old version as the newest.
     // Safeguard: `read_deltas` counts the versions.
+    for version in [29, 30] {
+        let (platform, _) = with_snapshots();
+        let key = log_key(version);
+        commit(&platform, Write::Delete { key });
+        let error = run(log(&platform, &cfg()).recover()).unwrap_err();
+        let missing = LogError::Missing { version };
+        assert_eq!(error, RecoveryError::Log(missing));
+    }
+}
+
+#[test]
+fn a_row_under_another_versions_key_is_named() {
     let (platform, _) = with_snapshots();
-    platform.with_table(|table| {
-        table.commit(CommitRequest {
-            conditions: Vec::new(),
-            writes: vec![Write::Delete { key: log_key(29) }],
-        })
-    });
+    let row = platform.with_table(|table| table.with_prefix(&log_key(29)).next());
+    put_row(&platform, &log_key(30), row.unwrap().value);
     let error = run(log(&platform, &cfg()).recover()).unwrap_err();
-    let missing = LogError::Missing { version: 29 };
-    assert_eq!(error, RecoveryError::Log(missing));
+    let text = format!("row {}: holds version 29", log_key(30));
+    assert_eq!(error.to_string(), text);
+}
+
+#[test]
+fn a_state_other_than_the_heads_is_not_served() {
+    // The head row and the log tell different stories. The daemon serves
+    // neither, since it can't tell which one the others hold.
+    // Safeguard: `Recovery::check` compares digests.
+    let (platform, _) = with_snapshots();
+    let log = log(&platform, &cfg());
+    let head = Head {
+        digest: State::default().digest(),
+        ..run(log.head()).unwrap()
+    };
+    commit(&platform, head.put());
+    let error = run(log.recover()).unwrap_err();
+    let differs = LogError::HeadDigest { version: 30 };
+    assert_eq!(error, RecoveryError::Log(differs));
 }
 
 #[test]
--- a/crates/versionlog/tests/writer.rs
+++ b/crates/versionlog/tests/writer.rs
@@ -5,9 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stoatstep_platform::{MemoryPlatform, Operation, Outcome};
+use stoatstep_platform::{CommitRequest, MemoryPlatform, Operation, Outcome, Platform, Write};
 use stoatstep_resource::State;
-use stoatstep_versionlog::{HEAD, LogConfig, LogError, Race, Tail, WriteAction, WriteError};
+use stoatstep_versionlog::{
+    HEAD, Head, LogConfig, LogError, Race, Tail, WriteAction, WriteError, WriteInput,
+};
 use support::{
     Stepper, change, fill, log, log_entries, operations, put_service, route, run, service,
     service_key, write,
@@ -116,6 +118,46 @@
     assert_eq!(state.get(&service_key("floatdesk")), None);
 }
 
+#[test]
+fn an_original_that_lands_after_its_version_was_trimmed_is_refused() {
+    // The original hangs while its retry lands, and for so long that the log
+    // and the operation's row are trimmed past it. When it arrives, nothing
+    // but the head is left to tell that version 1 was given away long ago;
+    // landing, it would move the head back to version 1.
+    // Safeguard: the transaction is conditioned on the head row's revision.
+    let platform = MemoryPlatform::new();
+    platform.script(Operation::Commit, Outcome::Delay);
+    write(&platform, put_service("op-1", "floatdesk")).unwrap();
+    let state = fill(&platform, 20);
+    let cfg = LogConfig::builder().retained_tail(4).build();
+    let log = log(&platform, &cfg);
+    run(log.snapshot(state)).unwrap();
+    assert!(!operations(&platform).contains(&"op-1".to_owned()));
+    assert!(platform.land_delayed());
+    assert_eq!(run(log.head()).unwrap().version, 20);
+}
+
+#[test]
+fn a_view_that_is_torn_makes_no_second_version() {
+    // A platform at fault answers a read with the newest head and a stale
+    // "absent" for the operation that is in it. The writer commits on top of
+    // its own change, is refused, and settles with the next read.
+    // Safeguard: the transaction is conditioned on the operation's absence.
+    let platform = MemoryPlatform::new();
+    write(&platform, put_service("op-1", "floatdesk")).unwrap();
+    let mut stepper = Stepper::new(put_service("op-1", "floatdesk"), 1);
+    let WriteAction::Read(req) = stepper.action.clone() else {
+        panic!("reads first");
+    };
+    let mut torn = run(platform.read(req)).unwrap();
+    torn.rows[1] = None;
+    let input = WriteInput::Read(Ok(torn));
+    stepper.action = stepper.writer.step(Duration::ZERO, input);
+    assert!(stepper.commits_next());
+    assert_eq!(stepper.finish(&platform).unwrap().version, 1);
+    assert_eq!(operations(&platform), ["op-1"]);
+}
+
 #[test]
 fn the_operators_own_retry_gets_the_first_result() {
     // The operator's connection ends before the answer; the tool sends the
@@ -370,9 +412,9 @@
     platform.with_table(|table| {
         let key = "log/00000000000000000002".into();
         let value = vec![0xc1, 0, 1];
-        table.commit(stoatstep_platform::CommitRequest {
+        table.commit(CommitRequest {
             conditions: Vec::new(),
-            writes: vec![stoatstep_platform::Write::Put { key, value }],
+            writes: vec![Write::Put { key, value }],
         });
     });
     let error = write(&platform, put_service("op", "late")).unwrap_err();
@@ -383,3 +425,26 @@
     let head = platform.with_table(|table| table.with_prefix(HEAD).count());
     assert_eq!(head, 1);
 }
+
+#[test]
+fn a_head_with_another_digest_is_not_built_upon() {
+    // The head row and the log tell different stories (a row was put back from
+    // a backup). A version built on top could be applied by nobody else.
+    // Safeguard: the caught-up state is held against the head's digest.
+    let platform = MemoryPlatform::new();
+    let state = fill(&platform, 2);
+    let log = log(&platform, &LogConfig::default());
+    let head = Head {
+        digest: State::default().digest(),
+        ..run(log.head()).unwrap()
+    };
+    platform.with_table(|table| {
+        table.commit(CommitRequest {
+            conditions: Vec::new(),
+            writes: vec![head.put()],
+        })
+    });
+    let refused = run(log.write(put_service("op", "late"), "tester".into(), state));
+    let error = LogError::HeadDigest { version: 2 };
+    assert_eq!(refused, Err(WriteError::Log(error)));
+}
