--- a/crates/load/src/load/attempt.rs
+++ b/crates/load/src/load/attempt.rs
@@ -7,6 +7,7 @@
 use ntex::client::{Client, ClientResponse, Connector};
 use ntex::http::{HeaderMap, Method, StatusCode};
 use ntex::time::{Millis, Seconds, timeout_checked};
+use smol_str::SmolStr;
 use stoatstep_standin_target::{Answer, AnswerError};
 
 use crate::load::plan::{AttemptNumber, Call, Verb};
@@ -40,11 +41,15 @@
     NotRun {
         /// When to come back; `None` where coming back won't help.
         retry_after: Option<Duration>,
+        /// The system's word for why.
+        reason: SmolStr,
     },
     /// It may have run.
     Unknown {
         /// When to come back.
         retry_after: Duration,
+        /// The system's word for why, or the caller's own.
+        reason: SmolStr,
     },
     /// Nothing was sent, since no connection came about.
     Unsent,
@@ -80,9 +85,7 @@
     pub(crate) async fn send(&self, call: &Call, number: AttemptNumber, to: SocketAddr) -> Reply {
         let patience = Millis::from(self.deadline + GRACE);
         let reply = timeout_checked(patience, self.exchange(call, number, to)).await;
-        reply.unwrap_or(Reply::Unknown {
-            retry_after: DEFAULT_RETRY_AFTER,
-        })
+        reply.unwrap_or_else(|()| unknown("caller-timeout"))
     }
 
     async fn exchange(&self, call: &Call, number: AttemptNumber, to: SocketAddr) -> Reply {
@@ -118,9 +121,7 @@
         match told(res.status(), res.headers()) {
             Reply::Answered => match res.body().await {
                 Ok(body) => self.check(call, number, &body),
-                Err(_) => Reply::Unknown {
-                    retry_after: DEFAULT_RETRY_AFTER,
-                },
+                Err(_) => unknown("body-cut-short"),
             },
             other => {
                 // Read to its end, so that the connection is used again.
@@ -157,21 +158,27 @@
     let text = |name: &str| headers.get(name).and_then(|it| it.to_str().ok());
     let wait = text("stoatstep-retry-after-ms").and_then(|it| it.parse().ok());
     let wait = wait.map_or(DEFAULT_RETRY_AFTER, Duration::from_millis);
+    let reason = text("stoatstep-reason").map_or_else(|| status.as_str().into(), SmolStr::new);
     match text("stoatstep-outcome") {
-        Some("not-run") => refused(status, wait),
+        Some("not-run") => refused(status, wait, reason),
         Some("answered") | None if status.is_success() => Reply::Answered,
         Some("answered") | None if text("stoatstep-shed") == Some("1") => Reply::NotRun {
             retry_after: Some(wait),
+            reason,
+        },
+        _ => Reply::Unknown {
+            retry_after: wait,
+            reason,
         },
-        _ => Reply::Unknown { retry_after: wait },
     }
 }
 
 /// A refusal for the caller's own mistake comes again however often it tries.
-fn refused(status: StatusCode, wait: Duration) -> Reply {
+fn refused(status: StatusCode, wait: Duration, reason: SmolStr) -> Reply {
     let again = !status.is_client_error() || status == StatusCode::TOO_MANY_REQUESTS;
     Reply::NotRun {
         retry_after: again.then_some(wait),
+        reason,
     }
 }
 
@@ -182,8 +189,14 @@
         ClientError::Connect(ConnectError::Disconnected(Some(_)) | ConnectError::Timeout) => {
             Reply::Unsent
         }
-        _ => Reply::Unknown {
-            retry_after: DEFAULT_RETRY_AFTER,
-        },
+        _ => unknown("connection-lost"),
+    }
+}
+
+/// An outcome that only the caller itself knows of.
+fn unknown(reason: &'static str) -> Reply {
+    Reply::Unknown {
+        retry_after: DEFAULT_RETRY_AFTER,
+        reason: SmolStr::new_static(reason),
     }
 }
--- a/crates/load/src/load/caller.rs
+++ b/crates/load/src/load/caller.rs
@@ -70,17 +70,22 @@
         rng: &mut Xoshiro256PlusPlus,
     ) -> Step {
         let wait = match reply {
-            Reply::Answered | Reply::Wrong(_) | Reply::NotRun { retry_after: None } => {
-                return Step::End;
-            }
+            Reply::Answered
+            | Reply::Wrong(_)
+            | Reply::NotRun {
+                retry_after: None, ..
+            } => return Step::End,
             // Without a key, another try could run the intent twice.
             Reply::Unknown { .. } if call.verb == Verb::Post && call.key.is_none() => {
                 return Step::End;
             }
             Reply::NotRun {
                 retry_after: Some(wait),
+                ..
             }
-            | Reply::Unknown { retry_after: wait } => *wait,
+            | Reply::Unknown {
+                retry_after: wait, ..
+            } => *wait,
             Reply::Unsent => UNSENT_WAIT,
         };
         // Jitter keeps callers that were refused together from coming back
--- a/crates/load/src/load/print.rs
+++ b/crates/load/src/load/print.rs
@@ -1,8 +1,10 @@
 //! The report as a table for people or JSON lines for programs.
 
+use std::collections::BTreeMap;
 use std::io::{self, Write};
 
 use serde::Serialize;
+use smol_str::SmolStr;
 
 use crate::load::audit::Audit;
 use crate::load::report::{Report, Series, Tally};
@@ -19,11 +21,12 @@
 }
 
 #[derive(Serialize)]
-struct RefusalLine {
+struct RefusalLine<'a> {
     refusals: u64,
     refusal_p50_ms: f64,
     refusal_p99_ms: f64,
     schedule_lag_ms: f64,
+    reasons: &'a BTreeMap<SmolStr, u64>,
 }
 
 impl<'a> Line<'a> {
@@ -45,12 +48,13 @@
     each.chain([Line::new("all", "all", &report.total)])
 }
 
-fn refusals(report: &Report) -> RefusalLine {
+fn refusals(report: &Report) -> RefusalLine<'_> {
     RefusalLine {
         refusals: report.refusals.count(),
         refusal_p50_ms: report.refusals.percentile_ms(50.0),
         refusal_p99_ms: report.refusals.percentile_ms(99.0),
         schedule_lag_ms: report.schedule_lag.as_secs_f64() * 1e3,
+        reasons: &report.reasons,
     }
 }
 
@@ -111,6 +115,9 @@
         "refused attempts: {}, within {:.2} ms (p50) and {:.2} ms (p99)",
         refusals.refusals, refusals.refusal_p50_ms, refusals.refusal_p99_ms,
     )?;
+    for (reason, count) in refusals.reasons {
+        writeln!(out, "  {reason}: {count} attempts not answered")?;
+    }
     if let Some(audit) = audit {
         writeln!(
             out,
--- a/crates/load/src/load/record.rs
+++ b/crates/load/src/load/record.rs
@@ -31,6 +31,8 @@
     pub(crate) refusals: Vec<Duration>,
     /// Markers of the attempts that the caller was told did not run.
     pub(crate) refused_markers: Vec<SmolStr>,
+    /// Why attempts were not answered.
+    pub(crate) reasons: Vec<SmolStr>,
     /// Marker of the answered attempt.
     pub(crate) answered_marker: Option<SmolStr>,
     maybe_ran: bool,
@@ -48,6 +50,7 @@
             latency: Duration::ZERO,
             refusals: Vec::new(),
             refused_markers: Vec::new(),
+            reasons: Vec::new(),
             answered_marker: None,
             maybe_ran: false,
         }
@@ -63,12 +66,16 @@
         self.attempts = number;
         self.outcome = Outcome::from(reply);
         match reply {
-            Reply::NotRun { .. } => {
+            Reply::NotRun { reason, .. } => {
+                self.reasons.push(reason.clone());
                 self.refusals.push(took);
                 self.refused_markers.push(call.marker(number));
             }
             Reply::Unsent => self.refused_markers.push(call.marker(number)),
-            Reply::Unknown { .. } => self.maybe_ran = true,
+            Reply::Unknown { reason, .. } => {
+                self.reasons.push(reason.clone());
+                self.maybe_ran = true;
+            }
             Reply::Answered => self.answered_marker = Some(call.marker(number)),
             Reply::Wrong(_) => {}
         }
--- a/crates/load/src/load/report.rs
+++ b/crates/load/src/load/report.rs
@@ -116,6 +116,8 @@
     pub series: BTreeMap<(SmolStr, SmolStr), Series>,
     /// From sending to the refusal, over all refused attempts.
     pub refusals: Histogram,
+    /// Attempts that were not answered, by the word for why.
+    pub reasons: BTreeMap<SmolStr, u64>,
     /// What ended when, from the start of the load.
     pub timeline: Vec<Bucket>,
     /// How late calls were sent at worst: the load's own shortfall.
@@ -150,6 +152,9 @@
         for took in &record.refusals {
             self.refusals.record(*took);
         }
+        for reason in &record.reasons {
+            *self.reasons.entry(reason.clone()).or_default() += 1;
+        }
         let bucket = self.bucket(since_start);
         if answered {
             bucket.answered += 1;
