Run calls through admission, ledger, intents and revoke in the daemon

The thin path lost what it could not tell apart: a broken connection was unknown, a drain cut attempts on idle connections, any executor ran any key.

Entry and executor now use the machines of stoatstep-calls. Runs are tasks of their own, so an answer outlives the entry's connection and a revoke over a fresh one settles it; a caller that goes away sends a cancel, which reaches the target. SIGTERM starts the drain and ports close after the last answer.

Ruled out: the HTTP library's own graceful stop, which closes idle connections at once with attempts on their way.

--- a/crates/daemon/src/call/entry.rs
+++ b/crates/daemon/src/call/entry.rs
@@ -1,103 +1,240 @@
-//! Entry: takes a caller's request, picks an executor and brings back its
-//! answer.
+//! Entry: takes a caller's request, has it run, and brings back the whole
+//! answer or says truly why there is none.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use ntex::client::error::ClientError;
-use ntex::http::{Method, Request, Response, StatusCode};
-use ntex::time::Millis;
-use rand::RngExt;
-
-use super::headers;
-use super::outcome::{Outcome, Reason, refuse};
-use crate::control::Member;
-use crate::control::peer::PEER_TOKEN;
-use crate::http::read_body;
-use crate::in_force::InForce;
+use ntex::http::{Request, Response};
+use ntex::time::sleep;
+use stoatstep_calls::{
+    Backoff, Outcome, Reason, Refusal, Report, Settlement, Time, home_of, may_retry,
+};
+use stoatstep_resource::UpstreamName;
+use stoatstep_telemetry::Stage;
+
+use super::attempt::{self, Ended};
+use super::in_flight::InFlight;
+use super::request::{Call, Rejected};
+use super::respond;
+use super::tables::EntryTables;
+use super::target::RunEnd;
 use crate::node::Node;
 
-/// Largest request or answer body, in bytes.
-const MAX_BODY: usize = 256 * 1024;
-const RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Pause asked for while this daemon cannot take calls.
+const DRAINING_RETRY: Duration = Duration::from_millis(100);
+
+/// Pause asked for where no executor can be reached.
+const UNREACHABLE_RETRY: Duration = Duration::from_millis(250);
+
+/// Least time that another attempt is worth starting for.
+const LEAST_ATTEMPT: Duration = Duration::from_millis(1);
 
 /// Answers one caller.
 pub(crate) async fn handle(node: &Rc<Node>, mut req: Request) -> Response {
-    if node.draining.get() {
-        return refuse(Outcome::NotRun, Reason::Draining, RETRY_AFTER);
+    let version = node.control.in_force().state.version();
+    if !node.calls.drain.borrow().admits() {
+        let refusal = Refusal::retry(Reason::Draining, DRAINING_RETRY);
+        return respond::refused(&refusal, &[], version);
     }
-    let in_force = node.control.in_force();
-    let Some(route) = in_force.route(req.path()).cloned() else {
-        return refuse(Outcome::NotRun, Reason::NoRoute, RETRY_AFTER);
-    };
-    let Ok(body) = read_body(req.take_payload(), MAX_BODY).await else {
-        return refuse(Outcome::NotRun, Reason::BadRequest, RETRY_AFTER);
-    };
-    let Some(member) = pick(node, &in_force, &route.route.service) else {
-        return refuse(Outcome::NotRun, Reason::NoUpstream, RETRY_AFTER);
-    };
-    let timeout = deadline(&req).unwrap_or(route.policy.timeout);
-    let mut attempt = node
-        .peers
-        .request(
-            Method::POST,
-            format!("http://{}/peer/attempt", member.peer_addr),
-        )
-        .timeout(Millis::from(timeout))
-        .header(PEER_TOKEN, node.cfg.peer_token.as_str())
-        .header(headers::CALL_METHOD, req.method().as_str())
-        .header(headers::CALL_PATH, req.uri().to_string())
-        .header(headers::DEADLINE_MS, timeout.as_millis().to_string());
-    for name in [
-        headers::TENANT,
-        headers::CLASS,
-        headers::DEPTH,
-        headers::IDEMPOTENCY_KEY,
-        headers::REQUEST_ID,
-        "content-type",
-        "stoat-marker",
-    ] {
-        if let Some(value) = req.headers().get(name) {
-            attempt = attempt.header(name, value.clone());
+    let _in_flight = InFlight::enter(node);
+    let started = node.calls.clock.now();
+    let call = match Call::read(node, &mut req).await {
+        Ok(call) => call,
+        Err(Rejected { refusal, findings }) => {
+            return respond::refused(&refusal, &findings, version);
         }
+    };
+    let ended = carry(node, &call).await;
+    record(node, &call, &ended, started);
+    let version = call.in_force.state.version();
+    match &ended.end {
+        RunEnd::Done(answer) => respond::answered(answer, version),
+        RunEnd::Refused(refusal) => respond::refused(refusal, &[], version),
     }
-    match attempt.send_body(body).await {
-        Ok(answer) => {
-            let mut res = Response::build(answer.status());
-            for (name, value) in answer.headers() {
-                res.header(name.clone(), value.clone());
-            }
-            res.header(headers::VERSION, in_force.state.version().to_string());
-            match read_body(answer.take_payload(), MAX_BODY).await {
-                Ok(body) => res.body(body),
-                Err(_) => refuse(Outcome::Unknown, Reason::LostAnswer, RETRY_AFTER),
+}
+
+/// Makes attempts until one settles the call.
+async fn carry(node: &Rc<Node>, call: &Call) -> Ended {
+    let mut tried = Vec::new();
+    let mut made = 0;
+    earn(node, call);
+    loop {
+        made += 1;
+        let ended = match choose(node, call, &tried) {
+            Some((upstream, addr)) => {
+                let ended = attempt_at(node, call, &upstream, addr).await;
+                tried.push(upstream);
+                ended
             }
+            None => unreachable(call),
+        };
+        let RunEnd::Refused(refusal) = &ended.end else {
+            return ended;
+        };
+        let Some(pause) = next_pause(node, call, refusal, made) else {
+            return ended;
+        };
+        if call.key.is_some() || tried.len() >= upstreams(call).len() {
+            tried.clear();
         }
-        Err(ClientError::Connect(_)) => refuse(Outcome::NotRun, Reason::NoUpstream, RETRY_AFTER),
-        Err(_) => refuse(Outcome::Unknown, Reason::LostAnswer, RETRY_AFTER),
+        sleep(pause).await;
     }
 }
 
-fn pick(node: &Node, in_force: &InForce, service: &str) -> Option<Member> {
-    let mut candidates: Vec<Member> = in_force
-        .upstreams_of(service)
-        .iter()
-        .flat_map(|upstream| node.control.serving(upstream))
-        .collect();
-    if candidates.is_empty() {
+fn upstreams(call: &Call) -> &[UpstreamName] {
+    call.in_force.upstreams_of(&call.parts.service)
+}
+
+fn unreachable(call: &Call) -> Ended {
+    let reason = match call.key {
+        Some(_) => Reason::HomeUnreachable,
+        None => Reason::NoUpstream,
+    };
+    let refusal = Refusal::retry(reason, UNREACHABLE_RETRY);
+    Ended::not_tried(RunEnd::Refused(refusal))
+}
+
+/// The executor of the next attempt. A key has exactly one, whatever its load:
+/// at another one it could run a second time.
+fn choose(
+    node: &Rc<Node>,
+    call: &Call,
+    tried: &[UpstreamName],
+) -> Option<(UpstreamName, SocketAddr)> {
+    let upstream = if let Some(key) = &call.key {
+        let names = upstreams(call).iter().cloned().collect();
+        home_of(&names, key)?.clone()
+    } else {
+        let now = node.calls.clock.now();
+        let mut tables = node.calls.entry.borrow_mut();
+        let EntryTables { router, rng, .. } = &mut *tables;
+        router.pick(&call.parts.service, tried, now, rng)?.upstream
+    };
+    let member = node.control.serving(&upstream).pop()?;
+    Some((upstream, member.peer_addr))
+}
+
+async fn attempt_at(
+    node: &Rc<Node>,
+    call: &Call,
+    upstream: &UpstreamName,
+    addr: SocketAddr,
+) -> Ended {
+    let service = &call.parts.service;
+    node.calls
+        .entry
+        .borrow_mut()
+        .router
+        .started(service, upstream);
+    let mut outstanding = Outstanding {
+        node,
+        call,
+        upstream,
+        report: Report::Cancelled,
+    };
+    let ended = attempt::run(node, call, addr).await;
+    outstanding.report = ended.report;
+    ended
+}
+
+fn earn(node: &Rc<Node>, call: &Call) {
+    let percent = call.route.policy.retry.budget_percent;
+    let mut tables = node.calls.entry.borrow_mut();
+    let service = call.parts.service.clone();
+    tables.budgets.entry(service).or_default().earn(percent);
+}
+
+/// Pause before another attempt, or `None` where there is none.
+fn next_pause(node: &Rc<Node>, call: &Call, refusal: &Refusal, made: u32) -> Option<Duration> {
+    let settlement = match refusal.outcome() {
+        Outcome::NotRun => Settlement::NotRun,
+        Outcome::Unknown | Outcome::Answered => Settlement::Unknown,
+    };
+    let allowed = call.route.policy.retry.attempts;
+    let parts = &call.parts;
+    let may = may_retry(settlement, parts.idempotent, parts.depth, made, allowed);
+    if !may || !can_help(refusal.reason) {
         return None;
     }
-    let chosen = rand::rng().random_range(0..candidates.len());
-    Some(candidates.swap_remove(chosen))
+    let left = call.deadline.left(node.calls.clock.now());
+    let mut tables = node.calls.entry.borrow_mut();
+    let floor = floor(call, refusal);
+    let rng = &mut tables.rng;
+    let pause = Backoff::default().pause(made, floor, LEAST_ATTEMPT, left, rng)?;
+    let budget = tables.budgets.entry(parts.service.clone()).or_default();
+    budget.take().then_some(pause)
+}
+
+/// Another executor need not wait for the first one's queue; a key's only home
+/// has to.
+fn floor(call: &Call, refusal: &Refusal) -> Duration {
+    match call.key {
+        Some(_) => refusal.retry_after.unwrap_or_default(),
+        None => Duration::ZERO,
+    }
+}
+
+/// Whether another attempt can end otherwise.
+fn can_help(reason: Reason) -> bool {
+    !matches!(
+        reason,
+        Reason::Deadline
+            | Reason::TimedOut
+            | Reason::BadRequest
+            | Reason::TooLarge
+            | Reason::KeyReused
+            | Reason::KeyFromFuture
+            | Reason::KeyExpired
+            | Reason::KeyUnsettled
+    )
+}
+
+fn record(node: &Rc<Node>, call: &Call, ended: &Ended, started: Time) {
+    let total = node.calls.clock.now().saturating_sub(started);
+    let daemon = total.saturating_sub(ended.queue + ended.target);
+    let tenant = call.parts.tenant.as_str();
+    let class = call.parts.class.as_str();
+    let stages = [
+        (Stage::Total, total),
+        (Stage::Daemon, daemon),
+        (Stage::Queue, ended.queue),
+        (Stage::Target, ended.target),
+    ];
+    let mut histograms = node.calls.histograms.borrow_mut();
+    for (stage, time) in stages {
+        histograms.record(tenant, class, stage, time);
+    }
+    drop(histograms);
+    node.metrics.count(counter(&ended.end), 1);
 }
 
-fn deadline(req: &Request) -> Option<Duration> {
-    let text = req.headers().get(headers::DEADLINE_MS)?.to_str().ok()?;
-    text.parse().ok().map(Duration::from_millis)
+fn counter(end: &RunEnd) -> &'static str {
+    let RunEnd::Refused(refusal) = end else {
+        return "calls.answered";
+    };
+    match refusal.outcome() {
+        Outcome::NotRun => "calls.not_run",
+        Outcome::Unknown | Outcome::Answered => "calls.unknown",
+    }
+}
+
+/// An attempt that the router counts. A caller that goes away drops it here, or
+/// the upstream would look busier with each one, and in the end never be chosen.
+struct Outstanding<'a> {
+    node: &'a Rc<Node>,
+    call: &'a Call,
+    upstream: &'a UpstreamName,
+    report: Report,
 }
 
-/// Whether the answer's status says that the call ended.
-#[allow(dead_code)]
-fn is_final(status: StatusCode) -> bool {
-    status != StatusCode::SERVICE_UNAVAILABLE
+impl Drop for Outstanding<'_> {
+    fn drop(&mut self) {
+        let now = self.node.calls.clock.now();
+        let service = &self.call.parts.service;
+        let mut tables = self.node.calls.entry.borrow_mut();
+        tables
+            .router
+            .finished(service, self.upstream, self.report, now);
+    }
 }
--- a/crates/daemon/src/call/executor.rs
+++ b/crates/daemon/src/call/executor.rs
@@ -1,74 +1,132 @@
-//! Executor: runs an attempt of an entry daemon on this instance's target.
+//! Executor: runs attempts of entries on this instance's target.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use ntex::client::error::ClientError;
-use ntex::http::{Method, Request, Response};
-use ntex::time::Millis;
+use ntex::http::{Request, Response, StatusCode};
+use serde::de::DeserializeOwned;
+use stoatstep_calls::{Arrival, AttemptId, Reason, Refusal, Settled};
 
-use super::headers;
-use super::outcome::{Outcome, Reason, refuse};
-use crate::http::read_body;
+use super::in_flight::InFlight;
+use super::run::{self, Report};
+use super::target::RunEnd;
+use super::wire::{Attempt, WireAttempt, WireEnd, WireReply};
+use super::{homes, peers, settle};
+use crate::http::{from_msgpack, msgpack, read_body};
 use crate::node::Node;
 
-const MAX_BODY: usize = 256 * 1024;
-const RETRY_AFTER: Duration = Duration::from_millis(250);
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after which another executor has heard of the drain.
+const DRAINING_RETRY: Duration = Duration::from_millis(100);
 
-/// Runs one attempt.
-pub(crate) async fn handle(node: &Rc<Node>, mut req: Request) -> Response {
-    let Ok(body) = read_body(req.take_payload(), MAX_BODY).await else {
-        return refuse(Outcome::NotRun, Reason::BadRequest, RETRY_AFTER);
+/// Answers one message of another daemon about calls; `None` where it is about
+/// something else.
+pub(crate) async fn handle(node: &Rc<Node>, req: &mut Request) -> Option<Response> {
+    let path = req.path().to_owned();
+    let answer = match path.as_str() {
+        "/peer/attempt" => attempt(node, req).await,
+        "/peer/peek" => decoded(req).await.map(|it| ok(&settle::peek(node, it))),
+        "/peer/revoke" => decoded(req).await.map(|it| ok(&settle::revoke(node, it))),
+        "/peer/cancel" => decoded(req).await.map(|it| ok(&settle::cancel(node, it))),
+        "/peer/home" => decoded(req).await.map(|it| ok(&homes::answer(node, &it))),
+        _ => return None,
     };
-    let Some((method, path)) = requested(&req) else {
-        return refuse(Outcome::NotRun, Reason::BadRequest, RETRY_AFTER);
+    Some(answer.unwrap_or_else(|| Response::new(StatusCode::BAD_REQUEST)))
+}
+
+fn ok(body: &impl serde::Serialize) -> Response {
+    msgpack(StatusCode::OK, body)
+}
+
+async fn decoded<T: DeserializeOwned>(req: &mut Request) -> Option<T> {
+    let body = read_body(req.take_payload(), peers::MAX_MESSAGE)
+        .await
+        .ok()?;
+    from_msgpack(&body).ok()
+}
+
+async fn attempt(node: &Rc<Node>, req: &mut Request) -> Option<Response> {
+    let wire: WireAttempt = decoded(req).await?;
+    let attempt = Attempt::try_from(wire).ok()?;
+    Some(ok(&execute(node, attempt).await))
+}
+
+/// Runs one attempt. Also the way of an entry to its own target, without a
+/// connection in between.
+pub(super) async fn execute(node: &Rc<Node>, attempt: Attempt) -> WireReply {
+    let report = match arrive(node, &attempt) {
+        Ok(()) => carry(node, attempt).await,
+        Err(end) => Report::of(end),
     };
-    let timeout = req
-        .headers()
-        .get(headers::DEADLINE_MS)
-        .and_then(|it| it.to_str().ok()?.parse().ok())
-        .map_or(DEFAULT_TIMEOUT, Duration::from_millis);
-    let url = format!("http://{}{path}", node.cfg.target_addr);
-    let mut call = node
-        .calls
-        .target
-        .request(method, url)
-        .timeout(Millis::from(timeout));
-    for (name, value) in req.headers() {
-        if !is_between_daemons(name.as_str()) {
-            call = call.header(name.clone(), value.clone());
-        }
+    reply(node, report)
+}
+
+fn arrive(node: &Rc<Node>, attempt: &Attempt) -> Result<(), RunEnd> {
+    if !node.calls.drain.borrow().admits() {
+        let refusal = Refusal::retry(Reason::Draining, DRAINING_RETRY);
+        return Err(RunEnd::Refused(refusal));
     }
-    match call.send_body(body).await {
-        Ok(answer) => {
-            let mut res = Response::build(answer.status());
-            for (name, value) in answer.headers() {
-                res.header(name.clone(), value.clone());
-            }
-            let shed = answer.header(headers::SHED).is_some();
-            res.header(headers::OUTCOME, if shed { "not-run" } else { "answered" });
-            match read_body(answer.take_payload(), MAX_BODY).await {
-                Ok(body) => res.body(body),
-                Err(_) => refuse(Outcome::Unknown, Reason::LostAnswer, RETRY_AFTER),
-            }
-        }
-        Err(ClientError::Connect(_)) => refuse(Outcome::NotRun, Reason::NoUpstream, RETRY_AFTER),
-        Err(_) => refuse(Outcome::Unknown, Reason::LostAnswer, RETRY_AFTER),
+    let now = node.calls.clock.now();
+    let mut tables = node.calls.executor.borrow_mut();
+    match tables.ledger.arrive(attempt.id, attempt.ticket, now) {
+        Arrival::New => Ok(()),
+        Arrival::Refused(refusal) => Err(RunEnd::Refused(refusal)),
+        Arrival::Seen(Settled::Done(answer)) => Err(RunEnd::Done(answer)),
+        Arrival::Seen(_) => Err(RunEnd::refused(Reason::LostAnswer)),
     }
 }
 
-fn requested(req: &Request) -> Option<(Method, String)> {
-    let text = |name| req.headers().get(name)?.to_str().ok();
-    let method = Method::from_bytes(text(headers::CALL_METHOD)?.as_bytes()).ok()?;
-    let path = text(headers::CALL_PATH)?;
-    path.starts_with('/').then(|| (method, path.to_owned()))
+async fn carry(node: &Rc<Node>, attempt: Attempt) -> Report {
+    let in_flight = InFlight::enter(node);
+    let id = attempt.id;
+    let idempotent = attempt.call.idempotent;
+    let ended = run::start(node, attempt, in_flight);
+    let gone = OnGone {
+        node,
+        id,
+        armed: idempotent,
+    };
+    let report = ended.await;
+    gone.disarm();
+    report.unwrap_or_else(|_| Report::of(RunEnd::refused(Reason::LostAnswer)))
 }
 
-fn is_between_daemons(name: &str) -> bool {
-    matches!(
-        name,
-        "host" | "content-length" | "connection" | "transfer-encoding" | "stoatstep-peer"
-    ) || name == headers::CALL_METHOD
-        || name == headers::CALL_PATH
+fn reply(node: &Rc<Node>, report: Report) -> WireReply {
+    let now = node.calls.clock.now();
+    let tables = node.calls.executor.borrow();
+    WireReply {
+        ticket: tables.ledger.ticket(now),
+        load: tables.admission.load(),
+        queue_us: micros(report.queue),
+        target_us: micros(report.target),
+        end: match report.end {
+            RunEnd::Done(answer) => WireEnd::Answered(answer),
+            RunEnd::Refused(refusal) => WireEnd::Refused(refusal),
+        },
+    }
+}
+
+pub(super) fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// Cancels the run when the entry's connection goes. Only for runs that may be
+/// repeated: the answer of another one may still be asked for.
+struct OnGone<'a> {
+    node: &'a Rc<Node>,
+    id: AttemptId,
+    armed: bool,
+}
+
+impl OnGone<'_> {
+    fn disarm(mut self) {
+        self.armed = false;
+    }
+}
+
+impl Drop for OnGone<'_> {
+    fn drop(&mut self) {
+        if self.armed {
+            run::cancel(self.node, self.id);
+        }
+    }
 }
--- a/crates/daemon/src/call/headers.rs
+++ b/crates/daemon/src/call/headers.rs
@@ -1,20 +1,40 @@
 //! Names of the headers that calls carry. See
 //! `docs/contributing/interfaces.md`.
 
-pub(crate) const TENANT: &str = "stoatstep-tenant";
-pub(crate) const CLASS: &str = "stoatstep-class";
-pub(crate) const DEADLINE_MS: &str = "stoatstep-deadline-ms";
-pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
-pub(crate) const DEPTH: &str = "stoatstep-depth";
-pub(crate) const REQUEST_ID: &str = "stoatstep-request-id";
-pub(crate) const ATTEMPT: &str = "stoatstep-attempt";
-pub(crate) const OUTCOME: &str = "stoatstep-outcome";
-pub(crate) const REASON: &str = "stoatstep-reason";
-pub(crate) const RETRY_AFTER: &str = "retry-after";
-pub(crate) const RETRY_AFTER_MS: &str = "stoatstep-retry-after-ms";
-pub(crate) const VERSION: &str = "stoatstep-version";
-pub(crate) const SHED: &str = "stoatstep-shed";
-/// Between daemons: the caller's method.
-pub(crate) const CALL_METHOD: &str = "stoatstep-method";
-/// Between daemons: the caller's path and query.
-pub(crate) const CALL_PATH: &str = "stoatstep-path";
+pub(super) const TENANT: &str = "stoatstep-tenant";
+pub(super) const CLASS: &str = "stoatstep-class";
+pub(super) const DEADLINE_MS: &str = "stoatstep-deadline-ms";
+pub(super) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+pub(super) const DEPTH: &str = "stoatstep-depth";
+pub(super) const REQUEST_ID: &str = "stoatstep-request-id";
+pub(super) const ATTEMPT: &str = "stoatstep-attempt";
+pub(super) const OUTCOME: &str = "stoatstep-outcome";
+pub(super) const REASON: &str = "stoatstep-reason";
+pub(super) const RETRY_AFTER: &str = "retry-after";
+pub(super) const RETRY_AFTER_MS: &str = "stoatstep-retry-after-ms";
+pub(super) const VERSION: &str = "stoatstep-version";
+pub(super) const SHED: &str = "stoatstep-shed";
+
+/// What the names of our own headers begin with.
+const OWN_PREFIX: &str = "stoatstep-";
+
+/// Whether a header passes from the caller to the target and back. Those of
+/// one connection end with it, and ours are written anew on each side, so that
+/// neither side can forge them for the other.
+pub(super) fn passes(name: &str) -> bool {
+    let of_connection = matches!(
+        name,
+        "host"
+            | "connection"
+            | "keep-alive"
+            | "proxy-connection"
+            | "te"
+            | "trailer"
+            | "transfer-encoding"
+            | "upgrade"
+            | "content-length"
+            | "expect"
+            | IDEMPOTENCY_KEY
+    );
+    !of_connection && !name.starts_with(OWN_PREFIX)
+}
--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -1,49 +1,78 @@
 //! The call side of the daemon: entry (from a caller to an executor) and
 //! executor (from an entry to this instance's target).
+//!
+//! The decisions come from `stoatstep-calls`; the code here moves bytes, reads
+//! clocks and holds the tables. See `docs/design/calls.md` for how a call goes,
+//! and `docs/design/at-most-once.md` for keys.
 
+mod attempt;
+mod clock;
 pub(crate) mod drain;
 pub(crate) mod entry;
 pub(crate) mod executor;
-pub(crate) mod headers;
-pub(crate) mod outcome;
+mod headers;
+mod homes;
+mod in_flight;
+mod keyed;
+mod peers;
+mod request;
+mod respond;
+mod run;
+mod settle;
+mod slot;
+mod sync;
+mod tables;
+mod target;
+mod tick;
+mod wire;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use ntex::client::{Client, Connector};
-
 use stoatstep_telemetry::Histograms;
 
 use crate::config::Config;
 use crate::node::Node;
+use clock::Clock;
+use peers::Peers;
+use tables::{EntryTables, ExecutorTables};
+use target::TargetClient;
+
+pub(crate) use executor::handle as handle_peer;
 
 /// Tenants with histograms of their own; the others share one.
 const MAX_TENANTS: usize = 64;
 
-/// Tables and clients of the call side.
+/// Tables and clients of the call side. Borrows of the cells never last over an
+/// `await`, so that no two tasks meet in one.
 pub(crate) struct Calls {
-    /// Connections to this instance's target.
-    pub(crate) target: Client,
-    pub(crate) next_attempt: Cell<u64>,
+    clock: Clock,
+    target: RefCell<TargetClient>,
+    peers: Peers,
+    entry: RefCell<EntryTables>,
+    executor: RefCell<ExecutorTables>,
+    drain: RefCell<stoatstep_calls::Drain>,
+    in_flight: Cell<u32>,
     pub(crate) histograms: RefCell<Histograms>,
 }
 
 impl Calls {
-    pub(crate) async fn new(_cfg: &Config) -> Self {
-        let target = Client::builder()
-            .no_default_headers()
-            .disable_redirects()
-            .connector::<()>(Connector::new().limit(120))
-            .build(ntex::SharedCfg::new("target"))
-            .await
-            .expect("a client without TLS always builds");
+    pub(crate) async fn new(cfg: &Config) -> Self {
+        let clock = Clock::start();
         Self {
-            target,
-            next_attempt: Cell::new(0),
+            target: RefCell::new(TargetClient::connect(cfg.target_addr).await),
+            peers: Peers::new(cfg.peer_token.clone()).await,
+            entry: RefCell::new(EntryTables::new(cfg)),
+            executor: RefCell::new(ExecutorTables::new(cfg, &clock)),
+            drain: RefCell::new(stoatstep_calls::Drain::new(drain::BOUND)),
+            in_flight: Cell::new(0),
             histograms: RefCell::new(Histograms::new(MAX_TENANTS)),
+            clock,
         }
     }
 }
 
 /// Starts the tasks of the call side.
-pub(crate) fn start(_node: &Rc<Node>) {}
+pub(crate) fn start(node: &Rc<Node>) {
+    ntex::rt::spawn(tick::run(Rc::clone(node)));
+}
--- /dev/null
+++ b/crates/daemon/src/call/run.rs
@@ -0,0 +1,206 @@
+//! One run of an attempt at its executor, from the queue to the record of its
+//! end.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ntex::channel::oneshot;
+use ntex::util::{Either, select};
+use stoatstep_calls::{Answer, AttemptId, Deadline, Outcome, Reason, Refusal, Settled};
+
+use super::in_flight::InFlight;
+use super::keyed::{self, Opened};
+use super::target::RunEnd;
+use super::wire::Attempt;
+use super::{slot, tables};
+use crate::node::Node;
+
+/// Largest answer that the ledger keeps.
+const MAX_KEPT: usize = 256 << 10;
+
+/// How much longer than its caller a run with a key goes on. The caller's next
+/// try with the key then finds the answer instead of "unknown".
+const KEYED_EXTRA: Duration = Duration::from_secs(30);
+
+/// How a run ended, and where its time went.
+#[derive(Clone, Debug)]
+pub(super) struct Report {
+    pub(super) end: RunEnd,
+    pub(super) queue: Duration,
+    pub(super) target: Duration,
+}
+
+impl Report {
+    pub(super) fn of(end: RunEnd) -> Self {
+        Self {
+            end,
+            queue: Duration::ZERO,
+            target: Duration::ZERO,
+        }
+    }
+}
+
+/// Starts the run as a task of its own. It outlives the entry's connection: an
+/// answer whose connection broke is what the ledger is for.
+pub(super) fn start(
+    node: &Rc<Node>,
+    attempt: Attempt,
+    in_flight: InFlight,
+) -> oneshot::Receiver<Report> {
+    let (tx, rx) = oneshot::channel();
+    let (cancel, cancelled) = oneshot::channel();
+    let run = tables::Run {
+        cancel: Some(cancel),
+        keyed: attempt.key.is_some(),
+        waiters: Vec::new(),
+    };
+    let mut tables = node.calls.executor.borrow_mut();
+    tables.runs.insert(attempt.id, run);
+    drop(tables);
+    let node = Rc::clone(node);
+    ntex::rt::spawn(async move {
+        let report = carry_or_cancel(&node, &attempt, cancelled).await;
+        finish(&node, &attempt, &report.end);
+        // The entry's connection may be gone; the ledger has the end then.
+        let _ = tx.send(report);
+        drop(in_flight);
+    });
+    rx
+}
+
+/// Cancels a run that goes on.
+pub(super) fn cancel(node: &Rc<Node>, attempt: AttemptId) {
+    let mut tables = node.calls.executor.borrow_mut();
+    let run = tables.runs.get_mut(&attempt);
+    if let Some(cancel) = run.and_then(|it| it.cancel.take()) {
+        let _ = cancel.send(());
+    }
+}
+
+/// Cancels a run that goes on, unless it has a key: the caller's next try with
+/// the key is to find the answer.
+pub(super) fn cancel_unkeyed(node: &Rc<Node>, attempt: AttemptId) {
+    let tables = node.calls.executor.borrow();
+    let keyed = tables.runs.get(&attempt).is_some_and(|run| run.keyed);
+    drop(tables);
+    if !keyed {
+        cancel(node, attempt);
+    }
+}
+
+async fn carry_or_cancel(
+    node: &Rc<Node>,
+    attempt: &Attempt,
+    cancelled: oneshot::Receiver<()>,
+) -> Report {
+    match select(cancelled, carry(node, attempt)).await {
+        Either::Left(_) => Report::of(RunEnd::refused(reason_of_cancelled(node, attempt))),
+        Either::Right(report) => report,
+    }
+}
+
+fn reason_of_cancelled(node: &Rc<Node>, attempt: &Attempt) -> Reason {
+    let now = node.calls.clock.now();
+    let tables = node.calls.executor.borrow();
+    match tables.ledger.peek(attempt.id, attempt.ticket, now) {
+        Settled::Queued | Settled::NotRun => Reason::Revoked,
+        _ => Reason::LostAnswer,
+    }
+}
+
+async fn carry(node: &Rc<Node>, attempt: &Attempt) -> Report {
+    let arrived = node.calls.clock.now();
+    let deadline = Deadline::after(attempt.left, arrived);
+    if let Some(key) = &attempt.key
+        && let Opened::Ended(end) = keyed::open(node, attempt, key, deadline).await
+    {
+        return Report::of(end);
+    }
+    let slot = match slot::take(node, attempt, deadline).await {
+        Ok(slot) => slot,
+        Err(refusal) => return Report::of(RunEnd::Refused(refusal)),
+    };
+    if let Some(key) = &attempt.key
+        && let Err(end) = keyed::claim(node, attempt, key, deadline).await
+    {
+        return Report::of(end);
+    }
+    let started = node.calls.clock.now();
+    let Some(left) = deadline.for_next_hop(started) else {
+        return Report::of(RunEnd::refused(Reason::Deadline));
+    };
+    if !node.calls.executor.borrow_mut().ledger.start(attempt.id) {
+        return Report::of(RunEnd::refused(Reason::Revoked));
+    }
+    let bound = match attempt.key {
+        Some(_) => left + KEYED_EXTRA,
+        None => left,
+    };
+    let target = node.calls.target.borrow().clone();
+    let end = target.call(attempt, left, bound).await;
+    if matches!(end, RunEnd::Done(_)) {
+        slot.finish();
+    }
+    Report {
+        end,
+        queue: started.saturating_sub(arrived),
+        target: node.calls.clock.now().saturating_sub(started),
+    }
+}
+
+fn finish(node: &Rc<Node>, attempt: &Attempt, end: &RunEnd) {
+    match end {
+        RunEnd::Done(answer) => keyed::record(node, attempt, answer),
+        RunEnd::Refused(refusal) if refusal.outcome() == Outcome::NotRun => {
+            keyed::unclaim(node, attempt);
+        }
+        RunEnd::Refused(_) => {}
+    }
+    let mut tables = node.calls.executor.borrow_mut();
+    match end {
+        RunEnd::Done(answer) => record_done(&mut tables, attempt, answer),
+        RunEnd::Refused(refusal) => record_refused(&mut tables, attempt, refusal),
+    }
+    let waiters = tables.runs.remove(&attempt.id).map(|run| run.waiters);
+    drop(tables);
+    for waiter in waiters.into_iter().flatten() {
+        let _ = waiter.send(());
+    }
+}
+
+fn record_done(tables: &mut tables::ExecutorTables, attempt: &Attempt, answer: &Arc<Answer>) {
+    // A stored answer handed out again has not passed through the queue.
+    let _ = tables.ledger.start(attempt.id);
+    if answer.weight() > MAX_KEPT {
+        tables.ledger.done_without_answer(attempt.id);
+    } else {
+        tables.ledger.done(attempt.id, Arc::clone(answer));
+    }
+    let Some(key) = &attempt.key else {
+        return;
+    };
+    if answer.weight() > MAX_KEPT {
+        tables.intents.done_without_answer(key, attempt.id);
+    } else {
+        tables.intents.done(key, attempt.id, Arc::clone(answer));
+    }
+}
+
+fn record_refused(tables: &mut tables::ExecutorTables, attempt: &Attempt, refusal: &Refusal) {
+    let not_run = refusal.outcome() == Outcome::NotRun;
+    if not_run {
+        tables.ledger.refused(attempt.id);
+    } else {
+        let _ = tables.ledger.start(attempt.id);
+        tables.ledger.lost(attempt.id);
+    }
+    let Some(key) = &attempt.key else {
+        return;
+    };
+    if not_run {
+        tables.intents.release(key, attempt.id);
+    } else {
+        tables.intents.lost(key, attempt.id);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/call/settle.rs
@@ -0,0 +1,152 @@
+//! Settling an attempt whose answer did not come: asking its executor's ledger
+//! over a fresh connection.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ntex::time::{Millis, sleep};
+use stoatstep_calls::{
+    AttemptId, Deadline, Reason, Refusal, Settled, Silence, SilenceAction, SilenceConfig, Ticket,
+};
+
+use super::run;
+use super::target::RunEnd;
+use super::wire::{WireSettle, WireSettled};
+use crate::node::Node;
+
+/// Time for one question to a ledger.
+const ASK_BOUND: Duration = Duration::from_millis(300);
+
+/// Questions that may stay without an answer.
+const TRIES: u32 = 3;
+
+/// First pause between two questions; each further one doubles it.
+const FIRST_PAUSE: Duration = Duration::from_millis(10);
+
+/// Longest pause between two questions.
+const LONGEST_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause before a revoked call is worth sending again.
+const REVOKED_RETRY: Duration = Duration::from_millis(10);
+
+/// An attempt at another daemon.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Remote {
+    pub(super) addr: SocketAddr,
+    pub(super) attempt: AttemptId,
+    pub(super) ticket: Ticket,
+}
+
+impl Remote {
+    async fn ask(&self, node: &Rc<Node>, path: &str) -> Option<Settled> {
+        let message = WireSettle {
+            attempt: self.attempt,
+            ticket: self.ticket,
+        };
+        let peers = &node.calls.peers;
+        let answer = peers.send_fresh(self.addr, path, &message, ASK_BOUND).await;
+        let answer: WireSettled = answer.ok()?;
+        Some(answer.into())
+    }
+
+    /// Revokes the attempt and gives its end: not run, the whole answer, or an
+    /// honest "unknown".
+    pub(super) async fn settle(&self, node: &Rc<Node>, deadline: Deadline) -> RunEnd {
+        let mut pause = FIRST_PAUSE;
+        let mut unanswered = 0;
+        loop {
+            match self.ask(node, "/peer/revoke").await {
+                Some(Settled::NotRun) => {
+                    return RunEnd::Refused(Refusal::retry(Reason::Revoked, REVOKED_RETRY));
+                }
+                Some(Settled::Done(answer)) => return RunEnd::Done(answer),
+                Some(Settled::DoneWithoutAnswer) => {
+                    return RunEnd::refused(Reason::AnswerTooLarge);
+                }
+                Some(Settled::Unknown) => return RunEnd::refused(Reason::LostAnswer),
+                Some(Settled::NeverSeen | Settled::Queued | Settled::Running) => {
+                    if deadline.passed(node.calls.clock.now()) {
+                        return RunEnd::refused(Reason::TimedOut);
+                    }
+                }
+                None => {
+                    unanswered += 1;
+                    if unanswered >= TRIES {
+                        return RunEnd::refused(Reason::LostAnswer);
+                    }
+                }
+            }
+            sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+
+    /// Ends when the attempt's connection has to be given up. `false` where no
+    /// fresh connection gets an answer either.
+    pub(super) async fn silent(&self, node: &Rc<Node>) -> bool {
+        let cfg = SilenceConfig::default();
+        let sent = node.calls.clock.now();
+        sleep(cfg.first_ask).await;
+        let mut silence = Silence::new(cfg);
+        silence.sent(self.attempt, sent);
+        loop {
+            let now = node.calls.clock.now();
+            for action in silence.tick(now) {
+                match self.act(node, &mut silence, action).await {
+                    Some(SilenceAction::Retire(_)) => return true,
+                    Some(SilenceAction::GiveUp(_)) => return false,
+                    Some(SilenceAction::Ask(_)) | None => {}
+                }
+            }
+            let due = silence.due(self.attempt).unwrap_or(now);
+            let wait = due.saturating_sub(node.calls.clock.now());
+            sleep(Millis::from(wait) + Millis(1)).await;
+        }
+    }
+
+    async fn act(
+        &self,
+        node: &Rc<Node>,
+        silence: &mut Silence,
+        action: SilenceAction,
+    ) -> Option<SilenceAction> {
+        let SilenceAction::Ask(attempt) = action else {
+            return Some(action);
+        };
+        let settled = self.ask(node, "/peer/peek").await?;
+        silence.heard(attempt, &settled)
+    }
+}
+
+/// Answers `/peer/peek`.
+pub(super) fn peek(node: &Rc<Node>, message: WireSettle) -> WireSettled {
+    let now = node.calls.clock.now();
+    let tables = node.calls.executor.borrow();
+    tables
+        .ledger
+        .peek(message.attempt, message.ticket, now)
+        .into()
+}
+
+/// Answers `/peer/revoke`.
+pub(super) fn revoke(node: &Rc<Node>, message: WireSettle) -> WireSettled {
+    let now = node.calls.clock.now();
+    let mut tables = node.calls.executor.borrow_mut();
+    let settled = tables.ledger.revoke(message.attempt, message.ticket, now);
+    drop(tables);
+    if settled == Settled::NotRun {
+        // It may wait in the queue, where it would only take a place.
+        run::cancel(node, message.attempt);
+    }
+    settled.into()
+}
+
+/// Answers `/peer/cancel`: the caller has gone.
+pub(super) fn cancel(node: &Rc<Node>, message: WireSettle) -> WireSettled {
+    let settled = revoke(node, message);
+    if matches!(settled, WireSettled::Running) {
+        run::cancel_unkeyed(node, message.attempt);
+    }
+    settled
+}
--- /dev/null
+++ b/crates/daemon/src/call/wire.rs
@@ -0,0 +1,226 @@
+//! Messages between daemons about calls. See
+//! `docs/contributing/interfaces.md`.
+
+use std::cell::Cell;
+use std::fmt;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ntex::http::Method;
+use ntex::util::Bytes;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use stoatstep_calls::{
+    Answer, AttemptId, Class, Header, HomeAnswer, IntentKey, KeyText, Load, Refusal, SetId,
+    Settled, Ticket,
+};
+use stoatstep_resource::{ServiceName, TenantName, Version};
+
+/// What every attempt of one call has in common.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct WireCall {
+    pub(super) service: ServiceName,
+    pub(super) method: SmolStr,
+    /// Path and query.
+    pub(super) path: SmolStr,
+    pub(super) headers: Vec<Header>,
+    pub(super) body: Bytes,
+    pub(super) tenant: TenantName,
+    pub(super) class: Class,
+    pub(super) depth: u32,
+    pub(super) idempotent: bool,
+    /// Text of the idempotency key, only where it matters.
+    pub(super) key: Option<SmolStr>,
+    /// The set of upstreams under which the entry chose the key's home.
+    pub(super) set: SetId,
+    pub(super) weight: u32,
+    pub(super) concurrency: Option<u32>,
+    pub(super) request_id: SmolStr,
+}
+
+/// `POST /peer/attempt`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct WireAttempt {
+    pub(super) attempt: AttemptId,
+    pub(super) ticket: Ticket,
+    /// Time left, in microseconds.
+    pub(super) left_us: u64,
+    pub(super) call: Rc<WireCall>,
+}
+
+/// An attempt whose message was checked.
+#[derive(Clone, Debug)]
+pub(super) struct Attempt {
+    pub(super) id: AttemptId,
+    pub(super) ticket: Ticket,
+    pub(super) left: Duration,
+    pub(super) method: Method,
+    pub(super) key: Option<IntentKey>,
+    /// Whether its claim row may have been written.
+    pub(super) claimed: Cell<bool>,
+    pub(super) call: Rc<WireCall>,
+}
+
+/// Why another daemon's message was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum WireError {
+    Method,
+    Path,
+    Key,
+}
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Method => "method is not one of HTTP",
+            Self::Path => "path does not begin with a slash",
+            Self::Key => "idempotency key is malformed",
+        })
+    }
+}
+
+impl std::error::Error for WireError {}
+
+impl TryFrom<WireAttempt> for Attempt {
+    type Error = WireError;
+
+    fn try_from(wire: WireAttempt) -> Result<Self, Self::Error> {
+        let call = wire.call;
+        let method = Method::from_bytes(call.method.as_bytes()).map_err(|_| WireError::Method)?;
+        if !call.path.starts_with('/') {
+            return Err(WireError::Path);
+        }
+        let key = call
+            .key
+            .as_ref()
+            .map(|text| KeyText::try_from(text.as_str()));
+        let key = key.transpose().map_err(|_| WireError::Key)?;
+        let key = key.map(|key| IntentKey {
+            service: call.service.clone(),
+            tenant: call.tenant.clone(),
+            key,
+        });
+        Ok(Self {
+            id: wire.attempt,
+            ticket: wire.ticket,
+            left: Duration::from_micros(wire.left_us),
+            method,
+            key,
+            claimed: Cell::new(false),
+            call,
+        })
+    }
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) enum WireEnd {
+    Answered(Arc<Answer>),
+    Refused(Refusal),
+}
+
+/// Answer to [`WireAttempt`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct WireReply {
+    /// For the entry's next attempts here.
+    pub(super) ticket: Ticket,
+    pub(super) load: Load,
+    /// Time in the queue, in microseconds.
+    pub(super) queue_us: u64,
+    /// Time in the target, in microseconds.
+    pub(super) target_us: u64,
+    pub(super) end: WireEnd,
+}
+
+/// `POST /peer/peek`, `/peer/revoke` and `/peer/cancel`.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(super) struct WireSettle {
+    pub(super) attempt: AttemptId,
+    pub(super) ticket: Ticket,
+}
+
+/// Answer to [`WireSettle`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) enum WireSettled {
+    NeverSeen,
+    Queued,
+    Running,
+    NotRun,
+    Done(Arc<Answer>),
+    DoneWithoutAnswer,
+    Unknown,
+}
+
+impl From<Settled> for WireSettled {
+    fn from(settled: Settled) -> Self {
+        match settled {
+            Settled::NeverSeen => Self::NeverSeen,
+            Settled::Queued => Self::Queued,
+            Settled::Running => Self::Running,
+            Settled::NotRun => Self::NotRun,
+            Settled::Done(answer) => Self::Done(answer),
+            Settled::DoneWithoutAnswer => Self::DoneWithoutAnswer,
+            Settled::Unknown => Self::Unknown,
+        }
+    }
+}
+
+impl From<WireSettled> for Settled {
+    fn from(settled: WireSettled) -> Self {
+        match settled {
+            WireSettled::NeverSeen => Self::NeverSeen,
+            WireSettled::Queued => Self::Queued,
+            WireSettled::Running => Self::Running,
+            WireSettled::NotRun => Self::NotRun,
+            WireSettled::Done(answer) => Self::Done(answer),
+            WireSettled::DoneWithoutAnswer => Self::DoneWithoutAnswer,
+            WireSettled::Unknown => Self::Unknown,
+        }
+    }
+}
+
+/// `POST /peer/home`: a new home asks the previous one about a key.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct WireHome {
+    pub(super) key: IntentKey,
+}
+
+/// What a previous home knows about a key.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) enum WireHomeAnswer {
+    Never,
+    Running,
+    Done(Arc<Answer>),
+    Unknown,
+}
+
+/// Answer to [`WireHome`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct WireHomeReply {
+    /// The version that the previous home has applied.
+    pub(super) version: Version,
+    pub(super) answer: WireHomeAnswer,
+}
+
+impl From<HomeAnswer> for WireHomeAnswer {
+    fn from(answer: HomeAnswer) -> Self {
+        match answer {
+            HomeAnswer::Never => Self::Never,
+            HomeAnswer::Running => Self::Running,
+            HomeAnswer::Done(answer) => Self::Done(answer),
+            HomeAnswer::Unknown => Self::Unknown,
+        }
+    }
+}
+
+impl From<WireHomeAnswer> for HomeAnswer {
+    fn from(answer: WireHomeAnswer) -> Self {
+        match answer {
+            WireHomeAnswer::Never => Self::Never,
+            WireHomeAnswer::Running => Self::Running,
+            WireHomeAnswer::Done(answer) => Self::Done(answer),
+            WireHomeAnswer::Unknown => Self::Unknown,
+        }
+    }
+}
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -5,7 +5,8 @@
 use std::rc::Rc;
 
 use ntex::http::{HttpService, HttpServiceConfig, Request};
-use ntex::time::{Millis, Seconds};
+use ntex::server::{Server, Signal};
+use ntex::time::{Millis, Seconds, sleep};
 
 use crate::config::Config;
 use crate::node::Node;
@@ -36,8 +37,9 @@
 
 async fn serve(cfg: Config) -> io::Result<()> {
     let (callers, peers, operators) = (cfg.clone(), cfg.clone(), cfg.clone());
-    ntex::server::build()
+    let server = ntex::server::build()
         .workers(1)
+        .disable_signals()
         .maxconn(MAX_CONNECTIONS)
         .shutdown_timeout(Millis::from(DRAIN_LIMIT))
         .bind("callers", cfg.caller_addr, async move |_| {
@@ -64,8 +66,30 @@
             })
         })?
         .config("operators", http_config("operators"))
-        .run()
-        .await
+        .run();
+    ntex::rt::System::current().enable_signals();
+    ntex::rt::spawn(drain_on_signal());
+    ntex::rt::spawn(stop_when_drained(server.clone()));
+    server.await
+}
+
+/// The HTTP library would close idle connections at once on SIGTERM, and with
+/// them attempts that are on their way. So the signal only starts the drain.
+async fn drain_on_signal() {
+    while let Ok(signals) = ntex::server::signal().await {
+        let stops = |it: &Signal| matches!(it, Signal::Term | Signal::Int);
+        if signals.iter().any(stops) {
+            call::drain::ask();
+        }
+    }
+}
+
+async fn stop_when_drained(server: Server) {
+    const POLL: Millis = Millis(20);
+    while !call::drain::has_left() {
+        sleep(POLL).await;
+    }
+    server.stop(true).await;
 }
 
 fn http_config(name: &'static str) -> ntex::SharedCfg {
