--- a/crates/telemetry/tests/all/main.rs
+++ b/crates/telemetry/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of logs' limits, metrics and histograms.
 
 mod histograms;
+mod log;
 mod metrics;
 mod rate_limit;
