--- a/crates/resource/src/key.rs
+++ b/crates/resource/src/key.rs
@@ -12,13 +12,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Kind {
-    /// See [`Policy`].
+    /// See [`crate::Policy`].
     Policy,
-    /// See [`Service`].
+    /// See [`crate::Service`].
     Service,
-    /// See [`Upstream`].
+    /// See [`crate::Upstream`].
     Upstream,
-    /// See [`Route`].
+    /// See [`crate::Route`].
     Route,
 }
 
