Refuse calls as not ready until a daemon may serve, and test spreading

Cause: a daemon that had just started held the empty configuration and told callers 'no-route', which they take for final. It now says 'not-ready', not run, with the time to come back; whether it may serve is worked out when something changes and each tick, not for each call.

Tests with real processes: the platform down right after acceptance, the writer killed right after it, a restart while the platform is down, a zone that restarts, and a departure.

--- a/crates/calls/src/refusal.rs
+++ b/crates/calls/src/refusal.rs
@@ -74,6 +74,8 @@
     Overload => "overload", NotRun;
     /// The instance is leaving.
     Draining => "draining", NotRun;
+    /// The daemon has just started and may not serve by any version yet.
+    NotReady => "not-ready", NotRun;
     /// No route matches the path.
     NoRoute => "no-route", NotRun;
     /// No upstream of the service can be reached.
--- a/crates/daemon/src/call/request.rs
+++ b/crates/daemon/src/call/request.rs
@@ -26,6 +26,9 @@
 /// Longest request id that is passed on.
 const LONGEST_REQUEST_ID: usize = 64;
 
+/// Pause asked for by a daemon that has just started.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+
 /// Weight of a tenant that the policy does not name.
 const DEFAULT_WEIGHT: u32 = 1;
 
@@ -37,6 +40,16 @@
 }
 
 impl Rejected {
+    /// A daemon that has just started does not know yet which version it may
+    /// serve by. Judged by the empty one that it holds, every path would be
+    /// without a route, and callers would take that for final.
+    fn not_ready() -> Self {
+        Self {
+            refusal: Refusal::retry(Reason::NotReady, NOT_READY_RETRY),
+            findings: Vec::new(),
+        }
+    }
+
     fn bare(reason: Reason) -> Self {
         Self {
             refusal: Refusal::permanent(reason),
@@ -59,6 +72,9 @@
 impl Call {
     pub(super) async fn read(node: &Rc<Node>, req: &mut Request) -> Result<Self, Rejected> {
         let now = node.calls.clock.now();
+        if !node.control.may_serve() {
+            return Err(Rejected::not_ready());
+        }
         let in_force = node.control.in_force();
         let route = in_force.route(req.path());
         let Some(route) = route.map(|it| Rc::new(it.as_ref().clone())) else {
--- a/crates/daemon/src/control/tables.rs
+++ b/crates/daemon/src/control/tables.rs
@@ -30,6 +30,7 @@
     in_force: RefCell<Rc<InForce>>,
     directory: RefCell<Directory>,
     changed: Condition,
+    serves: Cell<bool>,
     pub(super) membership: RefCell<Membership>,
     pub(super) replica: RefCell<Replica>,
     pub(super) serving: RefCell<Serving>,
@@ -56,6 +57,7 @@
             in_force: RefCell::new(Rc::new(empty)),
             directory: RefCell::new(directory),
             changed: Condition::default(),
+            serves: Cell::new(false),
             membership: RefCell::new(membership),
             replica: RefCell::default(),
             serving: RefCell::default(),
@@ -101,9 +103,7 @@
     /// Whether this daemon knows enough to serve by what it holds; see
     /// [`Serving`].
     pub(crate) fn may_serve(&self) -> bool {
-        let others = self.membership.borrow().table().present().count() - 1;
-        let version = self.replica.borrow().version();
-        self.serving.borrow_mut().may_serve(version, others)
+        self.serves.get()
     }
 
     /// Ends when the version in force changes.
@@ -134,8 +134,12 @@
     /// Puts in force what the replica holds, once this daemon may serve by it.
     pub(super) fn put_in_force(&self) {
         let state = Arc::clone(self.replica.borrow().state());
+        let others = self.membership.borrow().table().present().count() - 1;
+        let mut serving = self.serving.borrow_mut();
+        self.serves.set(serving.may_serve(state.version(), others));
+        drop(serving);
         let is_newer = state.version() > self.in_force().state.version();
-        if is_newer && self.may_serve() {
+        if is_newer && self.serves.get() {
             *self.in_force.borrow_mut() = Rc::new(InForce::new(state));
             self.changed.notify();
         }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,3 +11,4 @@
 mod process;
 mod process_rules;
 mod programs;
+mod spreading;
