Let peers stand in for the platform only once it did not answer

Cause: a daemon that starts served as soon as two peers had answered, also while the platform was reachable. An instance that read version 2, served by it and died before it exchanged with anyone came back at version 1, where two peers that hold version 1 answered before the platform did. docs/design/spreading.md said that any restart with the platform reachable is covered.

Ruled out: a fault of the floor (nobody could know it), of the replica (it took only versions above its own), or of the specification (the same order of events fails in a unit test against Serving alone, which is added).

Change: the peers' answers count once the platform was asked and gave none. The two older tests of Serving now state that the platform did not answer, where they meant that it was out.

With the platform out the stated assumption remains.

--- a/crates/daemon/src/control/cold_start.rs
+++ b/crates/daemon/src/control/cold_start.rs
@@ -59,6 +59,7 @@
         }
         Err(err) => {
             slog::warn!(node.log, "roster not read"; "error" => %err);
+            node.control.serving.borrow_mut().platform_failed();
             let now = node.control.now();
             node.control.cold_start.borrow_mut().roster_failed(now);
         }
--- a/crates/distribution/src/serving.rs
+++ b/crates/distribution/src/serving.rs
@@ -7,8 +7,9 @@
 //!
 //! A daemon serves once all of this holds:
 //!
-//! 1. the platform's head was read, or as many peers answered as are required
-//!    (two, or all others where there are fewer, but at least one);
+//! 1. the platform's head was read; or the platform was asked and did not answer,
+//!    and as many peers answered as are required (two, or all others where there
+//!    are fewer, but at least one);
 //! 2. its version is at least its *floor*: the highest that the peers which
 //!    answered, or its own announcement row, ever saw this instance report;
 //! 3. before its first service only: its version is at least the newest that
@@ -40,6 +41,7 @@
     floor: Version,
     newest: Version,
     heard_platform: bool,
+    platform_failed: bool,
     heard_peers: BTreeSet<MemberKey>,
     has_served: bool,
 }
@@ -51,6 +53,15 @@
         self.newest = self.newest.max(version);
     }
 
+    /// The platform was asked and gave no answer: peers' words stand in for its.
+    ///
+    /// Before that they don't. Peers that have not heard of the version by which
+    /// the former life served, because it died before any exchange, would let
+    /// this life serve by an older one, although the platform could have told.
+    pub fn platform_failed(&mut self) {
+        self.platform_failed = true;
+    }
+
     /// A peer answered: what it holds, and the highest version that it saw this
     /// instance report.
     pub fn heard_peer(&mut self, peer: MemberKey, holds: Version, floor: Version) {
@@ -80,9 +91,7 @@
             return false;
         }
         if !self.has_served {
-            let needed = others.clamp(1, PEERS_NEEDED);
-            let heard_enough = self.heard_platform || self.heard_peers.len() >= needed;
-            self.has_served = heard_enough && version >= self.newest;
+            self.has_served = self.heard_enough(others) && version >= self.newest;
         }
         if self.has_served {
             self.floor = version;
@@ -90,4 +99,10 @@
         }
         self.has_served
     }
+
+    fn heard_enough(&self, others: usize) -> bool {
+        let needed = others.clamp(1, PEERS_NEEDED);
+        let peers_stand_in = self.platform_failed && self.heard_peers.len() >= needed;
+        self.heard_platform || peers_stand_in
+    }
 }
--- a/crates/distribution/tests/all/serving.rs
+++ b/crates/distribution/tests/all/serving.rs
@@ -8,6 +8,7 @@
     // is behind at 8 but remembers that this instance reported 9. Serving 8
     // would bring back what 9 removed; it waits until it holds 9.
     let mut serving = Serving::default();
+    serving.platform_failed();
     serving.heard_peer(1, 8, 9);
     serving.heard_peer(2, 8, 0);
     assert!(!serving.may_serve(8, 10));
@@ -19,6 +20,7 @@
     // A daemon that starts holds version 0 and knows of no floor. Were silence
     // taken for "there is none", it would answer callers from an empty state.
     let mut serving = Serving::default();
+    serving.platform_failed();
     assert!(!serving.may_serve(0, 10));
     serving.heard_peer(1, 4, 0);
     assert!(!serving.may_serve(4, 10), "one peer of ten is too few");
@@ -29,6 +31,20 @@
     assert!(serving.may_serve(4, 10));
 }
 
+#[test]
+fn peers_do_not_stand_in_for_a_platform_that_was_not_asked() {
+    // An instance reads version 5 at the platform, serves by it and dies before
+    // it told anyone. It starts again, and two peers that hold version 4 answer
+    // before the platform does. Callers would see what 5 removed come back.
+    let mut serving = Serving::default();
+    serving.heard_peer(1, 4, 0);
+    serving.heard_peer(2, 4, 0);
+    assert!(!serving.may_serve(4, 10));
+    serving.heard_platform(5);
+    assert!(!serving.may_serve(4, 10));
+    assert!(serving.may_serve(5, 10));
+}
+
 #[test]
 fn being_behind_a_peer_does_not_end_the_service() {
     let mut serving = Serving::default();
