--- a/tests/all/bad_input.rs
+++ b/tests/all/bad_input.rs
@@ -63,11 +63,8 @@
     assert_eq!(state(&after), state(before));
     assert_eq!(after.members.len(), before.members.len());
     assert!(after.quarantine.is_empty(), "{:?}", after.quarantine);
-    let answer = fleet
-        .call(0, "/floatdesk/balance")
-        .await
-        .expect("an answer");
-    assert_eq!(answer.header("stoatstep-outcome"), "answered");
+    let answer = fleet.call(0, "/floatdesk/balance").await.expect("an answer");
+    answer.assert_answered();
 }
 
 /// A port scanner, or a client of another protocol, connects to each port. The
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -197,6 +197,28 @@
         }
     }
 
+    /// Waits until every daemon that runs knows every instance, so that calls
+    /// reach targets beside other daemons.
+    pub(crate) async fn joined(&mut self, within: Duration) {
+        let end = Instant::now() + within;
+        let expected = self.instances.len();
+        for number in 0..expected {
+            if self.instances[number].daemon.exited().is_some() {
+                continue;
+            }
+            while self.alive_members(number).await < expected {
+                let instance = &self.instances[number];
+                assert!(
+                    Instant::now() < end,
+                    "{} knows too few instances after {within:?}: {}",
+                    instance.name,
+                    instance.daemon.log(),
+                );
+                sleep(POLL).await;
+            }
+        }
+    }
+
     /// Services, upstreams and routes that fit this fleet: `/floatdesk` and
     /// `/refundhall` lead to the service of that name.
     pub(crate) fn default_resources(&self) -> Vec<wire::ResourceWire> {
@@ -298,6 +320,14 @@
         self.instances[number].target = target;
     }
 
+    async fn alive_members(&self, number: usize) -> usize {
+        let Ok(status) = self.status(number).await else {
+            return 0;
+        };
+        let alive = |member: &&wire::MemberStatus| member.state == wire::MemberState::Alive;
+        status.members.iter().filter(alive).count()
+    }
+
     async fn holds(&self, number: usize, version: Version) -> bool {
         let status = self.status(number).await;
         status.is_ok_and(|status| status.version_in_force >= version)
--- a/tests/all/http.rs
+++ b/tests/all/http.rs
@@ -101,6 +101,14 @@
         value.and_then(|value| value.to_str().ok()).unwrap_or("")
     }
 
+    /// Fails where this isn't the target's own answer.
+    pub(crate) fn assert_answered(&self) {
+        let outcome = self.header("stoatstep-outcome");
+        let reason = self.header("stoatstep-reason");
+        let text = self.text();
+        assert_eq!(outcome, "answered", "{} {reason}: {text}", self.status);
+    }
+
     /// The body as text.
     pub(crate) fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
--- a/tests/all/lifecycle.rs
+++ b/tests/all/lifecycle.rs
@@ -84,10 +84,7 @@
         fleet.restart_target(0);
         let end = std::time::Instant::now() + READY;
         loop {
-            let answer = fleet
-                .call(0, "/floatdesk/balance")
-                .await
-                .expect("an answer");
+            let answer = fleet.call(0, "/floatdesk/balance").await.expect("an answer");
             if answer.header("stoatstep-outcome") == "answered" {
                 return;
             }
@@ -114,7 +111,7 @@
         ntex::time::sleep(slow / 2).await;
         let status = fleet.instances[0].daemon.terminate(READY).await;
         let answer = call.await.expect("a task").expect("a whole answer");
-        assert_eq!(answer.header("stoatstep-outcome"), "answered");
+        answer.assert_answered();
         assert!(status.is_some_and(|status| status.success()));
     });
 }
@@ -127,15 +124,13 @@
     run(async {
         let mut fleet = Fleet::builder().instances(2).start();
         fleet.ready(READY).await;
+        fleet.joined(READY).await;
         let version = fleet.apply(0, fleet.default_resources()).await;
         fleet.holds_everywhere(version, CONVERGENCE).await;
         fleet.platform.freeze();
         for _ in 0..20 {
-            let answer = fleet
-                .call(0, "/refundhall/limits")
-                .await
-                .expect("an answer");
-            assert_eq!(answer.header("stoatstep-outcome"), "answered");
+            let answer = fleet.call(0, "/refundhall/limits").await.expect("an answer");
+            answer.assert_answered();
             ntex::time::sleep(Duration::from_millis(100)).await;
         }
         fleet.platform.thaw();
