Read a small body before refusing a request without a token

Cause: the daemon answered 401 while the request's body was still on its way, and the HTTP library closes the connection under an unread body; the sender then saw a broken connection in place of the answer. Ruled out: the token comparison (a request without a body got its 401).

Change: bodies of up to 16 KiB are read and dropped before the refusal.

Larger bodies still end in a closed connection.

--- a/crates/daemon/src/control/peer.rs
+++ b/crates/daemon/src/control/peer.rs
@@ -10,7 +10,7 @@
 use super::traffic::{ANSWER_HEAD, Class, request_head};
 use super::{collect, gossip, pull, push};
 use crate::call;
-use crate::http::{from_msgpack, read_body, same_secret};
+use crate::http::{drop_body, from_msgpack, read_body, same_secret};
 use crate::node::Node;
 
 /// Header that carries the daemons' shared secret.
@@ -30,6 +30,7 @@
     // A caller that reached this port could otherwise run calls that bypass
     // routing and limits.
     if !is_peer(node, &req) {
+        drop_body(req.take_payload()).await;
         return Response::new(StatusCode::UNAUTHORIZED);
     }
     let path = req.path().to_owned();
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -65,3 +65,13 @@
 pub(crate) fn same_secret(given: &[u8], expected: &[u8]) -> bool {
     given.ct_eq(expected).into()
 }
+
+/// Largest body that is read only to be dropped.
+const MAX_DROPPED: usize = 16 * 1024;
+
+/// Reads a small body that nobody wants. An answer that is sent while the body
+/// is still on its way closes the connection under it, and the sender then sees
+/// a broken connection in place of the answer.
+pub(crate) async fn drop_body(payload: Payload) {
+    let _ = read_body(payload, MAX_DROPPED).await;
+}
--- a/crates/daemon/src/operator/mod.rs
+++ b/crates/daemon/src/operator/mod.rs
@@ -13,7 +13,7 @@
 use stoatstep_resource::wire::FindingsAnswer;
 use stoatstep_resource::{Finding, Place};
 
-use crate::http::{json, same_secret};
+use crate::http::{drop_body, json, same_secret};
 use crate::node::Node;
 
 /// Answers one request of an operator.
@@ -24,6 +24,7 @@
         return res;
     }
     if !is_operator(node, &req) {
+        drop_body(req.take_payload()).await;
         return refusal(
             StatusCode::UNAUTHORIZED,
             "an operator's token is needed: authorization: Bearer TOKEN",
