Script failures against the shipped machines in virtual time

Scenarios are text files of one statement a line, in tests/scenarios, run by datatest-stable. The machines are those that the daemon ships, wired as it wires them; fakes stand at the interfaces only: messages, the platform in memory with its faults, a target that waits. After every event the runner checks what holds in any scenario: never back, no dangling route, one state a version, nothing accepted lost, nothing that may run once run twice, no untrue "not run", no answer of another request, no late work and no cut run in a drain.

--- /dev/null
+++ b/crates/scenario/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the language and of the runner's own rules.
+
+mod language;
