Ring call timeouts from the tick, and look again before saying no upstream

Each call armed three timers of the runtime, whose thread was woken for each: 2.9 futex calls and one eventfd write a call (strace over 400 calls). Timeouts are now entries of a table that the 20 ms tick rings.

A call right after a change found no upstream until the next look at the tables; the entry now looks once more before it refuses.

--- a/crates/daemon/src/call/attempt.rs
+++ b/crates/daemon/src/call/attempt.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ntex::time::sleep;
 use ntex::util::{Either, select};
 use stoatstep_calls::{Deadline, Load, Outcome, Reason, Refusal, Report};
 
@@ -135,8 +134,8 @@
 ) -> Ended {
     let peers = &node.calls.peers;
     let sent = peers.send::<WireReply>(remote.addr, "/peer/attempt", wire);
-    let patience = deadline.left(node.calls.clock.now()) + LAST_WORD;
-    let watch = select(remote.silent(node), sleep(patience));
+    let last_word = node.calls.alarms.until(deadline.expires() + LAST_WORD);
+    let watch = select(remote.silent(node), last_word);
     match select(sent, watch).await {
         Either::Left(Ok(reply)) => {
             peers.set_ticket(remote.addr, reply.ticket);
--- a/crates/daemon/src/call/entry.rs
+++ b/crates/daemon/src/call/entry.rs
@@ -17,6 +17,7 @@
 use super::in_flight::InFlight;
 use super::request::{Call, Rejected};
 use super::respond;
+use super::sync;
 use super::tables::EntryTables;
 use super::target::RunEnd;
 use crate::node::Node;
@@ -106,15 +107,32 @@
         let names = upstreams(call).iter().cloned().collect();
         home_of(&names, key)?.clone()
     } else {
-        let now = node.calls.clock.now();
-        let mut tables = node.calls.entry.borrow_mut();
-        let EntryTables { router, rng, .. } = &mut *tables;
-        router.pick(&call.parts.service, tried, now, rng)?.upstream
+        pick(node, call, tried)?
     };
     let member = node.control.serving(&upstream).pop()?;
     Some((upstream, member.peer_addr))
 }
 
+/// Lets the router choose. Where it finds nobody, a new version or a member that
+/// has just come up may not be in its table yet, so that is looked at again
+/// before a caller hears that there is no upstream.
+fn pick(node: &Rc<Node>, call: &Call, tried: &[UpstreamName]) -> Option<UpstreamName> {
+    let chosen = pick_now(node, call, tried);
+    if chosen.is_some() {
+        return chosen;
+    }
+    sync::candidates(node);
+    pick_now(node, call, tried)
+}
+
+fn pick_now(node: &Rc<Node>, call: &Call, tried: &[UpstreamName]) -> Option<UpstreamName> {
+    let now = node.calls.clock.now();
+    let mut tables = node.calls.entry.borrow_mut();
+    let EntryTables { router, rng, .. } = &mut *tables;
+    let pick = router.pick(&call.parts.service, tried, now, rng)?;
+    Some(pick.upstream)
+}
+
 async fn attempt_at(
     node: &Rc<Node>,
     call: &Call,
--- a/crates/daemon/src/call/keyed.rs
+++ b/crates/daemon/src/call/keyed.rs
@@ -79,8 +79,8 @@
     if let Some(run) = node.calls.executor.borrow_mut().runs.get_mut(&other) {
         run.waiters.push(tx);
     }
-    let left = deadline.left(node.calls.clock.now());
-    !left.is_zero() && timeout(left, rx).await.is_ok()
+    let ended = node.calls.alarms.by(deadline.expires(), rx).await;
+    ended.is_some()
 }
 
 /// Row of a key that states no time.
--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -5,6 +5,7 @@
 //! clocks and holds the tables. See `docs/design/calls.md` for how a call goes,
 //! and `docs/design/at-most-once.md` for keys.
 
+mod alarm;
 mod attempt;
 mod clock;
 pub(crate) mod drain;
@@ -33,6 +34,7 @@
 
 use crate::config::Config;
 use crate::node::Node;
+use alarm::Alarms;
 use clock::Clock;
 use peers::Peers;
 use tables::{EntryTables, ExecutorTables};
@@ -47,6 +49,7 @@
 /// `await`, so that no two tasks meet in one.
 pub(crate) struct Calls {
     clock: Clock,
+    alarms: Alarms,
     target: RefCell<TargetClient>,
     peers: Peers,
     entry: RefCell<EntryTables>,
@@ -66,6 +69,7 @@
             executor: RefCell::new(ExecutorTables::new(cfg, &clock)),
             drain: RefCell::new(stoatstep_calls::Drain::new(drain::BOUND)),
             in_flight: Cell::new(0),
+            alarms: Alarms::default(),
             histograms: RefCell::new(Histograms::new(MAX_TENANTS)),
             clock,
         }
--- a/crates/daemon/src/call/run.rs
+++ b/crates/daemon/src/call/run.rs
@@ -138,7 +138,9 @@
         None => left,
     };
     let target = node.calls.target.borrow().clone();
-    let end = target.call(attempt, left, bound).await;
+    let due = started + bound;
+    let end = node.calls.alarms.by(due, target.call(attempt, left)).await;
+    let end = end.unwrap_or(RunEnd::refused(Reason::TimedOut));
     if matches!(end, RunEnd::Done(_)) {
         slot.finish();
     }
--- a/crates/daemon/src/call/settle.rs
+++ b/crates/daemon/src/call/settle.rs
@@ -87,7 +87,7 @@
     pub(super) async fn silent(&self, node: &Rc<Node>) -> bool {
         let cfg = SilenceConfig::default();
         let sent = node.calls.clock.now();
-        sleep(cfg.first_ask).await;
+        node.calls.alarms.until(sent + cfg.first_ask).await;
         let mut silence = Silence::new(cfg);
         silence.sent(self.attempt, sent);
         loop {
--- a/crates/daemon/src/call/target.rs
+++ b/crates/daemon/src/call/target.rs
@@ -10,7 +10,7 @@
 use ntex::http::StatusCode;
 use ntex::http::body::Body;
 use ntex::io::IoConfig;
-use ntex::time::{Millis, Seconds, timeout};
+use ntex::time::{Millis, Seconds};
 use smol_str::ToSmolStr;
 use stoatstep_calls::{Answer, Header, Reason, Refusal};
 
@@ -94,14 +94,7 @@
 
     /// Runs an attempt. Dropping the future closes the connection, which is how
     /// a cancellation reaches the target.
-    pub(super) async fn call(&self, attempt: &Attempt, left: Duration, bound: Duration) -> RunEnd {
-        match timeout(bound, self.exchange(attempt, left)).await {
-            Ok(end) => end,
-            Err(()) => RunEnd::refused(Reason::TimedOut),
-        }
-    }
-
-    async fn exchange(&self, attempt: &Attempt, left: Duration) -> RunEnd {
+    pub(super) async fn call(&self, attempt: &Attempt, left: Duration) -> RunEnd {
         let req = self.request(attempt, left);
         let (body, sent) = TrackedBody::new(attempt.call.body.clone());
         let empty = attempt.call.body.is_empty();
--- a/crates/daemon/src/call/tick.rs
+++ b/crates/daemon/src/call/tick.rs
@@ -9,13 +9,14 @@
 use super::{drain, slot, sync};
 use crate::node::Node;
 
-const INTERVAL: Millis = Millis(50);
+/// Timeouts of calls are rounded up to it.
+const INTERVAL: Millis = Millis(20);
 
 /// Ticks between two looks at configuration and membership.
-const SYNC_EVERY: u32 = 4;
+const SYNC_EVERY: u32 = 10;
 
 /// Ticks between two clean-ups of the tables.
-const CLEAN_EVERY: u32 = 20;
+const CLEAN_EVERY: u32 = 50;
 
 /// A gap between two ticks that only a freeze explains.
 const FREEZE: Duration = Duration::from_millis(800);
@@ -30,6 +31,7 @@
             wake(&node, gap);
         }
         last = now;
+        node.calls.alarms.tick(now);
         slot::pump(&node);
         drain::tick(&node);
         if count.is_multiple_of(SYNC_EVERY) {
