--- a/tests/all/lifecycle.rs
+++ b/tests/all/lifecycle.rs
@@ -116,6 +116,35 @@
     });
 }
 
+/// A daemon is told to stop while a call runs, and new claims arrive with
+/// bodies. Each must hear "not run", and read all of it: a connection that is
+/// closed with the body unread is reset, the refusal on it is lost, and the
+/// caller has to take a claim that never ran for one that may have.
+#[test]
+fn calls_refused_while_draining_hear_so() {
+    run(async {
+        let slow = Duration::from_secs(2);
+        let mut fleet = Fleet::builder().instances(1).service_time(slow).start();
+        fleet.ready(READY).await;
+        let version = fleet.apply(0, fleet.default_resources()).await;
+        fleet.holds_everywhere(version, CONVERGENCE).await;
+        let addr = fleet.instances[0].caller_addr;
+        let running = ntex::rt::spawn(Request::get(addr, "/floatdesk/balance").send());
+        ntex::time::sleep(slow / 4).await;
+        fleet.instances[0].daemon.ask_to_stop();
+        ntex::time::sleep(slow / 20).await;
+        for _ in 0..20 {
+            let claim = Request::post(addr, "/floatdesk/claims", vec![b'1'; 64 << 10]);
+            let answer = claim.send().await.expect("a whole refusal");
+            assert_eq!(answer.header("stoatstep-outcome"), "not-run");
+            assert_eq!(answer.header("stoatstep-reason"), "draining");
+            assert_ne!(answer.header("retry-after"), "");
+        }
+        let answer = running.await.expect("a task").expect("a whole answer");
+        answer.assert_answered();
+    });
+}
+
 /// The platform's service stops answering without closing a connection. The
 /// configuration that daemons hold stays in force, and no call may wait for
 /// the platform.
--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -67,10 +67,15 @@
         self.signal(Signal::SIGCONT);
     }
 
+    /// Asks for a graceful stop.
+    pub(crate) fn ask_to_stop(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
     /// Asks for a graceful stop and waits for it; `None` where the process
     /// still runs after `within`.
     pub(crate) async fn terminate(&mut self, within: Duration) -> Option<ExitStatus> {
-        self.signal(Signal::SIGTERM);
+        self.ask_to_stop();
         let end = Instant::now() + within;
         while Instant::now() < end {
             if let Some(status) = self.exited() {
