Answer a retry from the home's memory before any previous home is asked

Cause: the home asked previous homes before it looked at its own memory of keys. Where a claim had run at its home and a previous home was dead, the caller's retry was told "not-run home-moving", for a claim that did run.

Ruled out: an old confirmation of the previous home, which covers only keys made a skew bound after it; and the retry coming under another set of upstreams.

Change: IntentTable::recall says what the memory already knows; only a key that it does not know goes on to the homes' check. A known key can only be waited for, replayed or refused, so nothing runs that did not before.

The daemon's own process tests were not run for this.

--- a/crates/calls/src/intent/table.rs
+++ b/crates/calls/src/intent/table.rs
@@ -148,6 +148,18 @@
         self.intents.is_empty()
     }
 
+    /// What this memory already says about a key; `None` where it knows nothing,
+    /// never [`Begin::Run`].
+    ///
+    /// To be looked at before any previous home is asked. A key that ran here is
+    /// settled here, and a previous home that can't be reached would otherwise
+    /// turn its caller's retry into "not run" for a claim that did run.
+    #[must_use]
+    pub fn recall(&self, key: &IntentKey, fingerprint: Fingerprint) -> Option<Begin> {
+        let intent = self.intents.get(key)?;
+        Some(intent.meet(fingerprint))
+    }
+
     /// Decides about a key that this executor is the home of.
     ///
     /// For a key that states no time, `Run` holds only once its claim row was
@@ -159,8 +171,8 @@
         attempt: AttemptId,
         now: Wall,
     ) -> Begin {
-        if let Some(intent) = self.intents.get(key) {
-            return intent.meet(fingerprint);
+        if let Some(known) = self.recall(key, fingerprint) {
+            return known;
         }
         if let Err(refusal) = self.check_age(key, now) {
             return Begin::Refused(refusal);
--- a/crates/calls/tests/all/intent.rs
+++ b/crates/calls/tests/all/intent.rs
@@ -58,6 +58,23 @@
     assert_eq!(table.begin(&key, REQUEST, 3, now), Begin::Replay(answer()));
 }
 
+// A claim ran at its home, and its caller sends it again while a previous home is
+// dead. The home knows the end without asking anyone, so the caller gets the
+// answer and never "not run". Of a key that it does not know it says nothing.
+#[test]
+fn what_ran_here_is_known_without_asking_previous_homes() {
+    let mut table = table();
+    let now = START + MINUTE;
+    let key = timed_key(now);
+    assert_eq!(table.recall(&key, REQUEST), None);
+    assert_eq!(table.begin(&key, REQUEST, 1, now), Begin::Run);
+    assert_eq!(table.recall(&key, REQUEST), Some(Begin::Wait(1)));
+    table.done(&key, 1, answer());
+    assert_eq!(table.recall(&key, REQUEST), Some(Begin::Replay(answer())));
+    let reused = table.recall(&key, Fingerprint(2));
+    assert_eq!(reused.as_ref().and_then(reason), Some(Reason::KeyReused));
+}
+
 // The daemon restarts between two sends of one claim. The new process has no
 // record of the first send, so it must not take the key for a new one.
 #[test]
--- a/crates/daemon/src/call/keyed.rs
+++ b/crates/daemon/src/call/keyed.rs
@@ -47,10 +47,17 @@
 ) -> Opened {
     let fingerprint = fingerprint(attempt);
     loop {
-        if let Err(end) = homes::check(node, attempt, key).await {
-            return Opened::Ended(end);
-        }
-        match begin(node, attempt, key, fingerprint) {
+        // What ran here is settled here. Were previous homes asked first, one
+        // that is dead would turn the retry of a claim that ran into "not run".
+        let begin = if let Some(known) = recall(node, key, fingerprint) {
+            known
+        } else {
+            if let Err(end) = homes::check(node, attempt, key).await {
+                return Opened::Ended(end);
+            }
+            begin(node, attempt, key, fingerprint)
+        };
+        match begin {
             Begin::Run => return Opened::Run,
             Begin::Replay(answer) => return Opened::Ended(RunEnd::Done(answer)),
             Begin::Refused(refusal) => return Opened::Ended(RunEnd::Refused(refusal)),
@@ -63,6 +70,11 @@
     }
 }
 
+fn recall(node: &Rc<Node>, key: &IntentKey, fingerprint: Fingerprint) -> Option<Begin> {
+    let tables = node.calls.executor.borrow();
+    tables.intents.recall(key, fingerprint)
+}
+
 fn begin(node: &Rc<Node>, attempt: &Attempt, key: &IntentKey, fingerprint: Fingerprint) -> Begin {
     let wall = node.calls.clock.wall();
     let mut tables = node.calls.executor.borrow_mut();
--- a/crates/scenario/src/daemon/gossip.rs
+++ b/crates/scenario/src/daemon/gossip.rs
@@ -38,7 +38,8 @@
                 peer, mark, floor, ..
             } => peer_holds(&node, peer, mark, floor),
             Action::Superseded { .. } => node.drain(),
-            Action::Changed(_) | Action::ZoneReachable { .. } | Action::Woke { .. } => {}
+            // The rest is for logs, and for tables that are not kept here.
+            _ => {}
         }
     }
 }
--- a/crates/scenario/src/daemon/keyed.rs
+++ b/crates/scenario/src/daemon/keyed.rs
@@ -36,8 +36,13 @@
         return Ok(());
     }
     loop {
-        check_home(node, attempt, key).await?;
-        let other = match begin(node, attempt, key) {
+        let begin = if let Some(known) = recall(node, attempt, key) {
+            known
+        } else {
+            check_home(node, attempt, key).await?;
+            begin(node, attempt, key)
+        };
+        let other = match begin {
             Begin::Run => return Ok(()),
             Begin::Replay(answer) => return Err(Ok(answer)),
             Begin::Refused(refusal) => return Err(Err(refusal)),
@@ -49,6 +54,11 @@
     }
 }
 
+fn recall(node: &Node, attempt: &Attempt, key: &IntentKey) -> Option<Begin> {
+    let intents = &node.calls.borrow().intents;
+    intents.recall(key, fingerprint(attempt))
+}
+
 fn begin(node: &Node, attempt: &Attempt, key: &IntentKey) -> Begin {
     let wall = node.wall();
     let fingerprint = fingerprint(attempt);
--- a/crates/scenario/src/daemon/spread.rs
+++ b/crates/scenario/src/daemon/spread.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use stoatstep_distribution::{LogTail, Offer, Pull, Source, View};
-use stoatstep_membership::{MemberKey, Time};
+use stoatstep_membership::{MemberKey, Membership, Time};
 use stoatstep_resource::wire::Change;
 use stoatstep_resource::{Delta, State, Version};
 use stoatstep_versionlog::{Accepted, Tail, WriteError};
@@ -83,6 +83,9 @@
             continue;
         }
         let control = node.control.borrow();
+        if !is_reachable(&control.membership, target) {
+            continue;
+        }
         let view = control.view();
         let below = control
             .spread
@@ -91,6 +94,11 @@
     }
 }
 
+fn is_reachable(membership: &Membership, target: MemberKey) -> bool {
+    let entry = membership.table().get(target);
+    entry.is_some_and(|it| membership.is_reachable(&it.member.zone))
+}
+
 fn pushed_to(node: &Rc<Node>, delta: Arc<Delta>, origin: MemberKey) {
     let mut due = take(node, &delta);
     let held = node.control.borrow().replica.version();
