Spread news at the full size faster, and clean up rows of the crashed

Rows of instances that crashed stayed at the platform for good. And a status waited 2.4 s for each frozen daemon on its way.

Change: three eager ticks; less patience before a table is pulled while there is news; pollers delete the row of a member of their zone that was dead for ten minutes, unless a later life wrote it; status asks past members that are known not to answer, and pushes do not go past the silent in a zone that can't be reached.

--- a/crates/daemon/src/control/announce.rs
+++ b/crates/daemon/src/control/announce.rs
@@ -5,6 +5,7 @@
 
 use ntex::time::{Millis, sleep};
 use rand::RngExt;
+use smol_str::SmolStr;
 
 use super::{cold_start, platform};
 use crate::node::Node;
@@ -113,3 +114,19 @@
         }
     }
 }
+
+/// Deletes the row of an instance of this zone that crashed long ago. Only the
+/// zone's pollers do, so that the death of one daemon does not cost 76 reads.
+pub(super) fn clean_up(node: &Rc<Node>, instance: SmolStr, incarnation: u64) {
+    if !node.control.poller.borrow().is_poller() {
+        return;
+    }
+    let node = Rc::clone(node);
+    ntex::rt::spawn(async move {
+        let deleted = platform::delete_row_of(&node, &instance, incarnation).await;
+        if let Err(err) = deleted {
+            slog::warn!(node.log, "row of a crashed instance not deleted";
+                "instance" => %instance, "error" => %err);
+        }
+    });
+}
--- a/crates/daemon/src/control/collect.rs
+++ b/crates/daemon/src/control/collect.rs
@@ -45,6 +45,7 @@
         .silent
         .iter()
         .flat_map(|key| children(node, *key))
+        .filter(|key| !all.silent.contains(key))
         .collect();
     all.merge(gather(node, below, true, ROOT_BOUND / 2).await);
     let missing = strays(node, &all);
@@ -82,7 +83,8 @@
     holdings
 }
 
-/// Asks all of these at the same time.
+/// Asks all of these at the same time, and those below one that is known not to
+/// answer in its place, so that a frozen daemon does not hold up the others.
 async fn gather(
     node: &Rc<Node>,
     targets: Vec<MemberKey>,
@@ -90,11 +92,21 @@
     bound: Duration,
 ) -> Holdings {
     let me = node.control.me();
-    let others = targets.into_iter().filter(|key| *key != me);
-    let tasks: Vec<_> = others
-        .map(|target| ntex::rt::spawn(one(Rc::clone(node), target, below, bound)))
-        .collect();
     let mut all = Holdings::default();
+    let mut tasks = Vec::new();
+    let mut due = targets;
+    while let Some(target) = due.pop() {
+        if target == me {
+            continue;
+        }
+        if below && is_unreached(node, target) {
+            all.note_silent(target);
+            due.extend(children(node, target));
+            continue;
+        }
+        let task = one(Rc::clone(node), target, below, bound);
+        tasks.push(ntex::rt::spawn(task));
+    }
     for task in tasks {
         if let Ok(holdings) = task.await {
             all.merge(holdings);
@@ -103,6 +115,11 @@
     all
 }
 
+fn is_unreached(node: &Node, key: MemberKey) -> bool {
+    let membership = node.control.membership.borrow();
+    membership.table().get(key).is_some_and(|it| it.unreached)
+}
+
 async fn one(node: Rc<Node>, target: MemberKey, below: bool, bound: Duration) -> Holdings {
     let bound = bound.max(LEAST_BOUND);
     let bound_ms = u16::try_from(bound.as_millis()).unwrap_or(u16::MAX);
--- a/crates/daemon/src/control/gossip.rs
+++ b/crates/daemon/src/control/gossip.rs
@@ -8,6 +8,7 @@
     Action, Exchange, GossipReply, GossipRequest, Input, Mark, MemberKey, ZoneDigest,
 };
 
+use super::announce;
 use super::client::{Message, PeerError, ask};
 use super::peer::GOSSIP;
 use super::traffic::Class;
@@ -68,6 +69,10 @@
                 peer, mark, floor, ..
             } => peer_holds(node, peer, mark, floor),
             Action::Changed(_) => is_changed = true,
+            Action::Forgotten {
+                instance,
+                incarnation,
+            } => announce::clean_up(node, instance, incarnation),
             Action::ZoneReachable { zone, reachable } => {
                 slog::warn!(node.log, "way to a zone changed";
                     "zone" => %zone, "reachable" => reachable);
--- a/crates/daemon/src/control/platform.rs
+++ b/crates/daemon/src/control/platform.rs
@@ -11,7 +11,7 @@
 use stoatstep_distribution::LogTail;
 use stoatstep_membership::Announcement;
 use stoatstep_platform::{
-    CommitRequest, HttpPlatform, Platform, PlatformError, RangeRead, ReadRequest, Write,
+    CommitRequest, Condition, HttpPlatform, Platform, PlatformError, RangeRead, ReadRequest, Write,
 };
 use stoatstep_resource::Version;
 use stoatstep_versionlog::{
@@ -183,6 +183,33 @@
     commit(node, Write::Delete { key }).await
 }
 
+/// Deletes the row of another instance of this zone, unless a life after the
+/// given incarnation wrote it. The condition holds off one that starts just now.
+pub(super) async fn delete_row_of(
+    node: &Node,
+    instance: &str,
+    incarnation: u64,
+) -> Result<(), PlatformError> {
+    let key = format_smolstr!("{PREFIX}{}/{instance}", node.cfg.zone);
+    let req = ReadRequest {
+        gets: vec![key.clone()],
+        ranges: Vec::new(),
+    };
+    let answer = node.platform.read(req).await?;
+    let Some(row) = answer.rows.into_iter().flatten().next() else {
+        return Ok(());
+    };
+    let written: Option<Announcement> = rmp_serde::from_slice(&row.value).ok();
+    if written.is_some_and(|it| it.row.birth > incarnation) {
+        return Ok(());
+    }
+    let req = CommitRequest {
+        conditions: vec![Condition::AtRevision(key.clone(), row.revision)],
+        writes: vec![Write::Delete { key }],
+    };
+    node.platform.commit(req).await.map(|_| ())
+}
+
 async fn commit(node: &Node, write: Write) -> Result<(), PlatformError> {
     let req = CommitRequest {
         conditions: Vec::new(),
--- a/crates/daemon/src/control/push.rs
+++ b/crates/daemon/src/control/push.rs
@@ -117,6 +117,9 @@
             continue;
         }
         node.metrics.count("control.push_failures", 1);
+        if !is_reachable(&node, branch.target) {
+            continue;
+        }
         let view = node.control.view();
         let spread = node.control.spread.borrow();
         let below = spread.bypass(version, &view, branch.target, branch.bypassed);
@@ -126,3 +129,11 @@
         }));
     }
 }
+
+/// Whether the target's zone can be reached. While it can't, going past the one
+/// that did not answer would cost a wait for each of those below it.
+fn is_reachable(node: &Node, target: MemberKey) -> bool {
+    let membership = node.control.membership.borrow();
+    let entry = membership.table().get(target);
+    entry.is_some_and(|it| membership.is_reachable(&it.member.zone))
+}
--- a/crates/distribution/src/poller.rs
+++ b/crates/distribution/src/poller.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Whether this daemon was one of its zone's pollers at the last tick.
+    #[must_use]
+    pub fn is_poller(&self) -> bool {
+        self.role == Role::Poller
+    }
+
     /// Whether to read the head now. `zone` are the live members of the own
     /// zone, `fleet` the number of all live members, and `head_age` the time
     /// since anyone this daemon heard of read the head.
--- a/crates/membership/src/action.rs
+++ b/crates/membership/src/action.rs
@@ -89,6 +89,14 @@
     },
     /// A member joined, changed state or moved: routing tables may be stale.
     Changed(MemberKey),
+    /// A member of the own zone was dead for long and is forgotten. Nobody else
+    /// takes away what it left behind, such as its announcement row.
+    Forgotten {
+        /// Id of the instance.
+        instance: SmolStr,
+        /// Its last incarnation.
+        incarnation: Incarnation,
+    },
     /// Probes to this zone began or ceased to succeed. Local knowledge only.
     ZoneReachable {
         /// The zone.
--- a/crates/membership/src/hearing.rs
+++ b/crates/membership/src/hearing.rs
@@ -11,7 +11,7 @@
 const MISMATCHES_BEFORE_PULL: u32 = 3;
 
 /// The same while this daemon itself has news to pass on.
-const MISMATCHES_WITH_NEWS: u32 = 15;
+const MISMATCHES_WITH_NEWS: u32 = 8;
 
 /// Age of the process until which it pulls tables at the first mismatch: in a
 /// herd of restarts the first peers that it meets know as little as it does.
--- a/crates/membership/src/tick.rs
+++ b/crates/membership/src/tick.rs
@@ -6,6 +6,7 @@
 use crate::action::Action;
 use crate::machine::Membership;
 use crate::member::{MemberKey, MemberState, Time};
+use crate::table::Entry;
 
 /// Longest time between two probes of a dead member's address.
 const MAX_DEAD_INTERVAL: Time = Time::from_mins(1);
@@ -109,11 +110,22 @@
 
     fn forget_the_gone(&mut self, now: Time) {
         let after = self.config.forget_after;
-        self.table.forget(|entry| {
-            let is_old = entry.dead_since.is_some_and(|since| since + after <= now);
-            let is_phantom = !entry.confirmed && entry.contacts >= CANDIDATE_TRIES;
-            is_old || is_phantom
-        });
+        let is_old = |entry: &Entry| entry.dead_since.is_some_and(|since| since + after <= now);
+        let zone = &self.own().member.zone;
+        let forgotten = self
+            .table
+            .iter()
+            .map(|(_, entry)| entry)
+            .filter(|entry| is_old(entry) && entry.member.zone == *zone)
+            .map(|entry| Action::Forgotten {
+                instance: entry.member.instance.clone(),
+                incarnation: entry.member.incarnation,
+            });
+        let forgotten: Vec<_> = forgotten.collect();
+        self.actions.extend(forgotten);
+        let is_phantom = |it: &Entry| !it.confirmed && it.contacts >= CANDIDATE_TRIES;
+        self.table
+            .forget(|entry| is_old(entry) || is_phantom(entry));
     }
 
     fn contact_candidates(&mut self, now: Time) {
--- a/crates/membership/src/updates.rs
+++ b/crates/membership/src/updates.rs
@@ -9,7 +9,7 @@
 pub(crate) const MAX_PER_MESSAGE: usize = 16;
 
 /// Ticks for which fresh news is also sent to peers of its own.
-const HOT_TICKS: u8 = 2;
+const HOT_TICKS: u8 = 3;
 
 /// Sends that one agreement with a peer stands for.
 const AGREEMENT: u32 = 6;
--- a/crates/membership/tests/all/failures.rs
+++ b/crates/membership/tests/all/failures.rs
@@ -223,3 +223,21 @@
         assert!(age >= Duration::from_mins(1), "{age:?}");
     }
 }
+
+#[test]
+fn what_the_dead_leave_behind_is_cleaned_up_by_their_own_zone() {
+    // An instance crashes and nobody starts it again. Its announcement row would
+    // stay for ever, and every daemon that starts would knock at its address.
+    let mut fleet = settled(2, 4);
+    fleet.nodes.remove(&key(1, 1));
+    fleet.run(Duration::from_mins(11));
+    let forgot = |it: &&(u64, Action)| match &it.1 {
+        Action::Forgotten { instance, .. } => instance == "i-1-1",
+        _ => false,
+    };
+    let zones = fleet.seen.iter().filter(forgot);
+    let zones: Vec<_> = zones
+        .map(|it| fleet.nodes[&it.0].own().member.zone.clone())
+        .collect();
+    assert_eq!(zones, ["z1"; 3]);
+}
