Measure convergence beside polling and push, and wire in the slopes

Each daemon is watched, so that a version's arrival is known to the millisecond without asking; the platform is cut off right after acceptance for the second figure. Baselines: pollers that ask for the head each second and take the whole state, and one server that pushes to every receiver. Drains now count refusals apart from calls that were cut.

--- a/crates/load/src/fleet/http.rs
+++ b/crates/load/src/fleet/http.rs
@@ -33,7 +33,7 @@
     ///
     /// Never: a connector without TLS always builds.
     pub async fn new() -> Self {
-        let connector = Connector::new().limit(CONNECTIONS).keep_alive(Seconds(2));
+        let connector = Connector::new().limit(CONNECTIONS).keep_alive(Seconds(1));
         let client = Client::builder()
             .connector::<()>(connector)
             .disable_timeout()
@@ -96,6 +96,16 @@
             .await
     }
 
+    /// Fetches text.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Http::get`].
+    pub async fn text(&self, addr: SocketAddr, path: &str) -> Result<String, FleetError> {
+        let body = self.send(Method::GET, addr, path, "", Vec::new(), TIMEOUT);
+        Ok(String::from_utf8_lossy(&body.await?).into_owned())
+    }
+
     /// Whether `GET path` is answered with success right now.
     pub async fn is_ok(&self, addr: SocketAddr, path: &str) -> bool {
         let sent = self.send(Method::GET, addr, path, "", Vec::new(), TIMEOUT);
--- a/crates/load/src/fleet/process.rs
+++ b/crates/load/src/fleet/process.rs
@@ -55,6 +55,12 @@
         })
     }
 
+    /// Its process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Ends the process at once, as a power cut would.
     pub fn kill(&mut self) {
         self.send(Signal::SIGKILL);
--- a/crates/load/src/fleet/shape.rs
+++ b/crates/load/src/fleet/shape.rs
@@ -115,6 +115,12 @@
         self
     }
 
+    /// Daemons of this fleet.
+    pub(crate) fn daemon_count(&self) -> usize {
+        let upstreams = self.services.iter().map(|it| it.upstreams).sum();
+        self.daemons.unwrap_or(upstreams).min(upstreams)
+    }
+
     /// The upstreams, with their service, in the order of the instances. They
     /// are dealt out so that each service reaches over all zones.
     pub(crate) fn upstreams(&self) -> Vec<(SmolStr, &ServiceShape)> {
--- a/crates/load/src/fleet/start.rs
+++ b/crates/load/src/fleet/start.rs
@@ -145,6 +145,17 @@
         Ok(fleet)
     }
 
+    /// Starts the platform's stand-in and nothing else.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Fleet::start`].
+    pub async fn start_platform_alone(shape: Shape) -> Result<Self, FleetError> {
+        let mut fleet = Self::new(shape).await?;
+        fleet.start_platform().await?;
+        Ok(fleet)
+    }
+
     async fn new(shape: Shape) -> Result<Self, FleetError> {
         let net = Net::of_this_process();
         let logs = std::env::temp_dir().join(format!("stoat-measure-{}", std::process::id()));
--- a/crates/load/src/measure/drain.rs
+++ b/crates/load/src/measure/drain.rs
@@ -8,8 +8,8 @@
 
 use crate::fleet::{Fleet, FleetError, Line, Shape, TargetShape, Unit};
 use crate::load::{Audit, LoadOptions, run as run_load};
-use crate::measure::as_f64;
 use crate::measure::program::Scale;
+use crate::measure::{as_f64, explain};
 
 /// Load before the first drain and between two.
 const GAP: Duration = Duration::from_secs(2);
@@ -62,9 +62,10 @@
     let report = under_way.await.map_err(|_| ended_early())?;
     let audit = Audit::new(&report, &fleet.ledgers().await?);
     let tally = &report.total.tally;
-    let failed = tally.not_run + tally.unknown + tally.wrong;
-    let cut = drains.cancelled + drains.unclean + failed + audit.untrue_refusals + audit.duplicates;
-    print(&drains, cut, None)?;
+    let broken = audit.untrue_refusals + audit.duplicates;
+    let cut = drains.cancelled + drains.unclean + tally.unknown + tally.wrong + broken;
+    print(&drains, cut, tally.not_run, None)?;
+    explain("drain", &report);
     Line::new("drain_calls", as_f64(tally.calls), Unit::Calls, tally.calls).print()?;
     fleet.finish();
     plain(rounds).await
@@ -130,16 +131,13 @@
     }
     let report = under_way.await.map_err(|_| ended_early())?;
     let tally = &report.total.tally;
-    print(
-        &drains,
-        tally.not_run + tally.unknown + tally.wrong,
-        Some("plain"),
-    )?;
+    let cut = drains.cancelled + tally.unknown + tally.wrong;
+    print(&drains, cut, tally.not_run, Some("plain"))?;
     fleet.finish();
     Ok(())
 }
 
-fn print(drains: &Drains, cut: u64, suffix: Option<&str>) -> Result<(), FleetError> {
+fn print(drains: &Drains, cut: u64, refused: u64, suffix: Option<&str>) -> Result<(), FleetError> {
     let count = u64::from(drains.count);
     let lines = [
         Line::new(
@@ -149,6 +147,7 @@
             count,
         ),
         Line::new("drain_cut", as_f64(cut), Unit::Calls, count),
+        Line::new("drain_refused", as_f64(refused), Unit::Calls, count),
     ];
     for line in lines {
         line.suffixed(suffix).print()?;
--- a/crates/load/src/measure/faults.rs
+++ b/crates/load/src/measure/faults.rs
@@ -8,8 +8,8 @@
 
 use crate::fleet::{Fault, Fleet, FleetError, Line, Shape, TargetShape, Unit};
 use crate::load::{Audit, LoadOptions, Report, run as run_load};
-use crate::measure::as_f64;
 use crate::measure::program::Scale;
+use crate::measure::{as_f64, explain};
 
 /// Time from one fault to the next.
 const PERIOD: Duration = Duration::from_millis(2_500);
@@ -112,6 +112,7 @@
     let ended_early = |_| FleetError::Io("the load ended early".to_owned());
     let report = under_way.await.map_err(ended_early)?;
     let audit = Audit::new(&report, &fleet.ledgers().await?);
+    explain("faults", &report);
     if !audit.examples.is_empty() {
         eprintln!(
             "broken promises, by key or marker: {}",
--- a/crates/load/src/measure/overload.rs
+++ b/crates/load/src/measure/overload.rs
@@ -9,8 +9,8 @@
 
 use crate::fleet::{Fleet, FleetError, Line, ServiceShape, Shape, TargetShape, Unit};
 use crate::load::{BUCKET, Bucket, LoadOptions, Report, run as run_load};
-use crate::measure::as_f64;
 use crate::measure::program::Scale;
+use crate::measure::{as_f64, explain};
 
 const SERVICE_TIME: Duration = Duration::from_millis(50);
 const UPSTREAMS: usize = 8;
@@ -94,6 +94,7 @@
     let rate = 2.0 * capacity();
     let options = load(fleet, rate, length).tenants(tenants);
     let report = run_load(options.patience(Duration::ZERO)).await;
+    explain("overload", &report);
     let calls = report.total.tally.calls;
     let goodput = rate_between(&report.timeline, WARM_UP, length);
     vec![
@@ -103,6 +104,12 @@
             Unit::Ratio,
             calls,
         ),
+        Line::new(
+            "overload_refusal_p50_ms",
+            report.refusals.percentile_ms(50.0),
+            Unit::Millis,
+            report.refusals.count(),
+        ),
         Line::new(
             "overload_refusal_p99_ms",
             report.refusals.percentile_ms(99.0),
--- a/crates/load/src/measure/program.rs
+++ b/crates/load/src/measure/program.rs
@@ -5,7 +5,7 @@
 use stoatstep_settings::{Finding, Place, Program, Setting, Stop, Values};
 
 use crate::fleet::FleetError;
-use crate::measure::{drain, faults, hop, overload};
+use crate::measure::{control, convergence, drain, faults, herd, hop, overload, slopes};
 
 const PROGRAM: Program = Program {
     name: "stoat-measure",
@@ -41,10 +41,23 @@
     Overload,
     Faults,
     Drain,
+    Convergence,
+    Control,
+    Herd,
+    Slopes,
 }
 
 impl Experiment {
-    const ALL: [Self; 4] = [Self::Hop, Self::Overload, Self::Faults, Self::Drain];
+    const ALL: [Self; 8] = [
+        Self::Hop,
+        Self::Overload,
+        Self::Faults,
+        Self::Drain,
+        Self::Convergence,
+        Self::Control,
+        Self::Herd,
+        Self::Slopes,
+    ];
 
     fn name(self) -> &'static str {
         match self {
@@ -52,6 +65,10 @@
             Self::Overload => "overload",
             Self::Faults => "faults",
             Self::Drain => "drain",
+            Self::Convergence => "convergence",
+            Self::Control => "control",
+            Self::Herd => "herd",
+            Self::Slopes => "slopes",
         }
     }
 
@@ -61,6 +78,10 @@
             Self::Overload => overload::run(scale).await,
             Self::Faults => faults::run(scale).await,
             Self::Drain => drain::run(scale).await,
+            Self::Convergence => convergence::run(scale).await,
+            Self::Control => control::run(scale).await,
+            Self::Herd => herd::run(scale).await,
+            Self::Slopes => slopes::run(scale).await,
         }
     }
 }
