Refuse the tickets of what is refused while the ledger is full

Cause: a ledger without room refused an attempt as "not run" and could keep no record of it. A second copy of the attempt that came in once there was room again, under a ticket that was still good, ran.

Ruled out: the records' life (it covers what was recorded) and the fence of a revoke (it already refused all tickets issued so far where there was no room).

Change: a refusal for lack of room does the same as that fence. Entries that hold an older ticket pay one more round trip.

--- a/crates/calls/src/ledger.rs
+++ b/crates/calls/src/ledger.rs
@@ -148,6 +148,9 @@
             return Arrival::Refused(stale);
         }
         if self.is_full() {
+            // There is no room to remember this refusal by. A second copy that
+            // comes once there is room would run what was called "not run".
+            self.refuse_issued_tickets(now);
             return Arrival::Refused(Refusal::retry(Reason::MemoryFull, FULL_RETRY));
         }
         self.insert(attempt, Settled::Queued, now);
@@ -285,12 +288,16 @@
     /// cost their entries one more round trip.
     fn fence(&mut self, attempt: AttemptId, now: Time) {
         if self.is_full() {
-            self.floor = now + Duration::from_nanos(1);
+            self.refuse_issued_tickets(now);
             return;
         }
         self.insert(attempt, Settled::NotRun, now);
     }
 
+    fn refuse_issued_tickets(&mut self, now: Time) {
+        self.floor = now + Duration::from_nanos(1);
+    }
+
     fn insert(&mut self, attempt: AttemptId, state: Settled, now: Time) {
         let keep_until = now + self.cfg.ticket_life;
         self.records.insert(attempt, Record { state, keep_until });
--- a/crates/calls/tests/all/ledger.rs
+++ b/crates/calls/tests/all/ledger.rs
@@ -131,6 +131,28 @@
     assert_eq!(ledger.revoke(6, ticket, 3 * SECOND), Settled::NotRun);
 }
 
+// The caller is told "not run, memory full" and may send again. A second copy of
+// the refused attempt is still on its way and comes in after records have gone.
+// There was no room to remember the refusal by, so only its ticket tells.
+#[test]
+fn copy_of_what_was_refused_while_full_does_not_run() {
+    let mut ledger = ledger();
+    let first = ledger.ticket(Duration::ZERO);
+    for attempt in 1..=4 {
+        assert_eq!(ledger.arrive(attempt, first, SECOND), Arrival::New);
+        ledger.refused(attempt);
+    }
+    let ticket = ledger.ticket(5 * SECOND);
+    let fifth = ledger.arrive(5, ticket, 6 * SECOND);
+    assert_eq!(reason(&fifth), Some(Reason::MemoryFull));
+    ledger.tick(12 * SECOND);
+    assert!(ledger.is_empty());
+    let copy = ledger.arrive(5, ticket, 12 * SECOND);
+    assert_eq!(reason(&copy), Some(Reason::StaleTicket));
+    let again = ledger.arrive(6, ledger.ticket(12 * SECOND), 12 * SECOND);
+    assert_eq!(again, Arrival::New);
+}
+
 // Answers are dropped for room, oldest first. The attempt stays "ran": dropping
 // its record would make it look as if it had never come in.
 #[test]
