Leave out the very bounds where a key's memory ends

Cause: at three places a key at exactly the bound was taken, where by clocks that differ by exactly the allowed skew it may have run elsewhere. A previous home whose clock is ahead drops its record in the moment in which the new home still accepts the key; a key made by a caller whose clock is ahead counts as made after the start of a process that starts in that moment; and likewise for keys made around the confirmation of a change of homes. Between processes on real clocks this needs equality to the nanosecond, but the proof needs it to be right.

Ruled out: a wider skew bound, which only moves the equality.

Change: the three comparisons leave out equality.

The last of the three was changed by analogy; no counterexample of it was searched for on its own.

Conclusion: mended; two unit tests hold the first two bounds.

--- a/crates/calls/src/intent/home.rs
+++ b/crates/calls/src/intent/home.rs
@@ -194,7 +194,7 @@
                 match confirmed {
                     // Made after the previous home had stopped taking keys of
                     // the earlier set: it cannot have run there.
-                    Some(it) if created >= it.at + self.skew => {}
+                    Some(it) if created > it.at + self.skew => {}
                     Some(it) if !it.memory => return Home::Unsettled,
                     _ => {
                         let version: &mut Version = ask.entry(upstream.clone()).or_default();
--- a/crates/calls/src/intent/table.rs
+++ b/crates/calls/src/intent/table.rs
@@ -192,15 +192,23 @@
             // It would outlive its record: the record goes by our clock.
             return Err(Refusal::permanent(Reason::KeyFromFuture));
         }
-        if created + self.cfg.retention < now {
+        // At equality a previous home whose clock is ahead by the whole bound has
+        // just dropped its record.
+        if created + self.cfg.retention <= now {
             return Err(Refusal::permanent(Reason::KeyExpired));
         }
-        if created < self.since {
+        if !self.has_authority_over(created) {
             return Err(Refusal::permanent(Reason::KeyUnsettled));
         }
         Ok(())
     }
 
+    /// At equality a maker whose clock is ahead by the whole bound made the key in
+    /// the moment of this start, and an earlier process may have run it.
+    fn has_authority_over(&self, created: Wall) -> bool {
+        created > self.since
+    }
+
     /// The attempt that held the key did not run: the key is free again.
     pub fn release(&mut self, key: &IntentKey, attempt: AttemptId) {
         if self.runs_under(key, attempt) {
@@ -241,7 +249,7 @@
         let Some(intent) = self.intents.get(key) else {
             let created = key.key.created();
             // A key without a time is fenced by its claim row instead.
-            let settled = created.is_none_or(|created| created >= self.since);
+            let settled = created.is_none_or(|created| self.has_authority_over(created));
             return if settled {
                 HomeAnswer::Never
             } else {
--- a/crates/calls/tests/all/intent.rs
+++ b/crates/calls/tests/all/intent.rs
@@ -87,6 +87,32 @@
     assert_eq!(table.hand_over(&within_skew), HomeAnswer::Unknown);
 }
 
+// A caller whose clock is ahead by the whole bound makes a key in the moment in
+// which this process starts, and the process before it runs it. The key states
+// the last time that the new process has no authority over.
+#[test]
+fn key_from_the_moment_of_the_start_is_unsettled() {
+    let mut table = table();
+    let now = START + MINUTE;
+    let at_the_bound = timed_key(START + 2 * SECOND);
+    let begin = table.begin(&at_the_bound, REQUEST, 1, now);
+    assert_eq!(reason(&begin), Some(Reason::KeyUnsettled));
+    assert_eq!(table.hand_over(&at_the_bound), HomeAnswer::Unknown);
+    let after = timed_key(START + 3 * SECOND);
+    assert_eq!(table.begin(&after, REQUEST, 2, now), Begin::Run);
+}
+
+// A key's home moves to this executor. The clock of the previous home is ahead
+// by the whole bound: it has just dropped the record of its run, and says that
+// the key never ran. By this executor's clock the key has just come of age.
+#[test]
+fn key_is_expired_here_once_a_previous_home_may_have_dropped_it() {
+    let mut table = table();
+    let key = timed_key(START + MINUTE);
+    let begin = table.begin(&key, REQUEST, 1, START + 11 * MINUTE);
+    assert_eq!(reason(&begin), Some(Reason::KeyExpired));
+}
+
 // A run's record is dropped by age, and the caller sends again after that.
 #[test]
 fn key_older_than_its_record_is_expired() {
