Count rows apart from requests at the stand-in, and platform bytes in the metrics

The stand-in's limit a second counts rows, ranges and objects while its counters knew requests only, so a measurement could not state both. The daemon's bytes to the platform were counted by its client but shown nowhere; they are gauges now.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -48,6 +48,12 @@
 
     /// Every metric of this daemon as text lines.
     pub(crate) fn metrics_text(&self) -> String {
+        let usage = self.platform.usage();
+        let gauge = |name, value| self.metrics.gauge(name, value);
+        gauge("platform.sent_bytes", usage.bytes_sent);
+        gauge("platform.received_bytes", usage.bytes_received);
+        gauge("platform.reads", usage.reads + usage.object_reads);
+        gauge("platform.writes", usage.commits + usage.object_writes);
         self.metrics.render()
     }
 
--- a/crates/load/src/measure/sockets.rs
+++ b/crates/load/src/measure/sockets.rs
@@ -1,6 +1,7 @@
 //! Bytes at one process's sockets as the kernel hands them over, which is
 //! independent of what the process counts itself.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::path::Path;
 use std::time::Duration;
@@ -47,12 +48,33 @@
     Delay::new(length).await;
     tracer.terminate();
     tracer.exit(END).await;
-    let text = fs::read_to_string(out)?;
-    let bytes = text.lines().filter(|line| is_control(line));
-    let sum: u64 = bytes.filter_map(moved).sum();
+    let sum = control_bytes(&fs::read_to_string(out)?);
     Ok((sum > 0).then(|| as_f64(sum)))
 }
 
+/// Sums up a trace. A call during which another thread made one stands on two
+/// lines, the connection on the first and the result on the second.
+fn control_bytes(trace: &str) -> u64 {
+    let mut unfinished = BTreeMap::new();
+    let mut sum = 0;
+    for line in trace.lines() {
+        let Some((thread, call)) = line.split_once(' ') else {
+            continue;
+        };
+        let is_second = call.trim_start().starts_with("<...");
+        let counts = match unfinished.remove(thread) {
+            Some(is_control) if is_second => is_control,
+            _ => is_control(call),
+        };
+        if call.ends_with("<unfinished ...>") {
+            unfinished.insert(thread, counts);
+        } else if counts {
+            sum += moved(call).unwrap_or(0);
+        }
+    }
+    sum
+}
+
 /// Whether the call is on a connection to or from a control port.
 fn is_control(line: &str) -> bool {
     let Some(ends) = line
--- a/crates/standin-platform/src/counts.rs
+++ b/crates/standin-platform/src/counts.rs
@@ -19,6 +19,15 @@
     Write,
 }
 
+/// How much a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Size {
+    /// Rows, ranges or objects.
+    pub(crate) items: usize,
+    /// Bytes of its body.
+    pub(crate) bytes: usize,
+}
+
 /// What one availability zone asked, or all of them together.
 ///
 /// Requests count when they arrive, whatever becomes of them, since a storm of
@@ -27,8 +36,15 @@
 pub struct ZoneCounts {
     /// Reads of the table or of objects.
     pub reads: u64,
+    /// Rows, ranges and objects that these reads asked for, which is what the
+    /// limit a second counts.
+    #[serde(default)]
+    pub items_read: u64,
     /// Writes to the table or of objects.
     pub writes: u64,
+    /// Rows and objects that these writes touch.
+    #[serde(default)]
+    pub items_written: u64,
     /// Of these, refused for the limit a second.
     pub throttled: u64,
     /// Of these, refused by a fault.
@@ -55,7 +71,7 @@
 }
 
 impl ZoneCounts {
-    fn arrived(&mut self, now: Duration, access: Access, bytes: usize) {
+    fn arrived(&mut self, now: Duration, access: Access, size: Size) {
         if self.second.number != now.as_secs() {
             self.second = Second {
                 number: now.as_secs(),
@@ -65,14 +81,16 @@
         match access {
             Access::Read => {
                 self.reads += 1;
+                self.items_read += size.items as u64;
                 self.second.reads += 1;
             }
             Access::Write => {
                 self.writes += 1;
+                self.items_written += size.items as u64;
                 self.second.writes += 1;
             }
         }
-        self.bytes_in += bytes as u64;
+        self.bytes_in += size.bytes as u64;
         self.peak_reads = self.peak_reads.max(self.second.reads);
         self.peak_writes = self.peak_writes.max(self.second.writes);
     }
@@ -97,8 +115,8 @@
 }
 
 impl Counts {
-    pub(crate) fn arrived(&mut self, now: Duration, zone: &str, access: Access, bytes: usize) {
-        self.each(zone, |counts| counts.arrived(now, access, bytes));
+    pub(crate) fn arrived(&mut self, now: Duration, zone: &str, access: Access, size: Size) {
+        self.each(zone, |counts| counts.arrived(now, access, size));
     }
 
     pub(crate) fn throttled(&mut self, zone: &str) {
--- a/crates/standin-platform/src/standin.rs
+++ b/crates/standin-platform/src/standin.rs
@@ -6,7 +6,7 @@
 
 use stoatstep_platform::{Fault, Faults, Objects, RateLimit, Service, Table};
 
-use crate::counts::{Access, Counts, CountsReport};
+use crate::counts::{Access, Counts, CountsReport, Size};
 use crate::server::Options;
 
 /// Hint to come back while the service is down.
@@ -149,7 +149,11 @@
 impl Inner {
     fn admit(&mut self, now: Duration, arrival: Arrival<'_>) -> Decision {
         let Arrival { zone, access, .. } = arrival;
-        self.counts.arrived(now, zone, access, arrival.bytes);
+        let size = Size {
+            items: arrival.cost,
+            bytes: arrival.bytes,
+        };
+        self.counts.arrived(now, zone, access, size);
         let verdict = self.faults.verdict(now, arrival.service, zone);
         if verdict.refuse {
             self.counts.refused(zone);
