--- a/crates/versionlog/src/writer/prepare.rs
+++ b/crates/versionlog/src/writer/prepare.rs
@@ -23,8 +23,8 @@
     }
     let delta = Delta {
         version: next.version(),
-        puts: resources(change),
-        deletes: keys(change),
+        puts: resources(change, state),
+        deletes: keys(change, state),
         digest: next.digest(),
     };
     Ok((delta, next))
@@ -73,7 +73,7 @@
     for (key, _) in &change.deletes {
         items.remove(key);
     }
-    for (resource, _) in &change.puts {
+    for resource in changed_puts(change, state) {
         let held = Held {
             revision: version,
             resource: Arc::new(resource.clone()),
@@ -86,11 +86,23 @@
     })
 }
 
-fn resources(change: &Change) -> Vec<Resource> {
-    let puts = change.puts.iter();
-    puts.map(|(resource, _)| resource.clone()).collect()
+fn resources(change: &Change, state: &State) -> Vec<Resource> {
+    changed_puts(change, state).cloned().collect()
 }
 
-fn keys(change: &Change) -> Vec<Key> {
-    change.deletes.iter().map(|(key, _)| key.clone()).collect()
+/// The resources that differ from what is held. Operators apply whole folders
+/// of which one file changed; sending the rest again would cost every daemon
+/// about a snapshot, and move revisions under other operators' feet.
+fn changed_puts<'a>(change: &'a Change, state: &'a State) -> impl Iterator<Item = &'a Resource> {
+    let puts = change.puts.iter().map(|(resource, _)| resource);
+    puts.filter(|resource| {
+        let held = state.get(&resource.key());
+        held.is_none_or(|held| *held.resource != **resource)
+    })
+}
+
+fn keys(change: &Change, state: &State) -> Vec<Key> {
+    let deletes = change.deletes.iter().map(|(key, _)| key);
+    let held = deletes.filter(|key| state.get(key).is_some());
+    held.cloned().collect()
 }
--- a/crates/versionlog/tests/writer.rs
+++ b/crates/versionlog/tests/writer.rs
@@ -448,3 +448,19 @@
     let error = LogError::HeadDigest { version: 2 };
     assert_eq!(refused, Err(WriteError::Log(error)));
 }
+
+#[test]
+fn what_a_change_leaves_as_it_was_is_not_sent() {
+    // An operator applies a whole folder of which one service is new. Daemons
+    // get that one, and the old one keeps its revision, so that another operator
+    // who works on it meets no race.
+    // Safeguard: `changed_puts` leaves out what is equal to what is held.
+    let platform = MemoryPlatform::new();
+    write(&platform, put_service("op-1", "floatdesk")).unwrap();
+    let puts = vec![(service("floatdesk"), None), (service("refundhall"), None)];
+    let accepted = write(&platform, change("op-2", puts)).unwrap();
+    let delta = accepted.deltas.last().unwrap();
+    assert_eq!(delta.puts, [service("refundhall")]);
+    let held = |name| accepted.state.get(&service_key(name)).unwrap().revision;
+    assert_eq!((held("floatdesk"), held("refundhall")), (1, 2));
+}
