--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -85,7 +85,7 @@
 }
 
 async fn stop_when_drained(server: Server) {
-    const POLL: Millis = Millis(20);
+    const POLL: Millis = Millis(200);
     while !call::drain::has_left() {
         sleep(POLL).await;
     }
