Count calls that ran and got no answer

A drain counted every unknown outcome as a cut. Most of them were calls that never ran, refused by the keys' home while its instance was replaced. A call is cut when it ran and its caller got no answer; the audit now finds these.

--- a/crates/load/src/load/audit.rs
+++ b/crates/load/src/load/audit.rs
@@ -33,6 +33,9 @@
     pub untrue_refusals: u64,
     /// Answered calls that no ledger knows.
     pub missing: u64,
+    /// Calls that ran but got no answer in the end: told as unknown, which is
+    /// honest, but lost all the same.
+    pub unanswered_runs: u64,
     /// The first few findings, by key or marker.
     pub examples: Vec<SmolStr>,
 }
@@ -77,6 +80,9 @@
                 self.missing += 1;
                 self.example(record.key.as_ref().or(record.answered_marker.as_ref()));
             }
+        } else {
+            let ran = record.markers().any(|it| runs.of_marker(&it) > 0);
+            self.unanswered_runs += u64::from(ran || key_runs.is_some_and(|it| it > 0));
         }
     }
 
--- a/crates/load/src/load/print.rs
+++ b/crates/load/src/load/print.rs
@@ -121,11 +121,12 @@
     if let Some(audit) = audit {
         writeln!(
             out,
-            "ledgers: {} runs, {} keys run twice, {} untrue refusals, {} answers without a run {}",
+            "ledgers: {} runs, {} keys run twice, {} untrue refusals, {} answers without a run, {} runs without an answer {}",
             audit.runs,
             audit.duplicates,
             audit.untrue_refusals,
             audit.missing,
+            audit.unanswered_runs,
             audit.examples.join(" "),
         )?;
     }
--- a/crates/load/src/load/record.rs
+++ b/crates/load/src/load/record.rs
@@ -36,6 +36,7 @@
     /// Marker of the answered attempt.
     pub(crate) answered_marker: Option<SmolStr>,
     maybe_ran: bool,
+    call: Call,
 }
 
 impl Record {
@@ -53,6 +54,7 @@
             reasons: Vec::new(),
             answered_marker: None,
             maybe_ran: false,
+            call: call.clone(),
         }
     }
 
@@ -81,6 +83,11 @@
         }
     }
 
+    /// The markers of all attempts.
+    pub(crate) fn markers(&self) -> impl Iterator<Item = SmolStr> {
+        (1..=self.attempts).map(|number| self.call.marker(number))
+    }
+
     /// A refusal of the last attempt says nothing about an earlier one whose
     /// outcome is unknown, so the call as a whole stays unknown then.
     pub(crate) fn end(&mut self, latency: Duration) {
--- a/crates/load/src/measure/faults.rs
+++ b/crates/load/src/measure/faults.rs
@@ -201,6 +201,7 @@
         count("faults_untrue_refusals", audit.untrue_refusals),
         count("faults_wrong_answers", tally.wrong),
         count("faults_answers_without_run", audit.missing),
+        count("faults_runs_without_answer", audit.unanswered_runs),
         Line::new(
             "faults_unknown_share",
             share(tally.unknown),
