--- a/tests/all/bad_input.rs
+++ b/tests/all/bad_input.rs
@@ -63,7 +63,10 @@
     assert_eq!(state(&after), state(before));
     assert_eq!(after.members.len(), before.members.len());
     assert!(after.quarantine.is_empty(), "{:?}", after.quarantine);
-    let answer = fleet.call(0, "/floatdesk/balance").await.expect("an answer");
+    let answer = fleet
+        .call(0, "/floatdesk/balance")
+        .await
+        .expect("an answer");
     answer.assert_answered();
 }
 
--- a/tests/all/lifecycle.rs
+++ b/tests/all/lifecycle.rs
@@ -84,7 +84,10 @@
         fleet.restart_target(0);
         let end = std::time::Instant::now() + READY;
         loop {
-            let answer = fleet.call(0, "/floatdesk/balance").await.expect("an answer");
+            let answer = fleet
+                .call(0, "/floatdesk/balance")
+                .await
+                .expect("an answer");
             if answer.header("stoatstep-outcome") == "answered" {
                 return;
             }
@@ -158,7 +161,10 @@
         fleet.holds_everywhere(version, CONVERGENCE).await;
         fleet.platform.freeze();
         for _ in 0..20 {
-            let answer = fleet.call(0, "/refundhall/limits").await.expect("an answer");
+            let answer = fleet
+                .call(0, "/refundhall/limits")
+                .await
+                .expect("an answer");
             answer.assert_answered();
             ntex::time::sleep(Duration::from_millis(100)).await;
         }
--- a/tests/all/process_rules.rs
+++ b/tests/all/process_rules.rs
@@ -71,7 +71,10 @@
         fleet.joined(READY).await;
         let version = fleet.apply(0, fleet.default_resources()).await;
         fleet.holds_everywhere(version, READY).await;
-        let answer = fleet.call(0, "/refundhall/limits").await.expect("an answer");
+        let answer = fleet
+            .call(0, "/refundhall/limits")
+            .await
+            .expect("an answer");
         answer.assert_answered();
         for instance in &fleet.instances {
             check(&instance.daemon);
