--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -7,7 +7,7 @@
 //! end it holds what it was told against the ledgers of the targets.
 //!
 //! `stoat-measure` starts fleets of real processes around such loads and prints
-//! figures. See `docs/contributing/testing.md`.
+//! figures. See `docs/contributing/measuring.md`.
 
 mod baseline;
 mod fleet;
