--- a/crates/calls/src/admission/mod.rs
+++ b/crates/calls/src/admission/mod.rs
@@ -6,6 +6,7 @@
 //! finish in time is refused when it comes, while another executor may still
 //! have time for it. See `docs/design/calls.md`.
 
+mod active;
 mod shares;
 mod types;
 
@@ -18,6 +19,7 @@
 use crate::estimate::Estimate;
 use crate::ids::{AttemptId, Time};
 use crate::refusal::{Reason, Refusal};
+use active::Active;
 use shares::Shares;
 
 pub use types::{AdmissionConfig, Ask, Dispatch, Load, Verdict};
@@ -39,6 +41,7 @@
     running: BTreeMap<AttemptId, Running>,
     waiting: Vec<Ask>,
     shares: Shares,
+    active: Active,
     service: BTreeMap<Class, Estimate>,
 }
 
@@ -51,6 +54,7 @@
             running: BTreeMap::new(),
             waiting: Vec::new(),
             shares: Shares::default(),
+            active: Active::default(),
             service: BTreeMap::new(),
         }
     }
@@ -72,6 +76,7 @@
 
     /// Decides about an attempt at once.
     pub fn offer(&mut self, ask: Ask, now: Time) -> (Verdict, Vec<Dispatch>) {
+        self.active.see(&ask.tenant, ask.weight, now);
         let service = self.service_time(ask.class);
         if now + service >= ask.expires {
             let refusal = Refusal::permanent(Reason::Deadline);
@@ -82,7 +87,7 @@
             return (Verdict::Run, Vec::new());
         }
         let wait = self.expected_wait(&ask);
-        if now + wait + service >= ask.expires {
+        if now + wait + service >= ask.expires || self.holds_its_share(&ask) {
             let refusal = overload(wait);
             return (Verdict::Refused(refusal), Vec::new());
         }
@@ -200,6 +205,16 @@
         self.service_time(ask.class) * turns / self.cfg.slots.max(1)
     }
 
+    /// Whether the tenant holds all of the queue that is its share among those
+    /// that were here lately. Calls that it would only lose its places with, as
+    /// soon as the others come back, are better refused at the door than after
+    /// they waited.
+    fn holds_its_share(&self, ask: &Ask) -> bool {
+        let same = |it: &&Ask| it.tenant == ask.tenant;
+        let held = self.waiting.iter().filter(same).count();
+        held >= self.active.places(ask.weight, self.cfg.queue)
+    }
+
     fn active_weight(&self, ask: &Ask) -> usize {
         let mut weights: BTreeMap<&TenantName, u32> = BTreeMap::new();
         for it in &self.waiting {
--- a/crates/calls/src/intent/home.rs
+++ b/crates/calls/src/intent/home.rs
@@ -150,6 +150,21 @@
         sets.is_some_and(|sets| sets.current.contains(upstream))
     }
 
+    /// Whether this executor, by its own current sets, takes `asker` for the home
+    /// of the key. To be looked at before it tells a new home that the key never
+    /// ran here.
+    ///
+    /// An executor that lags may ask although the home has moved on. If the home
+    /// that followed has lost count of earlier sets, by a restart or by skipping
+    /// versions, it does not know of the one that lags; each would then hear
+    /// "never" or nothing, and the key would run at both. "Never" is a promise to
+    /// the one home that this executor knows.
+    #[must_use]
+    pub fn is_home(&self, key: &IntentKey, asker: &UpstreamName) -> bool {
+        let sets = self.services.get(&key.service);
+        sets.is_some_and(|sets| home_of(&sets.current, key) == Some(asker))
+    }
+
     /// Id of the current set of a service.
     #[must_use]
     pub fn current_id(&self, service: &ServiceName) -> Option<SetId> {
--- a/crates/daemon/src/call/homes.rs
+++ b/crates/daemon/src/call/homes.rs
@@ -78,7 +78,10 @@
         settle_deleted(node, key, question);
         return Err(RunEnd::Refused(moving()));
     };
-    let message = WireHome { key: key.clone() };
+    let message = WireHome {
+        key: key.clone(),
+        asker: node.cfg.upstream.clone(),
+    };
     let addr = member.peer_addr;
     let answer = node
         .calls
@@ -126,6 +129,12 @@
     // the answer, and so takes no more attempts under an earlier set.
     let version = sync::config(node);
     let tables = node.calls.executor.borrow();
+    if !tables.homes.is_home(&message.key, &message.asker) {
+        return WireHomeReply {
+            version: 0,
+            answer: WireHomeAnswer::Running,
+        };
+    }
     let answer = tables.intents.hand_over(&message.key);
     WireHomeReply {
         version,
--- a/crates/daemon/src/call/wire.rs
+++ b/crates/daemon/src/call/wire.rs
@@ -15,7 +15,7 @@
     Answer, AttemptId, Class, Header, HomeAnswer, IntentKey, KeyText, Load, Refusal, SetId,
     Settled, Ticket,
 };
-use stoatstep_resource::{ServiceName, TenantName, Version};
+use stoatstep_resource::{ServiceName, TenantName, UpstreamName, Version};
 
 /// What every attempt of one call has in common.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -184,6 +184,8 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct WireHome {
     pub(super) key: IntentKey,
+    /// The new home.
+    pub(super) asker: UpstreamName,
 }
 
 /// What a previous home knows about a key.
@@ -198,7 +200,8 @@
 /// Answer to [`WireHome`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct WireHomeReply {
-    /// The version that the previous home has applied.
+    /// The version that the previous home has applied; 0 where it takes another
+    /// one than the asker for the home, and so promises nothing.
     pub(super) version: Version,
     pub(super) answer: WireHomeAnswer,
 }
