Show control traffic in the status, by class

Membership and configuration are counted apart, heads of HTTP included, as in /metrics. A method of the compiled configuration that nothing used is gone.

--- a/crates/daemon/src/control/tables.rs
+++ b/crates/daemon/src/control/tables.rs
@@ -40,7 +40,7 @@
     pub(super) cold_start: RefCell<ColdStart>,
     pub(super) has_announced_leave: Cell<bool>,
     pub(super) takes_snapshot: Cell<bool>,
-    pub(super) traffic: Traffic,
+    pub(crate) traffic: Traffic,
 }
 
 impl Control {
@@ -51,7 +51,7 @@
         let seed = me.key() ^ me.birth;
         let membership = Membership::new(me, membership::Config::default(), seed);
         let directory = Directory::new(membership.table());
-        let empty = InForce::new(Arc::new(State::default()));
+        let empty = InForce::new(&Arc::new(State::default()));
         Self {
             started: Instant::now(),
             in_force: RefCell::new(Rc::new(empty)),
@@ -140,7 +140,7 @@
         drop(serving);
         let is_newer = state.version() > self.in_force().state.version();
         if is_newer && self.serves.get() {
-            *self.in_force.borrow_mut() = Rc::new(InForce::new(state));
+            *self.in_force.borrow_mut() = Rc::new(InForce::new(&state));
             self.changed.notify();
         }
         let mark = self.replica.borrow().mark();
--- a/crates/daemon/src/control/traffic.rs
+++ b/crates/daemon/src/control/traffic.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 
+use stoatstep_resource::wire::TrafficStatus;
 use stoatstep_telemetry::Metrics;
 
 /// What a control message is about. Membership and configuration are counted
@@ -47,7 +48,7 @@
 /// Sums over the life of the process, of heads and bodies as they go over the
 /// sockets. Attempts of calls are not among them.
 #[derive(Debug, Default)]
-pub(super) struct Traffic {
+pub(crate) struct Traffic {
     membership: Sum,
     configuration: Sum,
 }
@@ -63,6 +64,17 @@
         emit(metrics, class, "received", bytes);
     }
 
+    /// Sums since the start, for operators.
+    pub(crate) fn status(&self) -> Vec<TrafficStatus> {
+        let classes = [Class::Membership, Class::Configuration];
+        let row = |class: Class| TrafficStatus {
+            class: class.as_str().into(),
+            sent_bytes: self.sum(class).sent.get(),
+            received_bytes: self.sum(class).received.get(),
+        };
+        classes.map(row).to_vec()
+    }
+
     fn sum(&self, class: Class) -> &Sum {
         match class {
             Class::Membership => &self.membership,
--- a/crates/daemon/src/in_force.rs
+++ b/crates/daemon/src/in_force.rs
@@ -34,31 +34,27 @@
     routes: Vec<Arc<ResolvedRoute>>,
     services: BTreeMap<ServiceName, Vec<UpstreamName>>,
     upstreams: BTreeMap<UpstreamName, Arc<Upstream>>,
-    policies: BTreeMap<ServiceName, Arc<Policy>>,
 }
 
 impl InForce {
     /// Compiles `state`, whose references have been checked.
-    pub(crate) fn new(state: Arc<State>) -> Self {
+    pub(crate) fn new(state: &Arc<State>) -> Self {
         let mut in_force = Self {
             digest: state.digest(),
             routes: Vec::new(),
             services: BTreeMap::new(),
             upstreams: BTreeMap::new(),
-            policies: BTreeMap::new(),
-            state: Arc::clone(&state),
+            state: Arc::clone(state),
         };
         for (_, held) in state.iter() {
             match held.resource.as_ref() {
                 Resource::Policy(_) => {}
                 Resource::Service(service) => {
-                    let policy = policy_of(&state, None, service.policy.as_ref());
-                    in_force.policies.insert(service.name.clone(), policy);
                     in_force.services.entry(service.name.clone()).or_default();
                 }
                 Resource::Upstream(upstream) => in_force.add_upstream(upstream),
                 Resource::Route(route) => {
-                    let resolved = resolve(&state, route);
+                    let resolved = resolve(state, route);
                     in_force.routes.push(Arc::new(resolved));
                 }
             }
@@ -87,11 +83,6 @@
         self.upstreams.get(name)
     }
 
-    /// The policy of a service for calls whose route names none.
-    pub(crate) fn policy_of_service(&self, service: &str) -> Option<&Arc<Policy>> {
-        self.policies.get(service)
-    }
-
     fn add_upstream(&mut self, upstream: &Upstream) {
         self.services
             .entry(upstream.service.clone())
--- a/crates/daemon/src/operator/status.rs
+++ b/crates/daemon/src/operator/status.rs
@@ -25,6 +25,7 @@
         holds: fleet.holds,
         quarantine: fleet.quarantine,
         histograms: histograms(node),
+        traffic: node.control.traffic.status(),
     };
     json(StatusCode::OK, &status)
 }
--- a/crates/resource/src/wire/mod.rs
+++ b/crates/resource/src/wire/mod.rs
@@ -32,5 +32,6 @@
     PolicyWire, ResourceWire, RetryWire, RouteWire, ServiceWire, TenantLimitWire, UpstreamWire,
 };
 pub use status::{
-    HistogramStatus, MemberState, MemberStatus, QuarantineStatus, StatusAnswer, VersionHold,
+    HistogramStatus, MemberState, MemberStatus, QuarantineStatus, StatusAnswer, TrafficStatus,
+    VersionHold,
 };
--- a/crates/resource/src/wire/status.rs
+++ b/crates/resource/src/wire/status.rs
@@ -38,6 +38,9 @@
     /// Time spent by calls, for each tenant, class and stage.
     #[serde(default)]
     pub histograms: Vec<HistogramStatus>,
+    /// Control traffic of the answering daemon since its start.
+    #[serde(default)]
+    pub traffic: Vec<TrafficStatus>,
 }
 
 /// One instance as the answering daemon sees it.
@@ -130,3 +133,14 @@
     /// Largest.
     pub max_us: u64,
 }
+
+/// Bytes of one class of control traffic, heads of HTTP included.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrafficStatus {
+    /// What it is about: `membership` or `configuration`.
+    pub class: SmolStr,
+    /// Bytes sent to other daemons.
+    pub sent_bytes: u64,
+    /// Bytes received from other daemons.
+    pub received_bytes: u64,
+}
