--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http/mod.rs
@@ -1,23 +1,25 @@
 //! The platform over HTTP.
 
+mod outcome;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use ntex::SharedCfg;
-use ntex::client::error::{ClientError, ConnectError};
-use ntex::client::{Client, ClientResponse, Connector};
-use ntex::http::{Method, StatusCode};
+use ntex::client::{Client, Connector};
+use ntex::http::Method;
 use ntex::io::IoConfig;
 use ntex::time::{Millis, Seconds, timeout};
 use ntex::util::Bytes;
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 
+use self::outcome::{bad_answer, from_client_error, from_status, unavailable, unknown};
 use crate::api::Platform;
 use crate::error::PlatformError;
 use crate::request::{CommitAnswer, CommitRequest, ReadAnswer, ReadRequest};
 use crate::usage::{Usage, UsageCounters};
-use crate::wire::{self, MAX_BODY, MAX_KEY, MAX_OBJECT, WireError, header};
+use crate::wire::{self, MAX_BODY, MAX_KEY, MAX_OBJECT, header};
 
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
 const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -28,9 +30,6 @@
 /// write would end as "unknown" for nothing.
 const KEEP_ALIVE: Seconds = Seconds(10);
 
-/// How long after the last answer a refusal without a hint asks to come back.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// Builds an [`HttpPlatform`].
 #[derive(Clone, Debug)]
 pub struct HttpPlatformBuilder {
@@ -277,68 +276,3 @@
 fn millis(duration: Duration) -> Millis {
     Millis(u32::try_from(duration.as_millis()).unwrap_or(u32::MAX))
 }
-
-fn unavailable(reason: SmolStr) -> PlatformError {
-    PlatformError::Unavailable {
-        reason,
-        retry_after: None,
-    }
-}
-
-fn unknown(reason: impl Into<SmolStr>) -> PlatformError {
-    PlatformError::Unknown {
-        reason: reason.into(),
-    }
-}
-
-fn bad_answer(e: &WireError) -> PlatformError {
-    PlatformError::BadAnswer {
-        reason: e.to_smolstr(),
-    }
-}
-
-/// Sorts the client's errors into "never sent" and "maybe sent".
-///
-/// The client reports a connection that ended while it waited for the answer
-/// as `Connect(Disconnected(None))`, as if it had never connected. Taking it
-/// for a failed connect would turn a write that took effect into "not done",
-/// and the retry into a duplicate; a failed connect has a cause.
-fn from_client_error(e: ClientError) -> PlatformError {
-    match e {
-        ClientError::Connect(ConnectError::Disconnected(None)) => {
-            unknown("connection ended before the answer")
-        }
-        ClientError::Connect(e) => unavailable(e.to_smolstr()),
-        ClientError::Url(_) | ClientError::Http(_) => PlatformError::Refused {
-            reason: e.to_smolstr(),
-        },
-        e => unknown(e.to_smolstr()),
-    }
-}
-
-/// Sorts the statuses: only those by which the service itself says that it
-/// did nothing count as not done; a 500 or a gateway's 502 tells nothing.
-fn from_status(res: &ClientResponse, body: &[u8]) -> Result<(), PlatformError> {
-    let status = res.status();
-    if status.is_success() {
-        return Ok(());
-    }
-    let reason = || format_smolstr!("{}: {}", status, String::from_utf8_lossy(body));
-    Err(match status {
-        StatusCode::NOT_FOUND => PlatformError::NotFound,
-        StatusCode::TOO_MANY_REQUESTS => PlatformError::Throttled {
-            retry_after: retry_after(res).unwrap_or(DEFAULT_RETRY_AFTER),
-        },
-        StatusCode::SERVICE_UNAVAILABLE => PlatformError::Unavailable {
-            reason: reason(),
-            retry_after: retry_after(res),
-        },
-        status if status.is_client_error() => PlatformError::Refused { reason: reason() },
-        _ => unknown(reason()),
-    })
-}
-
-fn retry_after(res: &ClientResponse) -> Option<Duration> {
-    let value = res.header(header::RETRY_AFTER_MS)?.to_str().ok()?;
-    value.parse().ok().map(Duration::from_millis)
-}
--- /dev/null
+++ b/crates/standin-platform/tests/version_log.rs
@@ -0,0 +1,148 @@
+//! The version log over TCP, against a platform at fault.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ntex::client::Client;
+use ntex::time::{Millis, sleep};
+use stoatstep_platform::HttpPlatform;
+use stoatstep_resource::wire::Change;
+use stoatstep_resource::{Resource, Service, State};
+use stoatstep_standin_platform::{Options, serve};
+use stoatstep_versionlog::{Edge, LogConfig, Tail, VersionLog};
+
+struct Process {
+    platform: HttpPlatform,
+    started: Instant,
+    seed: u64,
+}
+
+impl Edge for Process {
+    type Platform = HttpPlatform;
+
+    fn platform(&self) -> &HttpPlatform {
+        &self.platform
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    async fn sleep(&self, time: Duration) {
+        sleep(time).await;
+    }
+
+    fn seed(&self) -> u64 {
+        self.seed
+    }
+}
+
+fn start() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    drop(listener);
+    let options = Options {
+        addr,
+        reads_per_second: 2_000,
+        writes_per_second: 300,
+    };
+    ntex::rt::spawn(serve(&options).unwrap().ended());
+    addr
+}
+
+async fn log(addr: SocketAddr, zone: &str, seed: u64) -> VersionLog<Process> {
+    let builder = HttpPlatform::builder(addr, zone).timeout(Duration::from_millis(200));
+    let process = Process {
+        platform: builder.build().await.unwrap(),
+        started: Instant::now(),
+        seed,
+    };
+    VersionLog::new(process, LogConfig::default())
+}
+
+async fn set_fault(addr: SocketAddr, fault: serde_json::Value) {
+    let client = Client::new().await;
+    let req = client.post(format!("http://{addr}/admin/fault"));
+    assert_eq!(req.send_json(&fault).await.unwrap().status().as_u16(), 204);
+}
+
+fn put_service(operation: &str, name: &str) -> Change {
+    let resource = Resource::Service(Service {
+        name: name.into(),
+        policy: None,
+    });
+    Change {
+        operation: operation.into(),
+        puts: vec![(resource, Some(0))],
+        deletes: Vec::new(),
+    }
+}
+
+async fn versions(log: &VersionLog<Process>) -> usize {
+    match log.tail(0).await.unwrap() {
+        Tail::Deltas { deltas, .. } => deltas.len(),
+        Tail::Trimmed { .. } => panic!("nothing was trimmed"),
+    }
+}
+
+#[ntex::test]
+async fn lost_answers_end_in_one_version() {
+    // Every answer of the table is lost for a while, after its effect. The
+    // writer can't even read back; once answers come again it finds its own
+    // change and says so.
+    let addr = start();
+    let log = log(addr, "a", 1).await;
+    let fault = serde_json::json!({"service": "table", "kind": "lose-answers", "for_ms": 400});
+    set_fault(addr, fault).await;
+    let create = put_service("op-1", "floatdesk");
+    let accepted = log.write(create, "tester".into(), Arc::default()).await;
+    assert_eq!(accepted.unwrap().version, 1);
+    assert_eq!(versions(&log).await, 1);
+}
+
+#[ntex::test]
+async fn a_write_that_wakes_late_lands_once() {
+    // The platform freezes for callers of one zone. The writer's requests pile
+    // up unanswered and are all carried out when it wakes, the old transaction
+    // among them. Then the same operation comes from another zone.
+    let addr = start();
+    let frozen = log(addr, "a", 1).await;
+    let other = log(addr, "b", 2).await;
+    let fault = serde_json::json!({"zone": "a", "kind": "pause", "for_ms": 700});
+    set_fault(addr, fault).await;
+    let create = || put_service("op-1", "floatdesk");
+    let there = frozen.write(create(), "tester".into(), Arc::default());
+    let here = other.write(create(), "tester".into(), Arc::default());
+    let (there, here) = ntex::util::join(there, here).await;
+    assert_eq!((there.unwrap().version, here.unwrap().version), (1, 1));
+    sleep(Millis(800)).await;
+    assert_eq!(versions(&other).await, 1);
+}
+
+async fn write_five(addr: SocketAddr, number: u64) {
+    let log = log(addr, "a", number).await;
+    let mut state: Arc<State> = Arc::default();
+    for turn in 0..5 {
+        let name = format!("service-{number}-{turn}");
+        let create = put_service(&name, &name);
+        let accepted = log.write(create, "tester".into(), state).await;
+        state = accepted.unwrap().state;
+    }
+}
+
+#[ntex::test]
+async fn many_operators_pass_within_the_platforms_limit() {
+    // Eight operators at eight daemons write five changes each at once, 120
+    // rows in all, and every one loses the head to the others again and again.
+    let addr = start();
+    let started = Instant::now();
+    let operators: Vec<_> = (0..8)
+        .map(|it| ntex::rt::spawn(write_five(addr, it)))
+        .collect();
+    for operator in operators {
+        operator.await.unwrap();
+    }
+    println!("40 changes by 8 operators: {:?}", started.elapsed());
+    assert_eq!(versions(&log(addr, "a", 9).await).await, 40);
+}
--- a/crates/versionlog/tests/support/mod.rs
+++ b/crates/versionlog/tests/support/mod.rs
@@ -12,7 +12,7 @@
 
 use stoatstep_platform::{MemoryPlatform, Platform, Row};
 use stoatstep_resource::wire::Change;
-use stoatstep_resource::{Key, Kind, Resource, Revision, Route, Service, State, Version};
+use stoatstep_resource::{Key, Kind, Resource, Revision, Route, Service, State, Upstream, Version};
 use stoatstep_versionlog::{
     Accepted, Edge, LOG_PREFIX, LogConfig, LogEntry, VersionLog, WriteAction, WriteError,
     WriteInput, Writer,
@@ -92,6 +92,15 @@
     })
 }
 
+pub(crate) fn upstream(name: &str, slots: u32) -> Resource {
+    Resource::Upstream(Upstream {
+        name: name.into(),
+        service: "floatdesk".into(),
+        slots,
+        connections: 120,
+    })
+}
+
 pub(crate) fn service_key(name: &str) -> Key {
     Key {
         kind: Kind::Service,
