--- a/tests/all/lifecycle.rs
+++ b/tests/all/lifecycle.rs
@@ -171,3 +171,24 @@
         fleet.platform.thaw();
     });
 }
+
+/// The platform's service is told to stop while a request waits in it. Cut off,
+/// its caller would have to take a write that never happened for one that may
+/// have; the request is answered first.
+#[test]
+fn request_in_flight_is_answered_before_the_platform_stops() {
+    run(async {
+        let mut fleet = Fleet::builder().instances(1).start();
+        fleet.ready(READY).await;
+        let fault = r#"{"service": "objects", "kind": "slow", "delay_ms": 1500, "for_ms": 10000}"#;
+        let fault = Request::post(fleet.platform_addr, "/admin/fault", fault)
+            .header("content-type", "application/json");
+        assert_eq!(fault.send().await.expect("an answer").status, 204);
+        let list = ntex::rt::spawn(Request::get(fleet.platform_addr, "/objects").send());
+        ntex::time::sleep(Duration::from_millis(500)).await;
+        let status = fleet.platform.terminate(READY).await;
+        let answer = list.await.expect("a task").expect("a whole answer");
+        assert_eq!(answer.status, 200);
+        assert!(status.is_some_and(|status| status.success()));
+    });
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,7 @@
 //! addresses. See `docs/contributing/testing.md`.
 
 mod bad_input;
+mod calls;
 mod decoders;
 mod docs;
 mod fleet;
--- a/tests/all/programs.rs
+++ b/tests/all/programs.rs
@@ -81,3 +81,17 @@
     }
     assert!(!text.contains("s3cret"), "{text}");
 }
+
+#[test]
+fn page_of_settings_names_every_flag_of_the_daemon() {
+    let page = include_str!("../../docs/operators/settings.md");
+    let (_, daemon) = PROGRAMS[0];
+    let help = stdout(&run(daemon, &["--help"], &[]));
+    let lines = help.lines().filter_map(|line| line.strip_prefix("  --"));
+    let flags = lines.filter_map(|line| line.split([' ', ',']).next());
+    let missing: Vec<_> = flags
+        .filter(|flag| !["help", "version"].contains(flag))
+        .filter(|flag| !page.contains(&format!("`--{flag}`")))
+        .collect();
+    assert!(missing.is_empty(), "{missing:?}");
+}
