--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -46,7 +46,7 @@
     Response::build(status).json(body)
 }
 
-/// An answer with a MessagePack body, as daemons send each other.
+/// An answer with a `MessagePack` body, as daemons send each other.
 pub(crate) fn msgpack<T: Serialize>(status: StatusCode, body: &T) -> Response {
     match rmp_serde::to_vec(body) {
         Ok(bytes) => Response::build(status).body(bytes),
@@ -54,7 +54,7 @@
     }
 }
 
-/// Decodes a MessagePack body.
+/// Decodes a `MessagePack` body.
 pub(crate) fn from_msgpack<T: DeserializeOwned>(
     body: &[u8],
 ) -> Result<T, rmp_serde::decode::Error> {
