Ask a peer for a version that another overtook, and describe peer messages

Cause: a version that arrived before the one ahead of it waited for the next exchange where that one was lost, up to a second.

Change: it makes the daemon look to a peer of its zone after the usual patience of up to 0.3 s, which a push on its way still cuts short.

--- a/crates/daemon/src/control/push.rs
+++ b/crates/daemon/src/control/push.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stoatstep_distribution::{Offer, PushRequest, View};
+use rand::seq::IteratorRandom;
+use stoatstep_distribution::{Mark, Offer, PushRequest, View};
 use stoatstep_membership::MemberKey;
 use stoatstep_resource::Delta;
 use stoatstep_resource::wire::DeltaWire;
@@ -72,6 +73,7 @@
 }
 
 fn offer(node: &Rc<Node>, delta: &Arc<Delta>) -> Vec<Arc<Delta>> {
+    let version = delta.version;
     let delta = Arc::clone(delta);
     let outcome = node
         .control
@@ -83,10 +85,31 @@
                 "version" => row.version, "reason" => %row.reason);
             Vec::new()
         }
-        Offer::Waiting { .. } | Offer::Held | Offer::Replaced(_) => Vec::new(),
+        Offer::Waiting { .. } => {
+            close_gap(node, version);
+            Vec::new()
+        }
+        Offer::Held | Offer::Replaced(_) => Vec::new(),
     }
 }
 
+/// A version overtook one before it. Most often that one arrives in the next
+/// moment; if it was lost, some peer of the zone has it.
+fn close_gap(node: &Rc<Node>, version: u64) {
+    let control = &node.control;
+    let me = control.me();
+    let membership = control.membership.borrow();
+    let zone = membership.table().in_zone(&node.cfg.zone);
+    let peers = zone.filter(|(key, entry)| *key != me && !entry.unreached);
+    let Some((peer, _)) = peers.choose(&mut rand::rng()) else {
+        return;
+    };
+    let theirs = Mark { version, digest: 0 };
+    let mine = control.replica.borrow().mark();
+    let mut repair = control.repair.borrow_mut();
+    repair.peer_holds(control.now(), peer, theirs, mine);
+}
+
 fn start(node: &Rc<Node>, delta: &Arc<Delta>, origin: MemberKey, targets: Vec<MemberKey>) {
     if targets.is_empty() {
         return;
--- a/crates/distribution/src/cold_start.rs
+++ b/crates/distribution/src/cold_start.rs
@@ -72,8 +72,8 @@
 /// Its one early read of the platform tells it the head and a few neighbours;
 /// whom they know, it learns from them. The configuration comes from peers, so
 /// that a zone of 76 that restarts costs the platform at most 76 small reads
-/// and, in the usual case, no snapshot. Who is found by a neighbour before its
-/// own read is due does without it.
+/// and, in the usual case, no snapshot. Where the platform does not answer, peers
+/// that know this daemon find it, and it does without the read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ColdStart {
     rng: Xoshiro256PlusPlus,
--- a/crates/distribution/tests/all/cold_start.rs
+++ b/crates/distribution/tests/all/cold_start.rs
@@ -136,7 +136,7 @@
 }
 
 #[test]
-fn who_is_found_by_a_peer_does_without_the_platform() {
+fn who_may_serve_by_what_peers_gave_does_without_the_platform() {
     let mut it = ColdStart::new(Duration::ZERO, 3);
     let standing = Standing {
         held: 7,
