Tell an operation's result even where the log after it is damaged

Cause: the tail was judged before the operation's row, so a damaged row after an accepted change turned the operator's retry into an error that says nothing about the change. The operation's row goes first now.

--- a/crates/versionlog/src/writer/mod.rs
+++ b/crates/versionlog/src/writer/mod.rs
@@ -145,11 +145,12 @@
     fn follow(&mut self, answer: &ReadAnswer) -> Result<WriteAction, LogError> {
         let head = read_head(answer)?;
         let operation_row = answer.rows.get(OPERATION_ROW).ok_or(LogError::Shape)?;
-        let tail = read_tail(self.state.version(), answer)?;
+        let tail = read_tail(self.state.version(), answer);
         if let Some(row) = operation_row {
-            return Ok(self.replay(OperationEntry::try_from(row)?, head.head, &tail));
+            let entry = OperationEntry::try_from(row)?;
+            return Ok(self.replay(entry, head.head, tail.ok()));
         }
-        let Tail::Deltas { deltas, .. } = tail else {
+        let Tail::Deltas { deltas, .. } = tail? else {
             return Ok(WriteAction::Recover);
         };
         self.catch_up(deltas)?;
@@ -172,15 +173,15 @@
         Ok(())
     }
 
-    fn replay(&mut self, entry: OperationEntry, head: Head, tail: &Tail) -> WriteAction {
+    fn replay(&mut self, entry: OperationEntry, head: Head, tail: Option<Tail>) -> WriteAction {
         if entry.fingerprint != self.fingerprint {
             let version = entry.version;
             return WriteAction::Finish(Err(WriteError::OperationReused { version }));
         }
         // The change is in the log whether or not the way there can be
         // followed, so a bad row is no failure of this operation.
-        if let Tail::Deltas { deltas, .. } = tail {
-            let _ = self.catch_up(deltas.clone());
+        if let Some(Tail::Deltas { deltas, .. }) = tail {
+            let _ = self.catch_up(deltas);
         }
         WriteAction::Finish(Ok(Accepted {
             version: entry.version,
--- a/crates/versionlog/tests/writer.rs
+++ b/crates/versionlog/tests/writer.rs
@@ -428,18 +428,36 @@
     assert_eq!((accepted.version, accepted.deltas.len()), (11, 11));
 }
 
-#[test]
-fn a_bad_row_is_named_and_nothing_is_written() {
-    let platform = MemoryPlatform::new();
-    fill(&platform, 2);
+fn damage_version_2(platform: &MemoryPlatform) {
     platform.with_table(|table| {
         let key = "log/00000000000000000002".into();
         let value = vec![0xc1, 0, 1];
         table.commit(CommitRequest {
             conditions: Vec::new(),
             writes: vec![Write::Put { key, value }],
-        });
+        })
     });
+}
+
+#[test]
+fn a_bad_row_does_not_hide_what_became_of_an_operation() {
+    // The change was accepted, its answer was lost, and a row after it was
+    // damaged. The operator's retry asks what became of the change and not
+    // whether the log can be followed; it hears the version.
+    // Safeguard: the operation's row is judged before the tail.
+    let platform = MemoryPlatform::new();
+    write(&platform, put_service("op-1", "floatdesk")).unwrap();
+    fill(&platform, 3);
+    damage_version_2(&platform);
+    let again = write(&platform, put_service("op-1", "floatdesk")).unwrap();
+    assert_eq!((again.version, again.replayed), (1, true));
+}
+
+#[test]
+fn a_bad_row_is_named_and_nothing_is_written() {
+    let platform = MemoryPlatform::new();
+    fill(&platform, 2);
+    damage_version_2(&platform);
     let error = write(&platform, put_service("op", "late")).unwrap_err();
     assert!(
         error.to_string().contains("log/00000000000000000002"),
