Break more at once in the faults run, and ask twice for a drain

Daemons now freeze for 5 s, past the point at which the others give them up; a daemon is killed during an outage; the platform loses answers.

--- a/crates/load/src/fleet/operator.rs
+++ b/crates/load/src/fleet/operator.rs
@@ -43,10 +43,20 @@
     /// The whole platform is out for every zone.
     #[must_use]
     pub fn outage(length: Duration) -> Self {
+        Self::everywhere("down", length)
+    }
+
+    /// Writes take effect, but their answers are lost.
+    #[must_use]
+    pub fn lost_answers(length: Duration) -> Self {
+        Self::everywhere("lose-answers", length)
+    }
+
+    fn everywhere(kind: &'static str, length: Duration) -> Self {
         Self {
             service: "all",
             zone: "*".to_owned(),
-            kind: "down",
+            kind,
             delay_ms: 0,
             for_ms: u64::try_from(length.as_millis()).unwrap_or(u64::MAX),
         }
@@ -140,15 +150,26 @@
         Ok(answer.version)
     }
 
-    /// Asks a daemon to leave gracefully.
+    /// Asks a daemon to leave gracefully. Asking twice does no harm, and a
+    /// pooled connection may have been closed at the other end, so a request
+    /// that failed is sent again.
     ///
     /// # Errors
     ///
     /// The daemon cannot be reached.
     pub async fn drain(&self, daemon: SocketAddr) -> Result<(), FleetError> {
-        let body = Value::Null;
-        let sent = self.http.post(daemon, "/v1/drain", OPERATOR_TOKEN, &body);
-        sent.await.map(drop)
+        const TRIES: u32 = 3;
+        let mut result = Ok(());
+        for _ in 0..TRIES {
+            let sent = self
+                .http
+                .post(daemon, "/v1/drain", OPERATOR_TOKEN, &Value::Null);
+            result = sent.await.map(drop);
+            if result.is_ok() {
+                break;
+            }
+        }
+        result
     }
 
     /// Whether the daemon says that it can serve.
--- a/crates/load/src/measure/faults.rs
+++ b/crates/load/src/measure/faults.rs
@@ -14,9 +14,13 @@
 /// Time from one fault to the next.
 const PERIOD: Duration = Duration::from_millis(2_500);
 
-/// How long a process stays frozen or down.
+/// How long a process stays down.
 const DOWN: Duration = Duration::from_millis(1_500);
 
+/// How long a daemon stays frozen: long enough that the others give it up, so
+/// that it wakes to a fleet that went on without it.
+const FROZEN: Duration = Duration::from_secs(5);
+
 /// A drained daemon must be gone within this.
 const STOP_LIMIT: Duration = Duration::from_secs(15);
 
@@ -40,10 +44,12 @@
     CutAnswers,
     DrainDaemon,
     PlatformOutage,
+    PlatformLosesAnswers,
+    KillDaemonInOutage,
 }
 
 impl Trouble {
-    const ALL: [Self; 9] = [
+    const ALL: [Self; 11] = [
         Self::KillDaemon,
         Self::SilenceConnections,
         Self::FreezeDaemon,
@@ -53,6 +59,8 @@
         Self::FreezeTarget,
         Self::CutAnswers,
         Self::PlatformOutage,
+        Self::KillDaemonInOutage,
+        Self::PlatformLosesAnswers,
     ];
 
     /// What a plain router can meet, having neither daemons nor a platform.
@@ -73,7 +81,7 @@
 }
 
 pub(crate) async fn run(scale: Scale) -> Result<(), FleetError> {
-    let seconds = scale.pick(24, 135);
+    let seconds = scale.pick(36, 135);
     let mut fleet = Fleet::start(shape()).await?;
     measure(&mut fleet, seconds, &Trouble::ALL, None).await?;
     fleet.finish();
@@ -124,15 +132,11 @@
 
 async fn cause(fleet: &mut Fleet, trouble: Trouble, index: usize) -> Result<(), FleetError> {
     match trouble {
-        Trouble::KillDaemon => {
-            fleet.nodes[index].kill_daemon();
-            Delay::new(DOWN).await;
-            fleet.restart_daemon(index)?;
-        }
+        Trouble::KillDaemon => kill_daemon(fleet, index).await?,
         Trouble::FreezeDaemon => {
             if let Some(daemon) = &fleet.nodes[index].daemon {
                 daemon.freeze();
-                Delay::new(DOWN).await;
+                Delay::new(FROZEN).await;
                 daemon.thaw();
             }
         }
@@ -162,14 +166,26 @@
             behave(fleet, index, &json!({"truncate_every": 0})).await?;
         }
         Trouble::DrainDaemon => drain(fleet, index).await?,
-        Trouble::PlatformOutage => {
-            let platform = fleet.net.platform();
-            fleet.operator.fault(platform, &Fault::outage(DOWN)).await?;
+        Trouble::PlatformOutage => break_platform(fleet, Fault::outage(DOWN)).await?,
+        Trouble::PlatformLosesAnswers => break_platform(fleet, Fault::lost_answers(DOWN)).await?,
+        Trouble::KillDaemonInOutage => {
+            break_platform(fleet, Fault::outage(2 * DOWN)).await?;
+            kill_daemon(fleet, index).await?;
         }
     }
     Ok(())
 }
 
+async fn kill_daemon(fleet: &mut Fleet, index: usize) -> Result<(), FleetError> {
+    fleet.nodes[index].kill_daemon();
+    Delay::new(DOWN).await;
+    fleet.restart_daemon(index)
+}
+
+async fn break_platform(fleet: &Fleet, fault: Fault) -> Result<(), FleetError> {
+    fleet.operator.fault(fleet.net.platform(), &fault).await
+}
+
 async fn behave(fleet: &Fleet, index: usize, change: &serde_json::Value) -> Result<(), FleetError> {
     let target = fleet.nodes[index].target_addr;
     let http = fleet.operator.http();
