--- a/crates/scenario/src/daemon/control.rs
+++ b/crates/scenario/src/daemon/control.rs
@@ -18,6 +18,7 @@
 const TICK: Time = Time::from_millis(250);
 const ANNOUNCE_STEP: Time = Time::from_millis(500);
 const ANNOUNCE_RETRY: Time = Time::from_secs(5);
+const LOOK_INTERVAL: Time = Time::from_mins(10);
 const SECOND_LOOK: Time = Time::from_secs(7);
 const MAX_ANNOUNCEMENTS: usize = 4096;
 
@@ -269,20 +270,27 @@
     format!("instance/{}/{}", node.zone, node.instance)
 }
 
-/// Keeps this instance's row at the platform.
+/// Keeps this instance's row at the platform until it drains.
 pub(super) async fn announce(node: Rc<Node>) {
     while !is_settled(&node) {
         node.sleep(ANNOUNCE_STEP).await;
     }
-    while !write_row(&node).await {
-        node.sleep(ANNOUNCE_RETRY.mul_f64(node.world.share() + 0.5))
-            .await;
+    while !node.is_draining() && !write_row(&node).await {
+        let pause = ANNOUNCE_RETRY.mul_f64(node.world.share() + 0.5);
+        node.sleep(pause).await;
     }
-    node.sleep(SECOND_LOOK.mul_f64(node.world.share() + 0.5))
-        .await;
-    if let Some((head, rows)) = roster(&node, false).await {
-        take_in(&node, &head, rows);
+    let mut look_due = node.now() + SECOND_LOOK.mul_f64(node.world.share() + 0.5);
+    while !node.is_draining() {
+        if look_due <= node.now() {
+            look_due = node.now() + LOOK_INTERVAL;
+            if let Some((head, rows)) = roster(&node, false).await {
+                take_in(&node, &head, rows);
+            }
+        }
+        node.sleep(ANNOUNCE_STEP).await;
     }
+    let key = own_row(&node).into();
+    commit(&node, Write::Delete { key }).await;
 }
 
 fn is_settled(node: &Node) -> bool {
@@ -294,9 +302,13 @@
     let announcement = node.control.borrow().membership.announcement();
     let value = rmp_serde::to_vec(&announcement).expect("plain data always encodes");
     let key = own_row(node).into();
+    commit(node, Write::Put { key, value }).await
+}
+
+async fn commit(node: &Node, write: Write) -> bool {
     let req = CommitRequest {
         conditions: Vec::new(),
-        writes: vec![Write::Put { key, value }],
+        writes: vec![write],
     };
     node.platform().commit(req).await.is_ok()
 }
--- a/crates/scenario/src/daemon/entry.rs
+++ b/crates/scenario/src/daemon/entry.rs
@@ -123,10 +123,11 @@
         let Err(refusal) = &end else {
             return end;
         };
-        let Some(pause) = next_pause(node, carried, refusal, made) else {
+        let fresh = carried.key.is_none() && tried.len() < carried.names.len();
+        let Some(pause) = next_pause(node, carried, refusal, made, fresh) else {
             return end;
         };
-        if carried.key.is_some() || tried.len() >= carried.names.len() {
+        if !fresh {
             tried.clear();
         }
         node.sleep(pause).await;
@@ -167,7 +168,13 @@
     Some(pick.upstream)
 }
 
-fn next_pause(node: &Node, carried: &Carried, refusal: &Refusal, made: u32) -> Option<Time> {
+fn next_pause(
+    node: &Node,
+    carried: &Carried,
+    refusal: &Refusal,
+    made: u32,
+    fresh: bool,
+) -> Option<Time> {
     let settlement = match refusal.outcome() {
         Outcome::NotRun => Settlement::NotRun,
         Outcome::Unknown | Outcome::Answered => Settlement::Unknown,
@@ -177,16 +184,24 @@
         return None;
     }
     let left = carried.deadline.left(node.now());
-    let floor = match carried.key {
-        Some(_) => refusal.retry_after.unwrap_or_default(),
-        None => Time::ZERO,
-    };
     let calls = &mut *node.calls.borrow_mut();
-    let pause = Backoff::default().pause(made, floor, LEAST_ATTEMPT, left, &mut calls.rng)?;
+    let pause = if fresh && settlement == Settlement::NotRun {
+        (LEAST_ATTEMPT < left).then_some(Time::ZERO)?
+    } else {
+        let floor = floor(carried, refusal);
+        Backoff::default().pause(made, floor, LEAST_ATTEMPT, left, &mut calls.rng)?
+    };
     let budget = calls.budgets.entry(carried.service.clone()).or_default();
     budget.take().then_some(pause)
 }
 
+fn floor(carried: &Carried, refusal: &Refusal) -> Time {
+    match carried.key {
+        Some(_) => refusal.retry_after.unwrap_or_default(),
+        None => Time::ZERO,
+    }
+}
+
 fn can_help(reason: Reason) -> bool {
     !matches!(
         reason,
--- a/crates/scenario/src/daemon/keyed.rs
+++ b/crates/scenario/src/daemon/keyed.rs
@@ -117,10 +117,16 @@
         settle_deleted(node, key, question);
         return Err(Err(moving()));
     };
-    let asked = key.clone();
+    let wanted = key.clone();
+    let asker = node.upstream.clone();
     let answer = async move |peer: Rc<Node>| {
         let version = config(&peer);
-        (version, peer.calls.borrow().intents.hand_over(&asked))
+        let calls = peer.calls.borrow();
+        if calls.homes.is_home(&wanted, &asker) {
+            (version, calls.intents.hand_over(&wanted))
+        } else {
+            (0, HomeAnswer::Running)
+        }
     };
     let answer = ask(node, index, Way::Fresh, ASK_BOUND, answer).await;
     let Ok((version, answer)) = answer else {
--- a/crates/scenario/src/run/expect.rs
+++ b/crates/scenario/src/run/expect.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use stoatstep_calls::Reason;
+use stoatstep_resource::Version;
 use stoatstep_versionlog::{head_request, read_head};
 
 use crate::daemon::Node;
@@ -17,6 +18,13 @@
             let held = node.in_force().version();
             (held >= *version, held)
         }),
+        Condition::Newest(place) => {
+            let newest = head(world)?;
+            every(world, *place, "holds", |node| {
+                let held = node.in_force().version();
+                (held == newest, held)
+            })
+        }
         Condition::Serving(place) => every(world, *place, "serves by", |node| {
             let held = node.in_force().version();
             (held > 0, held)
@@ -25,11 +33,7 @@
             let counted = node.serving_members();
             (counted == *members, counted as u64)
         }),
-        Condition::Head(version) => {
-            let answer = world.store.table.borrow().read(&head_request());
-            let head = read_head(&answer).map_err(|error| error.to_string())?;
-            same("the head", head.head.version, *version)
-        }
+        Condition::Head(version) => same("the head", head(world)?, *version),
         Condition::PlatformReadsBelow(bound) => {
             let most = world.store.most_reads_per_second();
             check(most < *bound, || format!("{most} reads in a second"))
@@ -62,6 +66,12 @@
     }
 }
 
+fn head(world: &World) -> Result<Version, String> {
+    let answer = world.store.table.borrow().read(&head_request());
+    let row = read_head(&answer).map_err(|error| error.to_string())?;
+    Ok(row.head.version)
+}
+
 fn describe(told: &Told) -> String {
     let reason = told.reason.map_or("", |it| it.as_str());
     format!("{} was told {:?} {reason}", told.name, told.end)
--- a/crates/scenario/src/run/operator.rs
+++ b/crates/scenario/src/run/operator.rs
@@ -9,7 +9,7 @@
 use stoatstep_resource::{Key, Kind, Resource, Revision, Route, Service, Upstream};
 use stoatstep_versionlog::{Accepted, LogConfig, VersionLog, WriteError};
 
-use crate::daemon::{submit, upstream_name};
+use crate::daemon::{Node, submit, upstream_name};
 use crate::script::{ChangeEnd, Edit, Fleet, Safeguard};
 use crate::world::exec::{OUTSIDE, oneshot};
 use crate::world::{Index, LogEdge, SERVICE, World, zone_name};
@@ -29,7 +29,7 @@
         name: SERVICE.into(),
         policy: None,
     });
-    let route = Resource::Route(route(&SmolStr::new_static("floats"), false));
+    let route = Resource::Route(route(&SmolStr::new_static("floats")));
     let upstreams = (0..fleet.instances()).map(|index| {
         Resource::Upstream(Upstream {
             name: upstream_name(index),
@@ -56,13 +56,13 @@
     world.exec.run_until(FIRST_WRITE, || {});
 }
 
-fn route(name: &SmolStr, idempotent: bool) -> Route {
+fn route(name: &SmolStr) -> Route {
     Route {
         name: name.clone(),
         prefix: format_smolstr!("/{name}"),
         service: SERVICE.into(),
         policy: None,
-        idempotent,
+        idempotent: false,
     }
 }
 
@@ -75,25 +75,47 @@
     spawn(world, puts, deletes, by);
 }
 
-/// Two operators read the same route and change it in two ways.
+/// Two operators read the same route and change it in two ways. Both ways
+/// differ from what they read: a change that changes nothing is no race.
 pub(super) fn race(world: &Rc<World>, first: Index, second: Index, name: &SmolStr) {
+    let read = |by| world.node(by).and_then(|node| held_route(&node, name));
+    if let Some((mut held, revision)) = read(first) {
+        held.idempotent = !held.idempotent;
+        put_route(world, held, revision, first);
+    }
+    if let Some((mut held, revision)) = read(second) {
+        let plain = route(name).prefix;
+        held.prefix = if held.prefix == plain {
+            format_smolstr!("{plain}/top-up")
+        } else {
+            plain
+        };
+        put_route(world, held, revision, second);
+    }
+}
+
+fn held_route(node: &Node, name: &SmolStr) -> Option<(Route, Revision)> {
     let key = Key {
         kind: Kind::Route,
         name: name.clone(),
     };
-    for (by, idempotent) in [(first, true), (second, false)] {
-        let expected = revision(world, by, &key);
-        let resource = Resource::Route(route(name, idempotent));
-        spawn(world, vec![(resource, expected)], Vec::new(), by);
+    let state = node.in_force();
+    let held = state.get(&key)?;
+    match held.resource.as_ref() {
+        Resource::Route(route) => Some((route.clone(), held.revision)),
+        _ => None,
     }
 }
 
-fn revision(world: &World, by: Index, key: &Key) -> Option<Revision> {
-    if world.is_without(Safeguard::ExpectedRevision) {
-        return None;
-    }
-    let state = world.node(by)?.in_force();
-    Some(state.get(key).map_or(0, |held| held.revision))
+fn put_route(world: &Rc<World>, route: Route, revision: Revision, by: Index) {
+    let is_guarded = !world.is_without(Safeguard::ExpectedRevision);
+    let expected = is_guarded.then_some(revision);
+    spawn(
+        world,
+        vec![(Resource::Route(route), expected)],
+        Vec::new(),
+        by,
+    );
 }
 
 fn spawn(
--- a/crates/scenario/src/script/condition.rs
+++ b/crates/scenario/src/script/condition.rs
@@ -12,6 +12,7 @@
             let version = words.number()?;
             Ok(Condition::Version(version, words.whereabouts()?))
         }
+        "newest" => words.whereabouts().map(Condition::Newest),
         "head" => words.number().map(Condition::Head),
         "serving" => words.whereabouts().map(Condition::Serving),
         "members" => {
--- a/crates/scenario/src/script/mod.rs
+++ b/crates/scenario/src/script/mod.rs
@@ -261,6 +261,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Condition {
     Version(u64, Place),
+    Newest(Place),
     Head(u64),
     Serving(Place),
     Members(usize, Place),
