--- a/crates/daemon/src/control/announce.rs
+++ b/crates/daemon/src/control/announce.rs
@@ -7,6 +7,7 @@
 use rand::RngExt;
 use smol_str::SmolStr;
 
+use super::warning::warn;
 use super::{cold_start, platform};
 use crate::node::Node;
 
@@ -49,7 +50,7 @@
     }
     // A row that stays behind costs those who start a few knocks, no more.
     if let Err(err) = platform::delete_announcement(&node).await {
-        slog::warn!(node.log, "announcement not deleted"; "error" => %err);
+        warn(&node, "announcement not deleted", &err);
     }
 }
 
@@ -97,7 +98,7 @@
         Ok(roster) => {
             cold_start::take_in(node, roster);
         }
-        Err(err) => slog::warn!(node.log, "roster not read"; "error" => %err),
+        Err(err) => warn(node, "roster not read", &err),
     }
 }
 
@@ -109,7 +110,7 @@
     match written {
         Ok(()) => INTERVAL.mul_f64(share),
         Err(err) => {
-            slog::warn!(node.log, "announcement failed"; "error" => %err);
+            warn(node, "announcement failed", &err);
             RETRY.mul_f64(share)
         }
     }
@@ -125,8 +126,7 @@
     ntex::rt::spawn(async move {
         let deleted = platform::delete_row_of(&node, &instance, incarnation).await;
         if let Err(err) = deleted {
-            slog::warn!(node.log, "row of a crashed instance not deleted";
-                "instance" => %instance, "error" => %err);
+            warn(&node, "row of a crashed instance not deleted", &err);
         }
     });
 }
--- a/crates/daemon/src/control/cold_start.rs
+++ b/crates/daemon/src/control/cold_start.rs
@@ -5,6 +5,7 @@
 use stoatstep_distribution::{Standing, Step};
 use stoatstep_membership::{Input, MemberKey, Row};
 
+use super::warning::warn;
 use super::{gossip, platform, poll, pull};
 use crate::node::Node;
 
@@ -58,7 +59,7 @@
             cold_start.roster_read(now, head, others);
         }
         Err(err) => {
-            slog::warn!(node.log, "roster not read"; "error" => %err);
+            warn(&node, "roster not read", &err);
             node.control.serving.borrow_mut().platform_failed();
             let now = node.control.now();
             node.control.cold_start.borrow_mut().roster_failed(now);
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod cold_start;
 mod collect;
 mod directory;
+mod gauges;
 mod gossip;
 pub(crate) mod peer;
 mod platform;
@@ -20,6 +21,7 @@
 mod tables;
 mod tick;
 mod traffic;
+mod warning;
 mod write;
 
 use std::rc::Rc;
--- a/crates/daemon/src/control/poll.rs
+++ b/crates/daemon/src/control/poll.rs
@@ -6,6 +6,7 @@
 use stoatstep_membership::{Input, MemberKey};
 use stoatstep_versionlog::Head;
 
+use super::warning::warn;
 use super::{gossip, platform, pull};
 use crate::node::Node;
 
@@ -40,7 +41,7 @@
                 pull::from_platform(&node, false).await;
             }
         }
-        Err(err) => slog::warn!(node.log, "head not read"; "error" => %err),
+        Err(err) => warn(&node, "head not read", &err),
     }
 }
 
--- a/crates/daemon/src/control/pull.rs
+++ b/crates/daemon/src/control/pull.rs
@@ -11,6 +11,7 @@
 use super::client::{Message, ask};
 use super::peer::LOG;
 use super::traffic::Class;
+use super::warning::warn;
 use super::{platform, poll, push};
 use crate::node::Node;
 
@@ -92,7 +93,7 @@
             outcome
         }
         Err(err) => {
-            slog::warn!(node.log, "state not read from the platform"; "error" => %err);
+            warn(node, "state not read from the platform", &err);
             Outcome::Failed
         }
     }
--- a/crates/daemon/src/control/tables.rs
+++ b/crates/daemon/src/control/tables.rs
@@ -13,9 +13,11 @@
     self as membership, Input, MemberKey, MemberState, Membership, Time, starting_incarnation,
 };
 use stoatstep_resource::{Delta, State, Version};
+use stoatstep_telemetry::RateLimit;
 
 use super::directory::{Directory, Member};
 use super::traffic::Traffic;
+use super::warning;
 use crate::config::Config;
 use crate::in_force::InForce;
 
@@ -40,6 +42,7 @@
     pub(super) cold_start: RefCell<ColdStart>,
     pub(super) has_announced_leave: Cell<bool>,
     pub(super) takes_snapshot: Cell<bool>,
+    pub(super) warnings: RefCell<RateLimit>,
     pub(crate) traffic: Traffic,
 }
 
@@ -67,6 +70,7 @@
             cold_start: RefCell::new(ColdStart::new(Time::ZERO, seed)),
             has_announced_leave: Cell::new(false),
             takes_snapshot: Cell::new(false),
+            warnings: RefCell::new(warning::limit()),
             traffic: Traffic::default(),
         }
     }
