--- a/crates/versionlog/tests/sizes.rs
+++ b/crates/versionlog/tests/sizes.rs
@@ -71,13 +71,13 @@
     );
     println!("snapshot: {} bytes", encode_snapshot(&state).len());
     println!("poll request: {} bytes", encode_read(head_request()).len());
-    println!("table reads for a change: {}", after.reads - before.reads);
+    println!("table reads: {}", after.reads - before.reads);
     println!("commits: {}", after.commits - before.commits);
     println!(
         "object writes: {}",
         after.object_writes - before.object_writes
     );
-    println!("processor time for a change, snapshots included: {took:?}");
+    println!("wall time for a change, snapshots included: {took:?}");
     let before = platform.usage();
     let started = Instant::now();
     let recovered = run(log.recover()).unwrap();
