--- a/crates/calls/src/silence.rs
+++ b/crates/calls/src/silence.rs
@@ -16,7 +16,7 @@
 pub struct SilenceConfig {
     /// Silence after which the executor is asked.
     pub first_ask: Duration,
-    /// Longest pause between two questions about one attempt.
+    /// Longest pause between two questions about an attempt that runs.
     pub longest_pause: Duration,
     /// Questions without an answer after which the executor counts as gone.
     pub unanswered: u32,
@@ -99,8 +99,7 @@
             if watch.ask_at > now {
                 continue;
             }
-            watch.pause = (watch.pause * 2).min(self.cfg.longest_pause);
-            watch.ask_at = now + watch.pause;
+            watch.ask_at = now + self.cfg.first_ask;
             watch.unanswered += 1;
             if watch.unanswered > self.cfg.unanswered {
                 actions.push(SilenceAction::GiveUp(*attempt));
@@ -114,12 +113,19 @@
     /// The ledger's answer over the fresh connection. A run that is still going
     /// on keeps its connection; anything else says that the answer, or the
     /// attempt itself, was lost on the old one.
-    pub fn heard(&mut self, attempt: AttemptId, settled: &Settled) -> Option<SilenceAction> {
+    pub fn heard(
+        &mut self,
+        attempt: AttemptId,
+        settled: &Settled,
+        now: Time,
+    ) -> Option<SilenceAction> {
         let watch = self.watches.get_mut(&attempt)?;
         watch.unanswered = 0;
         let retire = match settled {
             Settled::Queued | Settled::Running => {
                 watch.unseen = 0;
+                watch.pause = (watch.pause * 2).min(self.cfg.longest_pause);
+                watch.ask_at = now + watch.pause;
                 false
             }
             Settled::NeverSeen => {
--- a/crates/daemon/src/call/attempt.rs
+++ b/crates/daemon/src/call/attempt.rs
@@ -135,7 +135,7 @@
     let peers = &node.calls.peers;
     let sent = peers.send::<WireReply>(remote.addr, "/peer/attempt", wire);
     let last_word = node.calls.alarms.until(deadline.expires() + LAST_WORD);
-    let watch = select(remote.silent(node), last_word);
+    let watch = select(remote.silent(node, wire.call.idempotent), last_word);
     match select(sent, watch).await {
         Either::Left(Ok(reply)) => {
             peers.set_ticket(remote.addr, reply.ticket);
--- a/crates/daemon/src/call/settle.rs
+++ b/crates/daemon/src/call/settle.rs
@@ -16,7 +16,7 @@
 use crate::node::Node;
 
 /// Time for one question to a ledger.
-const ASK_BOUND: Duration = Duration::from_millis(300);
+const ASK_BOUND: Duration = Duration::from_millis(200);
 
 /// Questions that may stay without an answer.
 const TRIES: u32 = 3;
@@ -84,8 +84,12 @@
 
     /// Ends when the attempt's connection has to be given up. `false` where no
     /// fresh connection gets an answer either.
-    pub(super) async fn silent(&self, node: &Rc<Node>) -> bool {
-        let cfg = SilenceConfig::default();
+    pub(super) async fn silent(&self, node: &Rc<Node>, idempotent: bool) -> bool {
+        let mut cfg = SilenceConfig::default();
+        if idempotent {
+            // Another executor may run it too, so there is no use in waiting.
+            cfg.unanswered = 1;
+        }
         let sent = node.calls.clock.now();
         node.calls.alarms.until(sent + cfg.first_ask).await;
         let mut silence = Silence::new(cfg);
@@ -115,7 +119,7 @@
             return Some(action);
         };
         let settled = self.ask(node, "/peer/peek").await?;
-        silence.heard(attempt, &settled)
+        silence.heard(attempt, &settled, node.calls.clock.now())
     }
 }
 
--- a/crates/scenario/src/daemon/attempt.rs
+++ b/crates/scenario/src/daemon/attempt.rs
@@ -177,7 +177,7 @@
             for action in silence.tick(now) {
                 let action = match action {
                     SilenceAction::Ask(attempt) => match self.ask(node, false).await {
-                        Some(settled) => silence.heard(attempt, &settled),
+                        Some(settled) => silence.heard(attempt, &settled, node.now()),
                         None => None,
                     },
                     other => Some(other),
