Let daemons settle before the slopes of calls are measured

The pause is longer than the bound on the clocks' difference. What is not answered is now explained by reason.

--- a/crates/load/src/measure/slopes/calls.rs
+++ b/crates/load/src/measure/slopes/calls.rs
@@ -8,6 +8,7 @@
 use super::Slope;
 use crate::fleet::{Fleet, FleetError, ServiceShape, Shape, TargetShape, Unit};
 use crate::load::{LoadOptions, run as run_load};
+use crate::measure::explain;
 use crate::measure::program::Scale;
 use crate::measure::reading::observe;
 
@@ -17,6 +18,10 @@
 /// Load before the window begins.
 const WARM_UP: Duration = Duration::from_secs(2);
 
+/// Keys made before a daemon has been up for 2 s may have run under its
+/// predecessor and are refused, which would be counted as work for calls.
+const SETTLE: Duration = Duration::from_secs(4);
+
 /// A call enters at the first node and runs at the second.
 fn shape() -> Shape {
     let service = |name: &str| ServiceShape {
@@ -69,6 +74,7 @@
     let mut executor_memory = slope(names.executor_memory, Unit::Bytes);
     for rate in rates {
         let fleet = Fleet::start(shape()).await?;
+        Delay::new(SETTLE).await;
         let x = f64::from(*rate);
         let window = Duration::from_secs(scale.pick(3, 10));
         let load = LoadOptions::new(vec![fleet.nodes[0].caller])
@@ -88,11 +94,7 @@
         let report = report.map_err(|_| FleetError::Io("the load ended early".to_owned()))?;
         let tally = &report.total.tally;
         if tally.answered < tally.calls {
-            let missing = tally.calls - tally.answered;
-            eprintln!(
-                "at {rate} calls a second {missing} of {} had no answer",
-                tally.calls
-            );
+            explain("slopes", &report);
         }
         entry.add(x, seen.cores[0])?;
         executor.add(x, seen.cores[1])?;
