Script damaged versions, a dying origin, and churn past the log's trim

damaged-pushes: versions arrive with a part missing, and every instance takes them whole or not at all; without the digest's check two states bear one version. origin-dies: the platform accepts a change in the moment in which its daemon dies. churn-past-trim: 600 changes while one instance is frozen and a zone cut off for longer than the log's tail is kept.

--- a/crates/scenario/src/daemon/spread.rs
+++ b/crates/scenario/src/daemon/spread.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use stoatstep_distribution::{LogTail, Offer, Pull, Source, View};
+use stoatstep_distribution::{LogTail, Mark, Offer, Pull, Source, View};
 use stoatstep_membership::{MemberKey, Membership, Time};
 use stoatstep_resource::wire::Change;
 use stoatstep_resource::{Delta, State, Version};
@@ -11,6 +11,7 @@
 
 use super::control::{learn, offer};
 use super::{Node, index_of};
+use crate::script::Safeguard;
 use crate::world::Index;
 use crate::world::net::{Way, ask};
 
@@ -48,12 +49,33 @@
 
 fn take(node: &Node, delta: &Arc<Delta>) -> Vec<Arc<Delta>> {
     let delta = Arc::clone(delta);
+    let version = delta.version;
     match offer(node, |replica, now| replica.offer_delta(now, delta)) {
         Offer::Applied(applied) => applied,
-        _ => Vec::new(),
+        Offer::Waiting { .. } => {
+            close_gap(node, version);
+            Vec::new()
+        }
+        Offer::Held | Offer::Replaced(_) | Offer::Refused(_) => Vec::new(),
     }
 }
 
+/// A version overtook one before it; some peer of the zone has that one.
+fn close_gap(node: &Node, version: Version) {
+    let now = node.now();
+    let control = &mut *node.control.borrow_mut();
+    let me = control.membership.me();
+    let zone = control.membership.table().in_zone(&node.zone);
+    let peers = zone.filter(|(key, entry)| *key != me && !entry.unreached);
+    let peers: Vec<MemberKey> = peers.map(|(key, _)| key).collect();
+    let Some(peer) = node.world.choose(&peers) else {
+        return;
+    };
+    let theirs = Mark { version, digest: 0 };
+    let mine = control.replica.mark();
+    control.repair.peer_holds(now, peer, theirs, mine);
+}
+
 fn originate(node: &Rc<Node>, delta: &Arc<Delta>, view: &View) {
     let mut control = node.control.borrow_mut();
     let me = control.membership.me();
@@ -77,7 +99,7 @@
             continue;
         };
         let pushed = Arc::clone(&delta);
-        let answer = async move |peer: Rc<Node>| pushed_to(&peer, pushed, origin);
+        let answer = async move |peer: Rc<Node>| pushed_to(&peer, &pushed, origin);
         let sent = ask(&node, index, Way::Push, PUSH_BOUND, answer).await;
         if sent.is_ok() {
             continue;
@@ -99,7 +121,25 @@
     entry.is_some_and(|it| membership.is_reachable(&it.member.zone))
 }
 
-fn pushed_to(node: &Rc<Node>, delta: Arc<Delta>, origin: MemberKey) {
+/// A delta whose content changed on its way. Sealed again it passes the digest's
+/// check, as if there were none.
+fn damaged(node: &Node, delta: &Arc<Delta>) -> Arc<Delta> {
+    if !node.world.net.damages_pushes(node.world.exec.now()) {
+        return Arc::clone(delta);
+    }
+    let mut damaged = Delta::clone(delta);
+    damaged.puts.pop();
+    let control = node.control.borrow();
+    let state = control.replica.state();
+    let is_next = state.version() + 1 == damaged.version;
+    if is_next && node.world.is_without(Safeguard::DigestCheck) {
+        damaged = state.delta(damaged.puts, damaged.deletes);
+    }
+    Arc::new(damaged)
+}
+
+fn pushed_to(node: &Rc<Node>, delta: &Arc<Delta>, origin: MemberKey) {
+    let delta = damaged(node, delta);
     let mut due = take(node, &delta);
     let held = node.control.borrow().replica.version();
     if due.is_empty() && delta.version <= held {
--- a/crates/scenario/src/run.rs
+++ b/crates/scenario/src/run.rs
@@ -108,6 +108,15 @@
             delay: *delay,
             until: now + *time,
         }),
+        Deed::Churn {
+            per_second,
+            time,
+            by,
+        } => {
+            let churn = operator::churn(Rc::clone(world), *per_second, *time, *by);
+            world.exec.spawn(OUTSIDE, churn);
+        }
+        Deed::DamagePushes(time) => world.net.damage_pushes(now + *time),
         Deed::LosePushes(time) => world.net.lose_pushes(now + *time),
         Deed::Link {
             from,
--- a/crates/scenario/src/run/operator.rs
+++ b/crates/scenario/src/run/operator.rs
@@ -75,6 +75,28 @@
     spawn(world, puts, deletes, by);
 }
 
+/// Upstreams change all the time: their slots go up and down, one after the
+/// other.
+pub(super) async fn churn(world: Rc<World>, per_second: u32, time: Time, by: Index) {
+    let end = world.exec.now() + time;
+    let mut count = 0;
+    while world.exec.now() < end {
+        let upstream = Resource::Upstream(Upstream {
+            name: upstream_name(count % world.instances()),
+            service: SERVICE.into(),
+            slots: if (count / world.instances()).is_multiple_of(2) {
+                9
+            } else {
+                13
+            },
+            connections: CONNECTIONS,
+        });
+        spawn(&world, vec![(upstream, None)], Vec::new(), by);
+        count += 1;
+        world.exec.sleep(Time::from_secs(1) / per_second).await;
+    }
+}
+
 /// Two operators read the same route and change it in two ways. Both ways
 /// differ from what they read: a change that changes nothing is no race.
 pub(super) fn race(world: &Rc<World>, first: Index, second: Index, name: &SmolStr) {
--- a/crates/scenario/src/script/deed.rs
+++ b/crates/scenario/src/script/deed.rs
@@ -32,6 +32,11 @@
             words.keyword("pushes")?;
             duration(words).map(Deed::LosePushes)
         }
+        "damage" => {
+            words.keyword("pushes")?;
+            duration(words).map(Deed::DamagePushes)
+        }
+        "churn" => churn(words),
         "late" => link(words, true),
         "silent" => link(words, false),
         "call" => {
@@ -99,6 +104,17 @@
     })
 }
 
+fn churn(words: &mut Words<'_>) -> Result<Deed, Finding> {
+    let per_second = per_second(words)?;
+    let time = duration(words)?;
+    words.keyword("by")?;
+    Ok(Deed::Churn {
+        per_second,
+        time,
+        by: words.instance()?,
+    })
+}
+
 fn race(words: &mut Words<'_>) -> Result<Deed, Finding> {
     let first = words.instance()?;
     let second = words.instance()?;
@@ -197,18 +213,23 @@
     })
 }
 
+fn per_second(words: &mut Words<'_>) -> Result<u32, Finding> {
+    let per_second = words.number()?;
+    if !(1..=MOST_PER_SECOND).contains(&per_second) {
+        return Err(words.wrong("a rate is 1 to 5000 a second"));
+    }
+    words.keyword("per")?;
+    words.keyword("second")?;
+    Ok(per_second)
+}
+
 fn load(words: &mut Words<'_>) -> Result<Deed, Finding> {
     let kind = call_kind(words)?;
     if matches!(kind, CallKind::Claim | CallKind::Plain) {
         return Err(words.wrong("a load has no keys; write read or write"));
     }
     let name = words.name("the load's name")?;
-    let per_second = words.number()?;
-    if !(1..=MOST_PER_SECOND).contains(&per_second) {
-        return Err(words.wrong("a load has 1 to 5000 calls a second"));
-    }
-    words.keyword("per")?;
-    words.keyword("second")?;
+    let per_second = per_second(words)?;
     let time = duration(words)?;
     Ok(Deed::Load {
         call: call_spec(words, kind, name)?,
--- a/crates/scenario/src/script/mod.rs
+++ b/crates/scenario/src/script/mod.rs
@@ -72,6 +72,8 @@
         RestartFloor => "restart-floor",
         /// Pulling what pushes did not bring.
         Repair => "repair",
+        /// Comparing a state's digest with its writer's before it comes into force.
+        DigestCheck => "digest-check",
         /// Pollers chosen by hash in place of everyone polling.
         PollBudget => "poll-budget",
         /// One operation id for all tries of an operator's change.
@@ -228,7 +230,13 @@
         delay: Time,
         time: Time,
     },
+    Churn {
+        per_second: u32,
+        time: Time,
+        by: Index,
+    },
     LosePushes(Time),
+    DamagePushes(Time),
     Link {
         from: Index,
         to: Index,
--- a/crates/scenario/src/world/mod.rs
+++ b/crates/scenario/src/world/mod.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use smol_str::{SmolStr, format_smolstr};
@@ -82,6 +83,10 @@
         self.rng.borrow_mut().random()
     }
 
+    pub(crate) fn choose<T: Copy>(&self, from: &[T]) -> Option<T> {
+        from.choose(&mut *self.rng.borrow_mut()).copied()
+    }
+
     /// An even share of 1.
     pub(crate) fn share(&self) -> f64 {
         self.rng.borrow_mut().random_range(0.0..1.0)
--- a/crates/scenario/src/world/net.rs
+++ b/crates/scenario/src/world/net.rs
@@ -1,6 +1,6 @@
 //! The ways between instances: latency, cuts, late and silent connections.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 use stoatstep_membership::Time;
 
@@ -57,7 +57,8 @@
 pub(crate) struct Net {
     cuts: RefCell<Vec<(ZoneIndex, ZoneIndex, Time)>>,
     links: RefCell<Vec<Link>>,
-    lost_pushes_until: RefCell<Time>,
+    lost_pushes_until: Cell<Time>,
+    damaged_pushes_until: Cell<Time>,
 }
 
 impl Net {
@@ -76,7 +77,15 @@
     }
 
     pub(crate) fn lose_pushes(&self, until: Time) {
-        *self.lost_pushes_until.borrow_mut() = until;
+        self.lost_pushes_until.set(until);
+    }
+
+    pub(crate) fn damage_pushes(&self, until: Time) {
+        self.damaged_pushes_until.set(until);
+    }
+
+    pub(crate) fn damages_pushes(&self, now: Time) -> bool {
+        now < self.damaged_pushes_until.get()
     }
 
     fn is_cut(&self, a: ZoneIndex, b: ZoneIndex, now: Time) -> bool {
@@ -96,7 +105,7 @@
     }
 
     fn loses(&self, way: Way, now: Time) -> bool {
-        way == Way::Push && now < *self.lost_pushes_until.borrow()
+        way == Way::Push && now < self.lost_pushes_until.get()
     }
 }
 
--- a/crates/scenario/tests/all/random.rs
+++ b/crates/scenario/tests/all/random.rs
@@ -74,7 +74,10 @@
             (1, _) => format!("freeze {a} for {span}"),
             (2, _) => format!("late {a} to {b} by {} for {span}", self.span()),
             (3, _) => format!("silent {a} to {b} for {span}"),
-            (4, _) => format!("lose pushes for {span}"),
+            (4, _) => {
+                let how = ["lose", "damage"].choose(&mut self.rng).copied();
+                format!("{} pushes for {span}", how.unwrap_or_default())
+            }
             (5, Profile::Restarts) => format!("restart zone z{zone}"),
             (6, Profile::Restarts) => format!("drain {a}"),
             (7, Profile::Restarts) => format!("kill {a}"),
