Run groups of slopes alone, and wait for a version without asking the fleet

The configuration bytes of a restarted daemon came to 39,128 at 305 upstreams, three times its state, since the wait asked for the status, which collects from the whole fleet. The wait looks at the daemon's own page now, as the herd's does.

--- a/crates/load/src/measure/herd.rs
+++ b/crates/load/src/measure/herd.rs
@@ -11,6 +11,7 @@
 use crate::measure::as_f64;
 use crate::measure::changes::Changes;
 use crate::measure::explain;
+use crate::measure::holding::{LIMIT, holds};
 use crate::measure::program::Scale;
 use crate::measure::sampler::{Peak, Sampler};
 
@@ -20,12 +21,6 @@
 /// How long the zone is dead.
 const DEAD: Duration = Duration::from_secs(1);
 
-/// A zone must hold the newest version within this.
-const LIMIT: Duration = Duration::from_secs(30);
-
-/// How often each restarted daemon is asked.
-const POLL: Duration = Duration::from_millis(20);
-
 /// How long the platform is watched after a herd or an outage.
 const AFTER: Duration = Duration::from_secs(12);
 
@@ -115,29 +110,6 @@
     slowest
 }
 
-async fn holds(
-    operator: Operator,
-    daemon: std::net::SocketAddr,
-    version: Version,
-    begin: Instant,
-) -> Duration {
-    while begin.elapsed() < LIMIT {
-        let page = operator.http().text(daemon, "/").await;
-        let held = page.ok().and_then(|page| version_on(&page));
-        if held >= Some(version) && operator.is_ready(daemon).await {
-            return begin.elapsed();
-        }
-        Delay::new(POLL).await;
-    }
-    LIMIT
-}
-
-/// The version in force, as the daemon's page for people states it.
-fn version_on(page: &str) -> Option<Version> {
-    let line = page.lines().find_map(|line| line.strip_prefix("version"));
-    line?.trim().parse().ok()
-}
-
 /// The platform goes out under a large fleet at rest.
 async fn storm(fleet: &Fleet, outage: Duration) -> Result<(), FleetError> {
     let before = Sampler::start(fleet);
--- a/crates/load/src/measure/mod.rs
+++ b/crates/load/src/measure/mod.rs
@@ -7,6 +7,7 @@
 mod faults;
 mod fit;
 mod herd;
+mod holding;
 mod hop;
 mod overload;
 mod plot;
--- a/crates/load/src/measure/program.rs
+++ b/crates/load/src/measure/program.rs
@@ -5,6 +5,7 @@
 use stoatstep_settings::{Finding, Place, Program, Setting, Stop, Values};
 
 use crate::fleet::FleetError;
+use crate::measure::slopes::Group;
 use crate::measure::{control, convergence, drain, faults, herd, hop, overload, slopes};
 
 const PROGRAM: Program = Program {
@@ -45,10 +46,11 @@
     Control,
     Herd,
     Slopes,
+    SlopesOf(Group),
 }
 
 impl Experiment {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 12] = [
         Self::Hop,
         Self::Overload,
         Self::Faults,
@@ -57,6 +59,10 @@
         Self::Control,
         Self::Herd,
         Self::Slopes,
+        Self::SlopesOf(Group::Calls),
+        Self::SlopesOf(Group::Changes),
+        Self::SlopesOf(Group::State),
+        Self::SlopesOf(Group::Daemons),
     ];
 
     fn name(self) -> &'static str {
@@ -69,6 +75,10 @@
             Self::Control => "control",
             Self::Herd => "herd",
             Self::Slopes => "slopes",
+            Self::SlopesOf(Group::Calls) => "slopes-calls",
+            Self::SlopesOf(Group::Changes) => "slopes-changes",
+            Self::SlopesOf(Group::State) => "slopes-state",
+            Self::SlopesOf(Group::Daemons) => "slopes-daemons",
         }
     }
 
@@ -82,6 +92,7 @@
             Self::Control => control::run(scale).await,
             Self::Herd => herd::run(scale).await,
             Self::Slopes => slopes::run(scale).await,
+            Self::SlopesOf(group) => group.run(scale).await,
         }
     }
 }
--- a/crates/load/src/measure/slopes/mod.rs
+++ b/crates/load/src/measure/slopes/mod.rs
@@ -84,9 +84,36 @@
     }
 }
 
+/// The sizes that are varied together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Group {
+    /// Calls a second.
+    Calls,
+    /// Size and rate of changes.
+    Changes,
+    /// Upstreams and services in the state.
+    State,
+    /// Daemons of the fleet.
+    Daemons,
+}
+
+impl Group {
+    const ALL: [Self; 4] = [Self::Calls, Self::Changes, Self::State, Self::Daemons];
+
+    pub(crate) async fn run(self, scale: Scale) -> Result<(), FleetError> {
+        match self {
+            Self::Calls => calls::run(scale).await,
+            Self::Changes => changes::run(scale).await,
+            Self::State => state::run(scale).await,
+            Self::Daemons => daemons::run(scale).await,
+        }
+    }
+}
+
+/// Varies every size, one after the other.
 pub(crate) async fn run(scale: Scale) -> Result<(), FleetError> {
-    calls::run(scale).await?;
-    changes::run(scale).await?;
-    state::run(scale).await?;
-    daemons::run(scale).await
+    for group in Group::ALL {
+        group.run(scale).await?;
+    }
+    Ok(())
 }
--- a/crates/load/src/measure/slopes/state.rs
+++ b/crates/load/src/measure/slopes/state.rs
@@ -1,6 +1,6 @@
 //! Memory, transfer and work for a change, by the size of the state.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_timer::Delay;
 use smol_str::format_smolstr;
@@ -8,6 +8,7 @@
 use super::Slope;
 use crate::fleet::{Fleet, FleetError, ServiceShape, Shape, Unit};
 use crate::measure::changes::Changes;
+use crate::measure::holding::holds;
 use crate::measure::program::Scale;
 use crate::measure::reading::{highest, mean, observe, observe_rest, read};
 
@@ -95,7 +96,8 @@
     let (busy, version) = observe(&fleet, work).await?;
     let extra = (mean(&busy.cores) - mean(&rest.cores)) * busy.seconds;
     fleet.restart_daemon(0)?;
-    fleet.wait_in_force(version, SETTLE * 5).await?;
+    let operator = fleet.operator.clone();
+    holds(operator, fleet.nodes[0].operator, version, Instant::now()).await;
     // The first reading is of the one that started just now.
     let transfer = read(&fleet).await?[0].traffic.configuration;
     fleet.finish();
