--- a/tests/all/docs.rs
+++ b/tests/all/docs.rs
@@ -81,3 +81,17 @@
     }
     assert!(dangling.is_empty(), "{dangling:#?}");
 }
+
+#[test]
+fn index_of_the_book_names_every_page() {
+    let docs = Path::new(ROOT).join("docs");
+    let index = fs::read_to_string(docs.join("README.md")).expect("the index");
+    let mut pages = Vec::new();
+    add_files(&docs, "md", &mut pages);
+    let named: Vec<PathBuf> = links(&index).iter().map(|it| docs.join(it)).collect();
+    let missing: Vec<_> = pages
+        .iter()
+        .filter(|page| **page != docs.join("README.md") && !named.contains(page))
+        .collect();
+    assert!(missing.is_empty(), "{missing:#?}");
+}
