--- a/crates/load/src/measure/probe.rs
+++ b/crates/load/src/measure/probe.rs
@@ -36,8 +36,8 @@
         })
     }
 
-    /// Makes one call; anything but a success is an error.
-    pub(crate) fn call(&mut self) -> io::Result<()> {
+    /// Makes one call and says whether it was answered with success.
+    pub(crate) fn call(&mut self) -> io::Result<bool> {
         self.stream.write_all(&self.request)?;
         self.answer.clear();
         let mut buf = [0; 4096];
@@ -47,20 +47,19 @@
                 count => self.answer.extend_from_slice(&buf[..count]),
             }
         }
-        if self.answer.starts_with(b"HTTP/1.1 200") {
-            Ok(())
-        } else {
-            let head = String::from_utf8_lossy(&self.answer).into_owned();
-            Err(io::Error::other(head))
-        }
+        Ok(self.answer.starts_with(b"HTTP/1.1 200"))
     }
 
-    /// Makes a call at `due` and records how long after that it ended.
+    /// Makes a call at `due` and records how long after that it ended. Where
+    /// latency is measured, a refusal is an error.
     pub(crate) fn call_at(&mut self, due: Instant, into: &mut Histogram) -> io::Result<()> {
         while Instant::now() < due {
             spin_loop();
         }
-        self.call()?;
+        if !self.call()? {
+            let head = String::from_utf8_lossy(&self.answer).into_owned();
+            return Err(io::Error::other(head));
+        }
         into.record(due.elapsed());
         Ok(())
     }
