Say "not run" only where no attempt of a call may have run

Cause: an entry tries an idempotent call again although an attempt of it may have run. Where the last attempt then found nobody, its refusal was the caller's: "not-run no-upstream" for a read that had run.

Ruled out: ending such a call at its first unknown attempt, which would lose the retries that idempotent calls live by.

Change: Attempts, in the calls' decisions, keeps the attempt that may have run, and a later "not run" becomes "unknown" with its reason and the later pause.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -43,6 +43,6 @@
 };
 pub use ledger::{Arrival, Ledger, LedgerConfig, Settled, Ticket};
 pub use refusal::{Outcome, Reason, Refusal};
-pub use retry::{Backoff, RetryBudget, Settlement, may_retry};
+pub use retry::{Attempts, Backoff, RetryBudget, Settlement, may_retry};
 pub use router::{Candidate, CandidateState, Pick, Report, Router};
 pub use silence::{Silence, SilenceAction, SilenceConfig};
--- a/crates/calls/src/retry.rs
+++ b/crates/calls/src/retry.rs
@@ -4,6 +4,8 @@
 
 use rand::{Rng, RngExt};
 
+use crate::refusal::{Outcome, Refusal};
+
 /// Retries that a service may use before it has earned any, and the most that
 /// it can save up. Lets a service with few calls be retried at all.
 const RESERVE_MILLI: u64 = 10_000;
@@ -76,6 +78,33 @@
     }
 }
 
+/// What the refused attempts of one call add up to.
+///
+/// An idempotent call is tried again although an attempt of it may have run. If
+/// the last attempt finds nobody, its own refusal says "not run", which holds for
+/// that attempt alone: the caller would take a call that ran for one that did not.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Attempts {
+    may_have_run: Option<Refusal>,
+}
+
+impl Attempts {
+    /// Takes in how an attempt was refused and returns how the call ends if no
+    /// other one follows: as not run only where every attempt did not run.
+    pub fn refused(&mut self, refusal: Refusal) -> Refusal {
+        if refusal.outcome() != Outcome::NotRun {
+            self.may_have_run = Some(refusal);
+        }
+        let Some(earlier) = self.may_have_run else {
+            return refusal;
+        };
+        Refusal {
+            reason: earlier.reason,
+            retry_after: refusal.retry_after.or(earlier.retry_after),
+        }
+    }
+}
+
 /// Exponential back-off with full jitter, inside the deadline.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Backoff {
--- a/crates/calls/tests/all/retry.rs
+++ b/crates/calls/tests/all/retry.rs
@@ -2,7 +2,10 @@
 
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
-use stoatstep_calls::{Backoff, Deadline, Drain, DrainStep, RetryBudget, Settlement, may_retry};
+use stoatstep_calls::{
+    Attempts, Backoff, Deadline, Drain, DrainStep, Outcome, Reason, Refusal, RetryBudget,
+    Settlement, may_retry,
+};
 
 const MS: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
@@ -33,6 +36,20 @@
     }
 }
 
+// A read ran and its executor died; the next attempt finds nobody. The caller is
+// told "unknown", since "not run" would hold for the last attempt only.
+#[test]
+fn call_is_not_run_only_if_no_attempt_may_have_run() {
+    let nobody = Refusal::retry(Reason::NoUpstream, MS);
+    let lost = Refusal::permanent(Reason::LostAnswer);
+    let mut attempts = Attempts::default();
+    assert_eq!(attempts.refused(nobody), nobody);
+    assert_eq!(attempts.refused(lost), lost);
+    let end = attempts.refused(nobody);
+    assert_eq!(end, Refusal::retry(Reason::LostAnswer, MS));
+    assert_eq!(end.outcome(), Outcome::Unknown);
+}
+
 // The outcome of a claim is unknown. Another attempt could post it twice.
 #[test]
 fn unknown_is_tried_again_only_if_idempotent() {
--- a/crates/daemon/src/call/entry.rs
+++ b/crates/daemon/src/call/entry.rs
@@ -8,7 +8,7 @@
 use ntex::http::{Request, Response};
 use ntex::time::sleep;
 use stoatstep_calls::{
-    Backoff, Outcome, Reason, Refusal, Report, Settlement, Time, home_of, may_retry,
+    Attempts, Backoff, Outcome, Reason, Refusal, Report, Settlement, Time, home_of, may_retry,
 };
 use stoatstep_resource::UpstreamName;
 use stoatstep_telemetry::Stage;
@@ -62,10 +62,11 @@
 async fn carry(node: &Rc<Node>, call: &Call) -> Ended {
     let mut tried = Vec::new();
     let mut made = 0;
+    let mut attempts = Attempts::default();
     earn(node, call);
     loop {
         made += 1;
-        let ended = match choose(node, call, &tried) {
+        let mut ended = match choose(node, call, &tried) {
             Some((upstream, addr)) => {
                 let ended = attempt_at(node, call, &upstream, addr).await;
                 tried.push(upstream);
@@ -73,11 +74,12 @@
             }
             None => unreachable(call),
         };
-        let RunEnd::Refused(refusal) = &ended.end else {
+        let RunEnd::Refused(refusal) = ended.end else {
             return ended;
         };
+        ended.end = RunEnd::Refused(attempts.refused(refusal));
         let fresh = call.key.is_none() && tried.len() < upstreams(call).len();
-        let Some(pause) = next_pause(node, call, refusal, made, fresh) else {
+        let Some(pause) = next_pause(node, call, &refusal, made, fresh) else {
             return ended;
         };
         if !fresh {
--- a/crates/scenario/src/daemon/entry.rs
+++ b/crates/scenario/src/daemon/entry.rs
@@ -5,8 +5,8 @@
 
 use smol_str::SmolStr;
 use stoatstep_calls::{
-    AttemptId, Backoff, Class, Deadline, IntentKey, KeyText, Load, Outcome, Reason, Refusal,
-    Report, SetId, Settlement, Ticket, home_of, may_retry, set_id,
+    AttemptId, Attempts, Backoff, Class, Deadline, IntentKey, KeyText, Load, Outcome, Reason,
+    Refusal, Report, SetId, Settlement, Ticket, home_of, may_retry, set_id,
 };
 use stoatstep_membership::Time;
 use stoatstep_resource::{Kind, Resource, ServiceName, State, TenantName, UpstreamName};
@@ -109,6 +109,7 @@
 async fn carry(node: &Rc<Node>, carried: &Rc<Carried>) -> End {
     let mut tried = Vec::new();
     let mut made = 0;
+    let mut attempts = Attempts::default();
     earn(node, &carried.service);
     loop {
         made += 1;
@@ -120,12 +121,13 @@
             }
             None => Err(Refusal::retry(unreachable(carried), UNREACHABLE_RETRY)),
         };
-        let Err(refusal) = &end else {
+        let Err(refusal) = end else {
             return end;
         };
+        let ends_so = attempts.refused(refusal);
         let fresh = carried.key.is_none() && tried.len() < carried.names.len();
-        let Some(pause) = next_pause(node, carried, refusal, made, fresh) else {
-            return end;
+        let Some(pause) = next_pause(node, carried, &refusal, made, fresh) else {
+            return Err(ends_so);
         };
         if !fresh {
             tried.clear();
