Serve by what is confirmed after a freeze

Cause: a daemon that wakes holds the version from before its freeze and served by it until the next exchange. A caller that was just served by a newer version elsewhere saw it go back.

Change: a wake suspends service as at a start: until the platform, or two peers (all, where there are fewer), answered a message sent after the wake, and what they hold is held here. Where nobody answers for 2 s it goes on alone, as a zone that is cut off must. Only answers count: requests and answers that lay in a socket through the freeze tell of the time before it.

Ruled out: to count requests too (peers' probes of the first second of a freeze are read first on waking, and carry the old version).

--- a/crates/daemon/src/control/gossip.rs
+++ b/crates/daemon/src/control/gossip.rs
@@ -66,8 +66,15 @@
                 ntex::rt::spawn(pull_table(Rc::clone(node), addr, zones));
             }
             Action::PeerHolds {
-                peer, mark, floor, ..
-            } => peer_holds(node, peer, mark, floor),
+                peer,
+                mark,
+                floor,
+                answered,
+                ..
+            } => {
+                peer_holds(node, peer, mark);
+                heard(node, peer, mark, floor, answered);
+            }
             Action::Changed(_) => is_changed = true,
             Action::Forgotten {
                 instance,
@@ -80,6 +87,7 @@
             Action::Woke { gap } => {
                 slog::warn!(node.log, "woke from a freeze"; "gap_ms" => gap.as_millis());
                 node.metrics.count("control.freezes", 1);
+                node.control.woke();
             }
             Action::Superseded { birth } => superseded(node, birth),
         }
@@ -98,7 +106,7 @@
     crate::call::drain::start(node);
 }
 
-fn peer_holds(node: &Rc<Node>, peer: MemberKey, theirs: Mark, floor: u64) {
+fn peer_holds(node: &Rc<Node>, peer: MemberKey, theirs: Mark) {
     let control = &node.control;
     let now = control.now();
     let mine = control.replica.borrow().mark();
@@ -110,9 +118,16 @@
             "version" => row.version, "reason" => %row.reason);
         repair.ask_platform(now);
     }
-    drop(repair);
-    let mut serving = control.serving.borrow_mut();
-    serving.heard_peer(peer, theirs.version, floor);
+}
+
+/// Takes in what a peer's word means for the version to serve by.
+fn heard(node: &Node, peer: MemberKey, theirs: Mark, floor: u64, answered: bool) {
+    let mut serving = node.control.serving.borrow_mut();
+    if answered {
+        serving.heard_peer(peer, theirs.version, floor);
+    } else {
+        serving.learn_floor(floor);
+    }
 }
 
 async fn exchange(node: Rc<Node>, peer: MemberKey, addr: SocketAddr, message: Exchange) {
@@ -129,8 +144,13 @@
 async fn say(node: &Node, addr: SocketAddr, message: Exchange) -> Option<Exchange> {
     let request = GossipRequest::Exchange(message);
     let message = Message::new(GOSSIP, Class::Membership, &request);
-    match ask(node, addr, &message, PROBE_BOUND).await {
-        Ok(GossipReply::Exchange(reply)) => Some(reply),
+    let sent = node.control.now();
+    let answer = ask(node, addr, &message, PROBE_BOUND).await;
+    let took = node.control.now().saturating_sub(sent);
+    match answer {
+        // An answer that lay in the socket through a freeze is as old as that:
+        // taken for news, it would confirm a version that the fleet has left.
+        Ok(GossipReply::Exchange(reply)) if took < PROBE_BOUND * 2 => Some(reply),
         _ => None,
     }
 }
--- a/crates/daemon/src/control/poll.rs
+++ b/crates/daemon/src/control/poll.rs
@@ -1,6 +1,7 @@
 //! Reads of the platform's head.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use stoatstep_distribution::PollOutcome;
 use stoatstep_membership::{Input, MemberKey};
@@ -10,6 +11,10 @@
 use super::{gossip, platform, pull};
 use crate::node::Node;
 
+/// Longest time in which the platform's client waits for an answer, and then
+/// some.
+const FRESH: Duration = Duration::from_secs(4);
+
 pub(super) fn tick(node: &Rc<Node>, zone: &[MemberKey]) {
     let control = &node.control;
     if !control.cold_start.borrow().is_done() {
@@ -28,6 +33,7 @@
 }
 
 async fn poll(node: Rc<Node>) {
+    let asked = node.control.now();
     let head = platform::version_log(&node).head().await;
     let outcome = match &head {
         Ok(_) => PollOutcome::Read,
@@ -35,6 +41,8 @@
     };
     node.control.poller.borrow_mut().polled(outcome);
     match head {
+        // An answer that lay in the socket through a freeze tells of then.
+        Ok(_) if node.control.now() > asked + FRESH => {}
         Ok(head) => {
             learn(&node, &head);
             if head.version > node.control.replica.borrow().version() {
--- a/crates/daemon/src/control/tables.rs
+++ b/crates/daemon/src/control/tables.rs
@@ -21,6 +21,10 @@
 use crate::config::Config;
 use crate::in_force::InForce;
 
+/// Time after a wake in which others should have answered. Probes that go
+/// unanswered end well within it.
+const WAKE_BOUND: Duration = Duration::from_secs(2);
+
 /// The deltas asked for are no longer held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Trimmed;
@@ -33,6 +37,7 @@
     directory: RefCell<Directory>,
     changed: Condition,
     serves: Cell<bool>,
+    woke_at: Cell<Option<Time>>,
     pub(super) membership: RefCell<Membership>,
     pub(super) replica: RefCell<Replica>,
     pub(super) serving: RefCell<Serving>,
@@ -61,6 +66,7 @@
             directory: RefCell::new(directory),
             changed: Condition::default(),
             serves: Cell::new(false),
+            woke_at: Cell::new(None),
             membership: RefCell::new(membership),
             replica: RefCell::default(),
             serving: RefCell::default(),
@@ -152,6 +158,24 @@
         self.membership.borrow_mut().handle(now, Input::Holds(mark));
     }
 
+    /// Takes what is held for old until others confirm it.
+    pub(super) fn woke(&self) {
+        self.serving.borrow_mut().woke();
+        self.serves.set(false);
+        self.woke_at.set(Some(self.now()));
+    }
+
+    /// Gives up waiting for others after a wake, where nobody answers.
+    pub(super) fn end_wake(&self) {
+        let Some(woke_at) = self.woke_at.get() else {
+            return;
+        };
+        if woke_at + WAKE_BOUND <= self.now() {
+            self.woke_at.set(None);
+            self.serving.borrow_mut().serve_alone();
+        }
+    }
+
     /// Makes membership's changes visible to calls.
     pub(super) fn refresh_directory(&self) {
         let membership = self.membership.borrow();
--- a/crates/daemon/src/control/tick.rs
+++ b/crates/daemon/src/control/tick.rs
@@ -24,6 +24,7 @@
     cold_start::tick(node, &zone);
     poll::tick(node, &zone);
     repair(node);
+    node.control.end_wake();
     // Membership may have changed what is enough to have heard.
     node.control.put_in_force();
 }
--- a/crates/distribution/src/serving.rs
+++ b/crates/distribution/src/serving.rs
@@ -18,6 +18,11 @@
 //! Afterwards only the floor binds, since being a little behind a peer is the
 //! normal state while a change spreads.
 //!
+//! A process that wakes from a freeze forgets nothing, but what it remembers is
+//! old: others have moved on, and by its clock no time has passed. It serves
+//! again once it has heard as many peers, or the platform, as after a start, and
+//! holds the newest of what they hold.
+//!
 //! Covered: restart with the platform up, whatever happened to peers, because
 //! the head is never older than what anyone served; restart with the platform
 //! out while one of the peers that answered had exchanged with the former life
@@ -40,16 +45,33 @@
 pub struct Serving {
     floor: Version,
     newest: Version,
-    heard_platform: bool,
-    platform_failed: bool,
+    platform: Platform,
     heard_peers: BTreeSet<MemberKey>,
-    has_served: bool,
+    service: Service,
+}
+
+/// What the platform said.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+enum Platform {
+    #[default]
+    Unasked,
+    Silent,
+    Heard,
+}
+
+/// Whether this life serves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+enum Service {
+    #[default]
+    Never,
+    Suspended,
+    Running,
 }
 
 impl Serving {
     /// The platform's head was read at this version.
     pub fn heard_platform(&mut self, version: Version) {
-        self.heard_platform = true;
+        self.platform = Platform::Heard;
         self.newest = self.newest.max(version);
     }
 
@@ -59,21 +81,48 @@
     /// the former life served, because it died before any exchange, would let
     /// this life serve by an older one, although the platform could have told.
     pub fn platform_failed(&mut self) {
-        self.platform_failed = true;
+        if self.platform == Platform::Unasked {
+            self.platform = Platform::Silent;
+        }
     }
 
-    /// A peer answered: what it holds, and the highest version that it saw this
-    /// instance report.
+    /// A peer answered a message of this daemon: what it holds, and the highest
+    /// version that it saw this instance report. What peers say unasked counts
+    /// for the floor only, by [`Self::learn_floor`].
     pub fn heard_peer(&mut self, peer: MemberKey, holds: Version, floor: Version) {
         self.floor = self.floor.max(floor);
-        if self.has_served {
+        if self.service == Service::Running {
             return;
         }
         self.heard_peers.insert(peer);
         self.newest = self.newest.max(holds);
     }
 
-    /// The announcement row of the former life carried this version.
+    /// The process was frozen. Without this it would go on by a version that the
+    /// fleet left minutes ago, and a caller that was just served by a newer one
+    /// elsewhere would see it go back.
+    pub fn woke(&mut self) {
+        if self.service == Service::Never {
+            if self.platform == Platform::Heard {
+                self.platform = Platform::Unasked;
+            }
+        } else {
+            self.service = Service::Suspended;
+            self.platform = Platform::Silent;
+        }
+        self.heard_peers.clear();
+        self.newest = 0;
+    }
+
+    /// Nobody answered for a while after a wake. What is held is then the best
+    /// there is, and a daemon that is cut off goes on serving by it.
+    pub fn serve_alone(&mut self) {
+        if self.service == Service::Suspended {
+            self.service = Service::Running;
+        }
+    }
+
+    /// The announcement row of the former life, or a peer, names this version.
     pub fn learn_floor(&mut self, version: Version) {
         self.floor = self.floor.max(version);
     }
@@ -90,19 +139,23 @@
         if version < self.floor {
             return false;
         }
-        if !self.has_served {
-            self.has_served = self.heard_enough(others) && version >= self.newest;
-        }
-        if self.has_served {
-            self.floor = version;
-            self.heard_peers.clear();
+        let is_running = self.service == Service::Running;
+        let is_confirmed = self.heard_enough(others) && version >= self.newest;
+        if !is_running && !is_confirmed {
+            return false;
         }
-        self.has_served
+        self.service = Service::Running;
+        self.floor = version;
+        self.heard_peers.clear();
+        true
     }
 
     fn heard_enough(&self, others: usize) -> bool {
         let needed = others.clamp(1, PEERS_NEEDED);
-        let peers_stand_in = self.platform_failed && self.heard_peers.len() >= needed;
-        self.heard_platform || peers_stand_in
+        match self.platform {
+            Platform::Unasked => false,
+            Platform::Silent => self.heard_peers.len() >= needed,
+            Platform::Heard => true,
+        }
     }
 }
--- a/crates/distribution/tests/all/serving.rs
+++ b/crates/distribution/tests/all/serving.rs
@@ -54,3 +54,41 @@
     assert!(serving.may_serve(4, 10));
     assert!(!serving.may_serve(3, 10), "but never back");
 }
+
+#[test]
+fn who_wakes_hears_others_before_it_serves() {
+    // A daemon was frozen for a minute, during which a route was removed. It
+    // wakes, and its first caller would still be sent along that route.
+    let mut serving = Serving::default();
+    serving.heard_platform(4);
+    assert!(serving.may_serve(4, 10));
+    serving.woke();
+    assert!(!serving.may_serve(4, 10));
+    serving.heard_peer(1, 6, 4);
+    serving.heard_peer(2, 5, 4);
+    assert!(!serving.may_serve(4, 10), "peers hold a newer one");
+    assert!(serving.may_serve(6, 10));
+}
+
+#[test]
+fn who_wakes_alone_goes_on_by_what_it_holds() {
+    // A daemon wakes in a zone that was cut off meanwhile, and nobody answers.
+    // Refusing for ever would leave its callers with nothing.
+    let mut serving = Serving::default();
+    serving.heard_platform(4);
+    assert!(serving.may_serve(4, 10));
+    serving.woke();
+    serving.serve_alone();
+    assert!(serving.may_serve(4, 10));
+}
+
+#[test]
+fn a_freeze_during_the_start_does_not_spare_the_platform() {
+    let mut serving = Serving::default();
+    serving.woke();
+    serving.heard_peer(1, 4, 3);
+    serving.heard_peer(2, 4, 0);
+    assert!(!serving.may_serve(4, 10), "the platform was not asked yet");
+    serving.serve_alone();
+    assert!(!serving.may_serve(4, 10), "and it never served");
+}
--- a/crates/membership/src/action.rs
+++ b/crates/membership/src/action.rs
@@ -86,6 +86,9 @@
         mark: Mark,
         /// Highest version that it saw this instance report.
         floor: u64,
+        /// Whether it said so in answer to this daemon. A request may have
+        /// waited in a socket while the process was frozen, and tell of then.
+        answered: bool,
     },
     /// A member joined, changed state or moved: routing tables may be stale.
     Changed(MemberKey),
--- a/crates/membership/src/hearing.rs
+++ b/crates/membership/src/hearing.rs
@@ -34,7 +34,7 @@
         self.helpers.settle(peer);
         self.note_contact(now, peer, true);
         let introduce = reply.introduce;
-        self.hear(now, peer, reply);
+        self.hear(now, peer, reply, true);
         let Some(entry) = self.table.get_mut(peer) else {
             return;
         };
@@ -49,8 +49,8 @@
         }
     }
 
-    /// Takes in a message, whether request or reply.
-    pub(crate) fn hear(&mut self, now: Time, from: MemberKey, message: Exchange) {
+    /// Takes in a message, be it a request or an answer.
+    pub(crate) fn hear(&mut self, now: Time, from: MemberKey, message: Exchange, answered: bool) {
         let (own, rows): (Vec<_>, Vec<_>) = message
             .rows
             .into_iter()
@@ -82,6 +82,7 @@
             addr,
             mark: message.mark,
             floor: message.floor,
+            answered,
         });
         self.compare_tables(now, from, message.table);
         self.has_met = true;
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -85,7 +85,7 @@
         let from = message.from;
         let incarnation = message.incarnation;
         self.note_agreement(message.table);
-        self.hear(now, from, message);
+        self.hear(now, from, message, false);
         let mut reply = self.compose(now, from);
         let known = self.table.get(from).map(|it| it.member.incarnation);
         reply.introduce = known.is_none();
