Hold by a test that only the home is promised "never"

Cause: version 2 makes b the home of a key and version 3 gives it back to a. b lags, takes a try of the key and asks a, which says "never". a restarted at 3, or skipped 2, so it has never heard of b and takes another try without asking. The key runs at both.

Ruled out: a fence at a for every key that it said "never" of, which would refuse keys of the usual move there and back; and asking every configured upstream after a restart, by which one dead daemon anywhere would stop all keys.

Not covered: b asked a before, holds its confirmation for newer keys, still lives when its upstream is taken away, and a restarts. Operators stop an instance before they delete its upstream.

--- a/crates/calls/tests/all/homes.rs
+++ b/crates/calls/tests/all/homes.rs
@@ -132,3 +132,16 @@
     let old = key_with_homes(EARLIER, &[(&["a", "b"], "b")]);
     assert_eq!(homes.check(&old, id), Home::Mine);
 }
+
+// Version 2 adds b, which takes a claim, and version 3 takes it away again. This
+// home restarts at 3 and has never heard of b. An entry that lags sends the claim
+// to b, which lags too and asks this home; another entry sends it here. Were b
+// told "never", both would run it.
+#[test]
+fn who_is_not_the_home_gets_no_promise() {
+    let mut homes = HomeSets::new("a".into(), SKEW, RETENTION);
+    homes.note(&"floatdesk".into(), set(&["a"]), 3, true, NOW);
+    let key = key_with_homes(NOW + 5 * SKEW, &[(&["a", "b"], "b")]);
+    assert!(!homes.is_home(&key, &"b".into()));
+    assert!(homes.is_home(&key, &"a".into()));
+}
