Prove three safeguards of membership by tests of their own

Cause: with the safeguard taken out on a scratch copy, the tests stayed green for news that everyone has, for deaths of strangers, and for the former life's row after a clock that went back.

Change: a test for each.

--- a/crates/membership/tests/all/failures.rs
+++ b/crates/membership/tests/all/failures.rs
@@ -36,6 +36,22 @@
     assert!(per_node_second < 130, "{per_node_second} bytes a second");
 }
 
+#[test]
+fn news_that_all_have_is_soon_told_no_more() {
+    // A whole fleet starts. Each daemon would go on telling all rows for as many
+    // rounds as an epidemic may need, though every table was complete long ago,
+    // and spend the byte budget of minutes on it.
+    let mut fleet = Fleet::new(4, 24);
+    while !fleet.agreed() {
+        fleet.run(Duration::from_secs(1));
+    }
+    fleet.run(Duration::from_secs(8));
+    fleet.bytes = 0;
+    fleet.run(Duration::from_secs(5));
+    let per_node_second = fleet.bytes / (96 * 5);
+    assert!(per_node_second < 300, "{per_node_second} bytes a second");
+}
+
 #[test]
 fn a_dead_daemon_is_known_everywhere_and_only_it() {
     // A caller's call goes to a target whose daemon was killed. Probes miss it,
--- a/crates/membership/tests/all/merging.rs
+++ b/crates/membership/tests/all/merging.rs
@@ -1,6 +1,6 @@
 //! Words that cross each other lead to one end.
 
-use stoatstep_membership::{Config, Input, MemberState, Membership, Row};
+use stoatstep_membership::{Action, Config, Input, MemberState, Membership, Row};
 
 use crate::fleet::{key, member};
 
@@ -61,3 +61,29 @@
     let held = &node.table().get(key(0, 1)).expect("held").member;
     assert_eq!(held.peer, moved.peer);
 }
+
+#[test]
+fn a_process_that_just_started_does_not_yield_to_its_former_life() {
+    // An instance restarts after its wall clock was set back, and reads its own
+    // old row at the platform. Taking that for a newer process, it would stop,
+    // and so would each process after it.
+    let mut node = Membership::new(member(0, 0, 900), Config::default(), 1);
+    let rows = vec![Row::from(&member(0, 0, 1000))];
+    let actions = node.handle(std::time::Duration::ZERO, Input::Announced { rows });
+    let stops = |it: &Action| matches!(it, Action::Superseded { .. });
+    assert!(!actions.iter().any(stops));
+    assert!(node.own().member.birth > 1000);
+}
+
+#[test]
+fn news_of_a_strangers_death_is_not_taken_up() {
+    // Tables forget the dead at different times. Were a death of someone
+    // unknown taken up, each would learn it anew from those who have not
+    // forgotten yet, and it would go round for ever.
+    let mut node = Membership::new(member(0, 0, 5), Config::default(), 1);
+    let mut dead = member(0, 1, 5);
+    dead.state = MemberState::Dead;
+    let rows = vec![Row::from(&dead)];
+    node.handle(std::time::Duration::ZERO, Input::TablePulled { rows });
+    assert!(node.table().get(key(0, 1)).is_none());
+}
