--- a/crates/scenario/src/daemon/calls.rs
+++ b/crates/scenario/src/daemon/calls.rs
@@ -111,7 +111,8 @@
     let mut count: u32 = 0;
     loop {
         let now = node.now();
-        if now.saturating_sub(last) > FREEZE {
+        let has_slept = now.saturating_sub(last) > FREEZE;
+        if has_slept && !node.world.is_without(Safeguard::WakeFlush) {
             wake(&node);
         }
         last = now;
