Hand a leaving home's memory of keys to the next process

Cause: a restarted home knew nothing of keys older than itself and said "unknown" to all of them.

Ruled out: trusting keys made after the stop without a record of who ran in between (a process that started in an outage would be missed); handing keys to peers (two processes would answer for one key).

Change: a process takes the row home/<upstream> before its first key that states its time; one that leaves writes its memory to the object store and notes so; the next one takes it over where the chain of rows has no gap. A home that restarts while the platform is down now refuses such keys, as not run, until the platform is back.

The specification does not model the handover.

--- a/crates/calls/src/intent/mod.rs
+++ b/crates/calls/src/intent/mod.rs
@@ -9,8 +9,10 @@
 
 mod home;
 mod key;
+mod memory;
 mod table;
 
 pub use home::{Handover, Home, HomeSets, home_of, set_id};
 pub use key::{Fingerprint, IntentKey, KeyError, KeyText};
+pub use memory::{IntentMemory, Remembered, RememberedRun};
 pub use table::{Begin, HomeAnswer, IntentConfig, IntentTable};
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -38,8 +38,8 @@
 pub use estimate::Estimate;
 pub use ids::{AttemptId, Incarnation, SetId, Time, Wall};
 pub use intent::{
-    Begin, Fingerprint, Handover, Home, HomeAnswer, HomeSets, IntentConfig, IntentKey, IntentTable,
-    KeyError, KeyText, home_of, set_id,
+    Begin, Fingerprint, Handover, Home, HomeAnswer, HomeSets, IntentConfig, IntentKey,
+    IntentMemory, IntentTable, KeyError, KeyText, Remembered, RememberedRun, home_of, set_id,
 };
 pub use ledger::{Arrival, Ledger, LedgerConfig, Settled, Ticket};
 pub use refusal::{Outcome, Reason, Refusal};
--- a/crates/calls/tests/all/intent.rs
+++ b/crates/calls/tests/all/intent.rs
@@ -215,3 +215,31 @@
     assert_eq!(KeyText::try_from(upper), lower);
     assert!(lower.is_ok_and(|it| it.created().is_some()));
 }
+
+// A home restarts as planned while callers retry. The new process takes over
+// the memory: what ran is answered from it, what did not run may run, although
+// both keys are older than the process.
+#[test]
+fn memory_of_the_process_before_settles_keys_older_than_this_one() {
+    let made = START + MINUTE;
+    let (ran, new) = (timed_key(made), timed_key(made + SECOND));
+    let mut before = table();
+    assert_eq!(before.begin(&ran, REQUEST, 1, made), Begin::Run);
+    assert_eq!(before.memory(), None, "how it ends is not known yet");
+    before.done(&ran, 1, answer());
+    let memory = before.memory().expect("nothing runs");
+
+    let restarted = made + 3 * SECOND;
+    let mut after = IntentTable::new(restarted, IntentConfig::default());
+    let unsettled = after.begin(&new, REQUEST, 2, restarted);
+    assert_eq!(reason(&unsettled), Some(Reason::KeyUnsettled));
+    after.resume(memory);
+    assert_eq!(
+        after.begin(&ran, REQUEST, 3, restarted),
+        Begin::Replay(answer())
+    );
+    assert_eq!(after.begin(&new, REQUEST, 4, restarted), Begin::Run);
+    assert_eq!(after.len(), 2);
+    after.tick(made + Duration::from_mins(20));
+    assert_eq!(after.len(), 1, "only what still runs is kept");
+}
--- a/crates/daemon/src/call/drain.rs
+++ b/crates/daemon/src/call/drain.rs
@@ -4,14 +4,20 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use ntex::time::{Millis, timeout};
 use stoatstep_calls::DrainStep;
 
+use super::handover;
 use crate::node::Node;
 
 /// Longest drain. Longer than any deadline, so that only a broken target can
 /// reach it.
 pub(super) const BOUND: Duration = Duration::from_secs(90);
 
+/// Longest wait for the platform to take the memory of keys. A stop must not
+/// hang on an outage.
+const HANDOVER_BOUND: Millis = Millis(3_000);
+
 /// Signals come in on the main thread, and calls run on the worker's. Both
 /// flags only ever go from unset to set.
 static ASKED: AtomicBool = AtomicBool::new(false);
@@ -55,5 +61,15 @@
             slog::error!(node.log, "leaving with calls in flight"; "calls" => calls);
         }
     }
+    if !node.calls.leaving.replace(true) {
+        ntex::rt::spawn(leave(Rc::clone(node)));
+    }
+}
+
+async fn leave(node: Rc<Node>) {
+    let handed_over = timeout(HANDOVER_BOUND, handover::leave(&node)).await;
+    if handed_over.is_err() {
+        slog::warn!(node.log, "memory of keys not handed over in time");
+    }
     LEFT.store(true, Ordering::Relaxed);
 }
--- a/crates/daemon/src/call/executor.rs
+++ b/crates/daemon/src/call/executor.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use ntex::http::{Request, Response, StatusCode};
-use serde::de::DeserializeOwned;
 use stoatstep_calls::{Arrival, AttemptId, Reason, Refusal, Settled};
 
 use super::in_flight::InFlight;
@@ -12,7 +11,7 @@
 use super::target::RunEnd;
 use super::wire::{Attempt, WireAttempt, WireEnd, WireReply};
 use super::{homes, peers, settle};
-use crate::http::{from_msgpack, msgpack, read_body};
+use crate::http::msgpack;
 use crate::node::Node;
 
 /// Pause after which another executor has heard of the drain.
@@ -24,10 +23,18 @@
     let path = req.path().to_owned();
     let answer = match path.as_str() {
         "/peer/attempt" => attempt(node, req).await,
-        "/peer/peek" => decoded(req).await.map(|it| ok(&settle::peek(node, it))),
-        "/peer/revoke" => decoded(req).await.map(|it| ok(&settle::revoke(node, it))),
-        "/peer/cancel" => decoded(req).await.map(|it| ok(&settle::cancel(node, it))),
-        "/peer/home" => decoded(req).await.map(|it| ok(&homes::answer(node, &it))),
+        "/peer/peek" => peers::receive(req)
+            .await
+            .map(|it| ok(&settle::peek(node, it))),
+        "/peer/revoke" => peers::receive(req)
+            .await
+            .map(|it| ok(&settle::revoke(node, it))),
+        "/peer/cancel" => peers::receive(req)
+            .await
+            .map(|it| ok(&settle::cancel(node, it))),
+        "/peer/home" => peers::receive(req)
+            .await
+            .map(|it| ok(&homes::answer(node, &it))),
         _ => return None,
     };
     Some(answer.unwrap_or_else(|| Response::new(StatusCode::BAD_REQUEST)))
@@ -37,15 +44,8 @@
     msgpack(StatusCode::OK, body)
 }
 
-async fn decoded<T: DeserializeOwned>(req: &mut Request) -> Option<T> {
-    let body = read_body(req.take_payload(), peers::MAX_MESSAGE)
-        .await
-        .ok()?;
-    from_msgpack(&body).ok()
-}
-
 async fn attempt(node: &Rc<Node>, req: &mut Request) -> Option<Response> {
-    let wire: WireAttempt = decoded(req).await?;
+    let wire: WireAttempt = peers::receive(req).await?;
     let attempt = Attempt::try_from(wire).ok()?;
     Some(ok(&execute(node, attempt).await))
 }
--- a/crates/daemon/src/call/headers.rs
+++ b/crates/daemon/src/call/headers.rs
@@ -15,6 +15,9 @@
 pub(super) const VERSION: &str = "stoatstep-version";
 pub(super) const SHED: &str = "stoatstep-shed";
 
+/// Between daemons: a short message, in place of a body.
+pub(super) const MESSAGE: &str = "stoatstep-message";
+
 /// What the names of our own headers begin with.
 const OWN_PREFIX: &str = "stoatstep-";
 
--- a/crates/daemon/src/call/keyed.rs
+++ b/crates/daemon/src/call/keyed.rs
@@ -26,6 +26,9 @@
 /// Pause asked for while the platform is out.
 const PLATFORM_RETRY: Duration = Duration::from_secs(1);
 
+/// Pause asked for until this process has taken its home row.
+const HOME_RETRY: Duration = Duration::from_millis(250);
+
 /// Largest answer that is written back to a claim row.
 const MAX_RECORDED: usize = 32 << 10;
 
@@ -52,6 +55,9 @@
         let begin = if let Some(known) = recall(node, key, fingerprint) {
             known
         } else {
+            if !may_take(node, key) {
+                return Opened::Ended(RunEnd::Refused(not_ready()));
+            }
             if let Err(end) = homes::check(node, attempt, key).await {
                 return Opened::Ended(end);
             }
@@ -70,6 +76,18 @@
     }
 }
 
+/// Keys that state their time are judged by memory, so the row that makes this
+/// process the one that remembers comes first. Without it a process that the
+/// platform never heard of would run keys, and the next one, with the memory of
+/// the one before, would run them again.
+fn may_take(node: &Node, key: &IntentKey) -> bool {
+    node.calls.has_home.get() || matches!(key.key, KeyText::Plain(_))
+}
+
+fn not_ready() -> Refusal {
+    Refusal::retry(Reason::NotReady, HOME_RETRY)
+}
+
 fn recall(node: &Rc<Node>, key: &IntentKey, fingerprint: Fingerprint) -> Option<Begin> {
     let tables = node.calls.executor.borrow();
     tables.intents.recall(key, fingerprint)
--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod drain;
 pub(crate) mod entry;
 pub(crate) mod executor;
+mod handover;
 mod headers;
 mod homes;
 mod in_flight;
@@ -30,6 +31,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use stoatstep_platform::TableRevision;
 use stoatstep_telemetry::Histograms;
 
 use crate::config::Config;
@@ -56,6 +58,13 @@
     executor: RefCell<ExecutorTables>,
     drain: RefCell<stoatstep_calls::Drain>,
     in_flight: Cell<u32>,
+    /// Revision of the row that names this process as the home of its keys.
+    home_row: Cell<Option<TableRevision>>,
+    /// Whether keys that state their time may run here: nothing that an earlier
+    /// process ran can be missing from the memory without this process knowing.
+    has_home: Cell<bool>,
+    /// Set once all calls are answered and the last steps of the stop began.
+    leaving: Cell<bool>,
     pub(crate) histograms: RefCell<Histograms>,
 }
 
@@ -69,6 +78,9 @@
             executor: RefCell::new(ExecutorTables::new(cfg, &clock)),
             drain: RefCell::new(stoatstep_calls::Drain::new(drain::BOUND)),
             in_flight: Cell::new(0),
+            home_row: Cell::new(None),
+            has_home: Cell::new(false),
+            leaving: Cell::new(false),
             alarms: Alarms::default(),
             histograms: RefCell::new(Histograms::new(MAX_TENANTS)),
             clock,
@@ -79,4 +91,5 @@
 /// Starts the tasks of the call side.
 pub(crate) fn start(node: &Rc<Node>) {
     ntex::rt::spawn(tick::run(Rc::clone(node)));
+    ntex::rt::spawn(handover::take(Rc::clone(node)));
 }
--- a/crates/daemon/src/call/peers.rs
+++ b/crates/daemon/src/call/peers.rs
@@ -3,14 +3,18 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::error::Error;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use ntex::client::{Client, Connector};
-use ntex::http::StatusCode;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD_NO_PAD;
+use ntex::client::error::{ClientError, ConnectError};
+use ntex::client::{Client, ClientRequest, ClientResponse, Connector};
 use ntex::http::body::{Body, BodySize, MessageBody};
+use ntex::http::{Request, StatusCode};
 use ntex::io::IoConfig;
 use ntex::time::{Millis, timeout};
 use ntex::util::Bytes;
@@ -19,8 +23,9 @@
 use smol_str::SmolStr;
 use stoatstep_calls::Ticket;
 
+use super::headers;
 use crate::control::peer::PEER_TOKEN;
-use crate::http::read_body;
+use crate::http::{from_msgpack, read_body};
 
 /// Connections to one other daemon.
 const CONNECTIONS: usize = 64;
@@ -28,6 +33,10 @@
 /// Time for a connection to come up. Inside a region it takes a millisecond.
 const CONNECT_TIMEOUT: Millis = Millis(300);
 
+/// Largest message that goes in a header. Well below the listener's bound on
+/// headers, which are a third longer in this encoding.
+const MAX_IN_HEADER: usize = 4 << 10;
+
 /// Largest message between daemons: an answer with its headers.
 pub(super) const MAX_MESSAGE: usize = 5 << 20;
 
@@ -143,18 +152,13 @@
         message: &impl Serialize,
     ) -> Result<A, PeerError> {
         let bytes = rmp_serde::to_vec(message).map_err(|_| PeerError::NotSent)?;
-        let (body, sent) = TrackedBody::new(bytes.into());
         let req = client.post(format!("http://{addr}{path}"));
         let req = req.header(PEER_TOKEN, self.token.as_str());
-        let lost = || {
-            if sent.get() {
-                PeerError::Lost
-            } else {
-                PeerError::NotSent
-            }
+        let answer = if bytes.len() <= MAX_IN_HEADER {
+            send_in_header(req, &bytes).await?
+        } else {
+            send_in_body(req, bytes).await?
         };
-        let body = Body::from_message(body);
-        let answer = req.send_body(body).await.map_err(|_| lost())?;
         if answer.status() != StatusCode::OK {
             return Err(PeerError::Lost);
         }
@@ -164,6 +168,54 @@
     }
 }
 
+/// The HTTP library writes head and body apart, and the second write wakes the
+/// other daemon a second time. A short message goes with the head instead.
+async fn send_in_header(req: ClientRequest, bytes: &[u8]) -> Result<ClientResponse, PeerError> {
+    let text = STANDARD_NO_PAD.encode(bytes);
+    let sent = req.header(headers::MESSAGE, text).send().await;
+    sent.map_err(|err| {
+        if never_connected(&err) {
+            PeerError::NotSent
+        } else {
+            PeerError::Lost
+        }
+    })
+}
+
+async fn send_in_body(req: ClientRequest, bytes: Vec<u8>) -> Result<ClientResponse, PeerError> {
+    let (body, sent) = TrackedBody::new(bytes.into());
+    let answer = req.send_body(Body::from_message(body)).await;
+    answer.map_err(|err| {
+        if never_connected(&err) || !sent.get() {
+            PeerError::NotSent
+        } else {
+            PeerError::Lost
+        }
+    })
+}
+
+/// Whether the error is one of a connection that never came up, so that not a
+/// byte was sent. A connection that was up reports neither of these kinds: a
+/// reset is another one, and the kernel gives up sending after a quarter of an
+/// hour only, long after any deadline.
+pub(super) fn never_connected(err: &ClientError) -> bool {
+    let ClientError::Connect(ConnectError::Disconnected(Some(err))) = err else {
+        return false;
+    };
+    let kind = err.kind();
+    matches!(kind, ErrorKind::ConnectionRefused | ErrorKind::TimedOut)
+}
+
+/// Decodes a message from where the sender put it.
+pub(super) async fn receive<T: DeserializeOwned>(req: &mut Request) -> Option<T> {
+    if let Some(text) = req.headers().get(headers::MESSAGE) {
+        let bytes = STANDARD_NO_PAD.decode(text.as_bytes()).ok()?;
+        return from_msgpack(&bytes).ok();
+    }
+    let body = read_body(req.take_payload(), MAX_MESSAGE).await.ok()?;
+    from_msgpack(&body).ok()
+}
+
 async fn pooled() -> Client {
     client(CONNECTIONS, KEEP_ALIVE_SECS).await
 }
--- a/crates/daemon/src/call/target.rs
+++ b/crates/daemon/src/call/target.rs
@@ -1,11 +1,9 @@
 //! Calls to this instance's target.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, ClientRequest, ClientResponse, Connector};
 use ntex::http::StatusCode;
 use ntex::http::body::Body;
@@ -15,7 +13,7 @@
 use stoatstep_calls::{Answer, Header, Reason, Refusal};
 
 use super::headers;
-use super::peers::TrackedBody;
+use super::peers::{TrackedBody, never_connected};
 use super::wire::Attempt;
 use crate::http::{BodyError, read_body};
 
@@ -105,7 +103,7 @@
         };
         match answer {
             Ok(answer) => read_answer(answer).await,
-            Err(err) if is_refused(&err) || !(empty || sent.get()) => {
+            Err(err) if never_connected(&err) || !(empty || sent.get()) => {
                 RunEnd::Refused(Refusal::retry(Reason::NoUpstream, SHED_RETRY))
             }
             Err(_) => RunEnd::refused(Reason::LostAnswer),
@@ -131,14 +129,6 @@
     }
 }
 
-/// Only a connection that never came up is refused, so the target saw nothing.
-fn is_refused(err: &ClientError) -> bool {
-    let ClientError::Connect(ConnectError::Disconnected(Some(err))) = err else {
-        return false;
-    };
-    err.kind() == io::ErrorKind::ConnectionRefused
-}
-
 async fn read_answer(answer: ClientResponse) -> RunEnd {
     let shed = answer.header(headers::SHED).is_some();
     if shed && answer.status() == StatusCode::SERVICE_UNAVAILABLE {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod decoders;
 mod docs;
 mod fleet;
+mod handover;
 mod http;
 mod lifecycle;
 mod operators;
