Count the lines that the HTTP client adds to requests

A tracer at the sockets of one daemon of 200 saw 19,303 control bytes in 30 s where the daemon had counted 17,350. The client library adds a date header of 37 bytes to each request, which the count of peer messages lacked; the platform's client lacked that, the request line, host, length and an answer's first line: 359 bytes a poll were counted as 213. Ruled out: bodies, and heads of answers, which agree.

--- a/crates/daemon/src/control/traffic.rs
+++ b/crates/daemon/src/control/traffic.rs
@@ -33,7 +33,7 @@
 /// Bytes that the request line and headers of a request take.
 pub(super) fn request_head(path: &str, addr: SocketAddr, token: &str, body: usize) -> usize {
     const FIXED: usize = "POST  HTTP/1.1\r\nhost: \r\nstoatstep-peer: \r\n\
-        content-length: \r\n\r\n"
+        content-length: \r\ndate: Wed, 02 Dec 2026 18:00:00 GMT\r\n\r\n"
         .len();
     let addr = addr.to_string().len();
     FIXED + path.len() + addr + token.len() + body.to_string().len()
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -159,20 +159,31 @@
         let url = format!("http://{}{}", self.addr, out.path);
         let req = self
             .client
-            .request(out.method, url)
+            .request(out.method.clone(), url)
             .header(header::ZONE, self.zone.as_str());
-        let sent = out.path.len() + header_bytes(req.headers()) + out.body.len();
+        let sent = self.client_lines(&out) + header_bytes(req.headers()) + out.body.len();
         self.usage.update(|usage| usage.bytes_sent += sent as u64);
         let res = req.send_body(out.body).await.map_err(from_client_error)?;
         let body = res.body().limit(out.limit).timeout(Millis::ZERO).await;
         let body = body.map_err(|e| unknown(format_smolstr!("answer cut short: {e}")))?;
-        let received = header_bytes(res.headers()) + body.len();
+        let received = STATUS_LINE + header_bytes(res.headers()) + body.len();
         self.usage
             .update(|usage| usage.bytes_received += received as u64);
         from_status(&res, &body)?;
         Ok(body)
     }
 
+    /// Bytes of the request line and of the headers that the library adds when
+    /// it sends; they are not among those of the request yet.
+    fn client_lines(&self, out: &Outgoing) -> usize {
+        const FIXED: usize = "  HTTP/1.1\r\ncontent-length: \r\nhost: \r\n\
+            date: Wed, 02 Dec 2026 18:00:00 GMT\r\n\r\n"
+            .len();
+        let length = out.body.len().to_string().len();
+        let host = self.addr.to_string().len();
+        FIXED + out.method.as_str().len() + out.path.len() + length + host
+    }
+
     async fn object(
         &self,
         method: Method,
@@ -265,6 +276,9 @@
     !name.is_empty() && name.len() <= MAX_KEY && name.chars().all(allowed)
 }
 
+/// Bytes of an answer's first line and of the empty line after its headers.
+const STATUS_LINE: usize = "HTTP/1.1 200 OK\r\n\r\n".len();
+
 fn header_bytes(headers: &ntex::http::HeaderMap) -> usize {
     const SEPARATORS: usize = ": \r\n".len();
     headers
