--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -24,3 +24,4 @@
     main, run,
 };
 pub use measure::main as measure_main;
+pub use measure::{Fit, control_bytes};
--- a/crates/load/src/measure/fit.rs
+++ b/crates/load/src/measure/fit.rs
@@ -4,20 +4,21 @@
 
 /// The line with the least squares of the distances.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct Fit {
+pub struct Fit {
     /// Growth for one more of the size that varied.
-    pub(crate) slope: f64,
+    pub slope: f64,
     /// Value at size 0.
-    pub(crate) intercept: f64,
+    pub intercept: f64,
     /// Share of the variance that the line explains.
-    pub(crate) r2: f64,
+    pub r2: f64,
     /// Standard deviation of the points from the line.
-    pub(crate) spread: f64,
+    pub spread: f64,
 }
 
 impl Fit {
-    /// Fits a line; all figures are NaN with fewer than two sizes.
-    pub(crate) fn new(points: &[(f64, f64)]) -> Self {
+    /// Fits a line through sizes and values; all figures are NaN with fewer than two sizes.
+    #[must_use]
+    pub fn new(points: &[(f64, f64)]) -> Self {
         let count = as_f64(points.len() as u64);
         let mean_x = points.iter().map(|it| it.0).sum::<f64>() / count;
         let mean_y = points.iter().map(|it| it.1).sum::<f64>() / count;
@@ -37,7 +38,8 @@
     }
 
     /// The line's value at `x`.
-    pub(crate) fn at(&self, x: f64) -> f64 {
+    #[must_use]
+    pub fn at(&self, x: f64) -> f64 {
         self.intercept + self.slope * x
     }
 }
--- a/crates/load/src/measure/mod.rs
+++ b/crates/load/src/measure/mod.rs
@@ -21,7 +21,9 @@
 
 use crate::load::Report;
 
+pub use fit::Fit;
 pub use program::main;
+pub use sockets::control_bytes;
 
 #[allow(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
 fn as_f64(count: u64) -> f64 {
--- a/crates/load/src/measure/sockets.rs
+++ b/crates/load/src/measure/sockets.rs
@@ -52,9 +52,10 @@
     Ok((sum > 0).then(|| as_f64(sum)))
 }
 
-/// Sums up a trace. A call during which another thread made one stands on two
+/// Sums up what a trace of `strace -f -yy` shows on control ports. A call during which another thread made one stands on two
 /// lines, the connection on the first and the result on the second.
-fn control_bytes(trace: &str) -> u64 {
+#[must_use]
+pub fn control_bytes(trace: &str) -> u64 {
     let mut unfinished = BTreeMap::new();
     let mut sum = 0;
     for line in trace.lines() {
@@ -89,6 +90,6 @@
 
 /// Bytes that the call moved; a call that failed moved none.
 fn moved(line: &str) -> Option<u64> {
-    let result = line.rsplit_once(") = ")?.1;
+    let result = line.rsplit_once(" = ")?.1;
     result.split_whitespace().next()?.parse().ok()
 }
