--- a/crates/scenario/src/daemon/calls.rs
+++ b/crates/scenario/src/daemon/calls.rs
@@ -146,7 +146,12 @@
 fn drain(node: &Rc<Node>) {
     let now = node.now();
     let calls = &mut *node.calls.borrow_mut();
-    match calls.drain.tick(calls.in_flight, now) {
+    let in_flight = if node.world.is_without(Safeguard::DrainWait) {
+        0
+    } else {
+        calls.in_flight
+    };
+    match calls.drain.tick(in_flight, now) {
         DrainStep::Wait | DrainStep::Announce => {}
         DrainStep::Leave | DrainStep::LeaveUnfinished(_) => {
             let node = Rc::clone(node);
--- a/crates/scenario/src/daemon/control.rs
+++ b/crates/scenario/src/daemon/control.rs
@@ -1,26 +1,19 @@
-//! Tables of the control side, its tick, and what it reads at the platform.
+//! Tables of the control side and its tick.
 
 use std::rc::Rc;
 use std::sync::Arc;
 
-use smol_str::format_smolstr;
 use stoatstep_distribution::{
     ColdStart, Offer, PollOutcome, Poller, Repair, Replica, Serving, Spread, Standing, Step, View,
 };
 use stoatstep_membership::{Announcement, Input, Member, MemberKey, Membership, Row, Time};
-use stoatstep_platform::{CommitRequest, Platform, RangeRead, ReadRequest, Write};
 use stoatstep_resource::State;
-use stoatstep_versionlog::{Head, head_request, read_head};
+use stoatstep_versionlog::Head;
 
-use super::{Node, gossip, spread};
+use super::{Node, announce, gossip, spread};
 use crate::script::Safeguard;
 
 const TICK: Time = Time::from_millis(250);
-const ANNOUNCE_STEP: Time = Time::from_millis(500);
-const ANNOUNCE_RETRY: Time = Time::from_secs(5);
-const LOOK_INTERVAL: Time = Time::from_mins(10);
-const SECOND_LOOK: Time = Time::from_secs(7);
-const MAX_ANNOUNCEMENTS: usize = 4096;
 
 /// The machines of the control side.
 pub(crate) struct Control {
@@ -32,7 +25,7 @@
     pub(crate) spread: Spread,
     pub(crate) repair: Repair,
     poller: Poller,
-    cold_start: ColdStart,
+    pub(super) cold_start: ColdStart,
     has_announced_leave: bool,
 }
 
@@ -212,7 +205,7 @@
 }
 
 async fn read_roster(node: Rc<Node>, wide: bool) {
-    let roster = roster(&node, wide).await;
+    let roster = announce::roster(&node, wide).await;
     let now = node.now();
     let Some((head, rows)) = roster else {
         let control = &mut *node.control.borrow_mut();
@@ -225,7 +218,8 @@
     cold_start.roster_read(now, head.version, others);
 }
 
-fn take_in(node: &Rc<Node>, head: &Head, announced: Vec<Announcement>) -> usize {
+/// Takes in what the platform knows; returns how many others it named.
+pub(super) fn take_in(node: &Rc<Node>, head: &Head, announced: Vec<Announcement>) -> usize {
     let own = announced.iter().find(|it| it.row.instance == node.instance);
     if let Some(own) = own {
         node.control.borrow_mut().serving.learn_floor(own.version);
@@ -237,78 +231,3 @@
     learn(node, head);
     others
 }
-
-async fn roster(node: &Node, wide: bool) -> Option<(Head, Vec<Announcement>)> {
-    let zone = format_smolstr!("instance/{}/", node.zone);
-    let zone_end = format_smolstr!("instance/{}0", node.zone);
-    let range = |start: &str, end: &str, limit| RangeRead {
-        start: start.into(),
-        end: end.into(),
-        limit,
-    };
-    let ranges = if wide {
-        vec![range("instance/", "instance0", MAX_ANNOUNCEMENTS)]
-    } else {
-        vec![
-            range(&own_row(node), &zone_end, 2),
-            range(&zone_end, "instance0", 1),
-            range("instance/", &zone, 1),
-        ]
-    };
-    let req = ReadRequest {
-        ranges,
-        ..head_request()
-    };
-    let answer = node.platform().read(req).await.ok()?;
-    let head = read_head(&answer).ok()?.head;
-    let rows = answer.ranges.into_iter().flatten();
-    let rows = rows.filter_map(|row| rmp_serde::from_slice(&row.value).ok());
-    Some((head, rows.collect()))
-}
-
-fn own_row(node: &Node) -> String {
-    format!("instance/{}/{}", node.zone, node.instance)
-}
-
-/// Keeps this instance's row at the platform until it drains.
-pub(super) async fn announce(node: Rc<Node>) {
-    while !is_settled(&node) {
-        node.sleep(ANNOUNCE_STEP).await;
-    }
-    while !node.is_draining() && !write_row(&node).await {
-        let pause = ANNOUNCE_RETRY.mul_f64(node.world.share() + 0.5);
-        node.sleep(pause).await;
-    }
-    let mut look_due = node.now() + SECOND_LOOK.mul_f64(node.world.share() + 0.5);
-    while !node.is_draining() {
-        if look_due <= node.now() {
-            look_due = node.now() + LOOK_INTERVAL;
-            if let Some((head, rows)) = roster(&node, false).await {
-                take_in(&node, &head, rows);
-            }
-        }
-        node.sleep(ANNOUNCE_STEP).await;
-    }
-    let key = own_row(&node).into();
-    commit(&node, Write::Delete { key }).await;
-}
-
-fn is_settled(node: &Node) -> bool {
-    let control = node.control.borrow();
-    control.cold_start.has_read_roster() || control.cold_start.is_done()
-}
-
-async fn write_row(node: &Node) -> bool {
-    let announcement = node.control.borrow().membership.announcement();
-    let value = rmp_serde::to_vec(&announcement).expect("plain data always encodes");
-    let key = own_row(node).into();
-    commit(node, Write::Put { key, value }).await
-}
-
-async fn commit(node: &Node, write: Write) -> bool {
-    let req = CommitRequest {
-        conditions: Vec::new(),
-        writes: vec![write],
-    };
-    node.platform().commit(req).await.is_ok()
-}
--- a/crates/scenario/src/daemon/mod.rs
+++ b/crates/scenario/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 //! The wiring follows `crates/daemon/src/control` and `crates/daemon/src/call`
 //! step by step, with messages in place of HTTP. No decision is made here.
 
+mod announce;
 mod attempt;
 mod calls;
 mod control;
@@ -83,7 +84,7 @@
         world.exec.spawn(life, control);
         let calls = calls::run(Rc::clone(&node));
         world.exec.spawn(life, calls);
-        let announce = control::announce(Rc::clone(&node));
+        let announce = announce::run(Rc::clone(&node));
         world.exec.spawn(life, announce);
         node
     }
