--- a/crates/daemon/src/control/pull.rs
+++ b/crates/daemon/src/control/pull.rs
@@ -21,6 +21,9 @@
 /// Deltas in one answer; beyond it the whole state is smaller in most cases.
 const MAX_DELTAS: usize = 64;
 
+/// Versions found at the platform at once that are pushed to the zone.
+const MAX_PASSED_ON: usize = 8;
+
 /// Whether a pull brought what it was for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Outcome {
@@ -103,7 +106,10 @@
     if after == 0 {
         return;
     }
-    if let Ok(deltas) = node.control.deltas_after(after) {
+    let deltas = node.control.deltas_after(after).unwrap_or_default();
+    // After a long cut the whole zone is far behind, and all of it sees so in
+    // exchanges. One pull each is then less than a push for each version.
+    if deltas.len() <= MAX_PASSED_ON {
         push::found(node, &deltas);
     }
 }
