--- a/crates/calls/src/ledger.rs
+++ b/crates/calls/src/ledger/mod.rs
@@ -7,80 +7,21 @@
 //! incarnation names the process whose memory the attempt relies on. The proof
 //! that forgetting is sound is in `docs/design/at-most-once.md`.
 
+mod types;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
 use crate::answer::Answer;
 use crate::ids::{AttemptId, Incarnation, Time};
 use crate::refusal::{Reason, Refusal};
 
+pub use types::{Arrival, LedgerConfig, Settled, Ticket};
+
 /// Pause asked for while the ledger is full.
 const FULL_RETRY: Duration = Duration::from_secs(1);
 
-/// Leave to send attempts to one process for a while.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Ticket {
-    /// The process that issued it.
-    pub incarnation: Incarnation,
-    /// When, on that process's own clock.
-    pub stamp: Time,
-}
-
-/// Bounds of a [`Ledger`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct LedgerConfig {
-    /// How long a ticket is good for, and how long a record is kept. Longer
-    /// than the longest deadline.
-    pub ticket_life: Duration,
-    /// Records kept at a time.
-    pub records: usize,
-    /// Bytes of answers kept at a time.
-    pub answer_bytes: usize,
-}
-
-impl Default for LedgerConfig {
-    fn default() -> Self {
-        Self {
-            ticket_life: Duration::from_mins(2),
-            records: 100_000,
-            answer_bytes: 16 << 20,
-        }
-    }
-}
-
-/// What the ledger makes of an attempt that came in.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Arrival {
-    /// First time seen: recorded as queued.
-    New,
-    /// It did not run and will not.
-    Refused(Refusal),
-    /// Seen before; this copy must not run.
-    Seen(Settled),
-}
-
-/// What is known about an attempt.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Settled {
-    /// It has not come in. It still may; only a revoke fences it.
-    NeverSeen,
-    /// It waits for a slot.
-    Queued,
-    /// The target has it.
-    Running,
-    /// It did not run and never will.
-    NotRun,
-    /// It ran; this is the whole answer.
-    Done(Arc<Answer>),
-    /// It ran; the answer was too large to keep or has made room for others.
-    DoneWithoutAnswer,
-    /// It may have run; nothing more can be learnt here.
-    Unknown,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Record {
     state: Settled,
@@ -197,14 +138,12 @@
     /// What is known about the attempt; changes nothing.
     #[must_use]
     pub fn peek(&self, attempt: AttemptId, ticket: Ticket, now: Time) -> Settled {
-        if ticket.incarnation != self.incarnation {
-            return Settled::Unknown;
-        }
         if let Some(record) = self.records.get(&attempt) {
             return record.state.clone();
         }
         if !self.is_current(ticket, now) {
-            // Its record may have been dropped by age after it ran.
+            // It may have run: under an earlier process, or so long ago that its
+            // record was dropped by age.
             return Settled::Unknown;
         }
         if ticket.stamp < self.floor {
