--- a/crates/load/src/fleet/http.rs
+++ b/crates/load/src/fleet/http.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::fleet::start::FleetError;
+use crate::fleet::error::FleetError;
 
 /// More than the harness opens at a time; see `load::attempt` for why not 0.
 const CONNECTIONS: usize = 1 << 16;
--- a/crates/load/src/fleet/mod.rs
+++ b/crates/load/src/fleet/mod.rs
@@ -4,19 +4,23 @@
 //! around them. Everything that it starts ends when its guard is dropped.
 
 mod addresses;
+mod error;
 mod http;
 mod line;
 mod node;
 mod operator;
 mod process;
+mod running;
 mod shape;
 mod start;
+mod wait;
 
 pub use addresses::Net;
+pub use error::FleetError;
 pub use http::Http;
 pub use line::{Line, Unit};
 pub use node::Node;
 pub use operator::{Fault, OPERATOR_TOKEN, Operator, PEER_TOKEN};
 pub use process::{Process, Usage};
 pub use shape::{ServiceShape, Shape, TargetShape};
-pub use start::{Fleet, FleetError};
+pub use start::Fleet;
--- a/crates/load/src/fleet/operator.rs
+++ b/crates/load/src/fleet/operator.rs
@@ -12,8 +12,8 @@
 use stoatstep_resource::{Resource, Version};
 use uuid::Uuid;
 
+use crate::fleet::error::FleetError;
 use crate::fleet::http::Http;
-use crate::fleet::start::FleetError;
 
 /// The operators' token of every fleet that the harness starts.
 pub const OPERATOR_TOKEN: &str = "operator-token-of-the-harness";
