--- a/crates/scenario/src/daemon/calls.rs
+++ b/crates/scenario/src/daemon/calls.rs
@@ -13,9 +13,10 @@
     Refusal, RetryBudget, Router, Ticket,
 };
 use stoatstep_membership::{MemberState, Time};
+use stoatstep_platform::TableRevision;
 use stoatstep_resource::{Kind, Resource, ServiceName, State, Upstream, UpstreamName, Version};
 
-use super::{Node, index_of};
+use super::{Node, handover, index_of};
 use crate::script::Safeguard;
 use crate::world::exec::Sender;
 use crate::world::{EPOCH, Index, World};
@@ -24,6 +25,7 @@
 const SYNC_EVERY: u32 = 10;
 const CLEAN_EVERY: u32 = 50;
 const FREEZE: Time = Time::from_millis(800);
+const HANDOVER_BOUND: Time = Time::from_secs(3);
 const DRAIN_BOUND: Time = Time::from_secs(90);
 const SKEW: Time = Time::from_secs(2);
 const RETENTION: Time = Time::from_mins(10);
@@ -53,6 +55,9 @@
     pub(super) runs: BTreeMap<AttemptId, Run>,
     pub(super) drain: Drain,
     pub(super) in_flight: u32,
+    pub(super) home_row: Option<TableRevision>,
+    pub(super) has_home: bool,
+    is_leaving: bool,
 }
 
 impl Calls {
@@ -85,6 +90,9 @@
             runs: BTreeMap::new(),
             drain: Drain::new(DRAIN_BOUND),
             in_flight: 0,
+            home_row: None,
+            has_home: false,
+            is_leaving: false,
         }
     }
 }
@@ -154,12 +162,22 @@
     match calls.drain.tick(in_flight, now) {
         DrainStep::Wait | DrainStep::Announce => {}
         DrainStep::Leave | DrainStep::LeaveUnfinished(_) => {
-            let node = Rc::clone(node);
-            Rc::clone(&node.world).leave(node);
+            if !std::mem::replace(&mut calls.is_leaving, true) {
+                node.spawn(leave(Rc::clone(node)));
+            }
         }
     }
 }
 
+async fn leave(node: Rc<Node>) {
+    let world = Rc::clone(&node.world);
+    if !world.is_without(Safeguard::Handover) {
+        let handed_over = handover::leave(&node);
+        let _ = world.exec.timeout(HANDOVER_BOUND, handed_over).await;
+    }
+    world.leave(node);
+}
+
 /// Starts and refuses what waits, as the queue decides now.
 pub(super) fn pump(node: &Node) {
     let now = node.now();
--- a/crates/scenario/src/daemon/keyed.rs
+++ b/crates/scenario/src/daemon/keyed.rs
@@ -39,6 +39,9 @@
         let begin = if let Some(known) = recall(node, attempt, key) {
             known
         } else {
+            if !may_take(node, key) {
+                return Err(Err(Refusal::retry(Reason::NotReady, MOVING_RETRY)));
+            }
             check_home(node, attempt, key).await?;
             begin(node, attempt, key)
         };
@@ -54,6 +57,11 @@
     }
 }
 
+/// The row that makes this process the one that remembers comes first.
+fn may_take(node: &Node, key: &IntentKey) -> bool {
+    node.calls.borrow().has_home || matches!(key.key, KeyText::Plain(_))
+}
+
 fn recall(node: &Node, attempt: &Attempt, key: &IntentKey) -> Option<Begin> {
     let intents = &node.calls.borrow().intents;
     intents.recall(key, fingerprint(attempt))
--- a/crates/scenario/src/daemon/mod.rs
+++ b/crates/scenario/src/daemon/mod.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod executor;
 mod gossip;
+mod handover;
 mod keyed;
 mod spread;
 
@@ -84,6 +85,8 @@
         world.exec.spawn(life, control);
         let calls = calls::run(Rc::clone(&node));
         world.exec.spawn(life, calls);
+        let handover = handover::take(Rc::clone(&node));
+        world.exec.spawn(life, handover);
         let announce = announce::run(Rc::clone(&node));
         world.exec.spawn(life, announce);
         node
--- a/crates/scenario/src/script/mod.rs
+++ b/crates/scenario/src/script/mod.rs
@@ -90,6 +90,8 @@
         ClaimRow => "claim-row",
         /// Saying that an instance is leaving, and refusing what comes still.
         Drain => "drain",
+        /// A leaving home's memory of keys, handed to the next process.
+        Handover => "handover",
         /// Waiting for calls in flight at the end of a drain.
         DrainWait => "drain-wait",
         /// Emptying the queue after a freeze.
