Let an idle executor try a call, whatever a slow spell taught it

An executor that runs and queues nothing now takes the call; the mean follows a much shorter run at once; a refusal for the deadline may be tried elsewhere. The ledger keeps records for 20 s and 200,000 of them, which carries 10,000 attempts a second in place of 833; a ticket older than that costs a round trip.

Ruled out: forgetting the estimate by age alone, which sends a slow target full rounds of calls that end as unknown.

--- a/crates/calls/src/admission/mod.rs
+++ b/crates/calls/src/admission/mod.rs
@@ -78,8 +78,8 @@
     pub fn offer(&mut self, ask: Ask, now: Time) -> (Verdict, Vec<Dispatch>) {
         self.active.see(&ask.tenant, ask.weight, now);
         let service = self.service_time(ask.class);
-        if now + service >= ask.expires {
-            let refusal = Refusal::permanent(Reason::Deadline);
+        if now + service >= ask.expires && !self.may_probe(&ask, now) {
+            let refusal = Refusal::retry(Reason::Deadline, LEAST_RETRY_AFTER);
             return (Verdict::Refused(refusal), Vec::new());
         }
         if self.waiting.is_empty() && self.may_run(&ask) {
@@ -143,6 +143,13 @@
             .unwrap_or_default()
     }
 
+    /// An idle executor takes a call whatever the estimate says. Refusing all of
+    /// them would leave the estimate as it is for ever: one slow minute of the
+    /// target, and its daemon never sends it a call again.
+    fn may_probe(&self, ask: &Ask, now: Time) -> bool {
+        self.running.is_empty() && self.waiting.is_empty() && now < ask.expires
+    }
+
     fn may_run(&self, ask: &Ask) -> bool {
         let free = self.running.len() < self.cfg.slots as usize;
         free && self.below_concurrency(ask)
--- a/crates/calls/src/estimate.rs
+++ b/crates/calls/src/estimate.rs
@@ -25,6 +25,13 @@
             return;
         };
         let off = mean.abs_diff(sample);
+        if sample < mean / 2 {
+            // A target that was frozen and is well again must not be judged by
+            // the freeze for long: it would get no calls to show that by.
+            self.deviation = blend(self.deviation, off, DEVIATION_GAIN);
+            self.mean = Some((mean + sample) / 2);
+            return;
+        }
         self.deviation = blend(self.deviation, off, DEVIATION_GAIN);
         self.mean = Some(blend(mean, sample, MEAN_GAIN));
     }
--- a/crates/calls/src/ledger/types.rs
+++ b/crates/calls/src/ledger/types.rs
@@ -21,8 +21,9 @@
 /// Bounds of a [`Ledger`](super::Ledger).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LedgerConfig {
-    /// How long a ticket is good for, and how long a record is kept. Longer
-    /// than the longest deadline.
+    /// How long a ticket is good for, and how long a record is kept; a run that
+    /// outlives it keeps its record. The bound on records over this time is the
+    /// rate of attempts that the ledger carries.
     pub ticket_life: Duration,
     /// Records kept at a time.
     pub records: usize,
@@ -33,8 +34,8 @@
 impl Default for LedgerConfig {
     fn default() -> Self {
         Self {
-            ticket_life: Duration::from_mins(2),
-            records: 100_000,
+            ticket_life: Duration::from_secs(20),
+            records: 200_000,
             answer_bytes: 16 << 20,
         }
     }
--- a/crates/calls/tests/all/admission.rs
+++ b/crates/calls/tests/all/admission.rs
@@ -65,6 +65,37 @@
     assert_eq!(admission.offer(late, SERVICE).0, Verdict::Wait);
 }
 
+// The target freezes for a while and is well again. Its runs took longer than
+// any deadline, so by the estimate every call is hopeless. Were all refused, no
+// run could ever mend the estimate, and the target would stay idle for good.
+#[test]
+fn slow_spell_of_the_target_does_not_shut_it_out() {
+    let mut admission = measured(2, 8);
+    let spell = Duration::from_secs(20);
+    admission.offer(ask(0, "elm"), SERVICE);
+    admission.release(0, spell);
+    let mut now = spell;
+    let mut ran = 0;
+    for attempt in 1..20 {
+        let mut call = ask(attempt, "elm");
+        call.expires = now + 10 * SERVICE;
+        let (verdict, _) = admission.offer(call, now);
+        now += SERVICE;
+        if verdict == Verdict::Run {
+            ran += 1;
+            admission.release(attempt, now);
+        }
+    }
+    assert_eq!(ran, 19);
+    let hopeful = |attempt| {
+        let mut call = ask(attempt, "elm");
+        call.expires = now + 10 * SERVICE;
+        call
+    };
+    assert_eq!(admission.offer(hopeful(100), now).0, Verdict::Run);
+    assert_eq!(admission.offer(hopeful(101), now).0, Verdict::Run);
+}
+
 // A call's deadline passes while it waits. It is refused as not run; starting
 // it would spend a slot on an answer that nobody reads.
 #[test]
--- a/crates/daemon/src/call/attempt.rs
+++ b/crates/daemon/src/call/attempt.rs
@@ -186,7 +186,7 @@
         (Reason::Draining, _) => Report::Leaving,
         // The daemon is there, and its target is not or breaks its answers.
         (Reason::NoUpstream | Reason::LostAnswer, _) => Report::Failed,
-        (Reason::Overload | Reason::Shed | Reason::Woke, _) => {
+        (Reason::Overload | Reason::Shed | Reason::Woke | Reason::Deadline, _) => {
             Report::Refused(load, refusal.retry_after.unwrap_or_default())
         }
         (_, Outcome::Answered | Outcome::NotRun | Outcome::Unknown) => Report::Cancelled,
--- a/crates/daemon/src/call/entry.rs
+++ b/crates/daemon/src/call/entry.rs
@@ -217,8 +217,7 @@
 fn can_help(reason: Reason) -> bool {
     !matches!(
         reason,
-        Reason::Deadline
-            | Reason::TimedOut
+        Reason::TimedOut
             | Reason::BadRequest
             | Reason::TooLarge
             | Reason::KeyReused
