Hand over who was a home together with the memory of keys

Cause: a planned restart hands the memory of keys to the next process, and with it authority over keys made before that process's start. It did not hand over which upstreams had been homes in between. A key that ran at b, whose upstream was added and then taken away and its instance stopped, was new to the restarted home, which had nobody to ask and ran it again.

Ruled out: not handing over while sets changed lately, which would refuse most keys after each rolling restart of a fresh fleet.

Change: the members that a process knew go with the memory and count as previous homes (HomeSets::known, HomeSets::resume). One that is gone makes its keys "unknown", as it does without a restart.

--- a/crates/calls/src/intent/home.rs
+++ b/crates/calls/src/intent/home.rs
@@ -13,6 +13,10 @@
 /// whose every member counts as a previous home: more refusals, never fewer.
 const SETS_KEPT: usize = 16;
 
+/// The upstreams that were members of each service's set, as far as a process
+/// knows.
+pub type KnownMembers = BTreeMap<ServiceName, BTreeSet<UpstreamName>>;
+
 /// The home of a key: rendezvous hash over *configured* names. Liveness plays
 /// no part, since two entries rarely agree on it, and a key with two homes may
 /// run twice.
@@ -94,6 +98,8 @@
     retention: Duration,
     services: BTreeMap<ServiceName, Sets>,
     confirmed: BTreeMap<UpstreamName, Confirmed>,
+    /// Members that the process before this one knew.
+    inherited: KnownMembers,
 }
 
 impl HomeSets {
@@ -107,7 +113,38 @@
             retention,
             services: BTreeMap::new(),
             confirmed: BTreeMap::new(),
+            inherited: KnownMembers::new(),
+        }
+    }
+
+    /// What the process that follows this one has to know besides the memory of
+    /// keys.
+    #[must_use]
+    pub fn known(&self) -> KnownMembers {
+        let mut known = self.inherited.clone();
+        for (service, sets) in &self.services {
+            let earlier = sets.earlier.iter().flat_map(|it| &it.names);
+            let names = earlier.chain(&sets.current).cloned().collect();
+            known.insert(service.clone(), names);
+        }
+        known
+    }
+
+    /// Takes over what the process just before this one knew, together with its
+    /// memory of keys and before the first key.
+    ///
+    /// That memory gives this process authority over keys made before its start.
+    /// One of them may have run at a home in between whose upstream is gone by
+    /// now: without its name nobody would be asked, and the key would run again.
+    pub fn resume(&mut self, known: KnownMembers) {
+        for (service, names) in &known {
+            let sets = self.services.get_mut(service);
+            let earlier = sets.into_iter().flat_map(|sets| &mut sets.earlier);
+            for it in earlier.filter(|it| it.every) {
+                it.names.extend(names.iter().cloned());
+            }
         }
+        self.inherited = known;
     }
 
     /// Takes in the set that `version` has for a service. `follows` says that no
@@ -131,6 +168,7 @@
         let mut before = std::mem::replace(&mut sets.current, names);
         if every {
             before.extend(sets.current.iter().cloned());
+            before.extend(self.inherited.remove(service).into_iter().flatten());
         }
         sets.earlier.push(Earlier {
             names: before,
--- a/crates/calls/src/intent/mod.rs
+++ b/crates/calls/src/intent/mod.rs
@@ -12,7 +12,7 @@
 mod memory;
 mod table;
 
-pub use home::{Handover, Home, HomeSets, home_of, set_id};
+pub use home::{Handover, Home, HomeSets, KnownMembers, home_of, set_id};
 pub use key::{Fingerprint, IntentKey, KeyError, KeyText};
 pub use memory::{IntentMemory, Remembered, RememberedRun};
 pub use table::{Begin, HomeAnswer, IntentConfig, IntentTable};
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -39,7 +39,8 @@
 pub use ids::{AttemptId, Incarnation, SetId, Time, Wall};
 pub use intent::{
     Begin, Fingerprint, Handover, Home, HomeAnswer, HomeSets, IntentConfig, IntentKey,
-    IntentMemory, IntentTable, KeyError, KeyText, Remembered, RememberedRun, home_of, set_id,
+    IntentMemory, IntentTable, KeyError, KeyText, KnownMembers, Remembered, RememberedRun, home_of,
+    set_id,
 };
 pub use ledger::{Arrival, Ledger, LedgerConfig, Settled, Ticket};
 pub use refusal::{Outcome, Reason, Refusal};
--- a/crates/calls/tests/all/homes.rs
+++ b/crates/calls/tests/all/homes.rs
@@ -145,3 +145,29 @@
     assert!(!homes.is_home(&key, &"b".into()));
     assert!(homes.is_home(&key, &"a".into()));
 }
+
+// A claim ran at b, whose upstream was then deleted. This home is restarted as
+// planned and takes over the memory of keys, so it would take the claim for new.
+// What its former process knew of b makes it ask, and in the end say "unknown".
+#[test]
+fn planned_restart_remembers_who_was_a_home() {
+    let mut former = HomeSets::new("a".into(), SKEW, RETENTION);
+    former.note(&"floatdesk".into(), set(&["a"]), 1, true, EARLIER);
+    former.note(&"floatdesk".into(), set(&["a", "b"]), 2, true, NOW);
+    former.note(&"floatdesk".into(), set(&["a"]), 3, true, NOW);
+    let key = key_with_homes(NOW, &[(&["a", "b"], "b")]);
+    let id = set_id(&set(&["a"]));
+    for noted_first in [false, true] {
+        let mut homes = HomeSets::new("a".into(), SKEW, RETENTION);
+        if !noted_first {
+            homes.resume(former.known());
+        }
+        homes.note(&"floatdesk".into(), set(&["a"]), 3, true, NOW + SKEW);
+        if noted_first {
+            homes.resume(former.known());
+        }
+        assert_eq!(homes.check(&key, id), ask(&["b"], 3));
+        homes.gone(&"b".into(), 3, NOW + 2 * SKEW);
+        assert_eq!(homes.check(&key, id), Home::Unsettled);
+    }
+}
--- a/crates/daemon/src/call/handover.rs
+++ b/crates/daemon/src/call/handover.rs
@@ -13,7 +13,7 @@
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
-use stoatstep_calls::{Incarnation, IntentMemory};
+use stoatstep_calls::{Incarnation, IntentMemory, KnownMembers};
 use stoatstep_platform::{
     CommitAnswer, CommitRequest, Condition, Platform, PlatformError, ReadRequest, Row,
     TableRevision, Write,
@@ -44,6 +44,7 @@
 struct MemoryObject {
     birth: Incarnation,
     memory: IntentMemory,
+    members: KnownMembers,
 }
 
 /// A row as it was read, if it makes sense.
@@ -110,22 +111,31 @@
     let Some(revision) = node.calls.home_row.get() else {
         return;
     };
-    let Some(memory) = node.calls.executor.borrow().intents.memory() else {
+    let Some(object) = memory(node) else {
         return;
     };
-    if let Err(err) = hand_over(node, revision, memory).await {
+    if let Err(err) = hand_over(node, revision, &object).await {
         slog::warn!(node.log, "memory of keys not handed over"; "error" => %err);
     }
 }
 
+fn memory(node: &Node) -> Option<MemoryObject> {
+    let birth = birth(node);
+    let tables = node.calls.executor.borrow();
+    Some(MemoryObject {
+        birth,
+        memory: tables.intents.memory()?,
+        members: tables.homes.known(),
+    })
+}
+
 async fn hand_over(
     node: &Node,
     revision: TableRevision,
-    memory: IntentMemory,
+    object: &MemoryObject,
 ) -> Result<(), PlatformError> {
-    let birth = birth(node);
-    let object = MemoryObject { birth, memory };
-    let bytes = rmp_serde::to_vec(&object).expect("plain data always encodes");
+    let birth = object.birth;
+    let bytes = rmp_serde::to_vec(object).expect("plain data always encodes");
     // The object comes first: a row that names a memory which is not there yet
     // would let the next process read the one before it.
     node.platform.put_object(&object_name(node), bytes).await?;
@@ -164,6 +174,7 @@
     }
     let keys = object.memory.intents.len();
     let mut tables = node.calls.executor.borrow_mut();
+    tables.homes.resume(object.members);
     tables.intents.resume(object.memory);
     slog::info!(node.log, "memory of keys taken over"; "keys" => keys);
 }
--- a/crates/spec/src/cases.rs
+++ b/crates/spec/src/cases.rs
@@ -54,6 +54,8 @@
     IntentBackSkip,
     /// The upstream that goes is stopped first.
     IntentStopped,
+    /// The same with a planned restart in place of skipped versions.
+    IntentPlanned,
 }
 
 /// Every case, in the order of the page.
@@ -78,6 +80,7 @@
     Case::IntentBack,
     Case::IntentBackSkip,
     Case::IntentStopped,
+    Case::IntentPlanned,
 ];
 
 /// For each safeguard, a case in which its absence shows.
@@ -105,6 +108,7 @@
     (Safeguard::DeadlineCheck, Case::Attempt),
     (Safeguard::HomeConfirm, Case::Intent),
     (Safeguard::AskerCheck, Case::IntentBackSkip),
+    (Safeguard::MembersHandedOver, Case::IntentPlanned),
     (Safeguard::RecheckAfterAsk, Case::IntentBack),
     (Safeguard::AuthoritySince, Case::Intent),
     (Safeguard::SkewMargin, Case::IntentCallerAhead),
@@ -280,6 +284,7 @@
             removal: Removal::Live,
             skips: false,
             restarts: 1,
+            planned: 0,
             lost: 1,
             ticks: 4,
             clocks: clocks(0, 0),
@@ -321,6 +326,12 @@
                 removal: Removal::Stopped,
                 ..back
             },
+            Self::IntentPlanned => IntentBounds {
+                ticks: 3,
+                planned: 1,
+                removal: Removal::Stopped,
+                ..back
+            },
             _ => moved,
         }
     }
--- a/crates/spec/src/intent/home.rs
+++ b/crates/spec/src/intent/home.rs
@@ -62,6 +62,24 @@
         executor
     }
 
+    /// The next process of this upstream, after a planned stop.
+    pub(super) fn successor(
+        &self,
+        number: usize,
+        now: Wall,
+        set: BTreeSet<UpstreamName>,
+        safeguards: Safeguards,
+    ) -> Self {
+        let mut next = Self::new(number, now, self.version, set, safeguards);
+        if let Some(memory) = self.table.memory() {
+            next.table.resume(memory);
+            if safeguards.has(Safeguard::MembersHandedOver) {
+                next.homes.resume(self.homes.known());
+            }
+        }
+        next
+    }
+
     pub(super) fn apply(
         &mut self,
         version: u8,
--- a/crates/spec/src/intent/mod.rs
+++ b/crates/spec/src/intent/mod.rs
@@ -77,6 +77,8 @@
     pub skips: bool,
     /// Restarts of executors.
     pub restarts: u8,
+    /// Planned restarts, each with the memory handed over.
+    pub planned: u8,
     /// Runs whose answer may be lost.
     pub lost: u8,
     /// Ticks of the clocks.
@@ -108,6 +110,7 @@
     /// Whether the second executor was stopped for good.
     stopped: bool,
     restarts: u8,
+    planned: u8,
     lost: u8,
 }
 
@@ -142,6 +145,9 @@
     Clean(usize),
     /// An executor restarts. What its target runs goes on.
     Restart(usize),
+    /// An executor that runs nothing stops, and the next process takes over its
+    /// memory.
+    HandOver(usize),
     /// Time goes on.
     Tick,
 }
@@ -200,6 +206,7 @@
             runs: 0,
             stopped: false,
             restarts: self.bounds.restarts,
+            planned: self.bounds.planned,
             lost: self.bounds.lost,
         }
     }
--- a/crates/spec/src/intent/successors.rs
+++ b/crates/spec/src/intent/successors.rs
@@ -143,6 +143,15 @@
         let mut cleaned = state.clone();
         cleaned.change(number, |it| it.clean(now));
         next.push((IntentStep::Clean(number), cleaned));
+        if state.planned > 0 && state.executors[number].taken.is_empty() {
+            let mut handed = state.clone();
+            handed.planned -= 1;
+            handed.change(number, |it| {
+                let set = self.set_at(it.version).clone();
+                *it = it.successor(number, now, set, self.safeguards);
+            });
+            next.push((IntentStep::HandOver(number), handed));
+        }
         if state.restarts == 0 {
             return;
         }
--- a/crates/spec/src/safeguard.rs
+++ b/crates/spec/src/safeguard.rs
@@ -53,6 +53,8 @@
     HomeConfirm,
     /// A previous home answers only the one that it takes for the home.
     AskerCheck,
+    /// A planned restart hands over who was a home as well.
+    MembersHandedOver,
     /// The set is looked at again after the previous home answered.
     RecheckAfterAsk,
     /// A home has no authority over keys made before its start.
--- a/crates/spec/tests/all/calls.rs
+++ b/crates/spec/tests/all/calls.rs
@@ -158,6 +158,19 @@
     );
 }
 
+// A key ran at b, whose upstream is then taken away. a is restarted as planned with
+// its memory, by which it has authority over the key, and nobody is left to ask:
+// it must still know that b was a home.
+#[test]
+fn a_planned_restart_that_forgets_who_was_a_home() {
+    breaks(
+        Safeguard::MembersHandedOver,
+        Invariant::RunsOnce,
+        14,
+        &["Arrive(1)", "Start(0, 1)"],
+    );
+}
+
 // b asks a about the key, and is told "never". Before the answer arrives the home
 // moves back to a, which asks b and is told the same. Both run it.
 #[test]
