--- a/crates/scenario/src/daemon/handover.rs
+++ b/crates/scenario/src/daemon/handover.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use smol_str::{SmolStr, format_smolstr};
-use stoatstep_calls::{Incarnation, IntentMemory};
+use stoatstep_calls::{Incarnation, IntentMemory, KnownMembers};
 use stoatstep_membership::Time;
 use stoatstep_platform::{
     CommitAnswer, CommitRequest, Condition, Platform, PlatformError, ReadRequest, TableRevision,
@@ -20,7 +20,7 @@
 type HomeRow = (Incarnation, bool);
 
 /// Whose memory it is, and the memory.
-type MemoryObject = (Incarnation, IntentMemory);
+type MemoryObject = (Incarnation, IntentMemory, KnownMembers);
 
 /// Takes the row, and with it the predecessor's memory.
 pub(super) async fn take(node: Rc<Node>) {
@@ -83,7 +83,7 @@
     let birth = birth(node);
     let calls = node.calls.borrow();
     let memory = calls.intents.memory()?;
-    Some((calls.home_row?, (birth, memory)))
+    Some((calls.home_row?, (birth, memory, calls.homes.known())))
 }
 
 async fn resume(node: &Node, birth: Incarnation) {
@@ -98,10 +98,12 @@
 
 fn adopt(node: &Node, birth: Incarnation, bytes: &[u8]) {
     let object: Result<MemoryObject, _> = rmp_serde::from_slice(bytes);
-    let Some((_, memory)) = object.ok().filter(|it| it.0 == birth) else {
+    let Some((_, memory, members)) = object.ok().filter(|it| it.0 == birth) else {
         return;
     };
-    node.calls.borrow_mut().intents.resume(memory);
+    let calls = &mut *node.calls.borrow_mut();
+    calls.homes.resume(members);
+    calls.intents.resume(memory);
 }
 
 async fn write(
