--- a/tests/all/docs.rs
+++ b/tests/all/docs.rs
@@ -3,6 +3,8 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
+use stoatstep_calls::Reason;
+
 const ROOT: &str = env!("CARGO_MANIFEST_DIR");
 
 /// Folders at the root that hold no source of ours.
@@ -95,3 +97,13 @@
         .collect();
     assert!(missing.is_empty(), "{missing:#?}");
 }
+
+/// An operator looks up the word that callers were given. A reason without its
+/// row leaves them to guess whether a claim may be sent again.
+#[test]
+fn every_reason_of_a_refusal_is_explained() {
+    let page = include_str!("../../docs/operators/calls.md");
+    let is_missing = |reason: &&Reason| !page.contains(&format!("`{}`", reason.as_str()));
+    let missing: Vec<_> = Reason::ALL.iter().filter(is_missing).collect();
+    assert!(missing.is_empty(), "{missing:?}");
+}
