--- a/crates/calls/src/intent/mod.rs
+++ b/crates/calls/src/intent/mod.rs
@@ -7,12 +7,14 @@
 //! previous home has confirmed a change of homes ([`HomeSets`]). See
 //! `docs/design/at-most-once.md`.
 
+mod config;
 mod home;
 mod key;
 mod memory;
 mod table;
 
+pub use config::IntentConfig;
 pub use home::{Handover, Home, HomeSets, KnownMembers, home_of, set_id};
 pub use key::{Fingerprint, IntentKey, KeyError, KeyText};
 pub use memory::{IntentMemory, Remembered, RememberedRun};
-pub use table::{Begin, HomeAnswer, IntentConfig, IntentTable};
+pub use table::{Begin, HomeAnswer, IntentTable};
--- a/crates/calls/src/intent/table.rs
+++ b/crates/calls/src/intent/table/mod.rs
@@ -1,11 +1,13 @@
 //! The home's memory of keys.
 
+mod handover;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::config::IntentConfig;
 use super::key::{Fingerprint, IntentKey};
-use super::memory::{IntentMemory, Remembered, RememberedRun};
 use crate::answer::Answer;
 use crate::ids::{AttemptId, Wall};
 use crate::refusal::{Reason, Refusal};
@@ -13,60 +15,6 @@
 /// Pause asked for while no more keys can be remembered.
 const FULL_RETRY: Duration = Duration::from_secs(1);
 
-/// Bounds and assumptions of an [`IntentTable`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct IntentConfig {
-    pub(crate) skew: Duration,
-    pub(crate) retention: Duration,
-    pub(crate) keys: usize,
-    pub(crate) answer_bytes: usize,
-}
-
-impl Default for IntentConfig {
-    fn default() -> Self {
-        Self {
-            skew: Duration::from_secs(2),
-            retention: Duration::from_mins(10),
-            keys: 150_000,
-            answer_bytes: 16 << 20,
-        }
-    }
-}
-
-impl IntentConfig {
-    /// Most that two calendar clocks differ; 2 s unless set. A larger bound
-    /// leaves more keys unsettled after a restart.
-    #[must_use]
-    pub fn skew(mut self, skew: Duration) -> Self {
-        self.skew = skew;
-        self
-    }
-
-    /// How long a key is remembered after it was made; 10 min unless set. Older
-    /// keys are refused as expired.
-    #[must_use]
-    pub fn retention(mut self, retention: Duration) -> Self {
-        self.retention = retention;
-        self
-    }
-
-    /// Keys remembered at a time; 150,000 unless set. At the bound new keys are
-    /// refused as not run; none is dropped before its time.
-    #[must_use]
-    pub fn keys(mut self, keys: usize) -> Self {
-        self.keys = keys;
-        self
-    }
-
-    /// Bytes of answers kept at a time; 16 MiB unless set. Beyond it the oldest
-    /// answers go, and their keys answer "ran, answer not kept".
-    #[must_use]
-    pub fn answer_bytes(mut self, answer_bytes: usize) -> Self {
-        self.answer_bytes = answer_bytes;
-        self
-    }
-}
-
 /// What the home does with a key.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Begin {
@@ -264,61 +212,6 @@
         }
     }
 
-    /// All that a following process has to know; `None` while something runs,
-    /// since how that ends would be missing from it.
-    #[must_use]
-    pub fn memory(&self) -> Option<IntentMemory> {
-        let intents = self.intents.iter().map(|(key, intent)| {
-            Some(Remembered {
-                key: key.clone(),
-                fingerprint: intent.fingerprint,
-                expires: intent.expires,
-                run: intent.run.remembered()?,
-            })
-        });
-        let intents = intents.collect::<Option<Vec<_>>>()?;
-        Some(IntentMemory {
-            since: self.since,
-            intents,
-        })
-    }
-
-    /// Takes over the memory of the process just before this one, which ran
-    /// nothing after it was written. Without it each key that was made before
-    /// this process started is unsettled, so that a planned restart would tell
-    /// callers "unknown" about claims that never ran.
-    pub fn resume(&mut self, memory: IntentMemory) {
-        self.since = self.since.min(memory.since);
-        for remembered in memory.intents {
-            self.remember(remembered);
-        }
-        self.shed_answers();
-    }
-
-    fn remember(&mut self, remembered: Remembered) {
-        let Remembered {
-            key,
-            fingerprint,
-            expires,
-            run,
-        } = remembered;
-        if self.intents.contains_key(&key) {
-            return;
-        }
-        self.expiry.entry(expires).or_default().push(key.clone());
-        let run = Run::from(run);
-        if let Run::Done(answer) = &run {
-            self.bytes += answer.weight();
-            self.answers.push_back(key.clone());
-        }
-        let intent = Intent {
-            fingerprint,
-            expires,
-            run,
-        };
-        self.intents.insert(key, intent);
-    }
-
     /// Drops keys that are too old to be accepted again.
     pub fn tick(&mut self, now: Wall) {
         while let Some(entry) = self.expiry.first_entry() {
@@ -404,27 +297,6 @@
     }
 }
 
-impl Run {
-    fn remembered(&self) -> Option<RememberedRun> {
-        match self {
-            Self::Running(_) => None,
-            Self::Done(answer) => Some(RememberedRun::Done(Arc::clone(answer))),
-            Self::DoneWithoutAnswer => Some(RememberedRun::DoneWithoutAnswer),
-            Self::Unknown => Some(RememberedRun::Unknown),
-        }
-    }
-}
-
-impl From<RememberedRun> for Run {
-    fn from(run: RememberedRun) -> Self {
-        match run {
-            RememberedRun::Done(answer) => Self::Done(answer),
-            RememberedRun::DoneWithoutAnswer => Self::DoneWithoutAnswer,
-            RememberedRun::Unknown => Self::Unknown,
-        }
-    }
-}
-
 impl Intent {
     fn meet(&self, fingerprint: Fingerprint) -> Begin {
         if self.fingerprint != fingerprint {
