--- a/scripts/lib/capacity.awk
+++ b/scripts/lib/capacity.awk
@@ -44,7 +44,7 @@
     # A load of the slopes had run for so long when memory was read, and the
     # ledger keeps a record for so long (`LedgerConfig::ticket_life`).
     load_s = 12
-    kept_s = 120
+    kept_s = 20
 
     # The pollers' traffic is the same in a fleet of any size, so its mean falls
     # with the size and no line fits it.
@@ -71,8 +71,8 @@
     show("executor_cores_8_deep", deep * slope("call_executor_processor", "calls_per_s"), "")
     record = slope("call_executor_memory", "calls_per_s") / load_s
     show("executor_record_bytes", record, "")
-    show("executor_records", calls * kept_s, 100000)
-    show("executor_records_8_deep", deep * kept_s, 100000)
+    show("executor_records", calls * kept_s, 200000)
+    show("executor_records_8_deep", deep * kept_s, 200000)
     show("executor_memory_bytes", at("rest_memory", "daemons", daemons) + record * calls * kept_s, 128e6)
     show("platform_reads_per_s", at("rest_platform_reads", "daemons", daemons), 2000)
     show("platform_items_read_per_s", at("rest_platform_items", "daemons", daemons), 2000)
@@ -83,5 +83,5 @@
     breaks("breaks_memory_at_daemons", "rest_memory", "daemons", 128e6)
     breaks("breaks_memory_at_upstreams", "state_memory", "upstreams", 128e6)
     breaks("breaks_processor_at_changes_per_s", "changes_processor", "changes_per_s", 0.018)
-    show("breaks_ledger_at_calls_per_s", 100000 / kept_s, "")
+    show("breaks_ledger_at_calls_per_s", 200000 / kept_s, "")
 }
