Say once which refusals another attempt can get past

The daemon and the scenarios each had the list, and they had come apart: the scenarios still took "deadline" for final. It stands with the reasons now.

--- a/crates/calls/src/refusal.rs
+++ b/crates/calls/src/refusal.rs
@@ -120,6 +120,23 @@
     AnswerTooLarge => "answer-too-large", Unknown;
 }
 
+impl Reason {
+    /// Whether another attempt of the same call can end otherwise.
+    #[must_use]
+    pub fn allows_retry(self) -> bool {
+        !matches!(
+            self,
+            Self::TimedOut
+                | Self::BadRequest
+                | Self::TooLarge
+                | Self::KeyReused
+                | Self::KeyFromFuture
+                | Self::KeyExpired
+                | Self::KeyUnsettled
+        )
+    }
+}
+
 impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.as_str())
--- a/crates/daemon/src/call/entry.rs
+++ b/crates/daemon/src/call/entry.rs
@@ -188,7 +188,7 @@
     let allowed = call.route.policy.retry.attempts;
     let parts = &call.parts;
     let may = may_retry(settlement, parts.idempotent, parts.depth, made, allowed);
-    if !may || !can_help(refusal.reason) {
+    if !may || !refusal.reason.allows_retry() {
         return None;
     }
     let left = call.deadline.left(node.calls.clock.now());
@@ -213,20 +213,6 @@
     }
 }
 
-/// Whether another attempt can end otherwise.
-fn can_help(reason: Reason) -> bool {
-    !matches!(
-        reason,
-        Reason::TimedOut
-            | Reason::BadRequest
-            | Reason::TooLarge
-            | Reason::KeyReused
-            | Reason::KeyFromFuture
-            | Reason::KeyExpired
-            | Reason::KeyUnsettled
-    )
-}
-
 fn record(node: &Rc<Node>, call: &Call, ended: &Ended, started: Time) {
     let total = node.calls.clock.now().saturating_sub(started);
     let daemon = total.saturating_sub(ended.queue + ended.target);
--- a/crates/scenario/src/daemon/entry.rs
+++ b/crates/scenario/src/daemon/entry.rs
@@ -182,7 +182,7 @@
         Outcome::Unknown | Outcome::Answered => Settlement::Unknown,
     };
     let may = may_retry(settlement, carried.call.idempotent, 0, made, ATTEMPTS);
-    if !may || !can_help(refusal.reason) {
+    if !may || !refusal.reason.allows_retry() {
         return None;
     }
     let left = carried.deadline.left(node.now());
@@ -204,20 +204,6 @@
     }
 }
 
-fn can_help(reason: Reason) -> bool {
-    !matches!(
-        reason,
-        Reason::Deadline
-            | Reason::TimedOut
-            | Reason::BadRequest
-            | Reason::TooLarge
-            | Reason::KeyReused
-            | Reason::KeyFromFuture
-            | Reason::KeyExpired
-            | Reason::KeyUnsettled
-    )
-}
-
 async fn attempt_at(
     node: &Rc<Node>,
     carried: &Rc<Carried>,
