Use the settings' secret for the daemon's tokens

The daemon had its own shortest length and its own constant-time comparison beside those of stoatstep-settings, and its settings, which can be printed for debugging, held both tokens as plain text. Both are now Secret.

--- a/crates/daemon/src/call/peers.rs
+++ b/crates/daemon/src/call/peers.rs
@@ -20,8 +20,8 @@
 use ntex::util::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use smol_str::SmolStr;
 use stoatstep_calls::Ticket;
+use stoatstep_settings::Secret;
 
 use super::headers;
 use crate::control::peer::PEER_TOKEN;
@@ -63,13 +63,13 @@
 /// Clients by address. Each daemon has a pool of its own: in one shared pool
 /// the calls to a daemon that hangs would take the connections of all others.
 pub(super) struct Peers {
-    token: SmolStr,
+    token: Secret,
     table: RefCell<BTreeMap<SocketAddr, Peer>>,
     fresh: Client,
 }
 
 impl Peers {
-    pub(super) async fn new(token: SmolStr) -> Self {
+    pub(super) async fn new(token: Secret) -> Self {
         Self {
             token,
             table: RefCell::default(),
@@ -153,7 +153,7 @@
     ) -> Result<A, PeerError> {
         let bytes = rmp_serde::to_vec(message).map_err(|_| PeerError::NotSent)?;
         let req = client.post(format!("http://{addr}{path}"));
-        let req = req.header(PEER_TOKEN, self.token.as_str());
+        let req = req.header(PEER_TOKEN, self.token.expose());
         let answer = if bytes.len() <= MAX_IN_HEADER {
             send_in_header(req, &bytes).await?
         } else {
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -4,12 +4,9 @@
 
 use smol_str::SmolStr;
 use stoatstep_resource::{InstanceId, UpstreamName, ZoneName};
-use stoatstep_settings::{Program, Setting, Stop};
+use stoatstep_settings::{Program, Secret, Setting, Stop};
 use stoatstep_telemetry::Level;
 
-/// Shorter tokens could be guessed over the network.
-const SHORTEST_TOKEN: usize = 16;
-
 const PROGRAM: Program = Program {
     name: "stoatstepd",
     about: "Daemon beside a target: takes and runs calls, holds the configuration.",
@@ -62,8 +59,8 @@
     pub(crate) operator_addr: SocketAddr,
     pub(crate) target_addr: SocketAddr,
     pub(crate) platform: SocketAddr,
-    pub(crate) operator_token: SmolStr,
-    pub(crate) peer_token: SmolStr,
+    pub(crate) operator_token: Secret,
+    pub(crate) peer_token: Secret,
     pub(crate) log_level: Level,
 }
 
@@ -81,17 +78,9 @@
         let operator_addr = values.required("operator-addr");
         let target_addr = values.required("target-addr");
         let platform = values.required("platform");
-        let operator_token = values.required::<SmolStr>("operator-token");
-        let peer_token = values.required::<SmolStr>("peer-token");
+        let operator_token = values.required("operator-token");
+        let peer_token = values.required("peer-token");
         let log_level = values.required("log-level");
-        for (flag, token) in [
-            ("operator-token", &operator_token),
-            ("peer-token", &peer_token),
-        ] {
-            if token.as_ref().is_some_and(|it| it.len() < SHORTEST_TOKEN) {
-                values.reject(flag, "must have at least 16 characters");
-            }
-        }
         let cfg = (|| {
             Some(Self {
                 instance: instance?,
--- a/crates/daemon/src/control/client.rs
+++ b/crates/daemon/src/control/client.rs
@@ -80,7 +80,7 @@
 }
 
 async fn exchange(node: &Node, addr: SocketAddr, message: &Message) -> Result<Bytes, PeerError> {
-    let token = node.cfg.peer_token.as_str();
+    let token = node.cfg.peer_token.expose();
     let len = message.body.len();
     let head = request_head(message.path, addr, token, len);
     let traffic = &node.control.traffic;
--- a/crates/daemon/src/control/peer.rs
+++ b/crates/daemon/src/control/peer.rs
@@ -10,7 +10,7 @@
 use super::traffic::{ANSWER_HEAD, Class, request_head};
 use super::{collect, gossip, pull, push};
 use crate::call;
-use crate::http::{drop_body, from_msgpack, read_body, same_secret};
+use crate::http::{drop_body, from_msgpack, read_body};
 use crate::node::Node;
 
 /// Header that carries the daemons' shared secret.
@@ -64,7 +64,12 @@
     let Ok(body) = read_body(req.take_payload(), MAX_BODY).await else {
         return Some(Response::new(StatusCode::PAYLOAD_TOO_LARGE));
     };
-    let head = request_head(path, node.cfg.peer_addr, &node.cfg.peer_token, body.len());
+    let head = request_head(
+        path,
+        node.cfg.peer_addr,
+        node.cfg.peer_token.expose(),
+        body.len(),
+    );
     let traffic = &node.control.traffic;
     traffic.received(&node.metrics, class, head + body.len());
     let Ok(message) = from_msgpack(&body) else {
@@ -79,5 +84,5 @@
 fn is_peer(node: &Node, req: &Request) -> bool {
     req.headers()
         .get(PEER_TOKEN)
-        .is_some_and(|it| same_secret(it.as_bytes(), node.cfg.peer_token.as_bytes()))
+        .is_some_and(|it| node.cfg.peer_token.matches(it.as_bytes()))
 }
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -4,7 +4,6 @@
 use ntex::util::{Bytes, BytesMut};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use subtle::ConstantTimeEq;
 
 /// Why a body was not read whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,12 +60,6 @@
     rmp_serde::from_slice(body)
 }
 
-/// Compares secrets in a time that does not depend on where they differ, so
-/// that a caller cannot find a token byte by byte.
-pub(crate) fn same_secret(given: &[u8], expected: &[u8]) -> bool {
-    given.ct_eq(expected).into()
-}
-
 /// Most bytes of a body that are read only to be dropped. Whoever sends more
 /// than this has its connection closed.
 const MAX_DROPPED: usize = 4 * 1024 * 1024;
--- a/crates/daemon/src/operator/mod.rs
+++ b/crates/daemon/src/operator/mod.rs
@@ -13,7 +13,7 @@
 use stoatstep_resource::wire::FindingsAnswer;
 use stoatstep_resource::{Finding, Place};
 
-use crate::http::{drop_body, json, same_secret};
+use crate::http::{drop_body, json};
 use crate::node::Node;
 
 /// Answers one request of an operator.
@@ -71,5 +71,5 @@
     let given = req.headers().get("authorization");
     given
         .and_then(|it| it.as_bytes().strip_prefix(b"Bearer "))
-        .is_some_and(|token| same_secret(token, node.cfg.operator_token.as_bytes()))
+        .is_some_and(|token| node.cfg.operator_token.matches(token))
 }
