--- a/crates/calls/src/answer.rs
+++ b/crates/calls/src/answer.rs
@@ -34,3 +34,22 @@
         size_of::<Self>() + self.body.len() + self.headers.iter().map(header).sum::<usize>()
     }
 }
+
+/// Whether a header is about one connection only, and so never passes from one
+/// hop to the next. The length of a body is among them: each hop writes its own.
+#[must_use]
+pub fn is_of_connection(name: &str) -> bool {
+    matches!(
+        name,
+        "connection"
+            | "content-length"
+            | "expect"
+            | "host"
+            | "keep-alive"
+            | "proxy-connection"
+            | "te"
+            | "trailer"
+            | "transfer-encoding"
+            | "upgrade"
+    )
+}
--- a/crates/calls/src/intent/key.rs
+++ b/crates/calls/src/intent/key.rs
@@ -7,7 +7,7 @@
 use smol_str::{SmolStr, ToSmolStr};
 use stoatstep_resource::{ServiceName, TenantName};
 use uuid::Uuid;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::ids::Wall;
 
@@ -40,6 +40,13 @@
         }
     }
 
+    /// A number drawn for the key, the same wherever and whenever it is drawn.
+    #[must_use]
+    pub fn draw(&self) -> u32 {
+        let hash = xxh3_64(self.text().as_bytes());
+        u32::try_from(hash >> 32).unwrap_or_default()
+    }
+
     /// When the key was made, if it says so.
     #[must_use]
     pub fn created(&self) -> Option<Wall> {
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -10,7 +10,7 @@
 //! The two sides of a call are the *entry* (the daemon that took it from the
 //! caller) and the *executor* (the daemon on the target's own instance):
 //!
-//! * the entry uses [`Router`], [`RetryBudget`], [`Backoff`], [`Deadline`] and
+//! * the entry uses [`RouteTable`], [`Router`], [`RetryBudget`], [`Backoff`], [`Deadline`] and
 //!   [`Silence`];
 //! * the executor uses [`Admission`], [`Ledger`], [`IntentTable`] and [`Drain`].
 //!
@@ -28,10 +28,11 @@
 mod refusal;
 mod retry;
 mod router;
+mod routes;
 mod silence;
 
 pub use admission::{Admission, AdmissionConfig, Ask, Dispatch, Load, Verdict};
-pub use answer::{Answer, Header};
+pub use answer::{Answer, Header, is_of_connection};
 pub use class::{Class, UnknownClass};
 pub use deadline::Deadline;
 pub use drain::{Drain, DrainStep};
@@ -46,4 +47,5 @@
 pub use refusal::{Outcome, Reason, Refusal};
 pub use retry::{Attempts, Backoff, RetryBudget, Settlement, may_retry};
 pub use router::{Candidate, CandidateState, Pick, Report, Router};
+pub use routes::{ResolvedRoute, RouteTable};
 pub use silence::{Silence, SilenceAction, SilenceConfig};
--- a/crates/calls/src/retry.rs
+++ b/crates/calls/src/retry.rs
@@ -21,20 +21,41 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct RetryBudget {
     milli: u64,
+    reserve_milli: u64,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        let milli = RESERVE_MILLI;
-        Self { milli }
+        Self {
+            milli: RESERVE_MILLI,
+            reserve_milli: RESERVE_MILLI,
+        }
     }
 }
 
 impl RetryBudget {
+    /// A budget that saves up at most `retries`. Where all daemons
+    /// together are held to one reserve, each gets its part of it: with a
+    /// reserve of its own in each, a fleet of 12 would use 12 of them at once.
+    #[must_use]
+    pub fn with_reserve(retries: u32) -> Self {
+        let reserve_milli = u64::from(retries.max(1)) * ONE_MILLI;
+        Self {
+            milli: reserve_milli,
+            reserve_milli,
+        }
+    }
+
+    /// Takes another reserve; what is saved beyond it is dropped.
+    pub fn set_reserve(&mut self, retries: u32) {
+        self.reserve_milli = u64::from(retries.max(1)) * ONE_MILLI;
+        self.milli = self.milli.min(self.reserve_milli);
+    }
+
     /// Counts a first attempt, which earns `percent` hundredths of a retry.
     pub fn earn(&mut self, percent: u32) {
         let earned = u64::from(percent) * ONE_MILLI / 100;
-        self.milli = (self.milli + earned).min(RESERVE_MILLI);
+        self.milli = (self.milli + earned).min(self.reserve_milli);
     }
 
     /// Takes one retry, or says that none is left.
--- a/crates/daemon/src/call/headers.rs
+++ b/crates/daemon/src/call/headers.rs
@@ -1,6 +1,8 @@
 //! Names of the headers that calls carry. See
 //! `docs/contributing/interfaces.md`.
 
+use stoatstep_calls::is_of_connection;
+
 pub(super) const TENANT: &str = "stoatstep-tenant";
 pub(super) const CLASS: &str = "stoatstep-class";
 pub(super) const DEADLINE_MS: &str = "stoatstep-deadline-ms";
@@ -25,19 +27,6 @@
 /// one connection end with it, and ours are written anew on each side, so that
 /// neither side can forge them for the other.
 pub(super) fn passes(name: &str) -> bool {
-    let of_connection = matches!(
-        name,
-        "host"
-            | "connection"
-            | "keep-alive"
-            | "proxy-connection"
-            | "te"
-            | "trailer"
-            | "transfer-encoding"
-            | "upgrade"
-            | "content-length"
-            | "expect"
-            | IDEMPOTENCY_KEY
-    );
-    !of_connection && !name.starts_with(OWN_PREFIX)
+    let is_own = name == IDEMPOTENCY_KEY || name.starts_with(OWN_PREFIX);
+    !is_own && !is_of_connection(name)
 }
--- a/crates/daemon/src/call/request.rs
+++ b/crates/daemon/src/call/request.rs
@@ -1,19 +1,23 @@
 //! Reads a caller's request, with every finding in one go.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use ntex::http::header::HeaderMap;
 use ntex::http::{Method, Request};
 use ntex::util::Bytes;
+use rand::RngExt;
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
-use stoatstep_calls::{Class, Deadline, Header, IntentKey, KeyText, Reason, Refusal, set_id};
-use stoatstep_resource::TenantLimit;
+use stoatstep_calls::{
+    Class, Deadline, Header, IntentKey, KeyText, Reason, Refusal, ResolvedRoute, set_id,
+};
+use stoatstep_resource::{ServiceName, TenantLimit};
 
 use super::headers;
 use super::wire::WireCall;
 use crate::http::{BodyError, read_body};
-use crate::in_force::{InForce, ResolvedRoute};
+use crate::in_force::InForce;
 use crate::node::Node;
 
 /// Largest request body. It is kept whole until the call ends, so that an
@@ -62,7 +66,7 @@
 pub(super) struct Call {
     /// The configuration that it began with and keeps.
     pub(super) in_force: Rc<InForce>,
-    pub(super) route: Rc<ResolvedRoute>,
+    pub(super) route: Arc<ResolvedRoute>,
     pub(super) deadline: Deadline,
     /// The key, where the call may run only once.
     pub(super) key: Option<IntentKey>,
@@ -76,8 +80,8 @@
             return Err(Rejected::not_ready());
         }
         let in_force = node.control.in_force();
-        let route = in_force.route(req.path());
-        let Some(route) = route.map(|it| Rc::new(it.as_ref().clone())) else {
+        let route = in_force.route(host(req), req.path());
+        let Some(route) = route.cloned() else {
             return Err(Rejected::bare(Reason::NoRoute));
         };
         let head = Head::read(req.headers())?;
@@ -89,12 +93,17 @@
         let timeout = head.timeout.unwrap_or(route.policy.timeout);
         let idempotent = route.route.idempotent || is_idempotent(req.method());
         let key = head.key.clone().filter(|_| !idempotent);
+        let draw = match &key {
+            Some(key) => key.draw(),
+            None => node.calls.entry.borrow_mut().rng.random(),
+        };
+        let service = route.service(draw).clone();
         let key = key.map(|key| IntentKey {
-            service: route.route.service.clone(),
+            service: service.clone(),
             tenant: head.tenant.clone(),
             key,
         });
-        let parts = parts(req, &in_force, &route, head, body, idempotent);
+        let parts = parts(req, &in_force, (&route, service), head, body, idempotent);
         Ok(Self {
             in_force,
             route,
@@ -108,12 +117,11 @@
 fn parts(
     req: &Request,
     in_force: &InForce,
-    route: &ResolvedRoute,
+    (route, service): (&ResolvedRoute, ServiceName),
     head: Head,
     body: Bytes,
     idempotent: bool,
 ) -> WireCall {
-    let service = route.route.service.clone();
     let names = in_force.upstreams_of(&service);
     let of_tenant = |it: &&TenantLimit| it.tenant == head.tenant;
     let limit = route.policy.limits.iter().find(of_tenant);
@@ -137,6 +145,12 @@
     }
 }
 
+/// The host that the caller named.
+fn host(req: &Request) -> &str {
+    let named = req.headers().get("host").and_then(|it| it.to_str().ok());
+    named.unwrap_or_default()
+}
+
 fn is_idempotent(method: &Method) -> bool {
     matches!(
         *method,
--- a/crates/daemon/src/control/tables.rs
+++ b/crates/daemon/src/control/tables.rs
@@ -227,5 +227,6 @@
         birth,
         incarnation: birth,
         state: MemberState::Alive,
+        announced: None,
     }
 }
--- a/crates/distribution/tests/all/support.rs
+++ b/crates/distribution/tests/all/support.rs
@@ -22,6 +22,8 @@
         prefix: format!("/{name}").into(),
         service: service.into(),
         policy: None,
+        host: None,
+        split: Vec::new(),
         idempotent: false,
     })
 }
--- a/crates/load/src/fleet/shape.rs
+++ b/crates/load/src/fleet/shape.rs
@@ -142,6 +142,8 @@
                 attempts: 3,
                 budget_percent: 20,
             },
+            latency_objective: None,
+            priority: None,
             limits: Vec::new(),
         })];
         for service in &self.services {
@@ -169,6 +171,8 @@
         prefix: format_smolstr!("/{}", service.name),
         service: service.name.clone(),
         policy: None,
+        host: None,
+        split: Vec::new(),
         idempotent: false,
     }
 }
--- a/crates/membership/src/action.rs
+++ b/crates/membership/src/action.rs
@@ -5,7 +5,7 @@
 
 use smol_str::SmolStr;
 
-use crate::member::{Incarnation, MemberKey};
+use crate::member::{Announced, Incarnation, MemberKey};
 use crate::wire::{Exchange, Mark, Row, ZoneDigest};
 
 /// Something that happened.
@@ -48,6 +48,8 @@
     Holds(Mark),
     /// This daemon read the platform's head.
     HeadRead,
+    /// The target beside this daemon announced something else than before.
+    TargetAnnounced(Option<Announced>),
 }
 
 /// Something that the machine wants done.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -28,7 +28,7 @@
 pub use config::Config;
 pub use machine::Membership;
 pub use member::{
-    Incarnation, Member, MemberKey, MemberState, Time, member_key, starting_incarnation,
+    Announced, Incarnation, Member, MemberKey, MemberState, Time, member_key, starting_incarnation,
 };
 pub use table::{Entry, Table};
 pub use wire::{
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -6,7 +6,7 @@
 use crate::action::{Action, Input};
 use crate::config::Config;
 use crate::guard::Guard;
-use crate::member::{Member, MemberKey, MemberState, Time};
+use crate::member::{Announced, Member, MemberKey, MemberState, Time};
 use crate::probe::{Helpers, Round};
 use crate::table::{Entry, Table};
 use crate::updates::Updates;
@@ -76,6 +76,7 @@
             Input::Leave => self.leave(),
             Input::Holds(mark) => self.mark = mark,
             Input::HeadRead => self.head_read = Some(now),
+            Input::TargetAnnounced(announced) => self.target_announced(announced),
         }
         std::mem::take(&mut self.actions)
     }
@@ -232,6 +233,20 @@
         }
     }
 
+    /// Only a row of a higher incarnation brings peers a new announcement.
+    fn target_announced(&mut self, announced: Option<Announced>) {
+        let me = self.me;
+        let Some(own) = self.table.get_mut(me) else {
+            return;
+        };
+        if own.member.announced == announced {
+            return;
+        }
+        own.member.announced = announced;
+        self.raise_incarnation(0);
+        self.actions.push(Action::Changed(me));
+    }
+
     pub(crate) fn spread(&mut self, key: MemberKey) {
         let fleet = self.table.present().count();
         self.updates.add(key, fleet);
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -50,6 +51,20 @@
     Dead,
 }
 
+/// What a target says of itself, where targets announce themselves to the
+/// daemon beside them and no resource lists them.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Announced {
+    /// Id of this life of the target; a restarted target has another one.
+    pub upstream: SmolStr,
+    /// Service that it runs.
+    pub service: SmolStr,
+    /// Calls that it runs at a time.
+    pub slots: u32,
+    /// Whether it is about to stop, so that it must get no new calls.
+    pub draining: bool,
+}
+
 /// A member: one instance with its daemon and target.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Member {
@@ -73,6 +88,9 @@
     pub incarnation: Incarnation,
     /// State within that incarnation.
     pub state: MemberState,
+    /// What its target announced; absent where upstreams are configured, or
+    /// where the target has not been heard of.
+    pub announced: Option<Announced>,
 }
 
 impl Member {
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -100,6 +100,7 @@
         }
         if newer {
             entry.set(member.incarnation, member.state);
+            entry.member.announced = member.announced;
         }
         if newer || newly_confirmed {
             Merge::Changed
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::member::{Incarnation, Member, MemberKey, MemberState, member_key};
+use crate::member::{Announced, Incarnation, Member, MemberKey, MemberState, member_key};
 
 /// Longest id or label that a row may carry.
 const MAX_LABEL: usize = 128;
@@ -118,6 +118,9 @@
     pub incarnation: Incarnation,
     /// See [`Member::state`].
     pub state: WireState,
+    /// See [`Member::announced`].
+    #[serde(default)]
+    pub announced: Option<Announced>,
 }
 
 impl From<&Member> for Row {
@@ -133,6 +136,7 @@
             birth: member.birth,
             incarnation: member.incarnation,
             state: member.state.into(),
+            announced: member.announced.clone(),
         }
     }
 }
@@ -148,6 +152,9 @@
         {
             return Err(RowError::BadLabel);
         }
+        if row.announced.as_ref().is_some_and(has_bad_label) {
+            return Err(RowError::BadLabel);
+        }
         if row.incarnation < row.birth {
             return Err(RowError::BeforeBirth);
         }
@@ -162,10 +169,17 @@
             birth: row.birth,
             incarnation: row.incarnation,
             state: row.state.0,
+            announced: row.announced,
         })
     }
 }
 
+fn has_bad_label(announced: &Announced) -> bool {
+    [&announced.upstream, &announced.service]
+        .iter()
+        .any(|it| it.is_empty() || it.len() > MAX_LABEL)
+}
+
 impl Row {
     /// The key of the member that this row describes.
     #[must_use]
--- a/crates/membership/tests/all/fleet.rs
+++ b/crates/membership/tests/all/fleet.rs
@@ -23,6 +23,7 @@
         birth,
         incarnation: birth,
         state: MemberState::Alive,
+        announced: None,
     }
 }
 
--- /dev/null
+++ b/crates/mesh/src/config.rs
@@ -0,0 +1,109 @@
+//! Settings of the daemon, which its host's adapter fills in.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use stoatstep_resource::{InstanceId, ServiceName, ZoneName};
+
+use crate::dialect::Dialect;
+
+/// Time between two heartbeats of a target, unless the host says otherwise.
+const HEARTBEAT: Duration = Duration::from_secs(1);
+
+/// Time between the request to stop and the end by force, unless the host says
+/// otherwise.
+const GRACE: Duration = Duration::from_secs(10);
+
+/// Where a daemon listens, and where its target does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// Callers on this instance connect here, and the target for its own calls.
+    pub callers: SocketAddr,
+    /// Other daemons connect here.
+    pub peers: SocketAddr,
+    /// The target.
+    pub target: SocketAddr,
+}
+
+/// Settings of a [`Mesh`](crate::Mesh).
+#[derive(Clone, Debug)]
+pub struct MeshConfig {
+    pub(crate) instance: InstanceId,
+    pub(crate) region: SmolStr,
+    pub(crate) zone: ZoneName,
+    pub(crate) service: ServiceName,
+    pub(crate) addresses: Addresses,
+    pub(crate) dialect: Dialect,
+    pub(crate) heartbeat: Duration,
+    pub(crate) grace: Duration,
+    pub(crate) retries: RetryBounds,
+}
+
+/// What all daemons together may add to a service's load by retries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct RetryBounds {
+    /// Retries for each hundred requests.
+    pub(crate) percent: u32,
+    /// Retries on top, over all daemons.
+    pub(crate) slack: u32,
+}
+
+impl MeshConfig {
+    /// Settings of the daemon of `instance` in `zone`, beside a target of
+    /// `service`.
+    #[must_use]
+    pub fn new(
+        instance: InstanceId,
+        zone: ZoneName,
+        service: ServiceName,
+        addresses: Addresses,
+        dialect: Dialect,
+    ) -> Self {
+        Self {
+            instance,
+            region: SmolStr::new_static("local"),
+            zone,
+            service,
+            addresses,
+            dialect,
+            heartbeat: HEARTBEAT,
+            grace: GRACE,
+            retries: RetryBounds {
+                percent: 20,
+                slack: 10,
+            },
+        }
+    }
+
+    /// Region of the instance. Default `local`. Members show it to operators.
+    #[must_use]
+    pub fn region(mut self, region: SmolStr) -> Self {
+        self.region = region;
+        self
+    }
+
+    /// Time between two heartbeats of the target. Default 1 s. After a few of
+    /// them without one the target counts as gone.
+    #[must_use]
+    pub fn heartbeat(mut self, interval: Duration) -> Self {
+        self.heartbeat = interval;
+        self
+    }
+
+    /// Time from the request to stop until the process is ended by force.
+    /// Default 10 s. Calls in flight get nearly all of it.
+    #[must_use]
+    pub fn grace(mut self, grace: Duration) -> Self {
+        self.grace = grace;
+        self
+    }
+
+    /// What all daemons together may add to a service's load by retries: this
+    /// many for each hundred requests, and `slack` on top. Default 20 and 10.
+    #[must_use]
+    pub fn retries(mut self, percent: u32, slack: u32) -> Self {
+        self.retries = RetryBounds { percent, slack };
+        self
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/entry/attempt.rs
@@ -0,0 +1,255 @@
+//! One attempt of a call at one executor, seen from the entry.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+use stoatstep_calls::{AttemptId, Load, Reason, Refusal, Report, Ticket};
+use stoatstep_resource::UpstreamName;
+use tokio::time::{sleep, timeout};
+
+use super::call::Call;
+use crate::executor;
+use crate::fleet::Place;
+use crate::link::LinkError;
+use crate::node::Node;
+use crate::wire::{Ask, Attempt, End, Ran, Reply, WireSettled};
+
+/// Fresh tickets that one attempt may ask for. The first refusal hands out a
+/// new one, and a second one in a row is rare.
+const TICKETS: u32 = 3;
+
+/// Pause asked for where a link did not come up.
+const UNREACHABLE_RETRY: Duration = Duration::from_millis(100);
+
+/// Time past the deadline in which an executor may still say how it ended.
+const LAST_WORD: Duration = Duration::from_millis(20);
+
+/// Questions to an executor about an attempt on a lost link, and the pause
+/// between them: a link that is not up again after half a second is cut.
+const SETTLE_TRIES: u32 = 4;
+const SETTLE_PAUSE: Duration = Duration::from_millis(120);
+
+/// Pause before a revoked call is worth sending again.
+const REVOKED_RETRY: Duration = Duration::from_millis(10);
+
+/// How an attempt ended.
+pub(super) struct Ended {
+    pub(super) end: End,
+    /// Whether the target got to see it, or may have.
+    pub(super) arrived: bool,
+}
+
+impl Ended {
+    fn refused(refusal: Refusal, arrived: bool) -> Self {
+        Self {
+            end: End::Refused(refusal),
+            arrived,
+        }
+    }
+}
+
+/// Makes one attempt, and lets the router learn from it.
+pub(super) async fn at(
+    node: &Rc<Node>,
+    call: &Call,
+    upstream: &UpstreamName,
+    place: Place,
+) -> Ended {
+    let mut outstanding = Outstanding::new(node, call, upstream);
+    let (ended, load) = attempt(node, call, upstream, place).await;
+    outstanding.report = report(&ended, load);
+    ended
+}
+
+async fn attempt(
+    node: &Rc<Node>,
+    call: &Call,
+    upstream: &UpstreamName,
+    place: Place,
+) -> (Ended, Option<Load>) {
+    for _ in 0..TICKETS {
+        let Some(left) = call.deadline.for_next_hop(node.clock.now()) else {
+            let refusal = Refusal::retry(Reason::Deadline, UNREACHABLE_RETRY);
+            return (Ended::refused(refusal, false), None);
+        };
+        let attempt = Attempt {
+            id: node.entry.tables.borrow_mut().rng.random(),
+            ticket: ticket(node, place),
+            upstream: upstream.clone(),
+            left,
+            call: Rc::clone(&call.parts),
+        };
+        let (ended, load) = match place {
+            Place::Local => of_ran(local(node, attempt).await),
+            Place::Remote(addr) => remote(node, call, addr, attempt).await,
+        };
+        let is_stale = matches!(&ended.end, End::Refused(it) if it.reason == Reason::StaleTicket);
+        if !is_stale {
+            return (ended, load);
+        }
+    }
+    let refusal = Refusal::retry(Reason::StaleTicket, UNREACHABLE_RETRY);
+    (Ended::refused(refusal, false), None)
+}
+
+/// Before an executor's first answer there is no ticket, and one that it will
+/// refuse stands in.
+fn ticket(node: &Node, place: Place) -> Ticket {
+    let none = Ticket {
+        incarnation: 0,
+        stamp: Duration::ZERO,
+    };
+    match place {
+        Place::Local => node.executor.ticket(node.clock.now()),
+        Place::Remote(addr) => {
+            let tables = node.entry.tables.borrow();
+            tables.tickets.get(&addr).copied().unwrap_or(none)
+        }
+    }
+}
+
+async fn local(node: &Rc<Node>, attempt: Attempt) -> Ran {
+    let guard = CancelOnDrop {
+        node,
+        attempt: attempt.id,
+    };
+    let ran = executor::execute(node, attempt).await;
+    std::mem::forget(guard);
+    ran
+}
+
+/// The caller went away before the end: a run beside this daemon has no link
+/// that would tell its executor so.
+struct CancelOnDrop<'a> {
+    node: &'a Node,
+    attempt: AttemptId,
+}
+
+impl Drop for CancelOnDrop<'_> {
+    fn drop(&mut self) {
+        executor::cancel(self.node, self.attempt);
+    }
+}
+
+async fn remote(
+    node: &Rc<Node>,
+    call: &Call,
+    addr: SocketAddr,
+    attempt: Attempt,
+) -> (Ended, Option<Load>) {
+    let (id, ticket) = (attempt.id, attempt.ticket);
+    let bound = call.deadline.left(node.clock.now()) + LAST_WORD;
+    let asked = timeout(bound, node.links.ask(addr, Ask::Run(attempt))).await;
+    match asked {
+        Ok(Ok(Reply::Ran(ran))) => {
+            let mut tables = node.entry.tables.borrow_mut();
+            tables.tickets.insert(addr, ran.ticket);
+            drop(tables);
+            of_ran(ran)
+        }
+        Ok(Err(LinkError::NotSent)) => {
+            let refusal = Refusal::retry(Reason::NoUpstream, UNREACHABLE_RETRY);
+            (Ended::refused(refusal, false), None)
+        }
+        Ok(Ok(_) | Err(LinkError::Lost)) => (settle(node, call, addr, id, ticket).await, None),
+        Err(_) => {
+            let refusal = Refusal::permanent(Reason::TimedOut);
+            (Ended::refused(refusal, true), None)
+        }
+    }
+}
+
+fn of_ran(ran: Ran) -> (Ended, Option<Load>) {
+    let ended = Ended {
+        end: ran.end,
+        arrived: ran.arrived,
+    };
+    (ended, Some(ran.load))
+}
+
+/// Finds out how an attempt on a lost link ended: not run, the whole answer, or
+/// an honest "unknown".
+async fn settle(
+    node: &Rc<Node>,
+    call: &Call,
+    addr: SocketAddr,
+    attempt: AttemptId,
+    ticket: Ticket,
+) -> Ended {
+    for _ in 0..SETTLE_TRIES {
+        let left = call.deadline.left(node.clock.now());
+        if left.is_zero() {
+            return Ended::refused(Refusal::permanent(Reason::TimedOut), true);
+        }
+        let ask = Ask::Settle(attempt, ticket);
+        if let Ok(Reply::Settled(settled)) = node.links.ask_within(addr, ask, left).await {
+            return of_settled(settled);
+        }
+        sleep(SETTLE_PAUSE.min(left)).await;
+    }
+    Ended::refused(Refusal::permanent(Reason::LostAnswer), true)
+}
+
+fn of_settled(settled: WireSettled) -> Ended {
+    match settled {
+        WireSettled::Done(answer) => Ended {
+            end: End::Answered(answer),
+            arrived: true,
+        },
+        WireSettled::NotRun => {
+            let refusal = Refusal::retry(Reason::Revoked, REVOKED_RETRY);
+            Ended::refused(refusal, false)
+        }
+        WireSettled::Unknown => Ended::refused(Refusal::permanent(Reason::LostAnswer), true),
+    }
+}
+
+fn report(ended: &Ended, load: Option<Load>) -> Report {
+    let refusal = match &ended.end {
+        End::Answered(answer) if answer.status >= 500 => return Report::Failed,
+        End::Answered(_) => return Report::Answered(load),
+        End::Refused(refusal) => refusal,
+    };
+    match refusal.reason {
+        Reason::Draining => Report::Leaving,
+        Reason::NoUpstream | Reason::LostAnswer | Reason::TimedOut => Report::Failed,
+        Reason::Overload | Reason::Shed | Reason::Woke | Reason::Deadline => {
+            Report::Refused(load, refusal.retry_after.unwrap_or_default())
+        }
+        _ => Report::Cancelled,
+    }
+}
+
+/// An attempt that the router counts. A caller that goes away drops it here, or
+/// the upstream would look busier with each one, and in the end never be chosen.
+struct Outstanding<'a> {
+    node: &'a Node,
+    call: &'a Call,
+    upstream: &'a UpstreamName,
+    report: Report,
+}
+
+impl<'a> Outstanding<'a> {
+    fn new(node: &'a Node, call: &'a Call, upstream: &'a UpstreamName) -> Self {
+        let mut tables = node.entry.tables.borrow_mut();
+        tables.router.started(&call.parts.service, upstream);
+        Self {
+            node,
+            call,
+            upstream,
+            report: Report::Cancelled,
+        }
+    }
+}
+
+impl Drop for Outstanding<'_> {
+    fn drop(&mut self) {
+        let now = self.node.clock.now();
+        let service = &self.call.parts.service;
+        let mut tables = self.node.entry.tables.borrow_mut();
+        let router = &mut tables.router;
+        router.finished(service, self.upstream, self.report, now);
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/entry/call.rs
@@ -0,0 +1,114 @@
+//! Reads a caller's request.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ntex::http::Request;
+use ntex::http::header::HeaderMap;
+use rand::RngExt;
+use smol_str::{SmolStr, ToSmolStr};
+use stoatstep_calls::{Deadline, Header, Reason, Refusal, ResolvedRoute, is_of_connection};
+use stoatstep_http::{BodyError, read_body};
+
+use crate::node::Node;
+use crate::wire::CallParts;
+
+/// Largest request body. It is kept whole until the call ends, so that an
+/// attempt that did not run can be made elsewhere.
+const MAX_BODY: usize = 64 << 20;
+
+/// Pause asked for by a daemon that has no configuration yet.
+const NOT_READY_RETRY: Duration = Duration::from_millis(250);
+
+/// Rank of calls whose policy states none: after those that have one.
+const LEAST_PRIORITY: u8 = u8::MAX;
+
+/// A caller's request.
+pub(super) struct Call {
+    pub(super) route: Arc<ResolvedRoute>,
+    pub(super) deadline: Deadline,
+    pub(super) parts: Rc<CallParts>,
+}
+
+impl Call {
+    pub(super) async fn read(node: &Rc<Node>, req: &mut Request) -> Result<Self, Refusal> {
+        let now = node.clock.now();
+        let Some(in_force) = node.fleet.in_force() else {
+            return Err(Refusal::retry(Reason::NotReady, NOT_READY_RETRY));
+        };
+        let host = text(req.headers(), "host").unwrap_or_default();
+        let Some(route) = in_force.routes.find(&host, req.path()).cloned() else {
+            return Err(Refusal::permanent(Reason::NoRoute));
+        };
+        let dialect = &node.cfg.dialect;
+        let Some(request_id) = text(req.headers(), &dialect.request_id) else {
+            return Err(Refusal::permanent(Reason::BadRequest));
+        };
+        let deadline = Deadline::after(time_left(node, req, &route), now);
+        let body = read_body(req.take_payload(), MAX_BODY).await;
+        let body = body.map_err(|err| match err {
+            BodyError::TooLarge => Refusal::permanent(Reason::TooLarge),
+            BodyError::CutShort => Refusal::permanent(Reason::BadRequest),
+        })?;
+        let draw = node.entry.tables.borrow_mut().rng.random();
+        let path = req.uri().path_and_query();
+        let parts = CallParts {
+            request_id,
+            service: route.service(draw).clone(),
+            method: req.method().as_str().to_smolstr(),
+            path: path.map_or_else(|| "/".into(), |it| it.as_str().to_smolstr()),
+            host,
+            headers: passed(node, req.headers()),
+            body: Bytes::copy_from_slice(&body),
+            idempotent: route.route.idempotent,
+            priority: route.policy.priority.unwrap_or(LEAST_PRIORITY),
+            caller_service: node
+                .executor
+                .service()
+                .unwrap_or_else(|| node.cfg.service.clone()),
+        };
+        Ok(Self {
+            route,
+            deadline,
+            parts: Rc::new(parts),
+        })
+    }
+}
+
+/// The caller's own bound and the operator's, whichever is shorter.
+fn time_left(node: &Node, req: &Request, route: &ResolvedRoute) -> Duration {
+    let stated = text(req.headers(), &node.cfg.dialect.timeout_ms);
+    let millis = stated.and_then(|it| it.parse().ok());
+    let bound = route.policy.timeout;
+    millis.map_or(bound, |it| Duration::from_millis(it).min(bound))
+}
+
+fn text(map: &HeaderMap, name: &str) -> Option<SmolStr> {
+    map.get(name)?.to_str().ok().map(SmolStr::new)
+}
+
+/// The headers that go through. Those that this daemon writes itself are left
+/// out, so that no caller can forge them.
+fn passed(node: &Node, map: &HeaderMap) -> Vec<Header> {
+    let named = text(map, "connection").unwrap_or_default();
+    let named = named.to_ascii_lowercase();
+    let of_connection =
+        |name: &str| is_of_connection(name) || named.split(',').any(|it| it.trim() == name);
+    let dialect = &node.cfg.dialect;
+    let own = [
+        &dialect.request_id,
+        &dialect.timeout_ms,
+        &dialect.caller_service,
+        &dialect.expected_upstream,
+    ];
+    let is_own = |name: &str| own.iter().any(|it| *it == name);
+    let all = map.iter().map(|(name, value)| (name.as_str(), value));
+    let passed = all.filter(|(name, _)| !of_connection(name) && !is_own(name));
+    let header = passed.map(|(name, value)| Header {
+        name: name.to_smolstr(),
+        value: value.as_bytes().to_vec(),
+    });
+    header.collect()
+}
--- /dev/null
+++ b/crates/mesh/src/entry/carry.rs
@@ -0,0 +1,140 @@
+//! Makes attempts until one of them ends the call.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use stoatstep_calls::{Attempts, Outcome, Reason, Refusal};
+use stoatstep_resource::UpstreamName;
+
+use super::Tables;
+use super::attempt::{self, Ended};
+use super::call::Call;
+use crate::fleet::Place;
+use crate::node::Node;
+use crate::wire::End;
+
+/// Pause asked for where no executor can be reached.
+const UNREACHABLE_RETRY: Duration = Duration::from_millis(200);
+
+/// Executors that one call may be refused by before its caller is. Those
+/// refusals cost no run, but each costs a way there and back.
+const MAX_REFUSALS: usize = 4;
+
+/// The same for refusals by overload. Where two queues are too long, so most
+/// likely is the third.
+const MAX_OVERLOADED: usize = 2;
+
+/// Least time that another attempt is worth starting for.
+const LEAST_TIME: Duration = Duration::from_millis(5);
+
+/// Part of the retries allowed to the fleet that is used, as a divisor. A run
+/// that is repeated repeats the calls that it makes, and those count as retries
+/// of another service, where they can't be told from first ones.
+const BUDGET_SHARE: u32 = 2;
+
+/// Carries a call to its end.
+pub(super) async fn carry(node: &Rc<Node>, call: &Call) -> End {
+    let mut made = Made::default();
+    earn(node, call);
+    loop {
+        let Some((upstream, place)) = choose(node, call, &made.tried) else {
+            return made.end();
+        };
+        let ended = attempt::at(node, call, &upstream, place).await;
+        made.tried.push(upstream);
+        let is_over = !may_go_on(node, call, &mut made, &ended);
+        made.note(ended.end);
+        if is_over {
+            return made.end();
+        }
+    }
+}
+
+/// The attempts of one call so far.
+#[derive(Default)]
+struct Made {
+    tried: Vec<UpstreamName>,
+    /// Attempts that their targets got to see.
+    arrived: u32,
+    overloaded: usize,
+    attempts: Attempts,
+    best: Option<End>,
+}
+
+impl Made {
+    /// Keeps the ending that tells the caller most.
+    fn note(&mut self, end: End) {
+        let end = match end {
+            End::Refused(refusal) => End::Refused(self.attempts.refused(refusal)),
+            answered @ End::Answered(_) => answered,
+        };
+        let keeps = matches!(self.best, Some(End::Answered(_))) && matches!(end, End::Refused(_));
+        if !keeps {
+            self.best = Some(end);
+        }
+    }
+
+    fn end(self) -> End {
+        let nobody = || End::Refused(Refusal::retry(Reason::NoUpstream, UNREACHABLE_RETRY));
+        self.best.unwrap_or_else(nobody)
+    }
+}
+
+fn choose(node: &Node, call: &Call, tried: &[UpstreamName]) -> Option<(UpstreamName, Place)> {
+    let now = node.clock.now();
+    let mut tables = node.entry.tables.borrow_mut();
+    let Tables { router, rng, .. } = &mut *tables;
+    let pick = router.pick(&call.parts.service, tried, now, rng)?;
+    let place = node.fleet.place(&pick.upstream)?;
+    Some((pick.upstream, place))
+}
+
+/// Whether another attempt may and should follow this one.
+fn may_go_on(node: &Node, call: &Call, made: &mut Made, ended: &Ended) -> bool {
+    made.arrived += u32::from(ended.arrived);
+    let idempotent = call.parts.idempotent;
+    let may = match &ended.end {
+        End::Answered(answer) => idempotent && answer.status >= 500,
+        End::Refused(refusal) => match refusal.outcome() {
+            Outcome::NotRun => is_worth_asking_on(made, refusal.reason),
+            Outcome::Unknown | Outcome::Answered => {
+                idempotent && refusal.reason != Reason::TimedOut
+            }
+        },
+    };
+    let allowed = call.route.policy.retry.attempts;
+    let has_time = call.deadline.left(node.clock.now()) > LEAST_TIME;
+    if !may || !has_time || made.arrived >= allowed {
+        return false;
+    }
+    !ended.arrived || take_retry(node, call)
+}
+
+fn is_worth_asking_on(made: &mut Made, reason: Reason) -> bool {
+    if matches!(reason, Reason::Overload | Reason::Deadline) {
+        made.overloaded += 1;
+    }
+    made.tried.len() < MAX_REFUSALS && made.overloaded < MAX_OVERLOADED
+}
+
+fn earn(node: &Node, call: &Call) {
+    let mut tables = node.entry.tables.borrow_mut();
+    let percent = node.cfg.retries.percent / BUDGET_SHARE;
+    let reserve = reserve(node);
+    let budget = tables.budgets.entry(call.parts.service.clone());
+    let budget = budget.or_default();
+    budget.set_reserve(reserve);
+    budget.earn(percent);
+}
+
+/// This daemon's part of what the whole fleet may save up.
+fn reserve(node: &Node) -> u32 {
+    let daemons = u32::try_from(node.fleet.size()).unwrap_or(u32::MAX);
+    node.cfg.retries.slack / BUDGET_SHARE / daemons.max(1)
+}
+
+fn take_retry(node: &Node, call: &Call) -> bool {
+    let mut tables = node.entry.tables.borrow_mut();
+    let budget = tables.budgets.entry(call.parts.service.clone());
+    budget.or_default().take()
+}
--- /dev/null
+++ b/crates/mesh/src/entry/mod.rs
@@ -0,0 +1,79 @@
+//! The entry: takes a caller's request, has it run, and brings back the whole
+//! answer or says truly why there is none.
+
+mod attempt;
+mod call;
+mod carry;
+mod respond;
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use ntex::http::{Request, Response};
+use rand::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+use stoatstep_calls::{Candidate, RetryBudget, Router, Ticket, Time};
+use stoatstep_http::drop_body;
+use stoatstep_resource::ServiceName;
+
+use crate::config::MeshConfig;
+use crate::drain::InFlight;
+use crate::node::Node;
+use call::Call;
+
+pub(crate) struct Entry {
+    tables: RefCell<Tables>,
+}
+
+struct Tables {
+    router: Router,
+    budgets: BTreeMap<ServiceName, RetryBudget>,
+    /// The newest ticket of each executor.
+    tickets: HashMap<SocketAddr, Ticket>,
+    rng: Xoshiro256PlusPlus,
+}
+
+impl Entry {
+    pub(crate) fn new(cfg: &MeshConfig) -> Self {
+        let tables = Tables {
+            router: Router::new(cfg.zone.clone()),
+            budgets: BTreeMap::new(),
+            tickets: HashMap::new(),
+            rng: Xoshiro256PlusPlus::from_rng(&mut rand::rng()),
+        };
+        Self {
+            tables: RefCell::new(tables),
+        }
+    }
+
+    /// Replaces the router's candidates of all services.
+    pub(crate) fn set_candidates(
+        &self,
+        services: &HashMap<ServiceName, Vec<Candidate>>,
+        now: Time,
+    ) {
+        let router = &mut self.tables.borrow_mut().router;
+        router.retain_services(|name| services.contains_key(name));
+        for (service, candidates) in services {
+            router.set_candidates(service, candidates, now);
+        }
+    }
+}
+
+/// Answers one caller. Where the caller leaves, the future is dropped, and what
+/// runs for it is cancelled.
+pub(crate) async fn handle(node: &Rc<Node>, mut req: Request) -> Response {
+    let _in_flight = InFlight::enter(node);
+    let is_last = node.draining.get();
+    let call = match Call::read(node, &mut req).await {
+        Ok(call) => call,
+        Err(refusal) => {
+            drop_body(req.take_payload()).await;
+            return respond::refused(&refusal, is_last);
+        }
+    };
+    let end = carry::carry(node, &call).await;
+    respond::ended(&end, node.draining.get())
+}
--- /dev/null
+++ b/crates/mesh/src/executor/mod.rs
@@ -0,0 +1,257 @@
+//! The executor: runs attempts of entries on the target beside this daemon.
+//!
+//! Only this daemon talks to that target. So at most one run of an attempt, no
+//! call after the target's drain, and no more calls than it has slots are
+//! decided here, against what entries believe.
+
+mod run;
+mod slot;
+mod target;
+mod upstream;
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+use stoatstep_calls::{
+    Admission, AdmissionConfig, Arrival, AttemptId, Incarnation, Ledger, LedgerConfig, Reason,
+    Refusal, Settled, Ticket,
+};
+use stoatstep_membership::Announced;
+use stoatstep_resource::ServiceName;
+use tokio::sync::oneshot;
+
+use crate::clock::Clock;
+use crate::config::MeshConfig;
+use crate::node::Node;
+use crate::wire::{Attempt, End, Ran, WireSettled};
+use target::Target;
+use upstream::LocalUpstream;
+
+pub use upstream::{Heard, Heartbeat};
+
+/// Slots of the target until it has said how many it has.
+const SLOTS_UNKNOWN: u32 = 1;
+
+/// Pause asked for where the queue itself had to give up a call.
+const QUEUE_RETRY: Duration = Duration::from_millis(50);
+
+/// Pause after which another executor has heard of a drain.
+const DRAINING_RETRY: Duration = Duration::from_millis(50);
+
+/// Time in which an entry whose link broke comes back for its attempts. After
+/// it the runs that may be repeated are cancelled: nobody waits for them.
+const ORPHANED_FOR: Duration = Duration::from_millis(300);
+
+/// Bytes of answers kept for entries whose links broke: ten seconds of answers
+/// of 2 KB at 50 calls a second. They are asked for within a second or never.
+const KEPT_ANSWER_BYTES: usize = 1 << 20;
+
+/// The executor's tables and its way to the target.
+pub(crate) struct Executor {
+    tables: RefCell<Tables>,
+    target: Target,
+}
+
+struct Tables {
+    ledger: Ledger,
+    admission: Admission,
+    waiting: HashMap<AttemptId, oneshot::Sender<Result<(), Refusal>>>,
+    runs: BTreeMap<AttemptId, Run>,
+    upstream: LocalUpstream,
+}
+
+/// A run that goes on.
+struct Run {
+    cancel: Option<oneshot::Sender<()>>,
+    idempotent: bool,
+    /// Wakes those that wait for its end.
+    waiters: Vec<oneshot::Sender<()>>,
+}
+
+impl Executor {
+    pub(crate) fn new(cfg: &MeshConfig, clock: Clock) -> Self {
+        let incarnation: Incarnation = rand::rng().random();
+        let bounds = LedgerConfig {
+            answer_bytes: KEPT_ANSWER_BYTES,
+            ..LedgerConfig::default()
+        };
+        let tables = Tables {
+            ledger: Ledger::new(incarnation, bounds),
+            admission: Admission::new(AdmissionConfig::for_slots(SLOTS_UNKNOWN)),
+            waiting: HashMap::new(),
+            runs: BTreeMap::new(),
+            upstream: LocalUpstream::new(cfg.heartbeat),
+        };
+        Self {
+            tables: RefCell::new(tables),
+            target: Target::new(cfg.addresses.target, &cfg.dialect, clock),
+        }
+    }
+
+    /// A ticket for attempts of this daemon's own entry.
+    pub(crate) fn ticket(&self, now: stoatstep_calls::Time) -> Ticket {
+        self.tables.borrow().ledger.ticket(now)
+    }
+
+    /// The service of the target, if one was ever heard of.
+    pub(crate) fn service(&self) -> Option<ServiceName> {
+        self.tables.borrow().upstream.service().cloned()
+    }
+
+    /// What peers are told about the target.
+    pub(crate) fn announced(&self, now: stoatstep_calls::Time) -> Option<Announced> {
+        self.tables.borrow().upstream.announced(now)
+    }
+}
+
+/// Takes in a heartbeat of the target. Once it returns, no call is sent to a
+/// target that drains, so that its drain may be acked.
+pub(crate) fn hear(node: &Node, beat: Heartbeat) -> Heard {
+    let now = node.clock.now();
+    let mut tables = node.executor.tables.borrow_mut();
+    let slots = beat.slots;
+    let heard = tables.upstream.hear(beat, now);
+    if heard == Heard::Taken {
+        tables
+            .admission
+            .set_config(AdmissionConfig::for_slots(slots));
+    }
+    drop(tables);
+    flush_if_closed(node);
+    heard
+}
+
+/// A life of the target said good-bye.
+pub(crate) fn leave(node: &Node, upstream: &str) {
+    node.executor.tables.borrow_mut().upstream.leave(upstream);
+    flush_if_closed(node);
+}
+
+fn answered_as(node: &Node, upstream: &str) {
+    let mut tables = node.executor.tables.borrow_mut();
+    tables.upstream.answered_as(upstream);
+    drop(tables);
+    flush_if_closed(node);
+}
+
+/// What waits for a target that takes no new calls is better off elsewhere, and
+/// must not be sent to it after its drain was acked.
+fn flush_if_closed(node: &Node) {
+    let now = node.clock.now();
+    let is_open = node.executor.tables.borrow().upstream.admits(now).is_some();
+    if !is_open {
+        slot::flush(node, Reason::Draining);
+    }
+}
+
+/// Runs one attempt. Also the way of an entry to its own target.
+pub(crate) async fn execute(node: &Rc<Node>, attempt: Attempt) -> Ran {
+    if let Err(end) = arrive(node, &attempt) {
+        return run::refused(node, end);
+    }
+    let ran = run::start(node, attempt).await;
+    ran.unwrap_or_else(|_| run::refused(node, lost()))
+}
+
+fn arrive(node: &Node, attempt: &Attempt) -> Result<(), End> {
+    let now = node.clock.now();
+    let mut tables = node.executor.tables.borrow_mut();
+    let present = tables.upstream.admits(now);
+    let is_meant = present
+        .is_some_and(|it| it.upstream == attempt.upstream && it.service == attempt.call.service);
+    if !is_meant {
+        let refusal = Refusal::retry(Reason::Draining, DRAINING_RETRY);
+        return Err(End::Refused(refusal));
+    }
+    match tables.ledger.arrive(attempt.id, attempt.ticket, now) {
+        Arrival::New => Ok(()),
+        Arrival::Refused(refusal) => Err(End::Refused(refusal)),
+        Arrival::Seen(Settled::Done(answer)) => Err(End::Answered(answer)),
+        Arrival::Seen(_) => Err(lost()),
+    }
+}
+
+fn lost() -> End {
+    End::Refused(Refusal::permanent(Reason::LostAnswer))
+}
+
+/// Nobody waits for the attempt any more. What has not started never will; a run
+/// that may not be repeated goes on, since breaking it off half-way helps nobody.
+pub(crate) fn cancel(node: &Node, attempt: AttemptId) {
+    let mut tables = node.executor.tables.borrow_mut();
+    let is_waiting = tables.waiting.contains_key(&attempt);
+    let run = tables.runs.get_mut(&attempt);
+    let run = run.filter(|it| it.idempotent || is_waiting);
+    if let Some(cancel) = run.and_then(|it| it.cancel.take()) {
+        let _ = cancel.send(());
+    }
+}
+
+/// The link over which these attempts came is gone. Their entry may come back
+/// over another one within a moment.
+pub(crate) fn orphaned(node: &Rc<Node>, attempts: Vec<AttemptId>) {
+    if attempts.is_empty() {
+        return;
+    }
+    let node = Rc::clone(node);
+    ntex::rt::spawn(async move {
+        tokio::time::sleep(ORPHANED_FOR).await;
+        for attempt in attempts {
+            let tables = node.executor.tables.borrow();
+            let run = tables.runs.get(&attempt);
+            let is_wanted = run.is_some_and(|it| !it.waiters.is_empty());
+            drop(tables);
+            if !is_wanted {
+                cancel(&node, attempt);
+            }
+        }
+    });
+}
+
+/// Settles an attempt whose link was lost: what has not started never will, and
+/// the answer to what runs is waited for.
+pub(crate) async fn settle(node: &Rc<Node>, attempt: AttemptId, ticket: Ticket) -> WireSettled {
+    let settled = revoke(node, attempt, ticket);
+    if settled != Settled::Running {
+        return settled.into();
+    }
+    let (tx, rx) = oneshot::channel();
+    let mut tables = node.executor.tables.borrow_mut();
+    let Some(run) = tables.runs.get_mut(&attempt) else {
+        return WireSettled::Unknown;
+    };
+    run.waiters.push(tx);
+    drop(tables);
+    let _ = rx.await;
+    let now = node.clock.now();
+    let tables = node.executor.tables.borrow();
+    tables.ledger.peek(attempt, ticket, now).into()
+}
+
+fn revoke(node: &Node, attempt: AttemptId, ticket: Ticket) -> Settled {
+    let now = node.clock.now();
+    let mut tables = node.executor.tables.borrow_mut();
+    let settled = tables.ledger.revoke(attempt, ticket, now);
+    drop(tables);
+    if settled == Settled::NotRun {
+        // It may wait in the queue, where it would only take a place.
+        cancel(node, attempt);
+    }
+    settled
+}
+
+/// What the executor does from time to time.
+pub(crate) fn tick(node: &Node) {
+    let now = node.clock.now();
+    node.executor.tables.borrow_mut().ledger.tick(now);
+    node.executor.target.sweep();
+    slot::pump(node);
+}
+
+/// After a suspension the queue holds calls whose callers gave up meanwhile.
+pub(crate) fn woke(node: &Node) {
+    slot::flush(node, Reason::Woke);
+}
--- /dev/null
+++ b/crates/mesh/src/executor/run.rs
@@ -0,0 +1,188 @@
+//! One run of an attempt, from the queue to the record of its end.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use stoatstep_calls::{Deadline, Outcome, Reason, Refusal, Settled};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::target::TargetEnd;
+use super::{QUEUE_RETRY, Run, Tables, slot};
+use crate::drain::InFlight;
+use crate::node::Node;
+use crate::wire::{Attempt, End, Ran};
+
+/// Largest answer that is kept for an entry whose link broke.
+const MAX_KEPT: usize = 256 << 10;
+
+/// How a run ended, and where its time went.
+struct Report {
+    end: End,
+    arrived: bool,
+    queued: Duration,
+    ran: Duration,
+}
+
+impl Report {
+    fn not_started(refusal: Refusal) -> Self {
+        Self {
+            end: End::Refused(refusal),
+            arrived: false,
+            queued: Duration::ZERO,
+            ran: Duration::ZERO,
+        }
+    }
+}
+
+/// Starts the run as a task of its own. It outlives the link over which the
+/// attempt came: an answer whose link broke is what the ledger is for.
+pub(super) fn start(node: &Rc<Node>, attempt: Attempt) -> oneshot::Receiver<Ran> {
+    let (tx, rx) = oneshot::channel();
+    let (cancel, cancelled) = oneshot::channel();
+    let run = Run {
+        cancel: Some(cancel),
+        idempotent: attempt.call.idempotent,
+        waiters: Vec::new(),
+    };
+    let mut tables = node.executor.tables.borrow_mut();
+    tables.runs.insert(attempt.id, run);
+    drop(tables);
+    let node = Rc::clone(node);
+    ntex::rt::spawn(async move {
+        let _in_flight = InFlight::enter(&node);
+        let report = carry_or_cancel(&node, &attempt, cancelled).await;
+        finish(&node, &attempt, &report.end);
+        // Where the link is gone, the ledger has the end.
+        let _ = tx.send(ran(&node, report));
+    });
+    rx
+}
+
+/// What goes back to the entry for an attempt that did not start.
+pub(super) fn refused(node: &Node, end: End) -> Ran {
+    let report = Report {
+        end,
+        arrived: false,
+        queued: Duration::ZERO,
+        ran: Duration::ZERO,
+    };
+    ran(node, report)
+}
+
+fn ran(node: &Node, report: Report) -> Ran {
+    let now = node.clock.now();
+    let tables = node.executor.tables.borrow();
+    Ran {
+        ticket: tables.ledger.ticket(now),
+        load: tables.admission.load(),
+        queued: report.queued,
+        ran: report.ran,
+        arrived: report.arrived,
+        end: report.end,
+    }
+}
+
+async fn carry_or_cancel(
+    node: &Rc<Node>,
+    attempt: &Attempt,
+    cancelled: oneshot::Receiver<()>,
+) -> Report {
+    tokio::select! {
+        report = carry(node, attempt) => report,
+        Ok(()) = cancelled => cancelled_report(node, attempt),
+    }
+}
+
+fn cancelled_report(node: &Node, attempt: &Attempt) -> Report {
+    let now = node.clock.now();
+    let tables = node.executor.tables.borrow();
+    let settled = tables.ledger.peek(attempt.id, attempt.ticket, now);
+    let arrived = !matches!(settled, Settled::Queued | Settled::NotRun);
+    let reason = if arrived {
+        Reason::LostAnswer
+    } else {
+        Reason::Revoked
+    };
+    Report {
+        arrived,
+        ..Report::not_started(Refusal::permanent(reason))
+    }
+}
+
+async fn carry(node: &Rc<Node>, attempt: &Attempt) -> Report {
+    let came = node.clock.now();
+    let deadline = Deadline::after(attempt.left, came);
+    let slot = match slot::take(node, attempt, deadline).await {
+        Ok(slot) => slot,
+        Err(refusal) => return Report::not_started(refusal),
+    };
+    let started = node.clock.now();
+    let Some(left) = deadline.for_next_hop(started) else {
+        let refusal = Refusal::retry(Reason::Deadline, QUEUE_RETRY);
+        return Report::not_started(refusal);
+    };
+    let mut tables = node.executor.tables.borrow_mut();
+    let may_start = tables.ledger.start(attempt.id);
+    drop(tables);
+    if !may_start {
+        return Report::not_started(Refusal::permanent(Reason::Revoked));
+    }
+    let end = timeout(left, node.executor.target.call(attempt, left)).await;
+    let end = end.unwrap_or(TargetEnd::Unknown(Reason::TimedOut));
+    if matches!(end, TargetEnd::Answered(_)) {
+        slot.finish();
+    }
+    Report {
+        queued: started.saturating_sub(came),
+        ran: node.clock.now().saturating_sub(started),
+        ..of_target(node, end)
+    }
+}
+
+fn of_target(node: &Node, end: TargetEnd) -> Report {
+    let (end, arrived) = match end {
+        TargetEnd::Answered(answer) => (End::Answered(answer), true),
+        TargetEnd::Unknown(reason) => (End::Refused(Refusal::permanent(reason)), true),
+        TargetEnd::NotRun {
+            refusal,
+            arrived,
+            actual,
+        } => {
+            if let Some(actual) = actual {
+                super::answered_as(node, &actual);
+            }
+            (End::Refused(refusal), arrived)
+        }
+    };
+    Report {
+        end,
+        arrived,
+        queued: Duration::ZERO,
+        ran: Duration::ZERO,
+    }
+}
+
+fn finish(node: &Node, attempt: &Attempt, end: &End) {
+    let mut tables = node.executor.tables.borrow_mut();
+    record(&mut tables, attempt, end);
+    let run = tables.runs.remove(&attempt.id);
+    drop(tables);
+    for waiter in run.into_iter().flat_map(|it| it.waiters) {
+        let _ = waiter.send(());
+    }
+}
+
+fn record(tables: &mut Tables, attempt: &Attempt, end: &End) {
+    let ledger = &mut tables.ledger;
+    match end {
+        End::Answered(answer) if answer.weight() <= MAX_KEPT => {
+            ledger.done(attempt.id, std::sync::Arc::clone(answer));
+        }
+        End::Answered(_) => ledger.done_without_answer(attempt.id),
+        End::Refused(refusal) if refusal.outcome() == Outcome::NotRun => {
+            ledger.refused(attempt.id);
+        }
+        End::Refused(_) => ledger.lost(attempt.id),
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/executor/upstream.rs
@@ -0,0 +1,170 @@
+//! What is known of the target beside this daemon.
+//!
+//! Nobody lists targets: each one tells its daemon about itself. Its heartbeats
+//! can come late, and those of an earlier life of the target after those of a
+//! later one, so lives are told apart by their ids and the heartbeats of one
+//! life by their sequence.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use stoatstep_calls::Time;
+use stoatstep_membership::Announced;
+use stoatstep_resource::{ServiceName, UpstreamName};
+
+/// Intervals without a heartbeat after which the target counts as gone. One may
+/// be lost and one be late by nearly two seconds.
+const SILENT_INTERVALS: u32 = 3;
+
+/// Earlier lives that are remembered. A target that restarts each second for a
+/// minute keeps all of its late heartbeats out.
+const EARLIER_LIVES: usize = 64;
+
+/// What a target says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// Id of this life of the target.
+    pub upstream: UpstreamName,
+    /// Service that it runs.
+    pub service: ServiceName,
+    /// Calls that it runs at a time.
+    pub slots: u32,
+    /// Rises with each heartbeat of one life.
+    pub sequence: u64,
+    /// It is about to stop.
+    pub draining: bool,
+    /// How much longer it is slow after its start.
+    pub cold: Duration,
+}
+
+/// What became of a heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// It is the newest.
+    Taken,
+    /// It is older than what is known.
+    Stale,
+}
+
+#[derive(Clone, Debug)]
+struct Life {
+    beat: Heartbeat,
+    heard: Time,
+    /// It said good-bye, which holds whatever else comes in of it.
+    left: bool,
+}
+
+/// The target beside this daemon, by its own words.
+#[derive(Clone, Debug)]
+pub(crate) struct LocalUpstream {
+    interval: Duration,
+    present: Option<Life>,
+    earlier: VecDeque<Life>,
+}
+
+impl LocalUpstream {
+    pub(crate) fn new(interval: Duration) -> Self {
+        Self {
+            interval,
+            present: None,
+            earlier: VecDeque::new(),
+        }
+    }
+
+    /// Takes in a heartbeat.
+    pub(crate) fn hear(&mut self, mut beat: Heartbeat, now: Time) -> Heard {
+        if self
+            .earlier
+            .iter()
+            .any(|it| it.beat.upstream == beat.upstream)
+        {
+            return Heard::Stale;
+        }
+        if let Some(life) = &mut self.present
+            && life.beat.upstream == beat.upstream
+        {
+            if beat.sequence <= life.beat.sequence {
+                return Heard::Stale;
+            }
+            // Calls that are sent after a drain was acked fail; a life that has
+            // begun to drain never takes calls again.
+            beat.draining |= life.beat.draining;
+            life.beat = beat;
+            life.heard = now;
+            return Heard::Taken;
+        }
+        self.replace(Life {
+            beat,
+            heard: now,
+            left: false,
+        });
+        Heard::Taken
+    }
+
+    /// The life with this id said good-bye. It may still finish what it runs.
+    pub(crate) fn leave(&mut self, upstream: &str) {
+        let lives = self.present.iter_mut().chain(&mut self.earlier);
+        for life in lives.filter(|it| it.beat.upstream == upstream) {
+            life.left = true;
+        }
+    }
+
+    /// The target itself answered under this id. A heartbeat that was held up
+    /// until after a restart of this daemon looks like one of a newer life; the
+    /// target's own answer shows that it was an older one.
+    pub(crate) fn answered_as(&mut self, upstream: &str) {
+        let is_present = |it: &Life| it.beat.upstream == upstream;
+        if self.present.as_ref().is_some_and(is_present) {
+            return;
+        }
+        let known = self.earlier.iter().position(is_present);
+        match known.and_then(|at| self.earlier.remove(at)) {
+            Some(life) => self.replace(life),
+            None => self.retire(),
+        }
+    }
+
+    /// The target, where it takes new calls.
+    pub(crate) fn admits(&self, now: Time) -> Option<&Heartbeat> {
+        let life = self.heard_lately(now)?;
+        let takes = !life.left && !life.beat.draining;
+        takes.then_some(&life.beat)
+    }
+
+    /// The service of the target, if one was ever heard of.
+    pub(crate) fn service(&self) -> Option<&ServiceName> {
+        self.present.as_ref().map(|it| &it.beat.service)
+    }
+
+    /// What peers are told.
+    pub(crate) fn announced(&self, now: Time) -> Option<Announced> {
+        let life = self.heard_lately(now)?;
+        Some(Announced {
+            upstream: life.beat.upstream.clone(),
+            service: life.beat.service.clone(),
+            slots: life.beat.slots,
+            draining: life.left || life.beat.draining,
+        })
+    }
+
+    fn heard_lately(&self, now: Time) -> Option<&Life> {
+        let bound = self.interval * SILENT_INTERVALS;
+        let lately = |it: &&Life| now.saturating_sub(it.heard) <= bound;
+        self.present.as_ref().filter(lately)
+    }
+
+    fn replace(&mut self, life: Life) {
+        self.retire();
+        self.present = Some(life);
+    }
+
+    fn retire(&mut self) {
+        let Some(life) = self.present.take() else {
+            return;
+        };
+        self.earlier.push_back(life);
+        if self.earlier.len() > EARLIER_LIVES {
+            self.earlier.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/fleet/gossip.rs
@@ -0,0 +1,167 @@
+//! Membership over links.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use stoatstep_membership::{
+    Action, Exchange, GossipReply, GossipRequest, Input, MemberKey, ZoneDigest,
+};
+
+use super::{configuration, refresh};
+use crate::node::Node;
+use crate::wire::{Ask, Reply};
+use crate::{drain, executor};
+
+/// Time for a probe. A round trip in a region takes a few milliseconds.
+const PROBE_BOUND: Duration = Duration::from_millis(500);
+
+/// Time for a helper, which probes with the bound above.
+const HELPER_BOUND: Duration = Duration::from_millis(1200);
+
+/// Time for a table.
+const TABLE_BOUND: Duration = Duration::from_secs(2);
+
+/// Feeds the machine and does what it asks for.
+pub(crate) fn input(node: &Rc<Node>, input: Input) {
+    let now = node.clock.now();
+    let actions = node.fleet.membership.borrow_mut().handle(now, input);
+    act(node, actions);
+}
+
+/// Moves the machine's time on.
+pub(crate) fn tick(node: &Rc<Node>) {
+    input(node, Input::Tick);
+}
+
+/// Tells the fleet that this daemon stops.
+pub(crate) fn leave(node: &Rc<Node>) {
+    input(node, Input::Leave);
+}
+
+/// Tells the fleet what the target beside this daemon last announced. Nothing
+/// goes out where that has not changed.
+pub(crate) fn target_changed(node: &Rc<Node>) {
+    let announced = node.executor.announced(node.clock.now());
+    input(node, Input::TargetAnnounced(announced));
+}
+
+/// Answers one message of another daemon.
+pub(crate) async fn answer(node: &Rc<Node>, message: GossipRequest) -> GossipReply {
+    match message {
+        GossipRequest::Exchange(exchange) => {
+            let now = node.clock.now();
+            let answered = node.fleet.membership.borrow_mut().answer(now, exchange);
+            let (reply, actions) = answered;
+            act(node, actions);
+            GossipReply::Exchange(reply)
+        }
+        GossipRequest::Probe(target) => GossipReply::Probe(reaches(node, target).await),
+        GossipRequest::Table(zones) => {
+            let membership = node.fleet.membership.borrow();
+            GossipReply::Table(membership.rows_for(&zones))
+        }
+    }
+}
+
+fn act(node: &Rc<Node>, actions: Vec<Action>) {
+    let mut is_changed = false;
+    for action in actions {
+        match action {
+            Action::Exchange {
+                peer,
+                addr,
+                message,
+            } => {
+                ntex::rt::spawn(exchange(Rc::clone(node), peer, addr, message));
+            }
+            Action::AskHelper { addr, target } => {
+                ntex::rt::spawn(ask_helper(Rc::clone(node), addr, target));
+            }
+            Action::PullTable { addr, zones } => {
+                ntex::rt::spawn(pull_table(Rc::clone(node), addr, zones));
+            }
+            Action::PeerHolds { addr, mark, .. } => configuration::peer_holds(node, addr, mark),
+            Action::Changed(_) => is_changed = true,
+            Action::Forgotten { instance, .. } => {
+                node.fleet.forgotten.borrow_mut().push(instance);
+            }
+            Action::ZoneReachable { zone, reachable } => {
+                slog::warn!(node.log, "way to a zone changed";
+                    "zone" => %zone, "reachable" => reachable);
+            }
+            Action::Woke { gap } => woke(node, gap),
+            Action::Superseded { birth } => {
+                slog::error!(node.log, "a newer process runs under this id"; "birth" => birth);
+                drain::begin(node);
+            }
+        }
+    }
+    if is_changed {
+        refresh(node);
+    }
+}
+
+/// The instance was suspended. Everything that waits here is old.
+fn woke(node: &Rc<Node>, gap: Duration) {
+    slog::warn!(node.log, "woke from a suspension"; "gap_ms" => gap.as_millis());
+    executor::woke(node);
+    node.links.close_all();
+    node.fleet.woke.notify_waiters();
+}
+
+async fn exchange(node: Rc<Node>, peer: MemberKey, addr: SocketAddr, message: Exchange) {
+    let reply = say(&node, addr, message).await;
+    let heard = match reply {
+        Some(reply) => Input::Replied { peer, reply },
+        None => Input::Unreached { peer },
+    };
+    input(&node, heard);
+}
+
+async fn say(node: &Node, addr: SocketAddr, message: Exchange) -> Option<Exchange> {
+    match ask(node, addr, GossipRequest::Exchange(message), PROBE_BOUND).await? {
+        GossipReply::Exchange(reply) => Some(reply),
+        GossipReply::Probe(_) | GossipReply::Table(_) => None,
+    }
+}
+
+async fn ask(
+    node: &Node,
+    addr: SocketAddr,
+    message: GossipRequest,
+    bound: Duration,
+) -> Option<GossipReply> {
+    let reply = node.links.ask_within(addr, Ask::Gossip(message), bound);
+    match reply.await {
+        Ok(Reply::Gossip(reply)) => Some(reply),
+        Ok(_) | Err(_) => None,
+    }
+}
+
+async fn ask_helper(node: Rc<Node>, addr: SocketAddr, target: MemberKey) {
+    let answer = ask(&node, addr, GossipRequest::Probe(target), HELPER_BOUND).await;
+    let reached = matches!(answer, Some(GossipReply::Probe(true)));
+    input(&node, Input::Helped { target, reached });
+}
+
+/// Probes a member for a peer that can't reach it.
+async fn reaches(node: &Rc<Node>, target: MemberKey) -> bool {
+    let (addr, message) = {
+        let membership = node.fleet.membership.borrow();
+        let Some(entry) = membership.table().get(target) else {
+            return false;
+        };
+        let message = membership.probe_message(node.clock.now(), target);
+        (entry.member.peer, message)
+    };
+    let answer = say(node, addr, message).await;
+    answer.is_some_and(|reply| reply.from == target)
+}
+
+async fn pull_table(node: Rc<Node>, addr: SocketAddr, zones: Vec<ZoneDigest>) {
+    let answer = ask(&node, addr, GossipRequest::Table(zones), TABLE_BOUND).await;
+    if let Some(GossipReply::Table(rows)) = answer {
+        input(&node, Input::TablePulled { rows });
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/fleet/mod.rs
@@ -0,0 +1,127 @@
+//! What the daemon knows of its fleet: members with the targets that they
+//! announced, and the configuration in force.
+
+pub(crate) mod configuration;
+pub(crate) mod gossip;
+pub(crate) mod roster;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use stoatstep_calls::{Candidate, CandidateState};
+use stoatstep_membership::{Config, Entry, Member, MemberState, Membership, starting_incarnation};
+use stoatstep_resource::{InstanceId, ServiceName, UpstreamName};
+use tokio::sync::Notify;
+
+use crate::clock::unix_time;
+use crate::config::MeshConfig;
+use crate::in_force::InForce;
+use crate::node::Node;
+
+/// Where attempts for a target go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Place {
+    /// It is the target beside this daemon.
+    Local,
+    /// Its daemon listens here.
+    Remote(SocketAddr),
+}
+
+pub(crate) struct Fleet {
+    membership: RefCell<Membership>,
+    in_force: RefCell<Option<Rc<InForce>>>,
+    places: RefCell<HashMap<UpstreamName, Place>>,
+    /// A pull of the configuration from a peer goes on.
+    is_pulling: Cell<bool>,
+    /// The instance was suspended: what waits for the host should ask anew.
+    woke: Notify,
+    /// Members that are gone for good, whose roster rows are to be deleted.
+    forgotten: RefCell<Vec<InstanceId>>,
+}
+
+impl Fleet {
+    pub(crate) fn new(cfg: &MeshConfig) -> Self {
+        let me = myself(cfg);
+        let seed = me.key() ^ me.birth;
+        Self {
+            membership: RefCell::new(Membership::new(me, Config::default(), seed)),
+            in_force: RefCell::default(),
+            places: RefCell::default(),
+            is_pulling: Cell::new(false),
+            woke: Notify::new(),
+            forgotten: RefCell::default(),
+        }
+    }
+
+    /// The version in force; the caller keeps it for as long as it needs one
+    /// consistent view.
+    pub(crate) fn in_force(&self) -> Option<Rc<InForce>> {
+        self.in_force.borrow().clone()
+    }
+
+    /// Where attempts for a target go.
+    pub(crate) fn place(&self, upstream: &str) -> Option<Place> {
+        self.places.borrow().get(upstream).copied()
+    }
+
+    /// Daemons that take part, this one included.
+    pub(crate) fn size(&self) -> usize {
+        self.membership.borrow().table().present().count()
+    }
+}
+
+fn myself(cfg: &MeshConfig) -> Member {
+    let birth = starting_incarnation(unix_time(), None);
+    Member {
+        instance: cfg.instance.clone(),
+        region: cfg.region.clone(),
+        zone: cfg.zone.clone(),
+        upstream: cfg.instance.clone(),
+        caller: cfg.addresses.callers,
+        peer: cfg.addresses.peers,
+        operator: cfg.addresses.peers,
+        birth,
+        incarnation: birth,
+        state: MemberState::Alive,
+        announced: None,
+    }
+}
+
+/// Makes membership's changes visible to calls.
+fn refresh(node: &Node) {
+    let membership = node.fleet.membership.borrow();
+    let mut services: HashMap<ServiceName, Vec<Candidate>> = HashMap::new();
+    let mut places = HashMap::new();
+    for (key, entry) in membership.table().present() {
+        let Some(announced) = &entry.member.announced else {
+            continue;
+        };
+        let place = if key == membership.me() {
+            Place::Local
+        } else {
+            Place::Remote(entry.member.peer)
+        };
+        places.insert(announced.upstream.clone(), place);
+        let candidates = services.entry(announced.service.clone()).or_default();
+        candidates.push(Candidate {
+            upstream: announced.upstream.clone(),
+            zone: entry.member.zone.clone(),
+            incarnation: entry.member.birth,
+            state: state_of(entry, announced.draining),
+            slots: announced.slots,
+        });
+    }
+    *node.fleet.places.borrow_mut() = places;
+    node.entry.set_candidates(&services, node.clock.now());
+}
+
+fn state_of(entry: &Entry, is_draining: bool) -> CandidateState {
+    match entry.member.state {
+        MemberState::Leaving | MemberState::Dead => CandidateState::Leaving,
+        _ if is_draining => CandidateState::Leaving,
+        MemberState::Suspect => CandidateState::Doubtful,
+        MemberState::Alive => CandidateState::Ready,
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/fleet/roster.rs
@@ -0,0 +1,111 @@
+//! The host's list of instances, by which daemons find their first peers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+use stoatstep_membership::Input;
+use tokio::time::timeout;
+
+use super::gossip;
+use crate::host::{Host, HostError};
+use crate::node::Node;
+
+/// Time for an answer of the host.
+const ANSWER_BOUND: Duration = Duration::from_secs(2);
+
+/// How often it is looked whether something is due.
+const STEP: Duration = Duration::from_millis(250);
+
+/// Pause before another try where the host did not answer.
+const RETRY: Duration = Duration::from_millis(750);
+
+/// Second look of a daemon. Those that started together may have read the list
+/// before any of them was on it.
+const SECOND_LOOK: Duration = Duration::from_millis(1500);
+
+/// Longest pause between two looks of a daemon that knows nobody.
+const LONGEST_ALONE: Duration = Duration::from_secs(30);
+
+/// Keeps this instance on the list, and looks at it while no peer is known.
+pub(crate) async fn run<H: Host>(node: Rc<Node>, host: Rc<H>) {
+    let mut roster = Roster {
+        node: Rc::clone(&node),
+        host,
+        is_announced: false,
+        looks: 0,
+        due: node.clock.now(),
+    };
+    while !node.draining.get() {
+        if node.clock.now() >= roster.due {
+            let pause = roster.step().await;
+            let share = rand::rng().random_range(0.75..1.25);
+            roster.due = node.clock.now() + pause.mul_f64(share);
+        }
+        roster.delete_forgotten().await;
+        tokio::time::sleep(STEP).await;
+    }
+    let own = node.cfg.instance.clone();
+    roster.say("withdrawn", roster.host.withdraw(&own)).await;
+}
+
+struct Roster<H> {
+    node: Rc<Node>,
+    host: Rc<H>,
+    is_announced: bool,
+    /// Looks at the list that were answered.
+    looks: u32,
+    due: Duration,
+}
+
+impl<H: Host> Roster<H> {
+    /// Does what is due and returns the time until the next step.
+    async fn step(&mut self) -> Duration {
+        if !self.is_announced {
+            let announcement = self.node.fleet.membership.borrow().announcement();
+            let written = self.say("announced", self.host.announce(&announcement));
+            self.is_announced = written.await.is_some();
+        }
+        let is_alone = self.node.fleet.size() == 1;
+        if self.looks >= 2 && !is_alone {
+            return if self.is_announced {
+                LONGEST_ALONE
+            } else {
+                RETRY
+            };
+        }
+        let Some(rows) = self.say("read", self.host.roster()).await else {
+            return RETRY;
+        };
+        let rows = rows.into_iter().map(|it| it.row).collect();
+        gossip::input(&self.node, Input::Announced { rows });
+        self.looks += 1;
+        let doublings = self.looks.min(8) - 1;
+        (SECOND_LOOK * (1 << doublings)).min(LONGEST_ALONE)
+    }
+
+    async fn delete_forgotten(&self) {
+        let forgotten = std::mem::take(&mut *self.node.fleet.forgotten.borrow_mut());
+        for instance in forgotten {
+            self.say("cleaned up", self.host.withdraw(&instance)).await;
+        }
+    }
+
+    /// The answer, or a log line that says what was not done.
+    async fn say<T>(
+        &self,
+        what: &'static str,
+        asked: impl Future<Output = Result<T, HostError>>,
+    ) -> Option<T> {
+        let answer = timeout(ANSWER_BOUND, asked).await;
+        let answer =
+            answer.unwrap_or_else(|_| Err(HostError::Unavailable("no answer in time".into())));
+        match answer {
+            Ok(answer) => Some(answer),
+            Err(err) => {
+                slog::warn!(self.node.log, "roster not {}", what; "error" => %err);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/lib.rs
@@ -0,0 +1,36 @@
+//! The daemon of a fleet whose host keeps the configuration: it takes calls
+//! from callers on its own instance, has them run beside a target, and learns
+//! everything else from its host, its target and its peers.
+//!
+//! * The *host* is whatever runs the fleet. It keeps one configuration document
+//!   and a list of instances to begin with, and is reached through [`Host`].
+//! * The *target* beside the daemon announces itself in heartbeats, see
+//!   [`Heartbeat`].
+//! * *Peers* are the other daemons. They exchange membership and configuration,
+//!   and carry each other's calls over [links](mod@link).
+//!
+//! A call enters at one daemon (`entry`), goes to the daemon beside the chosen
+//! target (`executor`), and only that one talks to the target. What must hold
+//! for a target (at most one run, no call after its drain, no more calls than
+//! slots) is therefore decided at one place. The decisions themselves are those
+//! of `stoatstep-calls`, `stoatstep-membership` and `stoatstep-distribution`.
+//! See `docs/design/platform.md`.
+
+mod clock;
+mod config;
+mod dialect;
+mod drain;
+mod entry;
+mod executor;
+mod fleet;
+mod host;
+mod in_force;
+mod link;
+mod node;
+mod wire;
+
+pub use config::{Addresses, MeshConfig};
+pub use dialect::Dialect;
+pub use executor::{Heard, Heartbeat};
+pub use host::{Cursor, Host, HostError, Update};
+pub use node::Mesh;
--- /dev/null
+++ b/crates/mesh/src/link/serve.rs
@@ -0,0 +1,102 @@
+//! The end of a link that answers.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use stoatstep_calls::AttemptId;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{self, UnboundedSender};
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+use super::{Reader, codec, decode, encode, write};
+use crate::executor;
+use crate::fleet;
+use crate::node::Node;
+use crate::wire::{Ask, AskId, Reply, ToClient, ToServer};
+
+/// Pause after a failed accept, most often for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts links until the process ends.
+pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                ntex::rt::spawn(connection(Rc::clone(&node), stream));
+            }
+            Err(err) => {
+                slog::warn!(node.log, "link not accepted"; "error" => %err);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// One link, and the attempts that came over it and have not ended.
+struct Connection {
+    node: Rc<Node>,
+    queue: UnboundedSender<Bytes>,
+    running: RefCell<HashMap<AskId, AttemptId>>,
+}
+
+async fn connection(node: Rc<Node>, stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let (queue, rx) = mpsc::unbounded_channel();
+    let connection = Rc::new(Connection {
+        node: Rc::clone(&node),
+        queue,
+        running: RefCell::default(),
+    });
+    let (reader, writer) = stream.into_split();
+    tokio::select! {
+        () = write(FramedWrite::new(writer, codec()), rx) => {}
+        () = read(&connection, FramedRead::new(reader, codec())) => {}
+    }
+    let running = std::mem::take(&mut *connection.running.borrow_mut());
+    executor::orphaned(&node, running.into_values().collect());
+}
+
+async fn read(connection: &Rc<Connection>, mut reader: Reader) {
+    while let Some(Ok(frame)) = reader.next().await {
+        match decode::<ToServer>(&frame) {
+            Some(ToServer::Ask(id, ask)) => {
+                ntex::rt::spawn(answer(Rc::clone(connection), id, ask));
+            }
+            Some(ToServer::Cancel(id)) => cancel(connection, id),
+            None => return,
+        }
+    }
+}
+
+fn cancel(connection: &Connection, id: AskId) {
+    let attempt = connection.running.borrow_mut().remove(&id);
+    if let Some(attempt) = attempt {
+        executor::cancel(&connection.node, attempt);
+    }
+}
+
+async fn answer(connection: Rc<Connection>, id: AskId, ask: Ask) {
+    let node = &connection.node;
+    let reply = match ask {
+        Ask::Run(attempt) => {
+            connection.running.borrow_mut().insert(id, attempt.id);
+            let ran = executor::execute(node, attempt).await;
+            connection.running.borrow_mut().remove(&id);
+            Reply::Ran(ran)
+        }
+        Ask::Settle(attempt, ticket) => {
+            Reply::Settled(executor::settle(node, attempt, ticket).await)
+        }
+        Ask::Gossip(message) => Reply::Gossip(fleet::gossip::answer(node, message).await),
+        Ask::Newer(held) => Reply::Newer(fleet::configuration::newer_than(node, held)),
+        Ask::Ping => Reply::Pong,
+    };
+    // It fails only where the link is closed; whoever asked will settle.
+    let _ = connection.queue.send(encode(&ToClient(id, reply)));
+}
--- /dev/null
+++ b/crates/mesh/src/node.rs
@@ -0,0 +1,127 @@
+//! What all parts of one daemon share.
+
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::Logger;
+use tokio::net::TcpListener;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::clock::Clock;
+use crate::config::MeshConfig;
+use crate::entry::{self, Entry};
+use crate::executor::{self, Executor, Heard, Heartbeat};
+use crate::fleet::{self, Fleet};
+use crate::host::Host;
+use crate::link::{self, Links};
+use crate::{drain, fleet::gossip};
+use stoatstep_http::Server;
+
+/// Interval of the periodic work. Membership counts its time in it.
+const TICK: Duration = Duration::from_millis(250);
+
+/// One daemon. Everything runs on one thread, so its cells are never contended;
+/// their borrows never last over an `await`.
+pub(crate) struct Node {
+    pub(crate) cfg: MeshConfig,
+    pub(crate) log: Logger,
+    pub(crate) clock: Clock,
+    pub(crate) links: Links,
+    pub(crate) entry: Entry,
+    pub(crate) executor: Executor,
+    pub(crate) fleet: Fleet,
+    pub(crate) in_flight: Cell<u32>,
+    pub(crate) draining: Cell<bool>,
+}
+
+/// A running daemon, as the adapter of its host sees it.
+#[derive(Clone)]
+pub struct Mesh(Rc<Node>);
+
+impl Mesh {
+    /// Starts the daemon on the present thread.
+    ///
+    /// # Errors
+    ///
+    /// Where one of its addresses cannot be bound.
+    pub async fn start<H: Host>(cfg: MeshConfig, host: H, log: Logger) -> io::Result<Self> {
+        let peers = TcpListener::bind(cfg.addresses.peers).await?;
+        let callers = Server::bind(cfg.addresses.callers).await?;
+        let clock = Clock::start();
+        let node = Rc::new(Node {
+            links: Links::new(clock),
+            entry: Entry::new(&cfg),
+            executor: Executor::new(&cfg, clock),
+            fleet: Fleet::new(&cfg),
+            in_flight: Cell::new(0),
+            draining: Cell::new(false),
+            cfg,
+            log,
+            clock,
+        });
+        ntex::rt::spawn(link::serve(Rc::clone(&node), peers));
+        ntex::rt::spawn(serve_callers(Rc::clone(&node), callers));
+        let host = Rc::new(host);
+        ntex::rt::spawn(fleet::configuration::run(
+            Rc::clone(&node),
+            Rc::clone(&host),
+        ));
+        ntex::rt::spawn(fleet::roster::run(Rc::clone(&node), host));
+        ntex::rt::spawn(tick(Rc::clone(&node)));
+        Ok(Self(node))
+    }
+
+    /// Takes in a heartbeat of the target beside the daemon. Once this returns,
+    /// no further call goes to a target that drains.
+    pub fn hear(&self, beat: Heartbeat) -> Heard {
+        let heard = executor::hear(&self.0, beat);
+        gossip::target_changed(&self.0);
+        heard
+    }
+
+    /// A life of the target said good-bye. Once this returns, no further call
+    /// goes to it.
+    pub fn target_left(&self, upstream: &str) {
+        executor::leave(&self.0, upstream);
+        gossip::target_changed(&self.0);
+    }
+
+    /// Whether callers should come here: a configuration is in force, and the
+    /// daemon is not about to stop.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.0.fleet.in_force().is_some() && !self.0.draining.get()
+    }
+
+    /// Stops gracefully; the process may end when this does.
+    pub async fn drain(&self) {
+        drain::begin(&self.0);
+        drain::finished(&self.0).await;
+    }
+}
+
+async fn serve_callers(node: Rc<Node>, server: Server) {
+    let log = node.log.clone();
+    let served = server
+        .serve(move |req| {
+            let node = Rc::clone(&node);
+            async move { entry::handle(&node, req).await }
+        })
+        .await;
+    if let Err(err) = served {
+        slog::crit!(log, "callers not served"; "error" => %err);
+    }
+}
+
+async fn tick(node: Rc<Node>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        gossip::tick(&node);
+        gossip::target_changed(&node);
+        executor::tick(&node);
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/wire.rs
@@ -0,0 +1,159 @@
+//! Messages between daemons. They go over [links](crate::link), encoded by
+//! `rmp-serde`, which writes structs as arrays.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use stoatstep_calls::{Answer, AttemptId, Header, Load, Refusal, Settled, Ticket};
+use stoatstep_membership::{GossipReply, GossipRequest, Mark};
+use stoatstep_resource::wire::SnapshotWire;
+use stoatstep_resource::{ServiceName, UpstreamName};
+
+/// Names one question on one link.
+pub(crate) type AskId = u64;
+
+/// What the daemon that opened a link sends over it.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum ToServer {
+    /// A question, which is answered under its id.
+    #[serde(rename = "a")]
+    Ask(AskId, Ask),
+    /// Nobody waits for the answer any more.
+    #[serde(rename = "c")]
+    Cancel(AskId),
+}
+
+/// What the daemon at the other end sends back.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct ToClient(pub(crate) AskId, pub(crate) Reply);
+
+/// A question.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum Ask {
+    /// Run an attempt.
+    #[serde(rename = "r")]
+    Run(Attempt),
+    /// How an attempt ended that was sent over a link that is lost. One that
+    /// has not started never will; for one that runs the answer waits.
+    #[serde(rename = "s")]
+    Settle(AttemptId, Ticket),
+    /// About membership.
+    #[serde(rename = "g")]
+    Gossip(GossipRequest),
+    /// The configuration, if it is newer than this one.
+    #[serde(rename = "n")]
+    Newer(Mark),
+    /// Whether anybody listens.
+    #[serde(rename = "p")]
+    Ping,
+}
+
+/// Answer to an [`Ask`].
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum Reply {
+    /// To [`Ask::Run`].
+    #[serde(rename = "r")]
+    Ran(Ran),
+    /// To [`Ask::Settle`].
+    #[serde(rename = "s")]
+    Settled(WireSettled),
+    /// To [`Ask::Gossip`].
+    #[serde(rename = "g")]
+    Gossip(GossipReply),
+    /// To [`Ask::Newer`]; empty where nothing newer is held.
+    #[serde(rename = "n")]
+    Newer(Option<SnapshotWire>),
+    /// To [`Ask::Ping`].
+    #[serde(rename = "p")]
+    Pong,
+}
+
+/// What every attempt of one call has in common.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct CallParts {
+    pub(crate) request_id: SmolStr,
+    pub(crate) service: ServiceName,
+    pub(crate) method: SmolStr,
+    /// Path and query, as the caller sent them.
+    pub(crate) path: SmolStr,
+    /// Host that the caller named.
+    pub(crate) host: SmolStr,
+    /// Headers that go through to the target.
+    pub(crate) headers: Vec<Header>,
+    pub(crate) body: Bytes,
+    pub(crate) idempotent: bool,
+    /// Rank among other calls, 0 the most urgent.
+    pub(crate) priority: u8,
+    /// Service of the instance on which the call began.
+    pub(crate) caller_service: ServiceName,
+}
+
+/// One attempt of a call at one target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Attempt {
+    pub(crate) id: AttemptId,
+    pub(crate) ticket: Ticket,
+    /// The life of the target for which it is meant.
+    pub(crate) upstream: UpstreamName,
+    pub(crate) left: Duration,
+    pub(crate) call: Rc<CallParts>,
+}
+
+/// How an attempt ended at its executor.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Ran {
+    /// For the next attempts at this executor.
+    pub(crate) ticket: Ticket,
+    pub(crate) load: Load,
+    /// Time in the executor's queue.
+    pub(crate) queued: Duration,
+    /// Time at the target.
+    pub(crate) ran: Duration,
+    /// Whether the target got to see the request.
+    pub(crate) arrived: bool,
+    pub(crate) end: End,
+}
+
+/// The end of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum End {
+    /// The target's whole answer.
+    #[serde(rename = "a")]
+    Answered(Arc<Answer>),
+    /// It did not run, or nobody can tell; the reason says which.
+    #[serde(rename = "r")]
+    Refused(Refusal),
+}
+
+/// See [`Settled`]. States that the executor does not give are left out: it
+/// waits until the attempt has ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum WireSettled {
+    /// It did not run and never will.
+    #[serde(rename = "n")]
+    NotRun,
+    /// It ran, and this is its answer.
+    #[serde(rename = "d")]
+    Done(Arc<Answer>),
+    /// It ran or may have run, and there is no answer.
+    #[serde(rename = "u")]
+    Unknown,
+}
+
+impl From<Settled> for WireSettled {
+    fn from(settled: Settled) -> Self {
+        match settled {
+            Settled::NotRun => Self::NotRun,
+            Settled::Done(answer) => Self::Done(answer),
+            Settled::NeverSeen
+            | Settled::Queued
+            | Settled::Running
+            | Settled::DoneWithoutAnswer
+            | Settled::Unknown => Self::Unknown,
+        }
+    }
+}
--- a/crates/resource/benches/state.rs
+++ b/crates/resource/benches/state.rs
@@ -61,6 +61,8 @@
             prefix: format!("/service-{i:02}").into(),
             service: format!("service-{i:02}").into(),
             policy: None,
+            host: None,
+            split: Vec::new(),
             idempotent: false,
         }));
     }
--- a/crates/resource/src/files/kinds.rs
+++ b/crates/resource/src/files/kinds.rs
@@ -12,7 +12,7 @@
 use super::{FileSet, SourceFile};
 use crate::finding::{Finding, Place};
 use crate::key::{Key, Kind};
-use crate::types::{Policy, Resource, Retry, Route, Service, TenantLimit, Upstream};
+use crate::types::{Policy, Resource, Retry, Route, Service, Share, TenantLimit, Upstream};
 use crate::wire::{RetryWire, default_weight, parse_duration};
 
 /// Longest piece of a file that a message repeats.
@@ -154,8 +154,10 @@
 fn read_route(cx: &mut Record<'_>, mut reader: Reader<'_>) -> Route {
     let route = Route {
         name: reader.text(cx, "name"),
+        host: reader.optional_text(cx, "host"),
         prefix: reader.text(cx, "prefix"),
         service: reader.text(cx, "service"),
+        split: read_split(cx, &mut reader),
         policy: reader.optional_text(cx, "policy"),
         idempotent: reader.flag(cx, "idempotent").unwrap_or_default(),
     };
@@ -166,7 +168,10 @@
 fn read_policy(cx: &mut Record<'_>, mut reader: Reader<'_>) -> Policy {
     let name = reader.text(cx, "name");
     let timeout = reader.text(cx, "timeout");
-    let timeout = read_timeout(cx, &timeout);
+    let timeout = read_duration(cx, "timeout", &timeout);
+    let objective = reader.optional_text(cx, "latency_objective");
+    let objective = objective.map(|text| read_duration(cx, "latency_objective", &text));
+    let priority = reader.optional_number(cx, "priority");
     let retry = reader.table(cx, "retry");
     let retry = retry.map(|reader| read_retry(cx, reader));
     let limits = reader.tables(cx, "limits").into_iter();
@@ -175,14 +180,30 @@
     Policy {
         name,
         timeout,
+        latency_objective: objective,
+        // Too large a number is a finding of validation, not a small one here.
+        priority: priority.map(|it| u8::try_from(it).unwrap_or(u8::MAX)),
         retry: retry.unwrap_or_else(|| RetryWire::default().into()),
         limits,
     }
 }
 
-fn read_timeout(cx: &mut Record<'_>, text: &str) -> Duration {
+fn read_split(cx: &mut Record<'_>, reader: &mut Reader<'_>) -> Vec<Share> {
+    let shares = reader.tables(cx, "split").into_iter().flatten();
+    let shares = shares.map(|mut reader| {
+        let share = Share {
+            service: reader.text(cx, "service"),
+            weight: reader.number(cx, "weight"),
+        };
+        reader.finish(cx);
+        share
+    });
+    shares.collect()
+}
+
+fn read_duration(cx: &mut Record<'_>, field: &'static str, text: &str) -> Duration {
     parse_duration(text).unwrap_or_else(|message| {
-        let field = SmolStr::new_static("timeout");
+        let field = SmolStr::new_static(field);
         if !cx.has_finding(&field) {
             let line = cx.lines.line_of(Some(&field));
             cx.report(line, &field, message);
--- a/crates/resource/src/types.rs
+++ b/crates/resource/src/types.rs
@@ -36,16 +36,30 @@
 pub struct Route {
     /// Name of the route.
     pub name: RouteName,
+    /// Host that callers name; any where absent.
+    pub host: Option<SmolStr>,
     /// Path prefix; the longest that matches whole path segments wins.
     pub prefix: SmolStr,
     /// The service that answers.
     pub service: ServiceName,
+    /// Shares of calls that go to services by weight, in place of all of them
+    /// to `service`; empty where they are not split.
+    pub split: Vec<Share>,
     /// Policy for these calls; the service's where absent.
     pub policy: Option<PolicyName>,
     /// Whether a POST here may run more than once without harm.
     pub idempotent: bool,
 }
 
+/// One service's part of a route's calls.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Share {
+    /// The service.
+    pub service: ServiceName,
+    /// Its part, relative to the sum of all weights of the route.
+    pub weight: u32,
+}
+
 /// A policy: how long calls may take, how they are retried, and what each
 /// tenant may use.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -54,6 +68,12 @@
     pub name: PolicyName,
     /// Longest time of a call whose caller states no deadline.
     pub timeout: Duration,
+    /// Time within which an answer is worth its full price to the caller; the
+    /// timeout where absent.
+    pub latency_objective: Option<Duration>,
+    /// Rank of the calls among others, 0 the most urgent; where absent, each
+    /// caller states its own class.
+    pub priority: Option<u8>,
     /// How attempts that did not run are tried again.
     pub retry: Retry,
     /// Limits of single tenants; a tenant not named here has weight 1.
@@ -139,6 +159,7 @@
             Self::Upstream(it) => vec![service(&it.service)],
             Self::Route(it) => {
                 let mut keys = vec![service(&it.service)];
+                keys.extend(it.split.iter().map(|share| service(&share.service)));
                 keys.extend(it.policy.iter().map(policy));
                 keys
             }
--- a/crates/resource/src/validate/limits.rs
+++ b/crates/resource/src/validate/limits.rs
@@ -32,6 +32,9 @@
 /// than double the load just when targets fail.
 pub const MAX_BUDGET_PERCENT: u32 = 100;
 
+/// Lowest rank of a policy's calls.
+pub const MAX_PRIORITY: u32 = 7;
+
 /// Weight of one tenant.
 pub const MAX_WEIGHT: u32 = 1_000;
 
--- a/crates/resource/src/validate/mod.rs
+++ b/crates/resource/src/validate/mod.rs
@@ -18,8 +18,8 @@
 use crate::types::Resource;
 
 pub use limits::{
-    MAX_ATTEMPTS, MAX_BUDGET_PERCENT, MAX_CONNECTIONS, MAX_NAME_LEN, MAX_PREFIX_LEN, MAX_RESOURCES,
-    MAX_SLOTS, MAX_TENANT_LIMITS, MAX_TIMEOUT, MAX_WEIGHT, MIN_TIMEOUT,
+    MAX_ATTEMPTS, MAX_BUDGET_PERCENT, MAX_CONNECTIONS, MAX_NAME_LEN, MAX_PREFIX_LEN, MAX_PRIORITY,
+    MAX_RESOURCES, MAX_SLOTS, MAX_TENANT_LIMITS, MAX_TIMEOUT, MAX_WEIGHT, MIN_TIMEOUT,
 };
 pub use names::check_name;
 
@@ -65,20 +65,20 @@
     }
 }
 
-/// Two routes with one prefix would leave open which of them a call takes, and
+/// Two routes with one host and prefix would leave open which of them a call takes, and
 /// two daemons could choose differently.
 fn check_prefixes(state: &State, findings: &mut Vec<Finding>) {
-    let mut first_with: BTreeMap<&SmolStr, Key> = BTreeMap::new();
+    let mut first_with: BTreeMap<(&Option<SmolStr>, &SmolStr), Key> = BTreeMap::new();
     for held in state.of_kind(Kind::Route) {
         let Resource::Route(route) = &*held.resource else {
             continue;
         };
         let key = held.resource.key();
-        if let Some(first) = first_with.get(&route.prefix) {
+        if let Some(first) = first_with.get(&(&route.host, &route.prefix)) {
             let message = format!("prefix \"{}\" belongs to {first} already", route.prefix);
             findings.push(Finding::new(Place::field(key, "prefix"), message));
         } else {
-            first_with.insert(&route.prefix, key);
+            first_with.insert((&route.host, &route.prefix), key);
         }
     }
 }
--- a/crates/resource/src/validate/resources.rs
+++ b/crates/resource/src/validate/resources.rs
@@ -6,8 +6,8 @@
 use smol_str::SmolStr;
 
 use super::limits::{
-    MAX_ATTEMPTS, MAX_BUDGET_PERCENT, MAX_CONNECTIONS, MAX_SLOTS, MAX_TENANT_LIMITS, MAX_TIMEOUT,
-    MAX_WEIGHT, MIN_TIMEOUT,
+    MAX_ATTEMPTS, MAX_BUDGET_PERCENT, MAX_CONNECTIONS, MAX_PRIORITY, MAX_SLOTS, MAX_TENANT_LIMITS,
+    MAX_TIMEOUT, MAX_WEIGHT, MIN_TIMEOUT,
 };
 use super::names::{check_name, check_prefix};
 use crate::finding::{Finding, Place};
@@ -75,10 +75,17 @@
         if let Err(message) = check_prefix(&route.prefix) {
             self.add("prefix", message);
         }
+        for (i, share) in route.split.iter().enumerate() {
+            self.within(format!("split[{i}].weight"), share.weight, 1..=MAX_WEIGHT);
+        }
     }
 
     fn policy(&mut self, policy: &Policy) {
         self.timeout(policy);
+        self.latency_objective(policy);
+        if let Some(priority) = policy.priority {
+            self.within("priority", priority.into(), 0..=MAX_PRIORITY);
+        }
         self.within("retry.attempts", policy.retry.attempts, 1..=MAX_ATTEMPTS);
         self.within(
             "retry.budget_percent",
@@ -103,6 +110,21 @@
         }
     }
 
+    fn latency_objective(&mut self, policy: &Policy) {
+        let Some(objective) = policy.latency_objective else {
+            return;
+        };
+        if !(MIN_TIMEOUT..=policy.timeout).contains(&objective) {
+            let message = format!(
+                "is {}; it must be from {} to the timeout, {}",
+                duration_text(objective),
+                duration_text(MIN_TIMEOUT),
+                duration_text(policy.timeout)
+            );
+            self.add("latency_objective", message);
+        }
+    }
+
     fn tenant_limits(&mut self, limits: &[TenantLimit]) {
         if limits.len() > MAX_TENANT_LIMITS {
             let message = format!(
--- a/crates/resource/src/wire/mod.rs
+++ b/crates/resource/src/wire/mod.rs
@@ -29,7 +29,8 @@
 pub use delta::{DeltaWire, SnapshotWire};
 pub use duration::{duration_text, parse_duration};
 pub use resource::{
-    PolicyWire, ResourceWire, RetryWire, RouteWire, ServiceWire, TenantLimitWire, UpstreamWire,
+    PolicyWire, ResourceWire, RetryWire, RouteWire, ServiceWire, ShareWire, TenantLimitWire,
+    UpstreamWire,
 };
 pub use status::{
     HistogramStatus, MemberState, MemberStatus, QuarantineStatus, StatusAnswer, TrafficStatus,
--- a/crates/resource/src/wire/packed.rs
+++ b/crates/resource/src/wire/packed.rs
@@ -10,7 +10,7 @@
 
 use crate::ids::{PolicyName, RouteName, ServiceName, TenantName, UpstreamName};
 use crate::key::{Key, Kind};
-use crate::types::{Policy, Resource, Retry, Route, Service, TenantLimit, Upstream};
+use crate::types::{Policy, Resource, Retry, Route, Service, Share, TenantLimit, Upstream};
 
 /// See [`Resource`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +19,8 @@
     Policy {
         name: PolicyName,
         timeout: Duration,
+        latency_objective: Option<Duration>,
+        priority: Option<u8>,
         attempts: u32,
         budget_percent: u32,
         limits: Vec<PackedLimit>,
@@ -38,8 +40,10 @@
     #[serde(rename = "r")]
     Route {
         name: RouteName,
+        host: Option<SmolStr>,
         prefix: SmolStr,
         service: ServiceName,
+        split: Vec<(ServiceName, u32)>,
         policy: Option<PolicyName>,
         idempotent: bool,
     },
@@ -72,6 +76,8 @@
             Resource::Policy(policy) => Self::Policy {
                 name: policy.name.clone(),
                 timeout: policy.timeout,
+                latency_objective: policy.latency_objective,
+                priority: policy.priority,
                 attempts: policy.retry.attempts,
                 budget_percent: policy.retry.budget_percent,
                 limits: policy.limits.iter().map(PackedLimit::from).collect(),
@@ -88,8 +94,14 @@
             },
             Resource::Route(route) => Self::Route {
                 name: route.name.clone(),
+                host: route.host.clone(),
                 prefix: route.prefix.clone(),
                 service: route.service.clone(),
+                split: route
+                    .split
+                    .iter()
+                    .map(|share| (share.service.clone(), share.weight))
+                    .collect(),
                 policy: route.policy.clone(),
                 idempotent: route.idempotent,
             },
@@ -103,12 +115,16 @@
             PackedResource::Policy {
                 name,
                 timeout,
+                latency_objective,
+                priority,
                 attempts,
                 budget_percent,
                 limits,
             } => Self::Policy(Policy {
                 name,
                 timeout,
+                latency_objective,
+                priority,
                 retry: Retry {
                     attempts,
                     budget_percent,
@@ -129,14 +145,21 @@
             }),
             PackedResource::Route {
                 name,
+                host,
                 prefix,
                 service,
+                split,
                 policy,
                 idempotent,
             } => Self::Route(Route {
                 name,
+                host,
                 prefix,
                 service,
+                split: split
+                    .into_iter()
+                    .map(|(service, weight)| Share { service, weight })
+                    .collect(),
                 policy,
                 idempotent,
             }),
--- a/crates/resource/src/wire/resource.rs
+++ b/crates/resource/src/wire/resource.rs
@@ -7,7 +7,7 @@
 use crate::finding::{Finding, Place};
 use crate::ids::{PolicyName, RouteName, ServiceName, TenantName, UpstreamName};
 use crate::key::{Key, Kind};
-use crate::types::{Policy, Resource, Retry, Route, Service, TenantLimit, Upstream};
+use crate::types::{Policy, Resource, Retry, Route, Service, Share, TenantLimit, Upstream};
 
 /// Any resource: `{"kind": "upstream", "name": ...}`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,10 +54,16 @@
 pub struct RouteWire {
     /// Name of the route.
     pub name: RouteName,
+    /// Host that callers name; any where absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<SmolStr>,
     /// Path prefix.
     pub prefix: SmolStr,
     /// The service that answers.
     pub service: ServiceName,
+    /// Shares of calls by service; all go to `service` where empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub split: Vec<ShareWire>,
     /// Policy for these calls; the service's where absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub policy: Option<PolicyName>,
@@ -67,6 +73,16 @@
     pub idempotent: bool,
 }
 
+/// See [`Share`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ShareWire {
+    /// The service.
+    pub service: ServiceName,
+    /// Its part, relative to the sum of all weights of the route.
+    pub weight: u32,
+}
+
 /// See [`Policy`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -75,6 +91,12 @@
     pub name: PolicyName,
     /// Longest time of a call, as text such as `"250ms"`.
     pub timeout: SmolStr,
+    /// Time within which an answer is worth its full price, as text.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub latency_objective: Option<SmolStr>,
+    /// Rank among other calls, 0 the most urgent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<u8>,
     /// How attempts that did not run are tried again.
     #[serde(default)]
     pub retry: RetryWire,
@@ -158,8 +180,10 @@
             }),
             ResourceWire::Route(route) => Self::Route(Route {
                 name: route.name,
+                host: route.host,
                 prefix: route.prefix,
                 service: route.service,
+                split: route.split.into_iter().map(Share::from).collect(),
                 policy: route.policy,
                 idempotent: route.idempotent,
             }),
@@ -168,17 +192,42 @@
 }
 
 fn policy_from(key: Key, wire: PolicyWire) -> Result<Policy, Finding> {
-    let timeout = parse_duration(&wire.timeout)
-        .map_err(|message| Finding::new(Place::field(key, "timeout"), message))?;
+    let duration = |field: &'static str, text: &str| {
+        let place = || Place::field(key.clone(), field);
+        parse_duration(text).map_err(|message| Finding::new(place(), message))
+    };
+    let timeout = duration("timeout", &wire.timeout)?;
+    let objective = wire.latency_objective.as_deref();
+    let objective = objective.map(|text| duration("latency_objective", text));
     let limits = wire.limits.into_iter().map(TenantLimit::from).collect();
     Ok(Policy {
         name: wire.name,
         timeout,
+        latency_objective: objective.transpose()?,
+        priority: wire.priority,
         retry: wire.retry.into(),
         limits,
     })
 }
 
+impl From<ShareWire> for Share {
+    fn from(wire: ShareWire) -> Self {
+        Self {
+            service: wire.service,
+            weight: wire.weight,
+        }
+    }
+}
+
+impl From<&Share> for ShareWire {
+    fn from(share: &Share) -> Self {
+        Self {
+            service: share.service.clone(),
+            weight: share.weight,
+        }
+    }
+}
+
 impl From<RetryWire> for Retry {
     fn from(wire: RetryWire) -> Self {
         Self {
@@ -214,6 +263,8 @@
             Resource::Policy(policy) => Self::Policy(PolicyWire {
                 name: policy.name.clone(),
                 timeout: duration_text(policy.timeout).into(),
+                latency_objective: policy.latency_objective.map(|it| duration_text(it).into()),
+                priority: policy.priority,
                 retry: RetryWire {
                     attempts: policy.retry.attempts,
                     budget_percent: policy.retry.budget_percent,
@@ -232,8 +283,10 @@
             }),
             Resource::Route(route) => Self::Route(RouteWire {
                 name: route.name.clone(),
+                host: route.host.clone(),
                 prefix: route.prefix.clone(),
                 service: route.service.clone(),
+                split: route.split.iter().map(ShareWire::from).collect(),
                 policy: route.policy.clone(),
                 idempotent: route.idempotent,
             }),
--- a/crates/resource/tests/all/support.rs
+++ b/crates/resource/tests/all/support.rs
@@ -49,6 +49,8 @@
                 prefix,
                 service,
                 policy,
+                host: None,
+                split: Vec::new(),
                 idempotent,
             })
         },
@@ -71,6 +73,8 @@
                     attempts,
                     budget_percent,
                 },
+                latency_objective: None,
+                priority: None,
                 limits,
             })
         },
--- a/crates/scenario/src/daemon/mod.rs
+++ b/crates/scenario/src/daemon/mod.rs
@@ -68,6 +68,7 @@
             birth: starting_incarnation(EPOCH + started, None),
             incarnation: starting_incarnation(EPOCH + started, None),
             state: MemberState::Alive,
+            announced: None,
         };
         let seed = world.seed ^ me.key() ^ me.birth;
         let node = Rc::new(Self {
--- a/crates/scenario/src/run/operator.rs
+++ b/crates/scenario/src/run/operator.rs
@@ -62,6 +62,8 @@
         prefix: format_smolstr!("/{name}"),
         service: SERVICE.into(),
         policy: None,
+        host: None,
+        split: Vec::new(),
         idempotent: false,
     }
 }
--- a/crates/scenario/src/script/deed.rs
+++ b/crates/scenario/src/script/deed.rs
@@ -68,6 +68,8 @@
                 name,
                 service: service.into(),
                 policy: None,
+                host: None,
+                split: Vec::new(),
                 idempotent: false,
             })
         }
--- a/crates/spec/src/resources.rs
+++ b/crates/spec/src/resources.rs
@@ -16,6 +16,8 @@
         prefix: SmolStr::from_iter(["/", name]),
         service: service.into(),
         policy: None,
+        host: None,
+        split: Vec::new(),
         idempotent: false,
     })
 }
--- a/crates/versionlog/tests/support/mod.rs
+++ b/crates/versionlog/tests/support/mod.rs
@@ -88,6 +88,8 @@
         prefix: prefix.into(),
         service: service.into(),
         policy: None,
+        host: None,
+        split: Vec::new(),
         idempotent: false,
     })
 }
--- a/tests/all/decoders.rs
+++ b/tests/all/decoders.rs
@@ -80,6 +80,7 @@
         birth: 1_700_000_000_000,
         incarnation: 1_700_000_000_001,
         state: MemberState::Alive.into(),
+        announced: None,
     }
 }
 
@@ -93,6 +94,8 @@
         prefix: "/floatdesk".into(),
         service: "floatdesk".into(),
         policy: None,
+        host: None,
+        split: Vec::new(),
         idempotent: false,
     };
     let empty = State::default();
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -232,6 +232,8 @@
                 prefix: format!("/{name}").into(),
                 service: (*name).into(),
                 policy: None,
+                host: None,
+                split: Vec::new(),
                 idempotent: false,
             };
             [
