End a borrow of the entry's tables before the ticket is read

Cause: a temporary in a struct literal lives until the literal ends, so reading the ticket of a remote executor met the borrow for the attempt's id, and nine calls in ten ended in a panic. Found by the log of one daemon.

--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -74,8 +74,9 @@
             let refusal = Refusal::retry(Reason::Deadline, UNREACHABLE_RETRY);
             return (Ended::refused(refusal, false), None);
         };
+        let id = node.entry.tables.borrow_mut().rng.random();
         let attempt = Attempt {
-            id: node.entry.tables.borrow_mut().rng.random(),
+            id,
             ticket: ticket(node, place),
             upstream: upstream.clone(),
             left,
