Let a stopping daemon take only calls that end before it, and ask the host in short waits

A stopping daemon now takes everything in the first half of its grace, and after that only calls whose deadline lies before its end (Departure, calls crate).

Two daemons of a zone now wait 2 s at a time and tell all peers of a change at once; the others ask only where nobody has told them for 5 s.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -12,7 +12,7 @@
 //!
 //! * the entry uses [`RouteTable`], [`Router`], [`RetryBudget`], [`Backoff`], [`Deadline`] and
 //!   [`Silence`];
-//! * the executor uses [`Admission`], [`Ledger`], [`IntentTable`] and [`Drain`].
+//! * the executor uses [`Admission`], [`Ledger`], [`IntentTable`], [`Drain`] and [`Departure`].
 //!
 //! The reasons are in `docs/design/calls.md` and `docs/design/at-most-once.md`.
 
@@ -20,6 +20,7 @@
 mod answer;
 mod class;
 mod deadline;
+mod departure;
 mod drain;
 mod estimate;
 mod ids;
@@ -35,6 +36,7 @@
 pub use answer::{Answer, Header, is_of_connection};
 pub use class::{Class, UnknownClass};
 pub use deadline::Deadline;
+pub use departure::Departure;
 pub use drain::{Drain, DrainStep};
 pub use estimate::Estimate;
 pub use ids::{AttemptId, Incarnation, SetId, Time, Wall};
--- a/crates/calls/tests/all/main.rs
+++ b/crates/calls/tests/all/main.rs
@@ -1,9 +1,11 @@
 //! Tests of the call decisions, with time passed in.
 
 mod admission;
+mod departure;
 mod homes;
 mod intent;
 mod ledger;
 mod retry;
 mod router;
+mod routes;
 mod silence;
--- a/crates/calls/tests/all/retry.rs
+++ b/crates/calls/tests/all/retry.rs
@@ -107,3 +107,23 @@
     drain.tick(2, SECOND);
     assert_eq!(drain.tick(2, 31 * SECOND), DrainStep::LeaveUnfinished(2));
 }
+
+/// Twelve daemons that each saved up ten retries send 120 at once, where the
+/// fleet as a whole is allowed 60. Each gets its part of the reserve instead.
+#[test]
+fn a_budget_saves_up_no_more_than_its_reserve() {
+    let mut budget = RetryBudget::with_reserve(3);
+    for _ in 0..1_000 {
+        budget.earn(20);
+    }
+    let taken = (0..100).filter(|_| budget.take()).count();
+    assert_eq!(taken, 3);
+}
+
+#[test]
+fn a_smaller_reserve_drops_what_is_saved_beyond_it() {
+    let mut budget = RetryBudget::with_reserve(10);
+    budget.set_reserve(2);
+    let taken = (0..100).filter(|_| budget.take()).count();
+    assert_eq!(taken, 2);
+}
--- /dev/null
+++ b/crates/calls/tests/all/routes.rs
@@ -0,0 +1,87 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use stoatstep_calls::RouteTable;
+use stoatstep_resource::{Held, Resource, Route, Share, State};
+
+fn route(name: &str, host: Option<&str>, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.map(Into::into),
+        prefix: prefix.into(),
+        service: name.into(),
+        split: Vec::new(),
+        policy: None,
+        idempotent: false,
+    }
+}
+
+fn table(routes: &[Route]) -> RouteTable {
+    let held = routes.iter().map(|route| Held {
+        revision: 1,
+        resource: Arc::new(Resource::Route(route.clone())),
+    });
+    RouteTable::new(&State::from_snapshot(1, held).expect("names differ"))
+}
+
+fn found(table: &RouteTable, host: &str, path: &str) -> Option<String> {
+    table
+        .find(host, path)
+        .map(|it| it.route.name.as_str().to_owned())
+}
+
+#[test]
+fn the_longest_prefix_of_whole_segments_wins() {
+    let table = table(&[
+        route("all", None, "/"),
+        route("floats", None, "/floats"),
+        route("limits", None, "/floats/limits"),
+    ]);
+    let name = |path| found(&table, "any.example", path).expect("the first takes all");
+    assert_eq!(name("/floats"), "floats");
+    assert_eq!(name("/floats/7"), "floats");
+    assert_eq!(name("/floats/limits/7"), "limits");
+    assert_eq!(name("/floatsome"), "all");
+    assert_eq!(name("/"), "all");
+}
+
+#[test]
+fn a_prefix_with_a_slash_at_its_end_is_taken_to_the_letter() {
+    let table = table(&[route("floats", None, "/floats/")]);
+    assert_eq!(found(&table, "a", "/floats/7").as_deref(), Some("floats"));
+    assert_eq!(found(&table, "a", "/floats/").as_deref(), Some("floats"));
+    assert_eq!(found(&table, "a", "/floats"), None);
+}
+
+#[test]
+fn routes_of_the_host_go_before_those_of_any_host() {
+    let table = table(&[
+        route("here", Some("here.example"), "/floats/"),
+        route("anywhere", None, "/floats/"),
+    ]);
+    let name = |host| found(&table, host, "/floats/7").expect("one of the two");
+    assert_eq!(name("here.example"), "here");
+    assert_eq!(name("HERE.example:8080"), "here");
+    assert_eq!(name("there.example"), "anywhere");
+}
+
+/// The parts of a split are judged by their shares of the calls. A daemon sees
+/// few calls of a route, so they are dealt out by draw and not in turn.
+#[test]
+fn a_split_deals_calls_out_by_weight() {
+    let mut split = route("floats", None, "/");
+    split.split = [("old", 90), ("new", 10)]
+        .map(|(service, weight)| Share {
+            service: service.into(),
+            weight,
+        })
+        .to_vec();
+    let table = table(&[split]);
+    let resolved = table.find("a", "/").expect("it takes all");
+    let mut counts = BTreeMap::new();
+    for draw in 0..1_000 {
+        *counts.entry(resolved.service(draw).clone()).or_insert(0) += 1;
+    }
+    assert_eq!(counts["old"], 900);
+    assert_eq!(counts["new"], 100);
+}
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -26,7 +26,7 @@
 
 pub use cold_start::{ColdStart, Standing, Step};
 pub use collect::{Hold, Holdings, Refusal};
-pub use poller::{PollOutcome, Poller};
+pub use poller::{PollOutcome, PollRole, Poller};
 pub use quarantine::{Quarantined, Reason};
 pub use repair::{Pull, Repair, Source};
 pub use replica::{Offer, Replica};
--- a/crates/distribution/src/poller.rs
+++ b/crates/distribution/src/poller.rs
@@ -34,10 +34,14 @@
     Failed,
 }
 
+/// What a daemon has to do with the platform's newest version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Role {
+pub enum PollRole {
+    /// Others tell it.
     Idle,
+    /// It asks for its zone.
     Poller,
+    /// Nobody has told it for too long, so it asks for itself.
     OnOwnBehalf,
 }
 
@@ -49,7 +53,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Poller {
     rng: Xoshiro256PlusPlus,
-    role: Role,
+    role: PollRole,
     next: Time,
     under_way: bool,
     failures: u32,
@@ -61,7 +65,7 @@
     pub fn new(seed: u64) -> Self {
         Self {
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
-            role: Role::Idle,
+            role: PollRole::Idle,
             next: Time::ZERO,
             under_way: false,
             failures: 0,
@@ -71,7 +75,7 @@
     /// Whether this daemon was one of its zone's pollers at the last tick.
     #[must_use]
     pub fn is_poller(&self) -> bool {
-        self.role == Role::Poller
+        self.role == PollRole::Poller
     }
 
     /// Whether to read the head now. `zone` are the live members of the own
@@ -85,13 +89,13 @@
         fleet: usize,
         head_age: Option<Time>,
     ) -> bool {
-        let role = role(me, zone, head_age);
+        let role = PollRole::of(me, zone, head_age, SILENCE);
         if role != self.role {
             self.role = role;
             let wait = self.next_wait(fleet);
             self.next = now + wait;
         }
-        let is_due = role != Role::Idle && !self.under_way && self.next <= now;
+        let is_due = role != PollRole::Idle && !self.under_way && self.next <= now;
         if is_due {
             self.under_way = true;
             let wait = self.next_wait(fleet);
@@ -112,13 +116,13 @@
 
     fn next_wait(&mut self, fleet: usize) -> Time {
         match self.role {
-            Role::Idle => Time::ZERO,
-            Role::Poller if self.failures == 0 => INTERVAL,
-            Role::Poller => {
+            PollRole::Idle => Time::ZERO,
+            PollRole::Poller if self.failures == 0 => INTERVAL,
+            PollRole::Poller => {
                 let bound = backoff(INTERVAL, self.failures, MAX_BACKOFF);
                 INTERVAL / 2 + full_jitter(&mut self.rng, bound)
             }
-            Role::OnOwnBehalf => self.own_wait(fleet),
+            PollRole::OnOwnBehalf => self.own_wait(fleet),
         }
     }
 
@@ -131,17 +135,23 @@
     }
 }
 
-fn role(me: MemberKey, zone: &[MemberKey], head_age: Option<Time>) -> Role {
-    let weight = rendezvous(POLLER_SEED, me);
-    let before = zone
-        .iter()
-        .filter(|key| **key != me && rendezvous(POLLER_SEED, **key) < weight)
-        .count();
-    if before < POLLERS {
-        return Role::Poller;
-    }
-    if head_age.is_none_or(|age| age > SILENCE) {
-        return Role::OnOwnBehalf;
+impl PollRole {
+    /// The role of `me` among the live members of its zone. `head_age` is the
+    /// time since anyone that it heard of asked with success, and `silence` the
+    /// age from which it asks for itself.
+    #[must_use]
+    pub fn of(me: MemberKey, zone: &[MemberKey], head_age: Option<Time>, silence: Time) -> Self {
+        let weight = rendezvous(POLLER_SEED, me);
+        let before = zone
+            .iter()
+            .filter(|key| **key != me && rendezvous(POLLER_SEED, **key) < weight)
+            .count();
+        if before < POLLERS {
+            return Self::Poller;
+        }
+        if head_age.is_none_or(|age| age > silence) {
+            return Self::OnOwnBehalf;
+        }
+        Self::Idle
     }
-    Role::Idle
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -15,6 +15,7 @@
 mod config;
 mod guard;
 mod hearing;
+mod local_target;
 mod machine;
 mod member;
 mod probe;
@@ -26,6 +27,7 @@
 
 pub use action::{Action, Input};
 pub use config::Config;
+pub use local_target::{Heard, Heartbeat, LocalTarget};
 pub use machine::Membership;
 pub use member::{
     Announced, Incarnation, Member, MemberKey, MemberState, Time, member_key, starting_incarnation,
--- a/crates/mesh/src/executor/upstream.rs
+++ b/crates/membership/src/local_target.rs
@@ -8,9 +8,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use stoatstep_calls::Time;
-use stoatstep_membership::Announced;
-use stoatstep_resource::{ServiceName, UpstreamName};
+use smol_str::SmolStr;
+
+use crate::member::{Announced, Time};
 
 /// Intervals without a heartbeat after which the target counts as gone. One may
 /// be lost and one be late by nearly two seconds.
@@ -24,9 +24,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
     /// Id of this life of the target.
-    pub upstream: UpstreamName,
+    pub upstream: SmolStr,
     /// Service that it runs.
-    pub service: ServiceName,
+    pub service: SmolStr,
     /// Calls that it runs at a time.
     pub slots: u32,
     /// Rises with each heartbeat of one life.
@@ -56,14 +56,16 @@
 
 /// The target beside this daemon, by its own words.
 #[derive(Clone, Debug)]
-pub(crate) struct LocalUpstream {
+pub struct LocalTarget {
     interval: Duration,
     present: Option<Life>,
     earlier: VecDeque<Life>,
 }
 
-impl LocalUpstream {
-    pub(crate) fn new(interval: Duration) -> Self {
+impl LocalTarget {
+    /// A target that was not heard of yet, and that is heard of each `interval`.
+    #[must_use]
+    pub fn new(interval: Duration) -> Self {
         Self {
             interval,
             present: None,
@@ -72,7 +74,7 @@
     }
 
     /// Takes in a heartbeat.
-    pub(crate) fn hear(&mut self, mut beat: Heartbeat, now: Time) -> Heard {
+    pub fn hear(&mut self, mut beat: Heartbeat, now: Time) -> Heard {
         if self
             .earlier
             .iter()
@@ -102,7 +104,7 @@
     }
 
     /// The life with this id said good-bye. It may still finish what it runs.
-    pub(crate) fn leave(&mut self, upstream: &str) {
+    pub fn leave(&mut self, upstream: &str) {
         let lives = self.present.iter_mut().chain(&mut self.earlier);
         for life in lives.filter(|it| it.beat.upstream == upstream) {
             life.left = true;
@@ -112,7 +114,7 @@
     /// The target itself answered under this id. A heartbeat that was held up
     /// until after a restart of this daemon looks like one of a newer life; the
     /// target's own answer shows that it was an older one.
-    pub(crate) fn answered_as(&mut self, upstream: &str) {
+    pub fn answered_as(&mut self, upstream: &str) {
         let is_present = |it: &Life| it.beat.upstream == upstream;
         if self.present.as_ref().is_some_and(is_present) {
             return;
@@ -125,19 +127,22 @@
     }
 
     /// The target, where it takes new calls.
-    pub(crate) fn admits(&self, now: Time) -> Option<&Heartbeat> {
+    #[must_use]
+    pub fn admits(&self, now: Time) -> Option<&Heartbeat> {
         let life = self.heard_lately(now)?;
         let takes = !life.left && !life.beat.draining;
         takes.then_some(&life.beat)
     }
 
     /// The service of the target, if one was ever heard of.
-    pub(crate) fn service(&self) -> Option<&ServiceName> {
+    #[must_use]
+    pub fn service(&self) -> Option<&SmolStr> {
         self.present.as_ref().map(|it| &it.beat.service)
     }
 
     /// What peers are told.
-    pub(crate) fn announced(&self, now: Time) -> Option<Announced> {
+    #[must_use]
+    pub fn announced(&self, now: Time) -> Option<Announced> {
         let life = self.heard_lately(now)?;
         Some(Announced {
             upstream: life.beat.upstream.clone(),
--- a/crates/membership/tests/all/main.rs
+++ b/crates/membership/tests/all/main.rs
@@ -3,4 +3,5 @@
 mod codec;
 mod failures;
 mod fleet;
+mod local_target;
 mod merging;
--- a/crates/mesh/src/entry/call.rs
+++ b/crates/mesh/src/entry/call.rs
@@ -22,6 +22,10 @@
 /// Pause asked for by a daemon that has no configuration yet.
 const NOT_READY_RETRY: Duration = Duration::from_millis(250);
 
+/// Pause asked for by a daemon that is about to end. Other daemons are there at
+/// once, but the caller has to notice that this one is not ready.
+const DRAINING_RETRY: Duration = Duration::from_millis(100);
+
 /// Rank of calls whose policy states none: after those that have one.
 const LEAST_PRIORITY: u8 = u8::MAX;
 
@@ -47,6 +51,9 @@
             return Err(Refusal::permanent(Reason::BadRequest));
         };
         let deadline = Deadline::after(time_left(node, req, &route), now);
+        if !node.departure.get().takes(deadline.expires(), now) {
+            return Err(Refusal::retry(Reason::Draining, DRAINING_RETRY));
+        }
         let body = read_body(req.take_payload(), MAX_BODY).await;
         let body = body.map_err(|err| match err {
             BodyError::TooLarge => Refusal::permanent(Reason::TooLarge),
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -66,7 +66,7 @@
 /// runs for it is cancelled.
 pub(crate) async fn handle(node: &Rc<Node>, mut req: Request) -> Response {
     let _in_flight = InFlight::enter(node);
-    let is_last = node.draining.get();
+    let is_last = node.is_leaving();
     let call = match Call::read(node, &mut req).await {
         Ok(call) => call,
         Err(refusal) => {
@@ -75,5 +75,5 @@
         }
     };
     let end = carry::carry(node, &call).await;
-    respond::ended(&end, node.draining.get())
+    respond::ended(&end, node.is_leaving())
 }
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -7,7 +7,6 @@
 mod run;
 mod slot;
 mod target;
-mod upstream;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -16,10 +15,10 @@
 
 use rand::RngExt;
 use stoatstep_calls::{
-    Admission, AdmissionConfig, Arrival, AttemptId, Incarnation, Ledger, LedgerConfig, Reason,
-    Refusal, Settled, Ticket,
+    Admission, AdmissionConfig, Arrival, AttemptId, Deadline, Incarnation, Ledger, LedgerConfig,
+    Reason, Refusal, Settled, Ticket,
 };
-use stoatstep_membership::Announced;
+use stoatstep_membership::{Announced, Heard, Heartbeat, LocalTarget};
 use stoatstep_resource::ServiceName;
 use tokio::sync::oneshot;
 
@@ -28,9 +27,6 @@
 use crate::node::Node;
 use crate::wire::{Attempt, End, Ran, WireSettled};
 use target::Target;
-use upstream::LocalUpstream;
-
-pub use upstream::{Heard, Heartbeat};
 
 /// Slots of the target until it has said how many it has.
 const SLOTS_UNKNOWN: u32 = 1;
@@ -60,7 +56,7 @@
     admission: Admission,
     waiting: HashMap<AttemptId, oneshot::Sender<Result<(), Refusal>>>,
     runs: BTreeMap<AttemptId, Run>,
-    upstream: LocalUpstream,
+    upstream: LocalTarget,
 }
 
 /// A run that goes on.
@@ -83,7 +79,7 @@
             admission: Admission::new(AdmissionConfig::for_slots(SLOTS_UNKNOWN)),
             waiting: HashMap::new(),
             runs: BTreeMap::new(),
-            upstream: LocalUpstream::new(cfg.heartbeat),
+            upstream: LocalTarget::new(cfg.heartbeat),
         };
         Self {
             tables: RefCell::new(tables),
@@ -162,7 +158,8 @@
     let present = tables.upstream.admits(now);
     let is_meant = present
         .is_some_and(|it| it.upstream == attempt.upstream && it.service == attempt.call.service);
-    if !is_meant {
+    let expires = Deadline::after(attempt.left, now).expires();
+    if !is_meant || !node.departure.get().takes(expires, now) {
         let refusal = Refusal::retry(Reason::Draining, DRAINING_RETRY);
         return Err(End::Refused(refusal));
     }
--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use stoatstep_distribution::Mark;
-use stoatstep_membership::Input;
+use stoatstep_distribution::{Mark, PollRole};
+use stoatstep_membership::{Input, MemberKey};
 use stoatstep_resource::State;
 use stoatstep_resource::wire::SnapshotWire;
 use tokio::time::timeout;
@@ -17,60 +17,95 @@
 use crate::node::Node;
 use crate::wire::{Ask, Reply};
 
-/// Longest wait for a change. The host's answer to an idle wait costs a call,
-/// and a lost connection is found sooner by its keep-alive and by peers.
-const WAIT: Duration = Duration::from_secs(20);
+/// Longest wait for a change. A wait that the host will never answer, since it
+/// lost the connection or was away, looks like one without a change: this bounds
+/// for how long a daemon may miss changes after the host is back.
+const WAIT: Duration = Duration::from_secs(2);
 
 /// Time for an answer beyond the wait.
-const ANSWER_BOUND: Duration = Duration::from_secs(2);
+const ANSWER_BOUND: Duration = Duration::from_secs(1);
+
+/// Time without word of the host's newest version from which a daemon asks for
+/// itself. Two failed waits of the daemons that ask for the zone.
+const SILENCE: Duration = Duration::from_secs(5);
+
+/// Pause between two questions of a daemon that asks for itself, and how often
+/// one that needn't looks whether it has to.
+const OWN_PAUSE: Duration = Duration::from_secs(1);
+const IDLE_PAUSE: Duration = Duration::from_millis(500);
 
 /// Pause after a change. Changes in quick succession are then fetched a few at a
 /// time, and still come into force well within two seconds.
 const GAP: Duration = Duration::from_millis(500);
 
 /// First pause after a failure; it doubles up to the longest one.
-const FIRST_PAUSE: Duration = Duration::from_millis(250);
-const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
-/// Head start of the host's own answer over a pull from a peer.
+/// Head start of the host's own answer, and of peers in the own zone, over a pull
+/// from a peer in another zone: bytes between zones are dear.
 const PULL_AFTER: Duration = Duration::from_millis(400);
 
 /// Time for a whole state from a peer.
 const PULL_BOUND: Duration = Duration::from_secs(2);
 
 /// Follows the host's configuration until the process ends.
+///
+/// Two daemons of each zone wait for changes and tell the others; see
+/// [`PollRole`]. A daemon that has nothing yet asks at once, whatever its role.
 pub(crate) async fn run<H: Host>(node: Rc<Node>, host: Rc<H>) {
     let mut cursor = None;
-    let mut pause = FIRST_PAUSE;
+    let mut failures: u32 = 0;
     loop {
+        let role = role(&node);
+        if role == PollRole::Idle && node.fleet.in_force().is_some() {
+            cursor = None;
+            tokio::time::sleep(IDLE_PAUSE).await;
+            continue;
+        }
         let asked = tokio::select! {
             asked = ask(&*host, cursor) => asked,
             // Changes were missed, and the connection may be gone.
             () = node.fleet.woke.notified() => Err(HostError::HistoryLost),
         };
-        match asked {
+        let pause = match asked {
             Ok(update) => {
-                cursor = Some(update.cursor);
-                pause = FIRST_PAUSE;
-                if let Some(state) = update.state {
-                    offer(&node, state, "host");
-                    tokio::time::sleep(GAP).await;
+                cursor = (role == PollRole::Poller).then_some(update.cursor);
+                failures = 0;
+                gossip::input(&node, Input::HeadRead);
+                let changed = update
+                    .state
+                    .is_some_and(|it| offer(&node, it, Source::Host));
+                match (changed, role) {
+                    (true, _) => GAP,
+                    (false, PollRole::Poller) => Duration::ZERO,
+                    (false, _) => OWN_PAUSE,
                 }
             }
-            Err(HostError::HistoryLost) => cursor = None,
             Err(err) => {
-                slog::warn!(node.log, "configuration not read"; "error" => %err);
-                if matches!(err, HostError::Malformed(_)) {
-                    cursor = None;
+                if err != HostError::HistoryLost {
+                    slog::warn!(node.log, "configuration not read"; "error" => %err);
                 }
+                // Read anew, which is answered at once or not at all.
+                cursor = None;
+                failures += 1;
+                let bound = FIRST_PAUSE * (1 << failures.min(8));
                 let share = rand::rng().random_range(0.5..1.5);
-                tokio::time::sleep(pause.mul_f64(share)).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
+                bound.min(LONGEST_PAUSE).mul_f64(share)
             }
-        }
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
+fn role(node: &Node) -> PollRole {
+    let membership = node.fleet.membership.borrow();
+    let zone = membership.table().in_zone(&node.cfg.zone);
+    let zone: Vec<_> = zone.map(|(key, _)| key).collect();
+    let head_age = membership.head_age(node.clock.now());
+    PollRole::of(membership.me(), &zone, head_age, SILENCE)
+}
+
 async fn ask<H: Host>(host: &H, cursor: Option<Cursor>) -> Result<Update, HostError> {
     let asked = match cursor {
         None => timeout(ANSWER_BOUND, host.configuration()).await,
@@ -79,25 +114,36 @@
     asked.unwrap_or_else(|_| Err(HostError::Unavailable("no answer in time".into())))
 }
 
+/// Who a configuration came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    Host,
+    Peer,
+}
+
 /// Puts a state in force if it is newer than the one that is, and whole. Going
-/// back would show callers a route that was removed.
-fn offer(node: &Rc<Node>, state: State, source: &'static str) {
-    let held = node.fleet.in_force().map_or(0, |it| it.version());
+/// back would show callers a route that was removed. Returns whether it did.
+fn offer(node: &Rc<Node>, state: State, source: Source) -> bool {
+    let held = held(node).version;
     let version = state.version();
     if version <= held {
-        return;
+        return false;
     }
     if let Err(err) = state.check_references() {
         slog::error!(node.log, "configuration refused";
-            "version" => version, "held" => held, "source" => source, "error" => %err);
-        return;
+            "version" => version, "held" => held, "source" => ?source, "error" => %err);
+        return false;
     }
     let in_force = InForce::new(state);
     let mark = in_force.mark;
     *node.fleet.in_force.borrow_mut() = Some(Rc::new(in_force));
     slog::info!(node.log, "configuration in force";
-        "version" => version, "before" => held, "source" => source);
+        "version" => version, "before" => held, "source" => ?source);
     gossip::input(node, Input::Holds(mark));
+    if source == Source::Host {
+        gossip::tell_all(node);
+    }
+    true
 }
 
 /// The configuration for a peer that holds an older one.
@@ -106,21 +152,22 @@
     (held.version() > theirs.version).then(|| SnapshotWire::from(&*held.state))
 }
 
-/// A peer said what it holds. Where it is newer, the host has most likely told
-/// this daemon as well; if it can't, the peer is asked.
-pub(crate) fn peer_holds(node: &Rc<Node>, addr: SocketAddr, theirs: Mark) {
-    if theirs.version <= held(node).version || node.fleet.is_pulling.replace(true) {
+/// A peer said what it holds. Where it is newer, the peer is asked: at once if it
+/// is of the own zone, and otherwise only if nobody nearer has told in a while.
+pub(crate) fn peer_holds(node: &Rc<Node>, peer: MemberKey, addr: SocketAddr, theirs: Mark) {
+    if theirs.version <= held(node).version || node.fleet.is_pulling.get() {
         return;
     }
+    let is_near = node.fleet.is_in_own_zone(peer);
     let node = Rc::clone(node);
     ntex::rt::spawn(async move {
-        if node.fleet.in_force().is_some() {
+        if !is_near && node.fleet.in_force().is_some() {
             tokio::time::sleep(PULL_AFTER).await;
         }
-        if theirs.version > held(&node).version {
+        if theirs.version > held(&node).version && !node.fleet.is_pulling.replace(true) {
             pull(&node, addr).await;
+            node.fleet.is_pulling.set(false);
         }
-        node.fleet.is_pulling.set(false);
     });
 }
 
@@ -135,7 +182,9 @@
         return;
     };
     match State::try_from(snapshot) {
-        Ok(state) => offer(node, state, "peer"),
+        Ok(state) => {
+            offer(node, state, Source::Peer);
+        }
         Err(err) => slog::error!(node.log, "a peer's configuration is broken"; "error" => %err),
     }
 }
--- a/crates/mesh/src/fleet/gossip.rs
+++ b/crates/mesh/src/fleet/gossip.rs
@@ -46,6 +46,23 @@
     input(node, Input::TargetAnnounced(announced));
 }
 
+/// Tells every peer at once what this daemon holds. The regular exchanges would
+/// take seconds to reach all of them.
+pub(crate) fn tell_all(node: &Rc<Node>) {
+    let now = node.clock.now();
+    let membership = node.fleet.membership.borrow();
+    let me = membership.me();
+    for (peer, entry) in membership.table().present().filter(|(key, _)| *key != me) {
+        let addr = entry.member.peer;
+        let message = membership.probe_message(now, peer);
+        let node = Rc::clone(node);
+        ntex::rt::spawn(async move {
+            // Whoever misses it hears of it in the regular exchanges.
+            say(&node, addr, message).await;
+        });
+    }
+}
+
 /// Answers one message of another daemon.
 pub(crate) async fn answer(node: &Rc<Node>, message: GossipRequest) -> GossipReply {
     match message {
@@ -81,7 +98,9 @@
             Action::PullTable { addr, zones } => {
                 ntex::rt::spawn(pull_table(Rc::clone(node), addr, zones));
             }
-            Action::PeerHolds { addr, mark, .. } => configuration::peer_holds(node, addr, mark),
+            Action::PeerHolds {
+                peer, addr, mark, ..
+            } => configuration::peer_holds(node, peer, addr, mark),
             Action::Changed(_) => is_changed = true,
             Action::Forgotten { instance, .. } => {
                 node.fleet.forgotten.borrow_mut().push(instance);
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -11,7 +11,9 @@
 use std::rc::Rc;
 
 use stoatstep_calls::{Candidate, CandidateState};
-use stoatstep_membership::{Config, Entry, Member, MemberState, Membership, starting_incarnation};
+use stoatstep_membership::{
+    Config, Entry, Member, MemberKey, MemberState, Membership, starting_incarnation,
+};
 use stoatstep_resource::{InstanceId, ServiceName, UpstreamName};
 use tokio::sync::Notify;
 
@@ -66,6 +68,14 @@
         self.places.borrow().get(upstream).copied()
     }
 
+    /// Whether a member is of this daemon's own zone.
+    fn is_in_own_zone(&self, key: MemberKey) -> bool {
+        let membership = self.membership.borrow();
+        let zone = &membership.own().member.zone;
+        let entry = membership.table().get(key);
+        entry.is_some_and(|it| it.member.zone == *zone)
+    }
+
     /// Daemons that take part, this one included.
     pub(crate) fn size(&self) -> usize {
         self.membership.borrow().table().present().count()
--- a/crates/mesh/src/fleet/roster.rs
+++ b/crates/mesh/src/fleet/roster.rs
@@ -36,7 +36,7 @@
         looks: 0,
         due: node.clock.now(),
     };
-    while !node.draining.get() {
+    while !node.is_leaving() {
         if node.clock.now() >= roster.due {
             let pause = roster.step().await;
             let share = rand::rng().random_range(0.75..1.25);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -31,6 +31,6 @@
 
 pub use config::{Addresses, MeshConfig};
 pub use dialect::Dialect;
-pub use executor::{Heard, Heartbeat};
 pub use host::{Cursor, Host, HostError, Update};
 pub use node::Mesh;
+pub use stoatstep_membership::{Heard, Heartbeat};
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -12,12 +12,14 @@
 use crate::clock::Clock;
 use crate::config::MeshConfig;
 use crate::entry::{self, Entry};
-use crate::executor::{self, Executor, Heard, Heartbeat};
+use crate::executor::{self, Executor};
 use crate::fleet::{self, Fleet};
 use crate::host::Host;
 use crate::link::{self, Links};
 use crate::{drain, fleet::gossip};
+use stoatstep_calls::Departure;
 use stoatstep_http::Server;
+use stoatstep_membership::{Heard, Heartbeat};
 
 /// Interval of the periodic work. Membership counts its time in it.
 const TICK: Duration = Duration::from_millis(250);
@@ -33,7 +35,14 @@
     pub(crate) executor: Executor,
     pub(crate) fleet: Fleet,
     pub(crate) in_flight: Cell<u32>,
-    pub(crate) draining: Cell<bool>,
+    pub(crate) departure: Cell<Departure>,
+}
+
+impl Node {
+    /// Whether this daemon was told to stop.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.departure.get().has_begun()
+    }
 }
 
 /// A running daemon, as the adapter of its host sees it.
@@ -56,7 +65,7 @@
             executor: Executor::new(&cfg, clock),
             fleet: Fleet::new(&cfg),
             in_flight: Cell::new(0),
-            draining: Cell::new(false),
+            departure: Cell::new(Departure::new(cfg.grace)),
             cfg,
             log,
             clock,
@@ -92,7 +101,7 @@
     /// daemon is not about to stop.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.0.fleet.in_force().is_some() && !self.0.draining.get()
+        self.0.fleet.in_force().is_some() && !self.0.is_leaving()
     }
 
     /// Stops gracefully; the process may end when this does.
