Take calls by rank and objective, and place them by the time to an answer

Queue refuses a call at once that would spend more than 0.3 of the time to its objective waiting; ranks go first, then calls still in time. Placement compares the time to an answer from reported occupancy and mean run times, stays in the zone unless another one saves a quarter of the objective, and ejects by the share of failures. Ruled out: a longer queue for callers that come back (they are late already, and each pushes one out that is in time).

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -10,9 +10,9 @@
 //! The two sides of a call are the *entry* (the daemon that took it from the
 //! caller) and the *executor* (the daemon on the target's own instance):
 //!
-//! * the entry uses [`RouteTable`], [`Router`], [`RetryBudget`], [`Backoff`], [`Deadline`] and
+//! * the entry uses [`RouteTable`], [`Router`] or [`Placement`], [`RetryBudget`], [`Backoff`], [`Deadline`] and
 //!   [`Silence`];
-//! * the executor uses [`Admission`], [`Ledger`], [`IntentTable`], [`Drain`] and [`Departure`].
+//! * the executor uses [`Admission`] or [`Queue`], [`Ledger`], [`IntentTable`], [`Drain`] and [`Departure`].
 //!
 //! The reasons are in `docs/design/calls.md` and `docs/design/at-most-once.md`.
 
@@ -26,6 +26,8 @@
 mod ids;
 mod intent;
 mod ledger;
+mod placement;
+mod queue;
 mod refusal;
 mod retry;
 mod router;
@@ -46,6 +48,8 @@
     set_id,
 };
 pub use ledger::{Arrival, Ledger, LedgerConfig, Settled, Ticket};
+pub use placement::{Placement, Seen};
+pub use queue::{Occupancy, Queue, QueueAsk};
 pub use refusal::{Outcome, Reason, Refusal};
 pub use retry::{Attempts, Backoff, RetryBudget, Settlement, may_retry};
 pub use router::{Candidate, CandidateState, Pick, Report, Router};
--- /dev/null
+++ b/crates/calls/src/placement.rs
@@ -0,0 +1,189 @@
+//! Which target takes a call, by the time to its answer.
+//!
+//! Every executor's answers say how occupied it is and how long its runs take.
+//! From that, and from what this entry has sent since, follows the time that an
+//! answer from it would take. The targets of a service differ in speed by
+//! several times, so an equal share for each makes the slow ones queue while the
+//! fast ones idle.
+//!
+//! Calls stay in the availability zone of their entry as long as another one
+//! would not answer much sooner: bytes between zones are dear, and a wait that
+//! still meets the latency objective costs the caller nothing.
+
+mod row;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+use stoatstep_resource::{ServiceName, UpstreamName, ZoneName};
+
+use crate::ids::Time;
+use crate::queue::Occupancy;
+use crate::router::{Candidate, Pick};
+use row::Row;
+
+/// Share of the time to the objective that another zone has to save before a
+/// call goes there.
+const SPILL_SHARE: f64 = 0.25;
+
+/// Candidates of a zone that are looked at. The best of all would draw every
+/// entry to the same target until its next answer.
+const SAMPLES: usize = 2;
+
+/// How an attempt ended, as far as it tells about the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Seen {
+    /// It answered.
+    Answered,
+    /// It is too occupied.
+    Full,
+    /// It answered with a failure, broke the connection or fell silent.
+    Failed,
+    /// It refused because it is leaving.
+    Leaving,
+    /// Nothing: the attempt ended for reasons of the caller's.
+    Nothing,
+}
+
+/// Tables of the targets of every service, as one entry sees them.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    zone: ZoneName,
+    services: BTreeMap<ServiceName, BTreeMap<UpstreamName, Row>>,
+}
+
+impl Placement {
+    /// For an entry in `zone`.
+    #[must_use]
+    pub fn new(zone: ZoneName) -> Self {
+        let services = BTreeMap::new();
+        Self { zone, services }
+    }
+
+    /// Replaces the candidates of a service. What was seen of those that stay is
+    /// kept.
+    pub fn set_candidates(&mut self, service: &ServiceName, list: &[Candidate], now: Time) {
+        let rows = self.services.entry(service.clone()).or_default();
+        rows.retain(|name, _| list.iter().any(|it| it.upstream == *name));
+        for candidate in list {
+            rows.entry(candidate.upstream.clone())
+                .or_insert_with(|| Row::new(candidate, now))
+                .update(candidate, now);
+        }
+    }
+
+    /// Forgets services that are not in `keep`.
+    pub fn retain_services(&mut self, keep: impl Fn(&ServiceName) -> bool) {
+        self.services.retain(|name, _| keep(name));
+    }
+
+    /// Chooses a target, none of `tried`, for a call that has `objective` left
+    /// to meet its latency objective. `None` where no one is left.
+    pub fn pick(
+        &self,
+        service: &ServiceName,
+        tried: &[UpstreamName],
+        objective: Duration,
+        now: Time,
+        rng: &mut dyn Rng,
+    ) -> Option<Pick> {
+        let rows = self.services.get(service)?;
+        let open = |row: &&Row| !row.is_leaving(now) && !tried.contains(&row.name);
+        let open: Vec<&Row> = rows.values().filter(open).collect();
+        let sound = |row: &&&Row| row.is_sound(now);
+        let sound: Vec<&Row> = open.iter().filter(sound).copied().collect();
+        // What is believed of all of them may be wrong, and must not stop the
+        // service: with no sound candidate left, the doubtful ones are tried.
+        let from = if sound.is_empty() { &open } else { &sound };
+        let chosen = self.choose(from, objective, now, rng)?;
+        Some(Pick {
+            upstream: chosen.name.clone(),
+            spilled: chosen.zone != self.zone,
+        })
+    }
+
+    fn choose<'a>(
+        &self,
+        from: &[&'a Row],
+        objective: Duration,
+        now: Time,
+        rng: &mut dyn Rng,
+    ) -> Option<&'a Row> {
+        let own = |row: &&Row| row.zone == self.zone;
+        let (near, far): (Vec<&Row>, Vec<&Row>) = from.iter().copied().partition(own);
+        let typical = typical_service(from, now);
+        let Some(near) = soonest(&near, typical, now, rng) else {
+            return soonest(&far, typical, now, rng);
+        };
+        let Some(far) = soonest(&far, typical, now, rng) else {
+            return Some(near);
+        };
+        let saved = near.time_to_answer(typical, now);
+        let saved = saved.saturating_sub(far.time_to_answer(typical, now));
+        let spills = saved > objective.mul_f64(SPILL_SHARE);
+        Some(if spills { far } else { near })
+    }
+
+    /// An attempt was sent.
+    pub fn started(&mut self, service: &ServiceName, upstream: &UpstreamName) {
+        if let Some(row) = self.row(service, upstream) {
+            row.started();
+        }
+    }
+
+    /// An attempt ended; `occupancy` is what the executor's answer said of it.
+    pub fn finished(
+        &mut self,
+        service: &ServiceName,
+        upstream: &UpstreamName,
+        seen: Seen,
+        occupancy: Option<Occupancy>,
+        now: Time,
+    ) {
+        let Some(rows) = self.services.get_mut(service) else {
+            return;
+        };
+        let may_eject = row::may_eject(rows.values(), now);
+        if let Some(row) = rows.get_mut(upstream) {
+            row.finished(seen, occupancy, may_eject, now);
+        }
+    }
+
+    /// Targets of a service that are ejected now.
+    #[must_use]
+    pub fn ejected(&self, service: &ServiceName, now: Time) -> Vec<UpstreamName> {
+        let rows = self.services.get(service).into_iter();
+        let rows = rows.flat_map(|it| it.values());
+        let ejected = rows.filter(|row| row.is_ejected(now));
+        ejected.map(|row| row.name.clone()).collect()
+    }
+
+    fn row(&mut self, service: &ServiceName, upstream: &UpstreamName) -> Option<&mut Row> {
+        self.services.get_mut(service)?.get_mut(upstream)
+    }
+}
+
+/// What a run takes at a target of which nothing recent is known: the mean of
+/// the others.
+fn typical_service(rows: &[&Row], now: Time) -> Duration {
+    let known: Vec<Duration> = rows.iter().filter_map(|it| it.service(now)).collect();
+    let sum: Duration = known.iter().sum();
+    sum / u32::try_from(known.len().max(1)).unwrap_or(1)
+}
+
+/// The one of a few random candidates that would answer soonest.
+fn soonest<'a>(
+    rows: &[&'a Row],
+    typical: Duration,
+    now: Time,
+    rng: &mut dyn Rng,
+) -> Option<&'a Row> {
+    let first = (!rows.is_empty()).then(|| rng.random_range(0..rows.len()))?;
+    let step = match rows.len() {
+        1 => 0,
+        len => rng.random_range(1..len),
+    };
+    let sampled = (0..SAMPLES).map(|it| rows[(first + it * step) % rows.len()]);
+    sampled.min_by_key(|row| row.time_to_answer(typical, now))
+}
--- a/crates/calls/tests/all/main.rs
+++ b/crates/calls/tests/all/main.rs
@@ -5,6 +5,8 @@
 mod homes;
 mod intent;
 mod ledger;
+mod placement;
+mod queue;
 mod retry;
 mod router;
 mod routes;
--- /dev/null
+++ b/crates/calls/tests/all/placement.rs
@@ -0,0 +1,182 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+use stoatstep_calls::{Candidate, CandidateState, Occupancy, Placement, Seen};
+use stoatstep_resource::{ServiceName, UpstreamName};
+
+const MS: Duration = Duration::from_millis(1);
+const OBJECTIVE: Duration = Duration::from_millis(250);
+const NOW: Duration = Duration::from_secs(10);
+
+fn service() -> ServiceName {
+    "floatdesk".into()
+}
+
+fn candidate(name: &str, zone: &str) -> Candidate {
+    Candidate {
+        upstream: name.into(),
+        zone: zone.into(),
+        incarnation: 1,
+        state: CandidateState::Ready,
+        slots: 10,
+    }
+}
+
+struct Entry {
+    placement: Placement,
+    rng: Xoshiro256PlusPlus,
+}
+
+impl Entry {
+    /// An entry in zone "a" that knows these targets.
+    fn new(list: &[Candidate]) -> Self {
+        let mut placement = Placement::new("a".into());
+        placement.set_candidates(&service(), list, Duration::ZERO);
+        Self {
+            placement,
+            rng: Xoshiro256PlusPlus::seed_from_u64(1),
+        }
+    }
+
+    fn pick(&mut self, tried: &[UpstreamName], now: Duration) -> Option<UpstreamName> {
+        let rng = &mut self.rng;
+        let picked = self.placement.pick(&service(), tried, OBJECTIVE, now, rng);
+        picked.map(|it| it.upstream)
+    }
+
+    fn saw(&mut self, name: &str, seen: Seen, occupancy: Option<Occupancy>, now: Duration) {
+        let name = UpstreamName::new(name);
+        self.placement.started(&service(), &name);
+        self.placement
+            .finished(&service(), &name, seen, occupancy, now);
+    }
+
+    fn shares(&mut self, now: Duration) -> BTreeMap<UpstreamName, u32> {
+        let mut shares = BTreeMap::new();
+        for _ in 0..1_000 {
+            let name = self.pick(&[], now).expect("somebody is there");
+            *shares.entry(name).or_default() += 1;
+        }
+        shares
+    }
+}
+
+fn occupied(running: u32, queued: u32, service_ms: u32) -> Option<Occupancy> {
+    Some(Occupancy {
+        running,
+        queued,
+        slots: 10,
+        service: MS * service_ms,
+    })
+}
+
+#[test]
+fn calls_stay_in_the_zone_while_it_answers_about_as_soon() {
+    let mut entry = Entry::new(&[candidate("near", "a"), candidate("far", "b")]);
+    entry.saw("near", Seen::Answered, occupied(10, 3, 100), NOW);
+    entry.saw("far", Seen::Answered, occupied(0, 0, 80), NOW);
+    assert_eq!(entry.shares(NOW).get("far"), None);
+}
+
+/// The target of the own zone has ten calls in its queue: a wait of 100 ms, of
+/// the 250 ms that the caller's answer may take. Another zone has free slots.
+#[test]
+fn calls_leave_the_zone_where_another_one_answers_much_sooner() {
+    let mut entry = Entry::new(&[candidate("near", "a"), candidate("far", "b")]);
+    entry.saw("near", Seen::Answered, occupied(10, 10, 100), NOW);
+    entry.saw("far", Seen::Answered, occupied(0, 0, 100), NOW);
+    assert_eq!(entry.shares(NOW).get("near"), None);
+}
+
+#[test]
+fn a_slow_target_gets_calls_once_the_fast_ones_are_busy() {
+    let mut entry = Entry::new(&[candidate("fast", "a"), candidate("slow", "a")]);
+    entry.saw("fast", Seen::Answered, occupied(2, 0, 60), NOW);
+    entry.saw("slow", Seen::Answered, occupied(2, 0, 140), NOW);
+    assert_eq!(entry.shares(NOW).get("slow"), None);
+    entry.saw("fast", Seen::Answered, occupied(10, 20, 60), NOW);
+    assert_eq!(entry.shares(NOW).get("fast"), None);
+}
+
+/// Reports say how things stood a moment ago. Without what was sent since, every
+/// call until the next report would go to the same target.
+#[test]
+fn what_was_sent_since_the_last_report_counts() {
+    let mut entry = Entry::new(&[candidate("one", "a"), candidate("two", "a")]);
+    entry.saw("one", Seen::Answered, occupied(8, 0, 100), NOW);
+    entry.saw("two", Seen::Answered, occupied(9, 0, 100), NOW);
+    let mut sent: BTreeMap<UpstreamName, u32> = BTreeMap::new();
+    for _ in 0..40 {
+        let name = entry.pick(&[], NOW).expect("somebody is there");
+        entry.placement.started(&service(), &name);
+        *sent.entry(name).or_default() += 1;
+    }
+    assert!(sent.values().all(|it| *it > 15), "{sent:?}");
+}
+
+#[test]
+fn a_target_that_was_slow_is_tried_again_after_a_while() {
+    let mut entry = Entry::new(&[candidate("one", "a"), candidate("two", "a")]);
+    entry.saw("one", Seen::Answered, occupied(0, 0, 100), NOW);
+    entry.saw("two", Seen::Answered, occupied(0, 0, 900), NOW);
+    assert_eq!(entry.shares(NOW).get("two"), None);
+    let later = NOW + Duration::from_secs(4);
+    entry.saw("one", Seen::Answered, occupied(0, 0, 100), later);
+    assert!(entry.shares(later).contains_key("two"));
+}
+
+/// Every other answer of the target is a failure, while it calls itself healthy.
+#[test]
+fn a_target_that_fails_every_other_call_is_ejected_within_a_few() {
+    let list = ["one", "two", "three"].map(|name| candidate(name, "a"));
+    let mut entry = Entry::new(&list);
+    let mut calls = 0;
+    while entry.placement.ejected(&service(), NOW).is_empty() {
+        entry.saw("two", Seen::Failed, None, NOW);
+        entry.saw("two", Seen::Answered, None, NOW);
+        calls += 2;
+        assert!(calls < 30, "not ejected");
+    }
+    assert_eq!(entry.shares(NOW).get("two"), None);
+    let later = NOW + Duration::from_secs(5);
+    assert!(entry.shares(later).contains_key("two"), "tried again");
+}
+
+#[test]
+fn single_failures_eject_nobody() {
+    let list = ["one", "two"].map(|name| candidate(name, "a"));
+    let mut entry = Entry::new(&list);
+    for _ in 0..50 {
+        entry.saw("two", Seen::Failed, None, NOW);
+        for _ in 0..9 {
+            entry.saw("two", Seen::Answered, None, NOW);
+        }
+    }
+    assert!(entry.placement.ejected(&service(), NOW).is_empty());
+}
+
+#[test]
+fn no_more_than_half_are_ejected_and_the_last_resort_is_tried() {
+    let list = ["one", "two"].map(|name| candidate(name, "a"));
+    let mut entry = Entry::new(&list);
+    for name in ["one", "two"] {
+        for _ in 0..20 {
+            entry.saw(name, Seen::Failed, None, NOW);
+        }
+    }
+    assert_eq!(entry.placement.ejected(&service(), NOW), ["one"]);
+    let tried = [UpstreamName::new("two")];
+    assert_eq!(entry.pick(&tried, NOW).as_deref(), Some("one"));
+}
+
+#[test]
+fn a_target_that_leaves_gets_nothing() {
+    let mut leaving = candidate("one", "a");
+    leaving.state = CandidateState::Leaving;
+    let mut entry = Entry::new(&[leaving, candidate("two", "b")]);
+    assert_eq!(entry.shares(NOW).get("one"), None);
+    entry.saw("two", Seen::Leaving, None, NOW);
+    assert_eq!(entry.pick(&[], NOW), None);
+}
--- /dev/null
+++ b/crates/calls/tests/all/queue.rs
@@ -0,0 +1,300 @@
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use stoatstep_calls::{AttemptId, Dispatch, Queue, QueueAsk, Reason, Verdict};
+
+const MS: Duration = Duration::from_millis(1);
+const SERVICE: Duration = Duration::from_millis(100);
+
+fn ms(ms: u32) -> Duration {
+    MS * ms
+}
+
+fn ask(attempt: AttemptId, rank: u8) -> QueueAsk {
+    QueueAsk {
+        attempt,
+        kind: "balances".into(),
+        rank,
+        objective: ms(300),
+        expires: ms(1_000),
+    }
+}
+
+/// A queue that knows that a run takes `SERVICE`, with every slot taken.
+fn full(slots: u32) -> Queue {
+    let mut queue = Queue::new(slots);
+    for slot in 0..slots {
+        let attempt = AttemptId::MAX - AttemptId::from(slot);
+        let (verdict, _) = queue.offer(ask(attempt, 0), Duration::ZERO);
+        assert_eq!(verdict, Verdict::Run);
+        queue.release(attempt, SERVICE);
+        queue.offer(ask(attempt, 0), Duration::ZERO);
+    }
+    queue
+}
+
+fn reason(verdict: Verdict) -> Option<Reason> {
+    match verdict {
+        Verdict::Refused(refusal) => Some(refusal.reason),
+        Verdict::Run | Verdict::Wait => None,
+    }
+}
+
+/// Ends the runs of a full queue one by one and gives the order of starts.
+fn starts(queue: &mut Queue, slots: u32, now: Duration) -> Vec<AttemptId> {
+    let mut running: Vec<_> = (0..slots)
+        .map(|slot| AttemptId::MAX - AttemptId::from(slot))
+        .collect();
+    let mut order = Vec::new();
+    while let Some(attempt) = running.pop() {
+        queue.release_unmeasured(attempt);
+        for dispatch in queue.next(now) {
+            if let Dispatch::Run(started) = dispatch {
+                order.push(started);
+                running.insert(0, started);
+            }
+        }
+    }
+    order
+}
+
+#[test]
+fn the_more_urgent_rank_goes_first_then_the_earlier_deadline() {
+    let mut queue = full(8);
+    let later = QueueAsk {
+        expires: ms(1_200),
+        ..ask(1, 1)
+    };
+    for ask in [later, ask(2, 2), ask(3, 1), ask(4, 0)] {
+        assert_eq!(queue.offer(ask, Duration::ZERO).0, Verdict::Wait);
+    }
+    assert_eq!(starts(&mut queue, 8, Duration::ZERO), [4, 3, 1, 2]);
+}
+
+/// A caller comes back after a refusal, past its objective: its answer is worth
+/// a third. Were it to go first for its earlier deadline, calls that are still
+/// in time would become late one after the other.
+#[test]
+fn a_call_that_is_late_already_goes_after_those_in_time() {
+    let mut queue = full(8);
+    let late = QueueAsk {
+        objective: Duration::ZERO,
+        expires: ms(500),
+        ..ask(1, 1)
+    };
+    assert_eq!(queue.offer(late, Duration::ZERO).0, Verdict::Wait);
+    assert_eq!(queue.offer(ask(2, 1), Duration::ZERO).0, Verdict::Wait);
+    assert_eq!(starts(&mut queue, 8, Duration::ZERO), [2, 1]);
+}
+
+/// With 4 slots of 100 ms each, the wait grows by 25 ms with each call in the
+/// queue. A call that would wait for more than its part of the 300 ms to its
+/// objective hears so at once, with the time after which there is room.
+#[test]
+fn a_call_that_would_wait_past_its_objective_is_refused_when_it_comes() {
+    let mut queue = full(4);
+    let verdicts: Vec<_> = (0..6)
+        .map(|attempt| queue.offer(ask(attempt, 0), Duration::ZERO).0)
+        .collect();
+    let waiting = verdicts.iter().filter(|it| **it == Verdict::Wait).count();
+    assert_eq!(waiting, 3);
+    let Verdict::Refused(refusal) = verdicts[5] else {
+        panic!("{:?}", verdicts[5]);
+    };
+    assert_eq!(refusal.reason, Reason::Overload);
+    assert_eq!(refusal.retry_after, Some(ms(100)));
+}
+
+/// More urgent calls keep coming. One that waits behind them has no chance any
+/// more; it is refused now, so that its caller can still do something else.
+#[test]
+fn a_call_that_is_crowded_out_is_refused_before_its_time_has_passed() {
+    let mut queue = full(1);
+    let patient = QueueAsk {
+        objective: Duration::ZERO,
+        expires: ms(350),
+        ..ask(1, 2)
+    };
+    assert_eq!(queue.offer(patient, Duration::ZERO).0, Verdict::Wait);
+    let urgent = |attempt| QueueAsk {
+        objective: ms(2_000),
+        expires: ms(3_000),
+        ..ask(attempt, 0)
+    };
+    assert_eq!(queue.offer(urgent(2), Duration::ZERO).1, []);
+    let (verdict, refused) = queue.offer(urgent(3), Duration::ZERO);
+    assert_eq!(verdict, Verdict::Wait);
+    assert!(matches!(refused[..], [Dispatch::Refused(1, _)]));
+}
+
+#[test]
+fn a_call_that_cannot_finish_is_refused_and_an_idle_executor_tries_it() {
+    let short = QueueAsk {
+        expires: ms(50),
+        ..ask(9, 0)
+    };
+    let mut queue = full(1);
+    let (verdict, _) = queue.offer(short.clone(), Duration::ZERO);
+    assert_eq!(reason(verdict), Some(Reason::Deadline));
+    queue.release_unmeasured(AttemptId::MAX);
+    assert_eq!(queue.offer(short, Duration::ZERO).0, Verdict::Run);
+}
+
+#[test]
+fn a_flush_refuses_all_that_waits_and_nothing_that_runs() {
+    let mut queue = full(2);
+    queue.offer(ask(1, 0), Duration::ZERO);
+    let refused = queue.flush(Reason::Draining);
+    assert!(matches!(refused[..], [Dispatch::Refused(1, _)]));
+    assert_eq!(queue.occupancy().running, 2);
+    assert_eq!(queue.occupancy().queued, 0);
+}
+
+/// What callers get in 20 s of 1.6 times the load that the target carries, runs
+/// of uneven length: answers within the objective, and later ones.
+#[derive(Debug, Default)]
+struct Outcome {
+    in_time: u32,
+    late: u32,
+    refused: u32,
+}
+
+struct Load {
+    rng: Xoshiro256PlusPlus,
+    slots: u32,
+}
+
+impl Load {
+    const OBJECTIVE: Duration = Duration::from_millis(300);
+    const DEADLINE: Duration = Duration::from_millis(1_000);
+
+    /// Between a fifth and three times the mean, most of them below it.
+    fn run_time(&mut self) -> Duration {
+        let draw: f64 = self.rng.random();
+        SERVICE.mul_f64(0.2 + 2.8 * draw * draw * draw * 1.14)
+    }
+
+    /// Plays the load. `admits` puts a call into the queue or not, and `next`
+    /// names the one that starts when a slot is free.
+    fn play(
+        &mut self,
+        mut admits: impl FnMut(AttemptId, Duration) -> Verdict,
+        mut next: impl FnMut(Option<AttemptId>, Duration) -> Vec<Dispatch>,
+    ) -> Outcome {
+        let gap = SERVICE / self.slots * 10 / 16;
+        let mut outcome = Outcome::default();
+        let mut ends: Vec<(Duration, AttemptId, Duration)> = Vec::new();
+        let mut arrivals = 0;
+        let mut now = Duration::ZERO;
+        while now < Duration::from_secs(20) {
+            now += MS;
+            let due: Vec<_> = ends.extract_if(.., |it| it.0 <= now).collect();
+            for (end, attempt, came) in due {
+                let took = end.saturating_sub(came);
+                if took <= Self::OBJECTIVE {
+                    outcome.in_time += 1;
+                } else if took <= Self::DEADLINE {
+                    outcome.late += 1;
+                }
+                for dispatch in next(Some(attempt), now) {
+                    self.take(dispatch, now, &mut ends, &mut outcome);
+                }
+            }
+            while gap * arrivals <= now {
+                let came = gap * arrivals;
+                arrivals += 1;
+                let attempt = came.as_nanos();
+                match admits(attempt, now) {
+                    Verdict::Run => ends.push((now + self.run_time(), attempt, came)),
+                    Verdict::Wait => {}
+                    Verdict::Refused(_) => outcome.refused += 1,
+                }
+            }
+        }
+        outcome
+    }
+
+    fn take(
+        &mut self,
+        dispatch: Dispatch,
+        now: Duration,
+        ends: &mut Vec<(Duration, AttemptId, Duration)>,
+        outcome: &mut Outcome,
+    ) {
+        match dispatch {
+            Dispatch::Run(attempt) => {
+                let nanos = u64::try_from(attempt).expect("a time of this run");
+                let came = Duration::from_nanos(nanos);
+                ends.push((now + self.run_time(), attempt, came));
+            }
+            Dispatch::Refused(..) => outcome.refused += 1,
+        }
+    }
+}
+
+fn load() -> Load {
+    Load {
+        rng: Xoshiro256PlusPlus::seed_from_u64(7),
+        slots: 13,
+    }
+}
+
+fn with_queue() -> Outcome {
+    let queue = std::cell::RefCell::new(Queue::new(13));
+    let offer = |attempt, now| {
+        let ask = QueueAsk {
+            objective: now + Load::OBJECTIVE,
+            expires: now + Load::DEADLINE,
+            ..ask(attempt, 0)
+        };
+        queue.borrow_mut().offer(ask, now).0
+    };
+    let next = |ended: Option<AttemptId>, now| {
+        let mut queue = queue.borrow_mut();
+        if let Some(attempt) = ended {
+            queue.release(attempt, now);
+        }
+        queue.next(now)
+    };
+    load().play(offer, next)
+}
+
+/// First in, first out, for as long as the caller waits.
+fn with_plain_queue() -> Outcome {
+    use std::cell::RefCell;
+    use std::collections::VecDeque;
+    let free = RefCell::new(13_u32);
+    let waiting: RefCell<VecDeque<AttemptId>> = RefCell::default();
+    let offer = |attempt, _| {
+        if *free.borrow() > 0 {
+            *free.borrow_mut() -= 1;
+            return Verdict::Run;
+        }
+        waiting.borrow_mut().push_back(attempt);
+        Verdict::Wait
+    };
+    let next = |_, now: Duration| {
+        let still_waits = |it: &AttemptId| *it + Load::DEADLINE.as_nanos() > now.as_nanos();
+        let mut waiting = waiting.borrow_mut();
+        waiting.retain(still_waits);
+        waiting.pop_front().map(Dispatch::Run).into_iter().collect()
+    };
+    load().play(offer, next)
+}
+
+/// Callers ask for 1.6 times what the target can do. Taken in order, every call
+/// waits until nearly all answers are late, and the target is as busy as ever.
+/// Refusing what would be late leaves those that are taken in time.
+#[test]
+fn under_overload_most_of_what_is_taken_is_answered_in_time() {
+    let (ours, plain) = (with_queue(), with_plain_queue());
+    let share = |it: &Outcome| f64::from(it.in_time) / f64::from(it.in_time + it.late);
+    // A run in twelve takes longer than the objective by itself.
+    assert!(share(&ours) > 0.8, "{ours:?}");
+    assert!(share(&plain) < 0.1, "{plain:?}");
+    assert!(ours.in_time > plain.in_time * 5, "{ours:?} {plain:?}");
+    // Nothing is lost by refusing: the slots are as busy as before.
+    let done = |it: &Outcome| f64::from(it.in_time + it.late);
+    assert!(done(&ours) > done(&plain) * 0.95, "{ours:?} {plain:?}");
+}
--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use stoatstep_calls::{AttemptId, Load, Reason, Refusal, Report, Ticket};
+use stoatstep_calls::{AttemptId, Occupancy, Reason, Refusal, Seen, Ticket};
 use stoatstep_resource::UpstreamName;
 use tokio::time::{sleep, timeout};
 
@@ -50,7 +50,7 @@
     }
 }
 
-/// Makes one attempt, and lets the router learn from it.
+/// Makes one attempt, and lets placement learn from it.
 pub(super) async fn at(
     node: &Rc<Node>,
     call: &Call,
@@ -58,8 +58,9 @@
     place: Place,
 ) -> Ended {
     let mut outstanding = Outstanding::new(node, call, upstream);
-    let (ended, load) = attempt(node, call, upstream, place).await;
-    outstanding.report = report(&ended, load);
+    let (ended, occupancy) = attempt(node, call, upstream, place).await;
+    outstanding.seen = seen(&ended);
+    outstanding.occupancy = occupancy;
     ended
 }
 
@@ -68,7 +69,7 @@
     call: &Call,
     upstream: &UpstreamName,
     place: Place,
-) -> (Ended, Option<Load>) {
+) -> (Ended, Option<Occupancy>) {
     for _ in 0..TICKETS {
         let Some(left) = call.deadline.for_next_hop(node.clock.now()) else {
             let refusal = Refusal::retry(Reason::Deadline, UNREACHABLE_RETRY);
@@ -80,15 +81,16 @@
             ticket: ticket(node, place),
             upstream: upstream.clone(),
             left,
+            objective: call.objective.saturating_sub(node.clock.now()),
             call: Rc::clone(&call.parts),
         };
-        let (ended, load) = match place {
+        let (ended, occupancy) = match place {
             Place::Local => of_ran(local(node, attempt).await),
             Place::Remote(addr) => remote(node, call, addr, attempt).await,
         };
         let is_stale = matches!(&ended.end, End::Refused(it) if it.reason == Reason::StaleTicket);
         if !is_stale {
-            return (ended, load);
+            return (ended, occupancy);
         }
     }
     let refusal = Refusal::retry(Reason::StaleTicket, UNREACHABLE_RETRY);
@@ -139,7 +141,7 @@
     call: &Call,
     addr: SocketAddr,
     attempt: Attempt,
-) -> (Ended, Option<Load>) {
+) -> (Ended, Option<Occupancy>) {
     let (id, ticket) = (attempt.id, attempt.ticket);
     let bound = call.deadline.left(node.clock.now()) + LAST_WORD;
     let asked = timeout(bound, node.links.ask(addr, Ask::Run(attempt))).await;
@@ -162,12 +164,12 @@
     }
 }
 
-fn of_ran(ran: Ran) -> (Ended, Option<Load>) {
+fn of_ran(ran: Ran) -> (Ended, Option<Occupancy>) {
     let ended = Ended {
         end: ran.end,
         arrived: ran.arrived,
     };
-    (ended, Some(ran.load))
+    (ended, Some(ran.occupancy))
 }
 
 /// Finds out how an attempt on a lost link ended: not run, the whole answer, or
@@ -207,40 +209,42 @@
     }
 }
 
-fn report(ended: &Ended, load: Option<Load>) -> Report {
+fn seen(ended: &Ended) -> Seen {
     let refusal = match &ended.end {
-        End::Answered(answer) if answer.status >= 500 => return Report::Failed,
-        End::Answered(_) => return Report::Answered(load),
+        End::Answered(answer) if answer.status >= 500 => return Seen::Failed,
+        End::Answered(_) => return Seen::Answered,
         End::Refused(refusal) => refusal,
     };
     match refusal.reason {
-        Reason::Draining => Report::Leaving,
-        Reason::NoUpstream | Reason::LostAnswer | Reason::TimedOut => Report::Failed,
-        Reason::Overload | Reason::Shed | Reason::Woke | Reason::Deadline => {
-            Report::Refused(load, refusal.retry_after.unwrap_or_default())
-        }
-        _ => Report::Cancelled,
+        Reason::Draining => Seen::Leaving,
+        // An executor never sends its target more than it has slots, so a target
+        // that sheds is not full but failing.
+        Reason::NoUpstream | Reason::LostAnswer | Reason::TimedOut | Reason::Shed => Seen::Failed,
+        Reason::Overload | Reason::Woke | Reason::Deadline => Seen::Full,
+        _ => Seen::Nothing,
     }
 }
 
-/// An attempt that the router counts. A caller that goes away drops it here, or
+/// An attempt that placement counts. A caller that goes away drops it here, or
 /// the upstream would look busier with each one, and in the end never be chosen.
 struct Outstanding<'a> {
     node: &'a Node,
     call: &'a Call,
     upstream: &'a UpstreamName,
-    report: Report,
+    seen: Seen,
+    occupancy: Option<Occupancy>,
 }
 
 impl<'a> Outstanding<'a> {
     fn new(node: &'a Node, call: &'a Call, upstream: &'a UpstreamName) -> Self {
         let mut tables = node.entry.tables.borrow_mut();
-        tables.router.started(&call.parts.service, upstream);
+        tables.placement.started(&call.parts.service, upstream);
         Self {
             node,
             call,
             upstream,
-            report: Report::Cancelled,
+            seen: Seen::Nothing,
+            occupancy: None,
         }
     }
 }
@@ -250,7 +254,7 @@
         let now = self.node.clock.now();
         let service = &self.call.parts.service;
         let mut tables = self.node.entry.tables.borrow_mut();
-        let router = &mut tables.router;
-        router.finished(service, self.upstream, self.report, now);
+        let placement = &mut tables.placement;
+        placement.finished(service, self.upstream, self.seen, self.occupancy, now);
     }
 }
--- a/crates/mesh/src/entry/call.rs
+++ b/crates/mesh/src/entry/call.rs
@@ -9,7 +9,7 @@
 use ntex::http::header::HeaderMap;
 use rand::RngExt;
 use smol_str::{SmolStr, ToSmolStr};
-use stoatstep_calls::{Deadline, Header, Reason, Refusal, ResolvedRoute, is_of_connection};
+use stoatstep_calls::{Deadline, Header, Reason, Refusal, ResolvedRoute, Time, is_of_connection};
 use stoatstep_http::{BodyError, read_body};
 
 use crate::node::Node;
@@ -33,6 +33,8 @@
 pub(super) struct Call {
     pub(super) route: Arc<ResolvedRoute>,
     pub(super) deadline: Deadline,
+    /// Until when an answer is worth its full price.
+    pub(super) objective: Time,
     pub(super) parts: Rc<CallParts>,
 }
 
@@ -70,6 +72,7 @@
             headers: passed(node, req.headers()),
             body: Bytes::copy_from_slice(&body),
             idempotent: route.route.idempotent,
+            route: route.route.name.clone(),
             priority: route.policy.priority.unwrap_or(LEAST_PRIORITY),
             caller_service: node
                 .executor
@@ -77,6 +80,7 @@
                 .unwrap_or_else(|| node.cfg.service.clone()),
         };
         Ok(Self {
+            objective: objective(&route, deadline, now),
             route,
             deadline,
             parts: Rc::new(parts),
@@ -92,6 +96,15 @@
     millis.map_or(bound, |it| Duration::from_millis(it).min(bound))
 }
 
+/// A caller that comes back after a refusal has less time left than the route
+/// allows; what it has used counts against the objective.
+fn objective(route: &ResolvedRoute, deadline: Deadline, now: Time) -> Time {
+    let policy = &route.policy;
+    let objective = policy.latency_objective.unwrap_or(policy.timeout);
+    let used = policy.timeout.saturating_sub(deadline.left(now));
+    now + objective.saturating_sub(used)
+}
+
 fn text(map: &HeaderMap, name: &str) -> Option<SmolStr> {
     map.get(name)?.to_str().ok().map(SmolStr::new)
 }
--- a/crates/mesh/src/entry/carry.rs
+++ b/crates/mesh/src/entry/carry.rs
@@ -83,8 +83,9 @@
 fn choose(node: &Node, call: &Call, tried: &[UpstreamName]) -> Option<(UpstreamName, Place)> {
     let now = node.clock.now();
     let mut tables = node.entry.tables.borrow_mut();
-    let Tables { router, rng, .. } = &mut *tables;
-    let pick = router.pick(&call.parts.service, tried, now, rng)?;
+    let Tables { placement, rng, .. } = &mut *tables;
+    let objective = call.objective.saturating_sub(now);
+    let pick = placement.pick(&call.parts.service, tried, objective, now, rng)?;
     let place = node.fleet.place(&pick.upstream)?;
     Some((pick.upstream, place))
 }
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -14,7 +14,7 @@
 use ntex::http::{Request, Response};
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
-use stoatstep_calls::{Candidate, RetryBudget, Router, Ticket, Time};
+use stoatstep_calls::{Candidate, Placement, RetryBudget, Ticket, Time};
 use stoatstep_http::drop_body;
 use stoatstep_resource::ServiceName;
 
@@ -28,7 +28,7 @@
 }
 
 struct Tables {
-    router: Router,
+    placement: Placement,
     budgets: BTreeMap<ServiceName, RetryBudget>,
     /// The newest ticket of each executor.
     tickets: HashMap<SocketAddr, Ticket>,
@@ -38,7 +38,7 @@
 impl Entry {
     pub(crate) fn new(cfg: &MeshConfig) -> Self {
         let tables = Tables {
-            router: Router::new(cfg.zone.clone()),
+            placement: Placement::new(cfg.zone.clone()),
             budgets: BTreeMap::new(),
             tickets: HashMap::new(),
             rng: Xoshiro256PlusPlus::from_rng(&mut rand::rng()),
@@ -48,16 +48,16 @@
         }
     }
 
-    /// Replaces the router's candidates of all services.
+    /// Replaces the candidates of all services.
     pub(crate) fn set_candidates(
         &self,
         services: &HashMap<ServiceName, Vec<Candidate>>,
         now: Time,
     ) {
-        let router = &mut self.tables.borrow_mut().router;
-        router.retain_services(|name| services.contains_key(name));
+        let placement = &mut self.tables.borrow_mut().placement;
+        placement.retain_services(|name| services.contains_key(name));
         for (service, candidates) in services {
-            router.set_candidates(service, candidates, now);
+            placement.set_candidates(service, candidates, now);
         }
     }
 }
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -15,8 +15,8 @@
 
 use rand::RngExt;
 use stoatstep_calls::{
-    Admission, AdmissionConfig, Arrival, AttemptId, Deadline, Incarnation, Ledger, LedgerConfig,
-    Reason, Refusal, Settled, Ticket,
+    Arrival, AttemptId, Deadline, Incarnation, Ledger, LedgerConfig, Queue, Reason, Refusal,
+    Settled, Ticket,
 };
 use stoatstep_membership::{Announced, Heard, Heartbeat, LocalTarget};
 use stoatstep_resource::ServiceName;
@@ -53,7 +53,7 @@
 
 struct Tables {
     ledger: Ledger,
-    admission: Admission,
+    queue: Queue,
     waiting: HashMap<AttemptId, oneshot::Sender<Result<(), Refusal>>>,
     runs: BTreeMap<AttemptId, Run>,
     upstream: LocalTarget,
@@ -76,7 +76,7 @@
         };
         let tables = Tables {
             ledger: Ledger::new(incarnation, bounds),
-            admission: Admission::new(AdmissionConfig::for_slots(SLOTS_UNKNOWN)),
+            queue: Queue::new(SLOTS_UNKNOWN),
             waiting: HashMap::new(),
             runs: BTreeMap::new(),
             upstream: LocalTarget::new(cfg.heartbeat),
@@ -111,9 +111,7 @@
     let slots = beat.slots;
     let heard = tables.upstream.hear(beat, now);
     if heard == Heard::Taken {
-        tables
-            .admission
-            .set_config(AdmissionConfig::for_slots(slots));
+        tables.queue.set_slots(slots);
     }
     drop(tables);
     flush_if_closed(node);
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -75,7 +75,7 @@
     let tables = node.executor.tables.borrow();
     Ran {
         ticket: tables.ledger.ticket(now),
-        load: tables.admission.load(),
+        occupancy: tables.queue.occupancy(),
         queued: report.queued,
         ran: report.ran,
         arrived: report.arrived,
--- a/crates/mesh/src/executor/slot.rs
+++ b/crates/mesh/src/executor/slot.rs
@@ -2,17 +2,13 @@
 
 use std::rc::Rc;
 
-use smol_str::SmolStr;
-use stoatstep_calls::{Ask, AttemptId, Class, Deadline, Dispatch, Reason, Refusal, Verdict};
+use stoatstep_calls::{AttemptId, Deadline, Dispatch, QueueAsk, Reason, Refusal, Verdict};
 use tokio::sync::oneshot;
 
 use super::QUEUE_RETRY;
 use crate::node::Node;
 use crate::wire::Attempt;
 
-/// Calls here have no tenants; all of them share one queue.
-const TENANT: SmolStr = SmolStr::new_static("default");
-
 /// A slot, or a place in the queue. Dropping it gives back whichever it is, so
 /// that a run that is cancelled at any point cannot leak a slot.
 pub(super) struct Slot {
@@ -34,9 +30,9 @@
         let mut tables = self.node.executor.tables.borrow_mut();
         tables.waiting.remove(&self.attempt);
         if self.is_measured {
-            tables.admission.release(self.attempt, now);
+            tables.queue.release(self.attempt, now);
         } else {
-            tables.admission.release_unmeasured(self.attempt);
+            tables.queue.release_unmeasured(self.attempt);
         }
         drop(tables);
         pump(&self.node);
@@ -49,17 +45,16 @@
     attempt: &Attempt,
     deadline: Deadline,
 ) -> Result<Slot, Refusal> {
-    let ask = Ask {
+    let now = node.clock.now();
+    let ask = QueueAsk {
         attempt: attempt.id,
-        tenant: TENANT,
-        class: class_of(attempt.call.priority),
-        weight: 1,
-        concurrency: None,
+        kind: attempt.call.route.clone(),
+        rank: attempt.call.priority,
+        objective: now + attempt.objective,
         expires: deadline.expires(),
     };
-    let now = node.clock.now();
     let mut tables = node.executor.tables.borrow_mut();
-    let (verdict, pushed_out) = tables.admission.offer(ask, now);
+    let (verdict, pushed_out) = tables.queue.offer(ask, now);
     drop(tables);
     deliver(node, pushed_out);
     if let Verdict::Refused(refusal) = verdict {
@@ -88,13 +83,13 @@
 /// Starts and refuses what waits, as the queue decides now.
 pub(super) fn pump(node: &Node) {
     let now = node.clock.now();
-    let dispatches = node.executor.tables.borrow_mut().admission.next(now);
+    let dispatches = node.executor.tables.borrow_mut().queue.next(now);
     deliver(node, dispatches);
 }
 
 /// Refuses all that waits.
 pub(super) fn flush(node: &Node, reason: Reason) {
-    let dispatches = node.executor.tables.borrow_mut().admission.flush(reason);
+    let dispatches = node.executor.tables.borrow_mut().queue.flush(reason);
     deliver(node, dispatches);
 }
 
@@ -112,11 +107,3 @@
         }
     }
 }
-
-fn class_of(priority: u8) -> Class {
-    match priority {
-        0 => Class::Urgent,
-        1 => Class::Standard,
-        _ => Class::Batch,
-    }
-}
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -8,10 +8,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use stoatstep_calls::{Answer, AttemptId, Header, Load, Refusal, Settled, Ticket};
+use stoatstep_calls::{Answer, AttemptId, Header, Occupancy, Refusal, Settled, Ticket};
 use stoatstep_membership::{GossipReply, GossipRequest, Mark};
 use stoatstep_resource::wire::SnapshotWire;
-use stoatstep_resource::{ServiceName, UpstreamName};
+use stoatstep_resource::{RouteName, ServiceName, UpstreamName};
 
 /// Names one question on one link.
 pub(crate) type AskId = u64;
@@ -86,6 +86,8 @@
     pub(crate) headers: Vec<Header>,
     pub(crate) body: Bytes,
     pub(crate) idempotent: bool,
+    /// The route that it took. Calls of one route take about the same time.
+    pub(crate) route: RouteName,
     /// Rank among other calls, 0 the most urgent.
     pub(crate) priority: u8,
     /// Service of the instance on which the call began.
@@ -99,7 +101,11 @@
     pub(crate) ticket: Ticket,
     /// The life of the target for which it is meant.
     pub(crate) upstream: UpstreamName,
+    /// Time until the caller stops waiting.
     pub(crate) left: Duration,
+    /// Time until an answer is no longer worth its full price; zero where that
+    /// has passed.
+    pub(crate) objective: Duration,
     pub(crate) call: Rc<CallParts>,
 }
 
@@ -108,7 +114,7 @@
 pub(crate) struct Ran {
     /// For the next attempts at this executor.
     pub(crate) ticket: Ticket,
-    pub(crate) load: Load,
+    pub(crate) occupancy: Occupancy,
     /// Time in the executor's queue.
     pub(crate) queued: Duration,
     /// Time at the target.
