Throttle routes that mostly fail, and give kinds of one rank like shares

Entries now refuse part of a route's calls while more than half of those let through fail, and the queue gives kinds of one rank like shares.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -33,6 +33,7 @@
 mod router;
 mod routes;
 mod silence;
+mod throttle;
 
 pub use admission::{Admission, AdmissionConfig, Ask, Dispatch, Load, Verdict};
 pub use answer::{Answer, Header, is_of_connection};
@@ -55,3 +56,4 @@
 pub use router::{Candidate, CandidateState, Pick, Report, Router};
 pub use routes::{ResolvedRoute, RouteTable};
 pub use silence::{Silence, SilenceAction, SilenceConfig};
+pub use throttle::Throttle;
--- a/crates/calls/src/queue.rs
+++ b/crates/calls/src/queue.rs
@@ -8,7 +8,8 @@
 //!   would most likely still meet its objective; otherwise it is refused when it
 //!   comes, and its caller can come back when there is room.
 //! * The more urgent rank goes first. Within a rank, those that can still meet
-//!   their objective go before those that can't, and then the earlier deadline.
+//!   their objective go before those that can't, then the kind of which least
+//!   was taken lately, and then the earlier deadline.
 //! * What a call costs is told by its kind: kinds of calls to one target differ
 //!   several times in their run times.
 //!
@@ -39,6 +40,13 @@
 /// Kinds whose run times are kept; the others go by the mean of all.
 const MAX_KINDS: usize = 256;
 
+/// Time in which the share of a kind that was taken loses most of its weight.
+const SHARE_MEMORY: Duration = Duration::from_secs(2);
+
+/// Steps in which shares are compared. Within one step the earlier deadline
+/// decides, which would otherwise hardly ever do.
+const SHARE_STEPS: u8 = 10;
+
 /// A call that asks for a slot.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct QueueAsk {
@@ -87,6 +95,36 @@
     }
 }
 
+/// What is known of the calls of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct Kind {
+    service: Mean,
+    asked: f64,
+    taken: f64,
+    at: Time,
+}
+
+impl Kind {
+    fn forget(&mut self, now: Time) {
+        let passed = now.saturating_sub(self.at);
+        let kept = (-passed.as_secs_f64() / SHARE_MEMORY.as_secs_f64()).exp();
+        self.asked *= kept;
+        self.taken *= kept;
+        self.at = now;
+    }
+
+    /// Tenths of the calls of this kind that were taken lately. Without it the
+    /// kind with the shortest deadlines would get all that its rank is left
+    /// with, and the others of the rank nothing.
+    fn share(&self) -> u8 {
+        let steps = self.taken / self.asked.max(1.0) * f64::from(SHARE_STEPS);
+        let mut reached = 1..=SHARE_STEPS;
+        reached
+            .rfind(|step| steps >= f64::from(*step))
+            .unwrap_or_default()
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Running {
     kind: SmolStr,
@@ -99,7 +137,7 @@
     slots: u32,
     running: BTreeMap<AttemptId, Running>,
     waiting: Vec<QueueAsk>,
-    kinds: HashMap<SmolStr, Mean>,
+    kinds: HashMap<SmolStr, Kind>,
     all: Mean,
 }
 
@@ -134,6 +172,10 @@
 
     /// Decides about a call at once. Others that wait may have to make room.
     pub fn offer(&mut self, ask: QueueAsk, now: Time) -> (Verdict, Vec<Dispatch>) {
+        if let Some(kind) = self.kind_mut(&ask.kind) {
+            kind.forget(now);
+            kind.asked += 1.0;
+        }
         let service = self.service(&ask.kind);
         if now + service >= ask.expires && !self.is_idle() {
             let refusal = Refusal::retry(Reason::Deadline, LEAST_RETRY_AFTER);
@@ -160,8 +202,8 @@
         if let Some(run) = self.running.remove(&attempt) {
             let took = now.saturating_sub(run.started);
             self.all.record(took);
-            if self.kinds.len() < MAX_KINDS || self.kinds.contains_key(&run.kind) {
-                self.kinds.entry(run.kind).or_default().record(took);
+            if let Some(kind) = self.kind_mut(&run.kind) {
+                kind.service.record(took);
             }
         }
         self.cancel(attempt);
@@ -202,7 +244,7 @@
     /// Mean run time of a kind; of all kinds before its first run, and zero
     /// before any, so that nothing is refused on a guess.
     fn service(&self, kind: &str) -> Duration {
-        let own = self.kinds.get(kind).and_then(Mean::get);
+        let own = self.kinds.get(kind).and_then(|it| it.service.get());
         own.or_else(|| self.all.get()).unwrap_or_default()
     }
 
@@ -217,7 +259,15 @@
         self.running.len() < self.slots as usize
     }
 
+    fn kind_mut(&mut self, kind: &SmolStr) -> Option<&mut Kind> {
+        let has_room = self.kinds.len() < MAX_KINDS || self.kinds.contains_key(kind);
+        has_room.then(|| self.kinds.entry(kind.clone()).or_default())
+    }
+
     fn start(&mut self, ask: &QueueAsk, now: Time) {
+        if let Some(kind) = self.kind_mut(&ask.kind) {
+            kind.taken += 1.0;
+        }
         let run = Running {
             kind: ask.kind.clone(),
             started: now,
@@ -229,9 +279,10 @@
         self.position(one, now) <= self.position(other, now)
     }
 
-    fn position(&self, ask: &QueueAsk, now: Time) -> (u8, bool, Time) {
+    fn position(&self, ask: &QueueAsk, now: Time) -> (u8, bool, u8, Time) {
         let is_late = now + self.service(&ask.kind) > ask.objective;
-        (ask.rank, is_late, ask.expires)
+        let share = self.kinds.get(&ask.kind).map_or(0, Kind::share);
+        (ask.rank, is_late, share, ask.expires)
     }
 
     fn first(&self, now: Time) -> Option<usize> {
--- a/crates/calls/tests/all/main.rs
+++ b/crates/calls/tests/all/main.rs
@@ -11,3 +11,4 @@
 mod router;
 mod routes;
 mod silence;
+mod throttle;
--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -100,7 +100,7 @@
 /// Before an executor's first answer there is no ticket, and one that it will
 /// refuse stands in.
 fn ticket(node: &Node, place: Place) -> Ticket {
-    let none = Ticket {
+    let refused = Ticket {
         incarnation: 0,
         stamp: Duration::ZERO,
     };
@@ -108,7 +108,7 @@
         Place::Local => node.executor.ticket(node.clock.now()),
         Place::Remote(addr) => {
             let tables = node.entry.tables.borrow();
-            tables.tickets.get(&addr).copied().unwrap_or(none)
+            tables.tickets.get(&addr).copied().unwrap_or(refused)
         }
     }
 }
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod call;
 mod carry;
 mod respond;
+mod throttle;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -14,9 +15,9 @@
 use ntex::http::{Request, Response};
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
-use stoatstep_calls::{Candidate, Placement, RetryBudget, Ticket, Time};
+use stoatstep_calls::{Candidate, Placement, RetryBudget, Throttle, Ticket, Time};
 use stoatstep_http::drop_body;
-use stoatstep_resource::ServiceName;
+use stoatstep_resource::{RouteName, ServiceName};
 
 use crate::config::MeshConfig;
 use crate::drain::InFlight;
@@ -30,6 +31,8 @@
 struct Tables {
     placement: Placement,
     budgets: BTreeMap<ServiceName, RetryBudget>,
+    /// How the calls of each route in use ended lately.
+    throttles: HashMap<RouteName, Throttle>,
     /// The newest ticket of each executor.
     tickets: HashMap<SocketAddr, Ticket>,
     rng: Xoshiro256PlusPlus,
@@ -40,6 +43,7 @@
         let tables = Tables {
             placement: Placement::new(cfg.zone.clone()),
             budgets: BTreeMap::new(),
+            throttles: HashMap::new(),
             tickets: HashMap::new(),
             rng: Xoshiro256PlusPlus::from_rng(&mut rand::rng()),
         };
@@ -74,6 +78,10 @@
             return respond::refused(&refusal, is_last);
         }
     };
+    if !throttle::admits(node, &call) {
+        return respond::refused(&throttle::refusal(), is_last);
+    }
     let end = carry::carry(node, &call).await;
+    throttle::note(node, &call, &end);
     respond::ended(&end, node.is_leaving())
 }
--- /dev/null
+++ b/crates/mesh/src/entry/throttle.rs
@@ -0,0 +1,54 @@
+//! Refuses calls of routes whose targets mostly fail.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use stoatstep_calls::{Reason, Refusal, Throttle};
+
+use super::call::Call;
+use crate::node::Node;
+use crate::wire::End;
+
+/// Routes that are watched; more are let through unwatched.
+const MAX_ROUTES: usize = 1024;
+
+/// Pause asked for: long enough for the overloaded service to work off what it
+/// has.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Status from which a target's answer is a failure.
+const FAILURE: u16 = 500;
+
+/// Whether a call is let through.
+pub(super) fn admits(node: &Node, call: &Call) -> bool {
+    let mut tables = node.entry.tables.borrow_mut();
+    let draw = tables.rng.random();
+    let throttles = &mut tables.throttles;
+    let route = &call.parts.route;
+    if throttles.len() >= MAX_ROUTES && !throttles.contains_key(route) {
+        return true;
+    }
+    let throttle = throttles.entry(route.clone()).or_default();
+    throttle.admits(draw, node.clock.now())
+}
+
+/// What a call that is not let through ends with.
+pub(super) fn refusal() -> Refusal {
+    Refusal::retry(Reason::Overload, PAUSE)
+}
+
+/// Learns from how a call ended. A call that was refused says nothing about what
+/// its target would have done.
+pub(super) fn note(node: &Node, call: &Call, end: &End) {
+    let now = node.clock.now();
+    let mut tables = node.entry.tables.borrow_mut();
+    let Some(throttle) = tables.throttles.get_mut(&call.parts.route) else {
+        return;
+    };
+    match end {
+        End::Answered(answer) if answer.status >= FAILURE => {}
+        End::Answered(_) => throttle.good(now),
+        End::Refused(refusal) if refusal.reason == Reason::TimedOut => {}
+        End::Refused(_) => Throttle::unknown(throttle),
+    }
+}
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -214,18 +214,22 @@
         return settled.into();
     }
     let (tx, rx) = oneshot::channel();
-    let mut tables = node.executor.tables.borrow_mut();
-    let Some(run) = tables.runs.get_mut(&attempt) else {
+    if !wake_at_end(node, attempt, tx) {
         return WireSettled::Unknown;
-    };
-    run.waiters.push(tx);
-    drop(tables);
+    }
     let _ = rx.await;
     let now = node.clock.now();
     let tables = node.executor.tables.borrow();
     tables.ledger.peek(attempt, ticket, now).into()
 }
 
+/// Has `waiter` told when the attempt's run ends; `false` where none goes on.
+fn wake_at_end(node: &Node, attempt: AttemptId, waiter: oneshot::Sender<()>) -> bool {
+    let mut tables = node.executor.tables.borrow_mut();
+    let run = tables.runs.get_mut(&attempt);
+    run.map(|run| run.waiters.push(waiter)).is_some()
+}
+
 fn revoke(node: &Node, attempt: AttemptId, ticket: Ticket) -> Settled {
     let now = node.clock.now();
     let mut tables = node.executor.tables.borrow_mut();
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -20,8 +20,8 @@
 struct Report {
     end: End,
     arrived: bool,
-    queued: Duration,
-    ran: Duration,
+    in_queue: Duration,
+    at_target: Duration,
 }
 
 impl Report {
@@ -29,8 +29,8 @@
         Self {
             end: End::Refused(refusal),
             arrived: false,
-            queued: Duration::ZERO,
-            ran: Duration::ZERO,
+            in_queue: Duration::ZERO,
+            at_target: Duration::ZERO,
         }
     }
 }
@@ -64,8 +64,8 @@
     let report = Report {
         end,
         arrived: false,
-        queued: Duration::ZERO,
-        ran: Duration::ZERO,
+        in_queue: Duration::ZERO,
+        at_target: Duration::ZERO,
     };
     ran(node, report)
 }
@@ -76,8 +76,8 @@
     Ran {
         ticket: tables.ledger.ticket(now),
         occupancy: tables.queue.occupancy(),
-        queued: report.queued,
-        ran: report.ran,
+        in_queue: report.in_queue,
+        at_target: report.at_target,
         arrived: report.arrived,
         end: report.end,
     }
@@ -122,10 +122,7 @@
         let refusal = Refusal::retry(Reason::Deadline, QUEUE_RETRY);
         return Report::not_started(refusal);
     };
-    let mut tables = node.executor.tables.borrow_mut();
-    let may_start = tables.ledger.start(attempt.id);
-    drop(tables);
-    if !may_start {
+    if !may_start(node, attempt) {
         return Report::not_started(Refusal::permanent(Reason::Revoked));
     }
     let end = timeout(left, node.executor.target.call(attempt, left)).await;
@@ -134,12 +131,19 @@
         slot.finish();
     }
     Report {
-        queued: started.saturating_sub(came),
-        ran: node.clock.now().saturating_sub(started),
+        in_queue: started.saturating_sub(came),
+        at_target: node.clock.now().saturating_sub(started),
         ..of_target(node, end)
     }
 }
 
+/// `false` where the attempt was revoked meanwhile: its entry was told that it did
+/// not run.
+fn may_start(node: &Node, attempt: &Attempt) -> bool {
+    let mut tables = node.executor.tables.borrow_mut();
+    tables.ledger.start(attempt.id)
+}
+
 fn of_target(node: &Node, end: TargetEnd) -> Report {
     let (end, arrived) = match end {
         TargetEnd::Answered(answer) => (End::Answered(answer), true),
@@ -158,8 +162,8 @@
     Report {
         end,
         arrived,
-        queued: Duration::ZERO,
-        ran: Duration::ZERO,
+        in_queue: Duration::ZERO,
+        at_target: Duration::ZERO,
     }
 }
 
--- a/crates/mesh/src/executor/slot.rs
+++ b/crates/mesh/src/executor/slot.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use stoatstep_calls::{AttemptId, Deadline, Dispatch, QueueAsk, Reason, Refusal, Verdict};
+use stoatstep_calls::{AttemptId, Deadline, Dispatch, QueueAsk, Reason, Refusal, Time, Verdict};
 use tokio::sync::oneshot;
 
 use super::QUEUE_RETRY;
@@ -53,9 +53,7 @@
         objective: now + attempt.objective,
         expires: deadline.expires(),
     };
-    let mut tables = node.executor.tables.borrow_mut();
-    let (verdict, pushed_out) = tables.queue.offer(ask, now);
-    drop(tables);
+    let (verdict, pushed_out) = offer(node, ask, now);
     deliver(node, pushed_out);
     if let Verdict::Refused(refusal) = verdict {
         return Err(refusal);
@@ -71,11 +69,17 @@
     Ok(slot)
 }
 
+fn offer(node: &Node, ask: QueueAsk, now: Time) -> (Verdict, Vec<Dispatch>) {
+    node.executor.tables.borrow_mut().queue.offer(ask, now)
+}
+
 async fn wait(node: &Rc<Node>, attempt: AttemptId) -> Result<(), Refusal> {
     let (tx, rx) = oneshot::channel();
-    let mut tables = node.executor.tables.borrow_mut();
-    tables.waiting.insert(attempt, tx);
-    drop(tables);
+    node.executor
+        .tables
+        .borrow_mut()
+        .waiting
+        .insert(attempt, tx);
     let gone = Refusal::retry(Reason::Overload, QUEUE_RETRY);
     rx.await.unwrap_or(Err(gone))
 }
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -179,7 +179,7 @@
             // would follow, but nothing says which bytes belong to it.
             return TargetEnd::Unknown(Reason::LostAnswer);
         }
-        let end = self.interpret(head.status, headers, body.to_bytes());
+        let end = self.interpret(head.status, headers, &body.to_bytes());
         self.pool.put_back(connection, headers);
         end
     }
@@ -190,7 +190,7 @@
         id.is_none_or(|it| it.as_bytes() == attempt.call.request_id.as_bytes())
     }
 
-    fn interpret(&self, status: StatusCode, headers: &HeaderMap, body: Bytes) -> TargetEnd {
+    fn interpret(&self, status: StatusCode, headers: &HeaderMap, body: &Bytes) -> TargetEnd {
         let has = |name: &HeaderName| headers.contains_key(name);
         let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
         if misdirected || has(&self.names.not_run) {
--- a/crates/mesh/src/executor/target/pool.rs
+++ b/crates/mesh/src/executor/target/pool.rs
@@ -136,7 +136,9 @@
     let text = headers.get("keep-alive").and_then(|it| it.to_str().ok());
     let stated = text.and_then(|text| {
         let fields = text.split(',').map(str::trim);
-        fields.filter_map(|it| it.strip_prefix("timeout=")).next()
+        fields
+            .into_iter()
+            .find_map(|it| it.strip_prefix("timeout="))
     });
     let seconds = stated.and_then(|it| it.parse().ok());
     seconds.map_or(IDLE, |it| {
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -84,6 +84,7 @@
 
     /// Takes in a heartbeat of the target beside the daemon. Once this returns,
     /// no further call goes to a target that drains.
+    #[must_use = "a stale heartbeat is acked like any other, but may be worth a log line"]
     pub fn hear(&self, beat: Heartbeat) -> Heard {
         let heard = executor::hear(&self.0, beat);
         gossip::target_changed(&self.0);
@@ -113,13 +114,13 @@
 
 async fn serve_callers(node: Rc<Node>, server: Server) {
     let log = node.log.clone();
-    let served = server
+    let ended = server
         .serve(move |req| {
             let node = Rc::clone(&node);
             async move { entry::handle(&node, req).await }
         })
         .await;
-    if let Err(err) = served {
+    if let Err(err) = ended {
         slog::crit!(log, "callers not served"; "error" => %err);
     }
 }
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -116,9 +116,9 @@
     pub(crate) ticket: Ticket,
     pub(crate) occupancy: Occupancy,
     /// Time in the executor's queue.
-    pub(crate) queued: Duration,
+    pub(crate) in_queue: Duration,
     /// Time at the target.
-    pub(crate) ran: Duration,
+    pub(crate) at_target: Duration,
     /// Whether the target got to see the request.
     pub(crate) arrived: bool,
     pub(crate) end: End,
--- a/crates/resource/src/wire/resource.rs
+++ b/crates/resource/src/wire/resource.rs
@@ -167,7 +167,7 @@
     fn try_from(wire: ResourceWire) -> Result<Self, Finding> {
         let key = wire.key();
         Ok(match wire {
-            ResourceWire::Policy(policy) => Self::Policy(policy_from(key, policy)?),
+            ResourceWire::Policy(policy) => Self::Policy(policy_from(&key, policy)?),
             ResourceWire::Service(service) => Self::Service(Service {
                 name: service.name,
                 policy: service.policy,
@@ -191,7 +191,7 @@
     }
 }
 
-fn policy_from(key: Key, wire: PolicyWire) -> Result<Policy, Finding> {
+fn policy_from(key: &Key, wire: PolicyWire) -> Result<Policy, Finding> {
     let duration = |field: &'static str, text: &str| {
         let place = || Place::field(key.clone(), field);
         parse_duration(text).map_err(|message| Finding::new(place(), message))
