Send peers the difference between versions, and stay in the zone while the objective is met

It was whole configurations of 60 KB for each version and daemon, fetched from other zones where the own zone's watchers were busy encoding them. Peers now get what leads from the state that they hold; states share what they have in common. A daemon looks at the roster once: whoever announces itself before it looks is seen by all that look later.

--- a/crates/calls/src/placement.rs
+++ b/crates/calls/src/placement.rs
@@ -6,9 +6,10 @@
 //! several times, so an equal share for each makes the slow ones queue while the
 //! fast ones idle.
 //!
-//! Calls stay in the availability zone of their entry as long as another one
-//! would not answer much sooner: bytes between zones are dear, and a wait that
-//! still meets the latency objective costs the caller nothing.
+//! Calls stay in the availability zone of their entry as long as they most likely
+//! meet their latency objective there, or another zone would not answer much
+//! sooner: bytes between zones are dear, and an answer that meets the objective is
+//! as good as one that beats it.
 
 mod row;
 
@@ -23,6 +24,11 @@
 use crate::router::{Candidate, Pick};
 use row::Row;
 
+/// Share of the time to the objective that an answer may take, on average, while
+/// the call stays in its zone. Run times of twice their mean are common enough
+/// that with more of it too many answers would be late.
+const STAY_SHARE: f64 = 0.6;
+
 /// Share of the time to the objective that another zone has to save before a
 /// call goes there.
 const SPILL_SHARE: f64 = 0.25;
@@ -119,9 +125,10 @@
         let Some(far) = soonest(&far, typical, now, rng) else {
             return Some(near);
         };
-        let saved = near.time_to_answer(typical, now);
-        let saved = saved.saturating_sub(far.time_to_answer(typical, now));
-        let spills = saved > objective.mul_f64(SPILL_SHARE);
+        let here = near.time_to_answer(typical, now);
+        let saved = here.saturating_sub(far.time_to_answer(typical, now));
+        let is_late = here > objective.mul_f64(STAY_SHARE);
+        let spills = is_late && saved > objective.mul_f64(SPILL_SHARE);
         Some(if spills { far } else { near })
     }
 
--- a/crates/calls/tests/all/placement.rs
+++ b/crates/calls/tests/all/placement.rs
@@ -86,6 +86,16 @@
     assert_eq!(entry.shares(NOW).get("far"), None);
 }
 
+/// Targets differ in speed. The slow one of the own zone still answers well within
+/// the objective, so the call's bytes need not go to another zone.
+#[test]
+fn calls_stay_with_a_slow_target_that_meets_the_objective() {
+    let mut entry = Entry::new(&[candidate("near", "a"), candidate("far", "b")]);
+    entry.saw("near", Seen::Answered, occupied(2, 0, 145), NOW);
+    entry.saw("far", Seen::Answered, occupied(2, 0, 60), NOW);
+    assert_eq!(entry.shares(NOW).get("far"), None);
+}
+
 /// The target of the own zone has ten calls in its queue: a wait of 100 ms, of
 /// the 250 ms that the caller's answer may take. Another zone has free slots.
 #[test]
--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -2,32 +2,33 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::RngExt;
 use stoatstep_distribution::{Mark, PollRole};
 use stoatstep_membership::{Input, MemberKey};
 use stoatstep_resource::State;
-use stoatstep_resource::wire::SnapshotWire;
 use tokio::time::timeout;
 
 use super::gossip;
 use crate::host::{Cursor, Host, HostError, Update};
 use crate::in_force::InForce;
 use crate::node::Node;
-use crate::wire::{Ask, Reply};
+use crate::wire::{Ask, Newer, Reply};
 
 /// Longest wait for a change. A wait that the host will never answer, since it
 /// lost the connection or was away, looks like one without a change: this bounds
 /// for how long a daemon may miss changes after the host is back.
-const WAIT: Duration = Duration::from_secs(2);
+const WAIT: Duration = Duration::from_secs(3);
 
 /// Time for an answer beyond the wait.
 const ANSWER_BOUND: Duration = Duration::from_secs(1);
 
 /// Time without word of the host's newest version from which a daemon asks for
-/// itself. Two failed waits of the daemons that ask for the zone.
-const SILENCE: Duration = Duration::from_secs(5);
+/// itself. Two failed waits of the daemons that ask for the zone; word of them
+/// takes some exchanges to come round.
+const SILENCE: Duration = Duration::from_secs(8);
 
 /// Pause between two questions of a daemon that asks for itself, and how often
 /// one that needn't looks whether it has to.
@@ -44,9 +45,13 @@
 
 /// Head start of the host's own answer, and of peers in the own zone, over a pull
 /// from a peer in another zone: bytes between zones are dear.
-const PULL_AFTER: Duration = Duration::from_millis(400);
+const PULL_AFTER: Duration = Duration::from_millis(800);
 
-/// Time for a whole state from a peer.
+/// Former states kept for peers that are a little behind. More than the versions
+/// that come in quick succession between two looks of a peer.
+const FORMER: usize = 8;
+
+/// Time for a state from a peer.
 const PULL_BOUND: Duration = Duration::from_secs(2);
 
 /// Follows the host's configuration until the process ends.
@@ -134,9 +139,7 @@
             "version" => version, "held" => held, "source" => ?source, "error" => %err);
         return false;
     }
-    let in_force = InForce::new(state);
-    let mark = in_force.mark;
-    *node.fleet.in_force.borrow_mut() = Some(Rc::new(in_force));
+    let mark = replace(node, state);
     slog::info!(node.log, "configuration in force";
         "version" => version, "before" => held, "source" => ?source);
     gossip::input(node, Input::Holds(mark));
@@ -146,10 +149,39 @@
     true
 }
 
+/// Puts a state in force and keeps the one before for peers that still hold it.
+fn replace(node: &Node, state: State) -> Mark {
+    let before = node.fleet.in_force();
+    let state = match &before {
+        Some(before) => state.sharing(&before.state),
+        None => state,
+    };
+    let in_force = InForce::new(state);
+    let mark = in_force.mark;
+    *node.fleet.in_force.borrow_mut() = Some(Rc::new(in_force));
+    if let Some(before) = before {
+        let mut former = node.fleet.former.borrow_mut();
+        former.push_back((before.mark, Arc::clone(&before.state)));
+        if former.len() > FORMER {
+            former.pop_front();
+        }
+    }
+    mark
+}
+
 /// The configuration for a peer that holds an older one.
-pub(crate) fn newer_than(node: &Node, theirs: Mark) -> Option<SnapshotWire> {
-    let held = node.fleet.in_force()?;
-    (held.version() > theirs.version).then(|| SnapshotWire::from(&*held.state))
+pub(crate) fn newer_than(node: &Node, theirs: Mark) -> Newer {
+    let Some(held) = node.fleet.in_force() else {
+        return Newer::Nothing;
+    };
+    if held.version() <= theirs.version {
+        return Newer::Nothing;
+    }
+    let former = node.fleet.former.borrow();
+    match former.iter().find(|(mark, _)| *mark == theirs) {
+        Some((_, state)) => Newer::Difference((&state.difference(&held.state)).into()),
+        None => Newer::Whole((&*held.state).into()),
+    }
 }
 
 /// A peer said what it holds. Where it is newer, the peer is asked: at once if it
@@ -178,13 +210,30 @@
 async fn pull(node: &Rc<Node>, addr: SocketAddr) {
     let ask = Ask::Newer(held(node));
     let reply = node.links.ask_within(addr, ask, PULL_BOUND).await;
-    let Ok(Reply::Newer(Some(snapshot))) = reply else {
+    let Ok(Reply::Newer(newer)) = reply else {
         return;
     };
-    match State::try_from(snapshot) {
-        Ok(state) => {
+    match decode(node, newer) {
+        Ok(Some(state)) => {
             offer(node, state, Source::Peer);
         }
-        Err(err) => slog::error!(node.log, "a peer's configuration is broken"; "error" => %err),
+        Ok(None) => {}
+        Err(err) => slog::error!(node.log, "a peer's configuration is broken"; "error" => err),
     }
 }
+
+fn decode(node: &Node, newer: Newer) -> Result<Option<State>, String> {
+    let state = match newer {
+        Newer::Nothing => return Ok(None),
+        Newer::Whole(snapshot) => State::try_from(snapshot).map_err(|err| err.to_string())?,
+        Newer::Difference(difference) => {
+            // A newer version may have come into force since the question.
+            let Some(held) = node.fleet.in_force() else {
+                return Ok(None);
+            };
+            let advanced = held.state.advanced(&difference.into());
+            advanced.map_err(|err| err.to_string())?
+        }
+    };
+    Ok(Some(state))
+}
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -6,15 +6,16 @@
 pub(crate) mod roster;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use stoatstep_calls::{Candidate, CandidateState};
 use stoatstep_membership::{
-    Config, Entry, Member, MemberKey, MemberState, Membership, starting_incarnation,
+    Config, Entry, Mark, Member, MemberKey, MemberState, Membership, starting_incarnation,
 };
-use stoatstep_resource::{InstanceId, ServiceName, UpstreamName};
+use stoatstep_resource::{InstanceId, ServiceName, State, UpstreamName};
 use tokio::sync::Notify;
 
 use crate::clock::unix_time;
@@ -34,6 +35,8 @@
 pub(crate) struct Fleet {
     membership: RefCell<Membership>,
     in_force: RefCell<Option<Rc<InForce>>>,
+    /// States that were in force before, the newest last.
+    former: RefCell<VecDeque<(Mark, Arc<State>)>>,
     places: RefCell<HashMap<UpstreamName, Place>>,
     /// A pull of the configuration from a peer goes on.
     is_pulling: Cell<bool>,
@@ -50,6 +53,7 @@
         Self {
             membership: RefCell::new(Membership::new(me, Config::default(), seed)),
             in_force: RefCell::default(),
+            former: RefCell::default(),
             places: RefCell::default(),
             is_pulling: Cell::new(false),
             woke: Notify::new(),
--- a/crates/mesh/src/fleet/roster.rs
+++ b/crates/mesh/src/fleet/roster.rs
@@ -20,8 +20,7 @@
 /// Pause before another try where the host did not answer.
 const RETRY: Duration = Duration::from_millis(750);
 
-/// Second look of a daemon. Those that started together may have read the list
-/// before any of them was on it.
+/// Second look of a daemon that met nobody at the first one.
 const SECOND_LOOK: Duration = Duration::from_millis(1500);
 
 /// Longest pause between two looks of a daemon that knows nobody.
@@ -67,7 +66,9 @@
             self.is_announced = written.await.is_some();
         }
         let is_alone = self.node.fleet.size() == 1;
-        if self.looks >= 2 && !is_alone {
+        // Whoever announces itself before it looks is on the list of all that look
+        // later, so of any two daemons at least one finds the other.
+        if self.looks > 0 && !is_alone {
             return if self.is_announced {
                 LONGEST_ALONE
             } else {
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -10,7 +10,7 @@
 use smol_str::SmolStr;
 use stoatstep_calls::{Answer, AttemptId, Header, Occupancy, Refusal, Settled, Ticket};
 use stoatstep_membership::{GossipReply, GossipRequest, Mark};
-use stoatstep_resource::wire::SnapshotWire;
+use stoatstep_resource::wire::{DifferenceWire, SnapshotWire};
 use stoatstep_resource::{RouteName, ServiceName, UpstreamName};
 
 /// Names one question on one link.
@@ -64,14 +64,28 @@
     /// To [`Ask::Gossip`].
     #[serde(rename = "g")]
     Gossip(GossipReply),
-    /// To [`Ask::Newer`]; empty where nothing newer is held.
+    /// To [`Ask::Newer`].
     #[serde(rename = "n")]
-    Newer(Option<SnapshotWire>),
+    Newer(Newer),
     /// To [`Ask::Ping`].
     #[serde(rename = "p")]
     Pong,
 }
 
+/// A newer configuration.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum Newer {
+    /// There is none.
+    #[serde(rename = "n")]
+    Nothing,
+    /// What leads there from the one that the asker holds.
+    #[serde(rename = "d")]
+    Difference(DifferenceWire),
+    /// All of it.
+    #[serde(rename = "w")]
+    Whole(SnapshotWire),
+}
+
 /// What every attempt of one call has in common.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct CallParts {
--- a/crates/resource/src/lib.rs
+++ b/crates/resource/src/lib.rs
@@ -6,6 +6,7 @@
 //! meaning of "a valid configuration". See `docs/concepts/configuration.md`.
 
 mod delta;
+mod difference;
 mod digest;
 mod files;
 mod finding;
@@ -17,6 +18,7 @@
 pub mod wire;
 
 pub use delta::{ApplyError, Delta};
+pub use difference::Difference;
 pub use digest::Digest;
 pub use files::{FileSet, SourceFile};
 pub use finding::{Finding, Place};
--- a/crates/resource/src/state.rs
+++ b/crates/resource/src/state.rs
@@ -148,20 +148,33 @@
         Ok(())
     }
 
-    fn changed(&self, version: Version, puts: &[Resource], deletes: &[Key]) -> Self {
+    pub(crate) fn of(version: Version, items: Vec<Held>) -> Self {
+        let keyed = items.into_iter().map(|held| (held.resource.key(), held));
+        Self {
+            version,
+            resources: keyed.collect(),
+        }
+    }
+
+    pub(crate) fn with(&self, version: Version, puts: &[Held], deletes: &[Key]) -> Self {
         let mut resources = self.resources.clone();
         for key in deletes {
             resources.remove(key);
         }
-        for resource in puts {
-            let held = Held {
-                revision: version,
-                resource: Arc::new(resource.clone()),
-            };
-            resources.insert(resource.key(), held);
+        for held in puts {
+            resources.insert(held.resource.key(), held.clone());
         }
         Self { version, resources }
     }
+
+    fn changed(&self, version: Version, puts: &[Resource], deletes: &[Key]) -> Self {
+        let put = |resource: &Resource| Held {
+            revision: version,
+            resource: Arc::new(resource.clone()),
+        };
+        let puts: Vec<Held> = puts.iter().map(put).collect();
+        self.with(version, &puts, deletes)
+    }
 }
 
 /// Why a snapshot does not describe a state.
--- a/crates/resource/src/wire/delta.rs
+++ b/crates/resource/src/wire/delta.rs
@@ -6,6 +6,7 @@
 
 use super::packed::{PackedKey, PackedResource};
 use crate::delta::Delta;
+use crate::difference::Difference;
 use crate::digest::Digest;
 use crate::ids::{Revision, Version};
 use crate::key::Key;
@@ -84,3 +85,43 @@
         Ok(state)
     }
 }
+
+/// See [`Difference`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DifferenceWire {
+    version: Version,
+    puts: Vec<(Revision, PackedResource)>,
+    deletes: Vec<PackedKey>,
+    digest: Digest,
+}
+
+impl From<&Difference> for DifferenceWire {
+    fn from(difference: &Difference) -> Self {
+        let puts = difference.puts.iter();
+        Self {
+            version: difference.version,
+            puts: puts
+                .map(|held| (held.revision, PackedResource::from(&*held.resource)))
+                .collect(),
+            deletes: difference.deletes.iter().map(PackedKey::from).collect(),
+            digest: difference.digest,
+        }
+    }
+}
+
+impl From<DifferenceWire> for Difference {
+    fn from(wire: DifferenceWire) -> Self {
+        let puts = wire.puts.into_iter();
+        Self {
+            version: wire.version,
+            puts: puts
+                .map(|(revision, packed)| Held {
+                    revision,
+                    resource: Arc::new(packed.into()),
+                })
+                .collect(),
+            deletes: wire.deletes.into_iter().map(Key::from).collect(),
+            digest: wire.digest,
+        }
+    }
+}
--- a/crates/resource/src/wire/mod.rs
+++ b/crates/resource/src/wire/mod.rs
@@ -26,7 +26,7 @@
 };
 pub(crate) use resource::default_weight;
 
-pub use delta::{DeltaWire, SnapshotWire};
+pub use delta::{DeltaWire, DifferenceWire, SnapshotWire};
 pub use duration::{duration_text, parse_duration};
 pub use resource::{
     PolicyWire, ResourceWire, RetryWire, RouteWire, ServiceWire, ShareWire, TenantLimitWire,
--- /dev/null
+++ b/crates/resource/tests/all/difference.rs
@@ -0,0 +1,67 @@
+use std::sync::Arc;
+
+use stoatstep_resource::wire::DifferenceWire;
+use stoatstep_resource::{ApplyError, Difference, Held, Resource, Service, State};
+
+fn state(version: u64, services: &[(&str, Option<&str>)]) -> State {
+    let held = services.iter().map(|(name, policy)| Held {
+        revision: 1,
+        resource: Arc::new(Resource::Service(Service {
+            name: (*name).into(),
+            policy: policy.map(Into::into),
+        })),
+    });
+    State::from_snapshot(version, held).expect("names differ")
+}
+
+/// A daemon missed some versions. What it fetches holds only what it lacks, goes
+/// over the wire, and leads to the same state.
+#[test]
+fn a_difference_over_several_versions_leads_to_the_later_state() {
+    let old = state(3, &[("a", None), ("b", None), ("c", None)]);
+    let new = state(9, &[("a", None), ("c", None), ("d", None)]);
+    let difference = old.difference(&new);
+    assert_eq!(difference.puts.len(), 1);
+    assert_eq!(difference.deletes.len(), 1);
+    let bytes = rmp_serde::to_vec(&DifferenceWire::from(&difference)).expect("it encodes");
+    let read: DifferenceWire = rmp_serde::from_slice(&bytes).expect("it decodes");
+    let read = Difference::from(read);
+    assert_eq!(read, difference);
+    assert_eq!(old.advanced(&read), Ok(new));
+}
+
+#[test]
+fn a_difference_from_another_state_is_refused() {
+    let old = state(3, &[("a", None)]);
+    let new = state(9, &[("a", None), ("d", None)]);
+    let difference = old.difference(&new);
+    let other = state(3, &[("z", None)]);
+    let refused = other.advanced(&difference);
+    assert!(matches!(refused, Err(ApplyError::DigestMismatch { .. })));
+}
+
+#[test]
+fn a_difference_never_leads_back() {
+    let old = state(3, &[("a", None)]);
+    let new = state(9, &[("a", None), ("d", None)]);
+    let refused = new.advanced(&new.difference(&old));
+    assert!(matches!(refused, Err(ApplyError::OutOfOrder { .. })));
+}
+
+#[test]
+fn a_dangling_reference_is_refused() {
+    let old = state(3, &[("a", None)]);
+    let new = state(9, &[("a", Some("gone"))]);
+    let refused = old.advanced(&old.difference(&new));
+    assert!(matches!(refused, Err(ApplyError::DanglingReference { .. })));
+}
+
+#[test]
+fn states_share_what_is_the_same() {
+    let old = state(3, &[("a", None), ("b", None)]);
+    let new = state(9, &[("a", None), ("c", None)]);
+    let shared = new.clone().sharing(&old);
+    assert_eq!(shared, new);
+    let resource = |state: &State| Arc::clone(&state.iter().next().expect("one").1.resource);
+    assert!(Arc::ptr_eq(&resource(&shared), &resource(&old)));
+}
--- a/crates/resource/tests/all/main.rs
+++ b/crates/resource/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the resource types.
 
+mod difference;
 mod support;
 
 mod change;
