Log each call with where it was placed and where its time went, and explain it

One line a call at its entry, lines of their own for what went wrong on the way, for each change of a belief and each dependency; 200 lines a second of each kind.

--- a/crates/calls/src/placement.rs
+++ b/crates/calls/src/placement.rs
@@ -139,7 +139,8 @@
         }
     }
 
-    /// An attempt ended; `occupancy` is what the executor's answer said of it.
+    /// An attempt ended; `occupancy` is what the executor's answer said of it. Gives
+    /// the time for which the target is left out, where this is what ejected it.
     pub fn finished(
         &mut self,
         service: &ServiceName,
@@ -147,14 +148,11 @@
         seen: Seen,
         occupancy: Option<Occupancy>,
         now: Time,
-    ) {
-        let Some(rows) = self.services.get_mut(service) else {
-            return;
-        };
+    ) -> Option<Duration> {
+        let rows = self.services.get_mut(service)?;
         let may_eject = row::may_eject(rows.values(), now);
-        if let Some(row) = rows.get_mut(upstream) {
-            row.finished(seen, occupancy, may_eject, now);
-        }
+        let row = rows.get_mut(upstream)?;
+        row.finished(seen, occupancy, may_eject, now)
     }
 
     /// Targets of a service that are ejected now.
--- a/crates/calls/src/placement/row.rs
+++ b/crates/calls/src/placement/row.rs
@@ -148,7 +148,7 @@
         occupancy: Option<Occupancy>,
         may_eject: bool,
         now: Time,
-    ) {
+    ) -> Option<Duration> {
         self.in_flight = self.in_flight.saturating_sub(1);
         if let Some(occupancy) = occupancy {
             self.reported = occupancy;
@@ -158,10 +158,11 @@
         match seen {
             Seen::Answered => self.succeeded(),
             Seen::Full => self.full_until = now + FULL_FOR,
-            Seen::Failed => self.failed(may_eject, now),
+            Seen::Failed => return self.failed(may_eject, now),
             Seen::Leaving => self.leaving_until = now + LEAVING_LIFE,
             Seen::Nothing => {}
         }
+        None
     }
 
     fn succeeded(&mut self) {
@@ -172,16 +173,18 @@
         }
     }
 
-    fn failed(&mut self, may_eject: bool, now: Time) {
+    fn failed(&mut self, may_eject: bool, now: Time) -> Option<Duration> {
         self.failures += (1.0 - self.failures) * FAILURE_GAIN;
         self.successes = 0;
         if self.failures < EJECT_FROM || !may_eject || self.is_ejected(now) {
-            return;
+            return None;
         }
         let doublings = self.ejections.min(16);
-        self.ejected_until = now + (FIRST * (1 << doublings)).min(LONGEST);
+        let time = (FIRST * (1 << doublings)).min(LONGEST);
+        self.ejected_until = now + time;
         self.ejections += 1;
         self.failures = AFTER_EJECTION;
+        Some(time)
     }
 }
 
--- a/crates/calls/src/refusal.rs
+++ b/crates/calls/src/refusal.rs
@@ -72,6 +72,8 @@
 reasons! {
     /// Slots and queue are taken, or the tenant's share is.
     Overload => "overload", NotRun;
+    /// Most calls like it fail, for want of something that they need.
+    Throttled => "throttled", NotRun;
     /// The instance is leaving.
     Draining => "draining", NotRun;
     /// The daemon has just started and may not serve by any version yet.
--- /dev/null
+++ b/crates/ctl/src/commands/explain.rs
@@ -0,0 +1,250 @@
+//! `stoatctl explain`: tells from log lines what became of one request.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io::{BufRead, stdin};
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use stoatstep_settings::{Program, Stop, Values};
+
+use super::operands;
+use crate::console::Console;
+use crate::exit::Exit;
+use crate::failure::Failure;
+use crate::settings::OUTPUT;
+
+pub(super) const PROGRAM: Program = Program {
+    name: "stoatctl explain",
+    about: "Tells what became of a request, from daemons' log lines on standard input.",
+    settings: &[OUTPUT],
+    operands: "REQUEST",
+};
+
+pub(super) struct Options {
+    request: String,
+}
+
+pub(super) fn options(values: Values) -> Result<Options, Stop> {
+    let request = operands::one(&values, "the id of a request is needed");
+    let request = operands::finish(values, request)?;
+    Ok(Options { request })
+}
+
+/// One log line, as far as this command reads it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Line {
+    ts: String,
+    msg: String,
+    #[serde(flatten)]
+    fields: BTreeMap<String, Value>,
+}
+
+impl Line {
+    fn text(&self, key: &str) -> String {
+        match self.fields.get(key) {
+            Some(Value::String(text)) => text.clone(),
+            Some(value) => value.to_string(),
+            None => String::new(),
+        }
+    }
+
+    fn number(&self, key: &str) -> u64 {
+        self.fields
+            .get(key)
+            .and_then(Value::as_u64)
+            .unwrap_or_default()
+    }
+
+    fn flag(&self, key: &str) -> bool {
+        self.fields.get(key) == Some(&Value::Bool(true))
+    }
+}
+
+/// What became of one request, in order.
+#[derive(Serialize)]
+struct Report {
+    request: String,
+    lines: Vec<Line>,
+    /// Lines of the same kinds that the daemons left out.
+    left_out: u64,
+}
+
+pub(super) fn run(options: &Options, console: &mut Console) -> Result<Exit, Failure> {
+    let report = read(&options.request, stdin().lock())?;
+    let exit = if report.lines.is_empty() {
+        Exit::Failure
+    } else {
+        Exit::Success
+    };
+    console.print(&report, &report)?;
+    Ok(exit)
+}
+
+/// Lines of other programs, and what comes before a line's first brace (a name or
+/// time that a collector added), are passed over.
+fn read(request: &str, input: impl BufRead) -> Result<Report, Failure> {
+    let mut report = Report {
+        request: request.to_owned(),
+        lines: Vec::new(),
+        left_out: 0,
+    };
+    for line in input.lines() {
+        let line = line?;
+        if !line.contains(request) {
+            continue;
+        }
+        let json = line.find('{').map(|at| &line[at..]).unwrap_or_default();
+        let Ok(line) = serde_json::from_str::<Line>(json) else {
+            continue;
+        };
+        if line.text("request") == request {
+            report.left_out += line.number("left_out");
+            report.lines.push(line);
+        }
+    }
+    // The daemons' clocks differ by little; within a daemon the order is exact.
+    report.lines.sort_by(|a, b| a.ts.cmp(&b.ts));
+    Ok(report)
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.lines.is_empty() {
+            return write!(
+                f,
+                "{}: no line speaks of it; it may have been left out under a flood, or the \
+                 logs of its entry are missing",
+                self.request
+            );
+        }
+        writeln!(f, "{}", self.request)?;
+        for line in &self.lines {
+            writeln!(f, "{}  {}", line.ts, sentence(line))?;
+        }
+        if self.left_out > 0 {
+            writeln!(f, "{} lines of the same kinds were left out", self.left_out)?;
+        }
+        write!(f, "=> {}", self.conclusion())
+    }
+}
+
+impl Report {
+    /// What the caller may rely on.
+    fn conclusion(&self) -> String {
+        let ended = self.lines.iter().rfind(|it| it.msg == "call ended");
+        let Some(ended) = ended else {
+            return match self.lines.iter().find(|it| it.msg == "request refused") {
+                Some(line) => format!("it did not run: {}", meaning(&line.text("reason"))),
+                None => "its entry has no line of its end: the caller left, or the daemon died"
+                    .to_owned(),
+            };
+        };
+        let reason = meaning(&ended.text("reason"));
+        match ended.text("outcome").as_str() {
+            "not-run" => format!("it did not run and never will: {reason}"),
+            "unknown" => format!("it may have run, and its answer is lost: {reason}"),
+            _ if ended.number("status") >= 500 => "its target answered with a failure".to_owned(),
+            _ if ended.flag("late") => late(ended),
+            _ => "it was answered in time".to_owned(),
+        }
+    }
+}
+
+/// The part of a late answer's time that was the largest.
+fn late(ended: &Line) -> String {
+    let (queue, target) = (ended.number("queue_us"), ended.number("target_us"));
+    let rest = ended.number("total_us").saturating_sub(queue + target);
+    let parts = [
+        (queue, "waiting for a slot"),
+        (target, "at its target"),
+        (rest, "in daemons and on the way, earlier attempts included"),
+    ];
+    let (us, place) = parts.into_iter().max().unwrap_or_default();
+    format!(
+        "it was answered late; most of its time, {} ms, was spent {place}",
+        us / 1000
+    )
+}
+
+fn sentence(line: &Line) -> String {
+    let ms = |key: &str| line.number(key) / 1000;
+    let upstream = line.text("upstream");
+    let arrived = if line.flag("arrived") {
+        "its target got to see it"
+    } else {
+        "its target never saw it"
+    };
+    match line.msg.as_str() {
+        "call ended" => {
+            let zone = if line.flag("other_zone") {
+                " in another zone"
+            } else {
+                ""
+            };
+            format!(
+                "entry: {} by route {} of version {}, {} attempts, last at {upstream}{zone}; \
+                 {} ms in all, {} in queues, {} at targets; given {} ms, objective {} ms",
+                outcome(line),
+                line.text("route"),
+                line.text("version"),
+                line.text("attempts"),
+                ms("total_us"),
+                ms("queue_us"),
+                ms("target_us"),
+                line.text("given_ms"),
+                line.text("objective_ms"),
+            )
+        }
+        "attempt failed" => format!(
+            "entry: attempt at {upstream} brought no answer after {} ms: {}; {arrived}",
+            ms("took_us"),
+            meaning(&line.text("reason"))
+        ),
+        "run failed" => format!(
+            "executor of {upstream}: {}; {arrived}; {} ms in the queue, {} at the target; \
+             {} running and {} waiting then",
+            meaning(&line.text("reason")),
+            ms("queue_us"),
+            ms("target_us"),
+            line.text("running"),
+            line.text("queued"),
+        ),
+        "request refused" => format!(
+            "entry: refused when it came: {}",
+            meaning(&line.text("reason"))
+        ),
+        "target ejected" => format!(
+            "entry: with it, {upstream} was left out for {} ms",
+            line.text("for_ms")
+        ),
+        "retry budget spent" => "entry: not tried again, the retry budget was spent".to_owned(),
+        other => other.to_owned(),
+    }
+}
+
+fn outcome(line: &Line) -> String {
+    match line.text("outcome").as_str() {
+        "answered" => format!("answered with status {}", line.text("status")),
+        other => format!("{other} ({})", line.text("reason")),
+    }
+}
+
+/// What a reason means, in words.
+fn meaning(reason: &str) -> String {
+    let text = match reason {
+        "overload" => "queues were too long for it to be answered in time",
+        "throttled" => "most calls of its route fail for want of something that they need",
+        "draining" => "the target or its daemon was leaving",
+        "not-ready" => "the daemon had no configuration yet",
+        "no-route" => "no route matched its host and path",
+        "no-upstream" => "no target of its service could be reached",
+        "deadline" => "it could not finish before its deadline",
+        "shed" => "the target refused it without running it",
+        "revoked" => "it was called back before it started",
+        "lost-answer" => "the target's answer was lost or broken",
+        "timed-out" => "its deadline passed while it ran",
+        other => other,
+    };
+    text.to_owned()
+}
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod delete;
 mod drain;
+mod explain;
 mod get;
 mod operands;
 mod status;
@@ -29,9 +30,10 @@
     Watch(watch::Options),
     Status(status::Options),
     Drain(drain::Options),
+    Explain(explain::Options),
 }
 
-const PROGRAMS: [&Program; 7] = [
+const PROGRAMS: [&Program; 8] = [
     &validate::PROGRAM,
     &apply::PROGRAM,
     &get::PROGRAM,
@@ -39,6 +41,7 @@
     &watch::PROGRAM,
     &status::PROGRAM,
     &drain::PROGRAM,
+    &explain::PROGRAM,
 ];
 
 /// Runs the command that the arguments name.
@@ -89,6 +92,7 @@
         "watch" => with_output(read(&watch::PROGRAM)?, watch::options, Command::Watch),
         "status" => with_output(read(&status::PROGRAM)?, status::options, Command::Status),
         "drain" => with_output(read(&drain::PROGRAM)?, drain::options, Command::Drain),
+        "explain" => with_output(read(&explain::PROGRAM)?, explain::options, Command::Explain),
         _ => Err(usage(&name, "is no command; see stoatctl --help")),
     }
 }
@@ -157,5 +161,6 @@
         Command::Watch(options) => watch::run(options, console).await,
         Command::Status(options) => status::run(options, console).await,
         Command::Drain(options) => drain::run(options, console).await,
+        Command::Explain(options) => explain::run(&options, console),
     }
 }
--- a/crates/ctl/src/commands/operands.rs
+++ b/crates/ctl/src/commands/operands.rs
@@ -17,6 +17,14 @@
     Ok(operands)
 }
 
+/// Exactly one operand.
+pub(super) fn one(values: &Values, needed: &str) -> Operands<String> {
+    match values.operands() {
+        [operand] => Ok(operand.clone()),
+        _ => Err(vec![finding("operands", needed)]),
+    }
+}
+
 /// At least one key.
 pub(super) fn keys(values: &Values) -> Operands<Vec<Key>> {
     let operands = some(values, "a resource is needed: KIND/NAME")?;
--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -38,6 +38,7 @@
     pub(crate) heartbeat: Duration,
     pub(crate) grace: Duration,
     pub(crate) retries: RetryBounds,
+    pub(crate) metrics: Option<SocketAddr>,
 }
 
 /// What all daemons together may add to a service's load by retries.
@@ -73,6 +74,7 @@
                 percent: 20,
                 slack: 10,
             },
+            metrics: None,
         }
     }
 
@@ -99,6 +101,13 @@
         self
     }
 
+    /// Where metrics are served as text. Default: nowhere.
+    #[must_use]
+    pub fn metrics(mut self, addr: SocketAddr) -> Self {
+        self.metrics = Some(addr);
+        self
+    }
+
     /// What all daemons together may add to a service's load by retries: this
     /// many for each hundred requests, and `slack` on top. Default 20 and 10.
     #[must_use]
--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use stoatstep_calls::{AttemptId, Occupancy, Reason, Refusal, Seen, Ticket};
+use stoatstep_calls::{AttemptId, Occupancy, Reason, Refusal, Seen, Ticket, Time};
 use stoatstep_resource::UpstreamName;
 use tokio::time::{sleep, timeout};
 
 use super::call::Call;
 use crate::executor;
 use crate::fleet::Place;
+use crate::journal::{AttemptFailed, REQUEST, UPSTREAM};
 use crate::link::LinkError;
 use crate::node::Node;
 use crate::wire::{Ask, Attempt, End, Ran, Reply, WireSettled};
@@ -39,15 +40,23 @@
     pub(super) end: End,
     /// Whether the target got to see it, or may have.
     pub(super) arrived: bool,
+    pub(super) in_queue: Duration,
+    pub(super) at_target: Duration,
 }
 
 impl Ended {
-    fn refused(refusal: Refusal, arrived: bool) -> Self {
+    fn of(end: End, arrived: bool) -> Self {
         Self {
-            end: End::Refused(refusal),
+            end,
             arrived,
+            in_queue: Duration::ZERO,
+            at_target: Duration::ZERO,
         }
     }
+
+    fn refused(refusal: Refusal, arrived: bool) -> Self {
+        Self::of(End::Refused(refusal), arrived)
+    }
 }
 
 /// Makes one attempt, and lets placement learn from it.
@@ -75,6 +84,7 @@
             let refusal = Refusal::retry(Reason::Deadline, UNREACHABLE_RETRY);
             return (Ended::refused(refusal, false), None);
         };
+        let begun = node.clock.now();
         let id = node.entry.tables.borrow_mut().rng.random();
         let attempt = Attempt {
             id,
@@ -90,6 +100,7 @@
         };
         let is_stale = matches!(&ended.end, End::Refused(it) if it.reason == Reason::StaleTicket);
         if !is_stale {
+            note_failure(node, call, (id, upstream), &ended, begun);
             return (ended, occupancy);
         }
     }
@@ -97,6 +108,28 @@
     (Ended::refused(refusal, false), None)
 }
 
+fn note_failure(
+    node: &Node,
+    call: &Call,
+    (attempt, upstream): (AttemptId, &str),
+    ended: &Ended,
+    begun: Time,
+) {
+    let End::Refused(refusal) = &ended.end else {
+        return;
+    };
+    let now = node.clock.now();
+    let failed = AttemptFailed {
+        call: &call.parts,
+        attempt,
+        upstream,
+        reason: refusal.reason,
+        arrived: ended.arrived,
+        took: now.saturating_sub(begun),
+    };
+    node.journal.attempt_failed(&failed, now);
+}
+
 /// Before an executor's first answer there is no ticket, and one that it will
 /// refuse stands in.
 fn ticket(node: &Node, place: Place) -> Ticket {
@@ -166,8 +199,9 @@
 
 fn of_ran(ran: Ran) -> (Ended, Option<Occupancy>) {
     let ended = Ended {
-        end: ran.end,
-        arrived: ran.arrived,
+        in_queue: ran.in_queue,
+        at_target: ran.at_target,
+        ..Ended::of(ran.end, ran.arrived)
     };
     (ended, Some(ran.occupancy))
 }
@@ -197,10 +231,7 @@
 
 fn of_settled(settled: WireSettled) -> Ended {
     match settled {
-        WireSettled::Done(answer) => Ended {
-            end: End::Answered(answer),
-            arrived: true,
-        },
+        WireSettled::Done(answer) => Ended::of(End::Answered(answer), true),
         WireSettled::NotRun => {
             let refusal = Refusal::retry(Reason::Revoked, REVOKED_RETRY);
             Ended::refused(refusal, false)
@@ -255,6 +286,14 @@
         let service = &self.call.parts.service;
         let mut tables = self.node.entry.tables.borrow_mut();
         let placement = &mut tables.placement;
-        placement.finished(service, self.upstream, self.seen, self.occupancy, now);
+        let (seen, occupancy) = (self.seen, self.occupancy);
+        let ejected = placement.finished(service, self.upstream, seen, occupancy, now);
+        drop(tables);
+        if let Some(time) = ejected {
+            self.node.journal.count("targets.ejected");
+            slog::info!(self.node.log, "target ejected";
+                UPSTREAM => %self.upstream, "service" => %service,
+                REQUEST => %self.call.parts.request_id, "for_ms" => time.as_millis());
+        }
     }
 }
--- a/crates/mesh/src/entry/call.rs
+++ b/crates/mesh/src/entry/call.rs
@@ -11,6 +11,7 @@
 use smol_str::{SmolStr, ToSmolStr};
 use stoatstep_calls::{Deadline, Header, Reason, Refusal, ResolvedRoute, Time, is_of_connection};
 use stoatstep_http::{BodyError, read_body};
+use stoatstep_resource::Version;
 
 use crate::node::Node;
 use crate::wire::CallParts;
@@ -31,6 +32,8 @@
 
 /// A caller's request.
 pub(super) struct Call {
+    /// Configuration that it was routed by.
+    pub(super) version: Version,
     pub(super) route: Arc<ResolvedRoute>,
     pub(super) deadline: Deadline,
     /// Until when an answer is worth its full price.
@@ -80,6 +83,7 @@
                 .unwrap_or_else(|| node.cfg.service.clone()),
         };
         Ok(Self {
+            version: in_force.version(),
             objective: objective(&route, deadline, now),
             route,
             deadline,
--- a/crates/mesh/src/entry/carry.rs
+++ b/crates/mesh/src/entry/carry.rs
@@ -3,13 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stoatstep_calls::{Attempts, Outcome, Reason, Refusal};
+use stoatstep_calls::{Attempts, Outcome, Pick, Reason, Refusal};
 use stoatstep_resource::UpstreamName;
 
 use super::Tables;
 use super::attempt::{self, Ended};
 use super::call::Call;
 use crate::fleet::Place;
+use crate::journal::{REQUEST, Times};
 use crate::node::Node;
 use crate::wire::End;
 
@@ -32,20 +33,31 @@
 /// of another service, where they can't be told from first ones.
 const BUDGET_SHARE: u32 = 2;
 
+/// A call that was carried to its end.
+pub(super) struct Carried {
+    pub(super) end: End,
+    /// Time in queues and at targets; the total is not known here.
+    pub(super) times: Times,
+    pub(super) attempts: usize,
+    /// The target that was tried last, and whether it is of another zone.
+    pub(super) placed: Option<(UpstreamName, bool)>,
+}
+
 /// Carries a call to its end.
-pub(super) async fn carry(node: &Rc<Node>, call: &Call) -> End {
+pub(super) async fn carry(node: &Rc<Node>, call: &Call) -> Carried {
     let mut made = Made::default();
     earn(node, call);
     loop {
-        let Some((upstream, place)) = choose(node, call, &made.tried) else {
-            return made.end();
+        let Some((pick, place)) = choose(node, call, &made.tried) else {
+            return made.finish();
         };
-        let ended = attempt::at(node, call, &upstream, place).await;
-        made.tried.push(upstream);
+        let ended = attempt::at(node, call, &pick.upstream, place).await;
+        made.tried.push(pick.upstream.clone());
+        made.placed = Some((pick.upstream, pick.spilled));
         let is_over = !may_go_on(node, call, &mut made, &ended);
-        made.note(ended.end);
+        made.note(ended);
         if is_over {
-            return made.end();
+            return made.finish();
         }
     }
 }
@@ -54,17 +66,21 @@
 #[derive(Default)]
 struct Made {
     tried: Vec<UpstreamName>,
+    placed: Option<(UpstreamName, bool)>,
     /// Attempts that their targets got to see.
     arrived: u32,
     overloaded: usize,
     attempts: Attempts,
+    times: Times,
     best: Option<End>,
 }
 
 impl Made {
     /// Keeps the ending that tells the caller most.
-    fn note(&mut self, end: End) {
-        let end = match end {
+    fn note(&mut self, ended: Ended) {
+        self.times.queue += ended.in_queue;
+        self.times.target += ended.at_target;
+        let end = match ended.end {
             End::Refused(refusal) => End::Refused(self.attempts.refused(refusal)),
             answered @ End::Answered(_) => answered,
         };
@@ -74,20 +90,25 @@
         }
     }
 
-    fn end(self) -> End {
+    fn finish(self) -> Carried {
         let nobody = || End::Refused(Refusal::retry(Reason::NoUpstream, UNREACHABLE_RETRY));
-        self.best.unwrap_or_else(nobody)
+        Carried {
+            end: self.best.unwrap_or_else(nobody),
+            times: self.times,
+            attempts: self.tried.len(),
+            placed: self.placed,
+        }
     }
 }
 
-fn choose(node: &Node, call: &Call, tried: &[UpstreamName]) -> Option<(UpstreamName, Place)> {
+fn choose(node: &Node, call: &Call, tried: &[UpstreamName]) -> Option<(Pick, Place)> {
     let now = node.clock.now();
     let mut tables = node.entry.tables.borrow_mut();
     let Tables { placement, rng, .. } = &mut *tables;
     let objective = call.objective.saturating_sub(now);
     let pick = placement.pick(&call.parts.service, tried, objective, now, rng)?;
     let place = node.fleet.place(&pick.upstream)?;
-    Some((pick.upstream, place))
+    Some((pick, place))
 }
 
 /// Whether another attempt may and should follow this one.
@@ -137,5 +158,15 @@
 fn take_retry(node: &Node, call: &Call) -> bool {
     let mut tables = node.entry.tables.borrow_mut();
     let budget = tables.budgets.entry(call.parts.service.clone());
-    budget.or_default().take()
+    let has_left = budget.or_default().take();
+    drop(tables);
+    if !has_left {
+        node.journal.count("retries.refused");
+        if let Some(left_out) = node.journal.admits("retry", node.clock.now()) {
+            slog::info!(node.log, "retry budget spent";
+                REQUEST => %call.parts.request_id, "service" => %call.parts.service,
+                "left_out" => left_out);
+        }
+    }
+    has_left
 }
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -15,14 +15,16 @@
 use ntex::http::{Request, Response};
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
-use stoatstep_calls::{Candidate, Placement, RetryBudget, Throttle, Ticket, Time};
+use stoatstep_calls::{Candidate, Placement, Refusal, RetryBudget, Throttle, Ticket, Time};
 use stoatstep_http::drop_body;
 use stoatstep_resource::{RouteName, ServiceName};
 
 use crate::config::MeshConfig;
 use crate::drain::InFlight;
+use crate::journal::{CallEnded, REASON, REQUEST, Times};
 use crate::node::Node;
 use call::Call;
+use carry::Carried;
 
 pub(crate) struct Entry {
     tables: RefCell<Tables>,
@@ -70,18 +72,53 @@
 /// runs for it is cancelled.
 pub(crate) async fn handle(node: &Rc<Node>, mut req: Request) -> Response {
     let _in_flight = InFlight::enter(node);
-    let is_last = node.is_leaving();
+    let begun = node.clock.now();
     let call = match Call::read(node, &mut req).await {
         Ok(call) => call,
         Err(refusal) => {
+            refused(node, &req, &refusal);
             drop_body(req.take_payload()).await;
-            return respond::refused(&refusal, is_last);
+            return respond::refused(&refusal, node.is_leaving());
         }
     };
-    if !throttle::admits(node, &call) {
-        return respond::refused(&throttle::refusal(), is_last);
-    }
-    let end = carry::carry(node, &call).await;
-    throttle::note(node, &call, &end);
-    respond::ended(&end, node.is_leaving())
+    let carried = if throttle::admits(node, &call) {
+        let carried = carry::carry(node, &call).await;
+        throttle::note(node, &call, &carried.end);
+        carried
+    } else {
+        throttle::refused()
+    };
+    ended(node, &call, &carried, begun);
+    respond::ended(&carried.end, node.is_leaving())
+}
+
+fn ended(node: &Node, call: &Call, carried: &Carried, begun: Time) {
+    let now = node.clock.now();
+    let ended = CallEnded {
+        call: &call.parts,
+        end: &carried.end,
+        version: call.version,
+        given: call.deadline.left(begun),
+        objective: call.objective.saturating_sub(begun),
+        times: Times {
+            total: now.saturating_sub(begun),
+            ..carried.times
+        },
+        attempts: carried.attempts,
+        placed: carried.placed.clone(),
+    };
+    node.journal.call_ended(&ended, now);
+}
+
+/// A request that did not become a call.
+fn refused(node: &Node, req: &Request, refusal: &Refusal) {
+    node.journal.count(&format!("calls.{}", refusal.reason));
+    let kind = refusal.reason.as_str();
+    let Some(left_out) = node.journal.admits(kind, node.clock.now()) else {
+        return;
+    };
+    let id = req.headers().get(node.cfg.dialect.request_id.as_str());
+    let id = id.and_then(|it| it.to_str().ok()).unwrap_or_default();
+    slog::info!(node.log, "request refused";
+        REQUEST => id, REASON => kind, "path" => req.path(), "left_out" => left_out);
 }
--- a/crates/mesh/src/entry/throttle.rs
+++ b/crates/mesh/src/entry/throttle.rs
@@ -6,6 +6,8 @@
 use stoatstep_calls::{Reason, Refusal, Throttle};
 
 use super::call::Call;
+use super::carry::Carried;
+use crate::journal::Times;
 use crate::node::Node;
 use crate::wire::End;
 
@@ -33,8 +35,13 @@
 }
 
 /// What a call that is not let through ends with.
-pub(super) fn refusal() -> Refusal {
-    Refusal::retry(Reason::Overload, PAUSE)
+pub(super) fn refused() -> Carried {
+    Carried {
+        end: End::Refused(Refusal::retry(Reason::Throttled, PAUSE)),
+        times: Times::default(),
+        attempts: 0,
+        placed: None,
+    }
 }
 
 /// Learns from how a call ended. A call that was refused says nothing about what
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -15,8 +15,8 @@
 
 use rand::RngExt;
 use stoatstep_calls::{
-    Arrival, AttemptId, Deadline, Incarnation, Ledger, LedgerConfig, Queue, Reason, Refusal,
-    Settled, Ticket,
+    Arrival, AttemptId, Deadline, Incarnation, Ledger, LedgerConfig, Occupancy, Queue, Reason,
+    Refusal, Settled, Ticket,
 };
 use stoatstep_membership::{Announced, Heard, Heartbeat, LocalTarget};
 use stoatstep_resource::ServiceName;
@@ -24,6 +24,7 @@
 
 use crate::clock::Clock;
 use crate::config::MeshConfig;
+use crate::journal::UPSTREAM;
 use crate::node::Node;
 use crate::wire::{Attempt, End, Ran, WireSettled};
 use target::Target;
@@ -97,6 +98,11 @@
         self.tables.borrow().upstream.service().cloned()
     }
 
+    /// How occupied the target is.
+    pub(crate) fn occupancy(&self) -> Occupancy {
+        self.tables.borrow().queue.occupancy()
+    }
+
     /// What peers are told about the target.
     pub(crate) fn announced(&self, now: stoatstep_calls::Time) -> Option<Announced> {
         self.tables.borrow().upstream.announced(now)
@@ -109,17 +115,38 @@
     let now = node.clock.now();
     let mut tables = node.executor.tables.borrow_mut();
     let slots = beat.slots;
+    let before = tables.upstream.admits(now).cloned();
     let heard = tables.upstream.hear(beat, now);
+    let after = tables.upstream.admits(now).cloned();
+    let change = changed_target(before, after);
     if heard == Heard::Taken {
         tables.queue.set_slots(slots);
     }
     drop(tables);
+    if let Some(change) = change {
+        slog::info!(node.log, "target"; UPSTREAM => %change.upstream,
+            "service" => %change.service, "slots" => change.slots,
+            "sequence" => change.sequence, "draining" => change.draining);
+    }
     flush_if_closed(node);
     heard
 }
 
+/// The target that is announced now, where another one or none was before.
+fn changed_target(before: Option<Heartbeat>, after: Option<Heartbeat>) -> Option<Heartbeat> {
+    let id = |beat: &Option<Heartbeat>| beat.as_ref().map(|it| it.upstream.clone());
+    if id(&before) == id(&after) {
+        return None;
+    }
+    after.or(before.map(|it| Heartbeat {
+        draining: true,
+        ..it
+    }))
+}
+
 /// A life of the target said good-bye.
 pub(crate) fn leave(node: &Node, upstream: &str) {
+    slog::info!(node.log, "target leaves"; UPSTREAM => upstream);
     node.executor.tables.borrow_mut().upstream.leave(upstream);
     flush_if_closed(node);
 }
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -10,6 +10,7 @@
 use super::target::TargetEnd;
 use super::{QUEUE_RETRY, Run, Tables, slot};
 use crate::drain::InFlight;
+use crate::journal::{RunFailed, Times};
 use crate::node::Node;
 use crate::wire::{Attempt, End, Ran};
 
@@ -53,6 +54,7 @@
         let _in_flight = InFlight::enter(&node);
         let report = carry_or_cancel(&node, &attempt, cancelled).await;
         finish(&node, &attempt, &report.end);
+        note_failure(&node, &attempt, &report);
         // Where the link is gone, the ledger has the end.
         let _ = tx.send(ran(&node, report));
     });
@@ -167,6 +169,28 @@
     }
 }
 
+fn note_failure(node: &Node, attempt: &Attempt, report: &Report) {
+    let End::Refused(refusal) = &report.end else {
+        return;
+    };
+    let occupancy = node.executor.tables.borrow().queue.occupancy();
+    let failed = RunFailed {
+        call: &attempt.call,
+        attempt: attempt.id,
+        upstream: &attempt.upstream,
+        reason: refusal.reason,
+        arrived: report.arrived,
+        times: Times {
+            queue: report.in_queue,
+            target: report.at_target,
+            ..Times::default()
+        },
+        running: occupancy.running,
+        queued: occupancy.queued,
+    };
+    node.journal.run_failed(&failed, node.clock.now());
+}
+
 fn finish(node: &Node, attempt: &Attempt, end: &End) {
     let mut tables = node.executor.tables.borrow_mut();
     record(&mut tables, attempt, end);
--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -77,6 +77,9 @@
             Ok(update) => {
                 cursor = (role == PollRole::Poller).then_some(update.cursor);
                 failures = 0;
+                if !node.fleet.reaches_host.replace(true) {
+                    slog::info!(node.log, "host reached");
+                }
                 gossip::input(&node, Input::HeadRead);
                 let changed = update
                     .state
@@ -88,9 +91,7 @@
                 }
             }
             Err(err) => {
-                if err != HostError::HistoryLost {
-                    slog::warn!(node.log, "configuration not read"; "error" => %err);
-                }
+                note_failure(&node, &err);
                 // Read anew, which is answered at once or not at all.
                 cursor = None;
                 failures += 1;
@@ -103,6 +104,22 @@
     }
 }
 
+/// One line where the host is lost, and one for each answer that makes no sense.
+fn note_failure(node: &Node, err: &HostError) {
+    node.journal.count("host.failures");
+    match err {
+        HostError::HistoryLost => slog::info!(node.log, "host's history lost, read anew"),
+        HostError::Malformed(_) => {
+            slog::error!(node.log, "configuration not understood"; "error" => %err);
+        }
+        HostError::Unavailable(_) => {
+            if node.fleet.reaches_host.replace(false) {
+                slog::warn!(node.log, "host lost"; "error" => %err);
+            }
+        }
+    }
+}
+
 fn role(node: &Node) -> PollRole {
     let membership = node.fleet.membership.borrow();
     let zone = membership.table().in_zone(&node.cfg.zone);
--- a/crates/mesh/src/fleet/gossip.rs
+++ b/crates/mesh/src/fleet/gossip.rs
@@ -9,6 +9,7 @@
 };
 
 use super::{configuration, refresh};
+use crate::journal::UPSTREAM;
 use crate::node::Node;
 use crate::wire::{Ask, Reply};
 use crate::{drain, executor};
@@ -101,7 +102,10 @@
             Action::PeerHolds {
                 peer, addr, mark, ..
             } => configuration::peer_holds(node, peer, addr, mark),
-            Action::Changed(_) => is_changed = true,
+            Action::Changed(key) => {
+                is_changed = true;
+                note_member(node, key);
+            }
             Action::Forgotten { instance, .. } => {
                 node.fleet.forgotten.borrow_mut().push(instance);
             }
@@ -121,6 +125,25 @@
     }
 }
 
+/// One line for each change of what is believed about a member.
+fn note_member(node: &Node, key: MemberKey) {
+    let Some(left_out) = node.journal.admits("member", node.clock.now()) else {
+        return;
+    };
+    let membership = node.fleet.membership.borrow();
+    let Some(entry) = membership.table().get(key) else {
+        return;
+    };
+    let member = &entry.member;
+    let announced = member.announced.as_ref();
+    slog::info!(node.log, "member";
+        "instance" => %member.instance, "zone" => %member.zone,
+        "incarnation" => member.incarnation, "state" => ?member.state,
+        UPSTREAM => announced.map_or("", |it| it.upstream.as_str()),
+        "service" => announced.map_or("", |it| it.service.as_str()),
+        "draining" => announced.is_some_and(|it| it.draining), "left_out" => left_out);
+}
+
 /// The instance was suspended. Everything that waits here is old.
 fn woke(node: &Rc<Node>, gap: Duration) {
     slog::warn!(node.log, "woke from a suspension"; "gap_ms" => gap.as_millis());
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -40,6 +40,8 @@
     places: RefCell<HashMap<UpstreamName, Place>>,
     /// A pull of the configuration from a peer goes on.
     is_pulling: Cell<bool>,
+    /// The host answered the last question.
+    reaches_host: Cell<bool>,
     /// The instance was suspended: what waits for the host should ask anew.
     woke: Notify,
     /// Members that are gone for good, whose roster rows are to be deleted.
@@ -56,6 +58,7 @@
             former: RefCell::default(),
             places: RefCell::default(),
             is_pulling: Cell::new(false),
+            reaches_host: Cell::new(false),
             woke: Notify::new(),
             forgotten: RefCell::default(),
         }
@@ -86,6 +89,22 @@
     }
 }
 
+/// Brings the gauges up to date, for whoever reads the metrics.
+pub(crate) fn gauges(node: &Node) {
+    let version = node.fleet.in_force().map_or(0, |it| it.version());
+    node.journal.gauge("configuration.version", version);
+    let members = u64::try_from(node.fleet.size()).unwrap_or(u64::MAX);
+    node.journal.gauge("members", members);
+    node.journal
+        .gauge("calls.in_flight", node.in_flight.get().into());
+    let occupancy = node.executor.occupancy();
+    node.journal
+        .gauge("queue.running", occupancy.running.into());
+    node.journal.gauge("queue.waiting", occupancy.queued.into());
+    node.journal
+        .gauge("host.reached", node.fleet.reaches_host.get().into());
+}
+
 fn myself(cfg: &MeshConfig) -> Member {
     let birth = starting_incarnation(unix_time(), None);
     Member {
--- /dev/null
+++ b/crates/mesh/src/journal.rs
@@ -0,0 +1,224 @@
+//! What the daemon says about single calls, and how often.
+//!
+//! Every call has one line at its entry: where it was placed, how it ended and
+//! where its time went. What went wrong on the way has lines of its own. The keys
+//! are listed in `docs/OPERATIONS.md`; one key means the same in every line.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use slog::Logger;
+use smol_str::SmolStr;
+use stoatstep_calls::{AttemptId, Outcome, Reason, Time};
+use stoatstep_telemetry::{Admission, Histograms, Metrics, RateLimit, Stage};
+
+use crate::wire::{CallParts, End};
+
+/// Id of the caller's request.
+pub(crate) const REQUEST: &str = "request";
+/// Id of one attempt of it at one executor.
+pub(crate) const ATTEMPT: &str = "attempt";
+/// The life of the target that was chosen.
+pub(crate) const UPSTREAM: &str = "upstream";
+/// Why something ended as it did.
+pub(crate) const REASON: &str = "reason";
+/// HTTP status.
+pub(crate) const STATUS: &str = "status";
+/// Whether the target got to see the request.
+pub(crate) const ARRIVED: &str = "arrived";
+
+/// Lines a second about calls that went well. Enough for every call of an
+/// ordinary day; under a flood the rest is counted.
+const ORDINARY: u32 = 200;
+
+/// Lines a second about each kind of refusal, unknown outcome or late answer.
+/// They are looked for afterwards, so they are kept longest.
+const EXCEPTIONAL: u32 = 200;
+
+/// Window in which lines are counted.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Routes with histograms of their own; the others share one.
+const MAX_ROUTES: usize = 64;
+
+/// Where the time of a call went.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Times {
+    /// From the caller's request to its answer.
+    pub(crate) total: Duration,
+    /// In the executor's queue, over all attempts.
+    pub(crate) queue: Duration,
+    /// At targets, over all attempts.
+    pub(crate) target: Duration,
+}
+
+/// How a call ended, for its line.
+pub(crate) struct CallEnded<'a> {
+    pub(crate) call: &'a CallParts,
+    pub(crate) end: &'a End,
+    /// Configuration that it was routed by.
+    pub(crate) version: u64,
+    /// Time that its caller gave it.
+    pub(crate) given: Duration,
+    /// Time within which its answer is worth its full price.
+    pub(crate) objective: Duration,
+    pub(crate) times: Times,
+    pub(crate) attempts: usize,
+    /// The target that was tried last, and whether it is of another zone.
+    pub(crate) placed: Option<(SmolStr, bool)>,
+}
+
+/// One attempt that did not bring an answer, at its entry.
+pub(crate) struct AttemptFailed<'a> {
+    pub(crate) call: &'a CallParts,
+    pub(crate) attempt: AttemptId,
+    pub(crate) upstream: &'a str,
+    pub(crate) reason: Reason,
+    pub(crate) arrived: bool,
+    pub(crate) took: Duration,
+}
+
+/// One run that did not bring an answer, at its executor.
+pub(crate) struct RunFailed<'a> {
+    pub(crate) call: &'a CallParts,
+    pub(crate) attempt: AttemptId,
+    pub(crate) upstream: &'a str,
+    pub(crate) reason: Reason,
+    pub(crate) arrived: bool,
+    pub(crate) times: Times,
+    pub(crate) running: u32,
+    pub(crate) queued: u32,
+}
+
+/// Lines, counters and histograms about calls.
+pub(crate) struct Journal {
+    log: Logger,
+    lines: RefCell<RateLimit>,
+    metrics: Metrics,
+    histograms: RefCell<Histograms>,
+}
+
+impl Journal {
+    pub(crate) fn new(log: Logger) -> Self {
+        Self {
+            log,
+            lines: RefCell::new(RateLimit::new(ORDINARY.max(EXCEPTIONAL), WINDOW)),
+            metrics: Metrics::new(),
+            histograms: RefCell::new(Histograms::new(MAX_ROUTES)),
+        }
+    }
+
+    /// Every counter, gauge and histogram as text lines.
+    pub(crate) fn metrics_text(&self) -> String {
+        let histograms = self.histograms.borrow();
+        let mut text = self.metrics.render();
+        text.push_str(&histograms.render("stoatstep_call_us", "route"));
+        text
+    }
+
+    pub(crate) fn gauge(&self, name: &str, value: u64) {
+        self.metrics.gauge(name, value);
+    }
+
+    pub(crate) fn count(&self, name: &str) {
+        self.metrics.count(name, 1);
+    }
+
+    /// Number of lines of this kind that were left out before it, or `None` where
+    /// the line itself is one too many.
+    pub(crate) fn admits(&self, kind: &'static str, now: Time) -> Option<u64> {
+        match self.lines.borrow_mut().admit(kind, now) {
+            Admission::Log { suppressed } => Some(suppressed),
+            Admission::Suppress => None,
+        }
+    }
+
+    /// One line about each call, whatever became of it.
+    pub(crate) fn call_ended(&self, ended: &CallEnded<'_>, now: Time) {
+        self.measure(ended);
+        let is_late = ended.times.total > ended.objective;
+        let kind = match ended.end {
+            End::Answered(answer) if answer.status >= 500 => "failed",
+            End::Answered(_) if is_late => "late",
+            End::Answered(_) => "answered",
+            End::Refused(refusal) => refusal.reason.as_str(),
+        };
+        self.metrics.count(&format!("calls.{kind}"), 1);
+        let Some(left_out) = self.admits(kind, now) else {
+            return;
+        };
+        let (outcome, status, reason) = described(ended.end);
+        let (upstream, spilled) = match &ended.placed {
+            Some((upstream, spilled)) => (upstream.as_str(), *spilled),
+            None => ("", false),
+        };
+        slog::info!(self.log, "call ended";
+            REQUEST => %ended.call.request_id, "route" => %ended.call.route,
+            "service" => %ended.call.service, "version" => ended.version,
+            "outcome" => outcome, STATUS => status, REASON => reason, "late" => is_late,
+            UPSTREAM => upstream, "other_zone" => spilled, "attempts" => ended.attempts,
+            "total_us" => micros(ended.times.total), "queue_us" => micros(ended.times.queue),
+            "target_us" => micros(ended.times.target), "given_ms" => millis(ended.given),
+            "objective_ms" => millis(ended.objective), "left_out" => left_out);
+    }
+
+    /// One line about each attempt that brought no answer.
+    pub(crate) fn attempt_failed(&self, failed: &AttemptFailed<'_>, now: Time) {
+        self.count("attempts.failed");
+        if let Some(left_out) = self.admits("attempt", now) {
+            slog::info!(self.log, "attempt failed";
+                REQUEST => %failed.call.request_id, ATTEMPT => format!("{:032x}", failed.attempt),
+                UPSTREAM => failed.upstream, REASON => failed.reason.as_str(),
+                ARRIVED => failed.arrived, "took_us" => micros(failed.took),
+                "left_out" => left_out);
+        }
+    }
+
+    /// One line about each run that brought no answer.
+    pub(crate) fn run_failed(&self, failed: &RunFailed<'_>, now: Time) {
+        self.count("runs.failed");
+        if let Some(left_out) = self.admits("run", now) {
+            slog::info!(self.log, "run failed";
+                REQUEST => %failed.call.request_id, ATTEMPT => format!("{:032x}", failed.attempt),
+                UPSTREAM => failed.upstream, REASON => failed.reason.as_str(),
+                ARRIVED => failed.arrived, "queue_us" => micros(failed.times.queue),
+                "target_us" => micros(failed.times.target), "running" => failed.running,
+                "queued" => failed.queued, "left_out" => left_out);
+        }
+    }
+
+    fn measure(&self, ended: &CallEnded<'_>) {
+        let class = if ended.call.idempotent {
+            "idempotent"
+        } else {
+            "at-most-once"
+        };
+        let times = &ended.times;
+        let daemon = times.total.saturating_sub(times.queue + times.target);
+        let stages = [
+            (Stage::Total, times.total),
+            (Stage::Daemon, daemon),
+            (Stage::Queue, times.queue),
+            (Stage::Target, times.target),
+        ];
+        let mut histograms = self.histograms.borrow_mut();
+        for (stage, time) in stages {
+            histograms.record(&ended.call.route, class, stage, time);
+        }
+    }
+}
+
+fn described(end: &End) -> (&'static str, u16, &'static str) {
+    match end {
+        End::Answered(answer) => (Outcome::Answered.as_str(), answer.status, ""),
+        End::Refused(refusal) => (refusal.outcome().as_str(), 0, refusal.reason.as_str()),
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -7,7 +7,7 @@
 //! * The *target* beside the daemon announces itself in heartbeats, see
 //!   [`Heartbeat`].
 //! * *Peers* are the other daemons. They exchange membership and configuration,
-//!   and carry each other's calls over [links](mod@link).
+//!   and carry each other's calls over links.
 //!
 //! A call enters at one daemon (`entry`), goes to the daemon beside the chosen
 //! target (`executor`), and only that one talks to the target. What must hold
@@ -25,6 +25,7 @@
 mod fleet;
 mod host;
 mod in_force;
+mod journal;
 mod link;
 mod node;
 mod wire;
--- a/crates/mesh/src/link/dial.rs
+++ b/crates/mesh/src/link/dial.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
+use slog::Logger;
 use stoatstep_calls::Time;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
@@ -49,14 +50,16 @@
 /// Links by address.
 pub(crate) struct Links {
     clock: Clock,
-    links: RefCell<HashMap<SocketAddr, Rc<Link>>>,
+    log: Logger,
+    table: RefCell<HashMap<SocketAddr, Rc<Link>>>,
 }
 
 impl Links {
-    pub(crate) fn new(clock: Clock) -> Self {
+    pub(crate) fn new(clock: Clock, log: Logger) -> Self {
         Self {
             clock,
-            links: RefCell::default(),
+            log,
+            table: RefCell::default(),
         }
     }
 
@@ -86,7 +89,7 @@
     /// Closes links that have been silent through a suspension of the instance:
     /// their other ends may have given them up meanwhile.
     pub(crate) fn close_all(&self) {
-        let links: Vec<_> = self.links.borrow_mut().drain().collect();
+        let links: Vec<_> = self.table.borrow_mut().drain().collect();
         for (_, link) in links {
             link.give_up.notify_one();
         }
@@ -94,7 +97,7 @@
 
     fn link(&self, addr: SocketAddr) -> Rc<Link> {
         let now = self.clock.now();
-        let mut links = self.links.borrow_mut();
+        let mut links = self.table.borrow_mut();
         if let Some(link) = links.get(&addr)
             && link.is_usable(now)
         {
@@ -103,7 +106,8 @@
         let (tx, rx) = mpsc::unbounded_channel();
         let link = Rc::new(Link::new(tx));
         links.insert(addr, Rc::clone(&link));
-        ntex::rt::spawn(run(Rc::clone(&link), addr, rx, self.clock));
+        let log = self.log.clone();
+        ntex::rt::spawn(run(Rc::clone(&link), addr, rx, self.clock, log));
         link
     }
 }
@@ -210,7 +214,13 @@
     }
 }
 
-async fn run(link: Rc<Link>, addr: SocketAddr, queue: UnboundedReceiver<Bytes>, clock: Clock) {
+async fn run(
+    link: Rc<Link>,
+    addr: SocketAddr,
+    queue: UnboundedReceiver<Bytes>,
+    clock: Clock,
+    log: Logger,
+) {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
     let Ok(Ok(stream)) = connected else {
         link.close(Stage::Down(clock.now() + DOWN_FOR), LinkError::NotSent);
@@ -231,6 +241,12 @@
         () = read(&link, reader, clock) => {}
         () = link.give_up.notified() => {}
     }
+    let open = link.open.borrow().len();
+    if open > 0 {
+        let silent = clock.now().saturating_sub(link.heard.get());
+        slog::warn!(log, "link lost";
+            "peer" => %addr, "open" => open, "silent_ms" => silent.as_millis());
+    }
     link.close(Stage::Closed, LinkError::Lost);
 }
 
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ntex::http::Response;
 use slog::Logger;
 use tokio::net::TcpListener;
 use tokio::time::{MissedTickBehavior, interval};
@@ -15,6 +16,7 @@
 use crate::executor::{self, Executor};
 use crate::fleet::{self, Fleet};
 use crate::host::Host;
+use crate::journal::Journal;
 use crate::link::{self, Links};
 use crate::{drain, fleet::gossip};
 use stoatstep_calls::Departure;
@@ -30,6 +32,7 @@
     pub(crate) cfg: MeshConfig,
     pub(crate) log: Logger,
     pub(crate) clock: Clock,
+    pub(crate) journal: Journal,
     pub(crate) links: Links,
     pub(crate) entry: Entry,
     pub(crate) executor: Executor,
@@ -58,9 +61,14 @@
     pub async fn start<H: Host>(cfg: MeshConfig, host: H, log: Logger) -> io::Result<Self> {
         let peers = TcpListener::bind(cfg.addresses.peers).await?;
         let callers = Server::bind(cfg.addresses.callers).await?;
+        let metrics = match cfg.metrics {
+            Some(addr) => Some(Server::bind(addr).await?),
+            None => None,
+        };
         let clock = Clock::start();
         let node = Rc::new(Node {
-            links: Links::new(clock),
+            links: Links::new(clock, log.clone()),
+            journal: Journal::new(log.clone()),
             entry: Entry::new(&cfg),
             executor: Executor::new(&cfg, clock),
             fleet: Fleet::new(&cfg),
@@ -79,6 +87,9 @@
         ));
         ntex::rt::spawn(fleet::roster::run(Rc::clone(&node), host));
         ntex::rt::spawn(tick(Rc::clone(&node)));
+        if let Some(metrics) = metrics {
+            ntex::rt::spawn(serve_metrics(Rc::clone(&node), metrics));
+        }
         Ok(Self(node))
     }
 
@@ -125,6 +136,20 @@
     }
 }
 
+async fn serve_metrics(node: Rc<Node>, server: Server) {
+    let log = node.log.clone();
+    let ended = server
+        .serve(move |_| {
+            fleet::gauges(&node);
+            let text = node.journal.metrics_text();
+            async move { Response::Ok().content_type("text/plain").body(text) }
+        })
+        .await;
+    if let Err(err) = ended {
+        slog::error!(log, "metrics not served"; "error" => %err);
+    }
+}
+
 async fn tick(node: Rc<Node>) {
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/telemetry/src/histograms.rs
+++ b/crates/telemetry/src/histograms.rs
@@ -146,6 +146,33 @@
         series.collect()
     }
 
+    /// Every histogram as text lines that Prometheus reads, in microseconds, with
+    /// `label` in place of the word tenant.
+    #[must_use]
+    pub fn render(&self, name: &str, label: &str) -> String {
+        use std::fmt::Write;
+
+        let mut text = String::new();
+        for series in self.series() {
+            let (tenant, class) = (&series.tenant, &series.class);
+            let stage = series.stage.as_str();
+            let labels = format!("{label}=\"{tenant}\",class=\"{class}\",stage=\"{stage}\"");
+            let summary = &series.summary;
+            let quantiles = [
+                ("0.5", summary.p50_us),
+                ("0.9", summary.p90_us),
+                ("0.99", summary.p99_us),
+                ("1", summary.max_us),
+            ];
+            // Writing into a string cannot fail.
+            for (quantile, us) in quantiles {
+                let _ = writeln!(text, "{name}{{{labels},quantile=\"{quantile}\"}} {us}");
+            }
+            let _ = writeln!(text, "{name}_count{{{labels}}} {}", summary.count);
+        }
+        text
+    }
+
     fn known(&mut self, tenant: &str) -> SmolStr {
         if let Some(known) = self.tenants.get(tenant) {
             return known.clone();
--- /dev/null
+++ b/tests/all/explain.rs
@@ -0,0 +1,58 @@
+//! `stoatctl explain`, from log lines as daemons write them.
+
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+/// What three daemons logged, mixed up as a collector brings it.
+const LINES: &str = include_str!("../logs/three-failures.jsonl");
+
+fn explain(request: &str) -> (bool, String) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_stoatctl"))
+        .args(["explain", request])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let mut stdin = child.stdin.take().expect("a pipe");
+    stdin.write_all(LINES.as_bytes()).expect("it reads");
+    drop(stdin);
+    let output = child.wait_with_output().expect("it ends");
+    let text = String::from_utf8(output.stdout).expect("text");
+    (output.status.success(), text)
+}
+
+#[test]
+fn a_refusal_leads_to_the_queue_that_was_too_long() {
+    let (found, text) = explain("r-refused");
+    assert!(found);
+    let order = ["executor of i-a", "entry: attempt at i-a", "entry: not-run"];
+    let places: Vec<_> = order.iter().map(|it| text.find(it)).collect();
+    assert!(places.is_sorted() && places[0].is_some(), "{text}");
+    assert!(text.contains("13 running and 9 waiting"), "{text}");
+    assert!(text.contains("=> it did not run and never will"), "{text}");
+}
+
+#[test]
+fn an_unknown_outcome_leads_to_the_lost_answer() {
+    let (found, text) = explain("r-unknown");
+    assert!(found);
+    assert!(text.contains("its target got to see it"), "{text}");
+    assert!(
+        text.contains("=> it may have run, and its answer is lost"),
+        "{text}"
+    );
+}
+
+#[test]
+fn a_late_answer_leads_to_where_its_time_went() {
+    let (found, text) = explain("r-late");
+    assert!(found);
+    assert!(text.contains("waiting for a slot"), "{text}");
+}
+
+#[test]
+fn a_request_that_no_line_speaks_of_is_said_to_be_so() {
+    let (found, text) = explain("r-nowhere");
+    assert!(!found);
+    assert!(text.contains("no line speaks of it"), "{text}");
+}
