Take an attempt before the next message of its link is read

The word that a caller left can come in the same batch as its attempt; the attempt was begun by a task that had not run yet, so the word was about an attempt that nobody knew, and the attempt ran for nobody. Ruled out: a link that was silent (none was lost there), and orphans of closed links (they are cancelled after 0.3 s). An attempt is now taken synchronously, and a cancel goes before its first step.

--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -170,11 +170,27 @@
 
 /// Runs one attempt. Also the way of an entry to its own target.
 pub(crate) async fn execute(node: &Rc<Node>, attempt: Attempt) -> Ran {
-    if let Err(end) = arrive(node, &attempt) {
-        return run::refused(node, end);
+    ended(node, begin(node, attempt)).await
+}
+
+/// An attempt that was taken, or what it ended with at once.
+pub(crate) type Begun = Result<oneshot::Receiver<Ran>, Ran>;
+
+/// Takes an attempt. From here on it can be cancelled, though nothing of it may
+/// have been done yet: word that its caller left can be the very next message.
+pub(crate) fn begin(node: &Rc<Node>, attempt: Attempt) -> Begun {
+    match arrive(node, &attempt) {
+        Ok(()) => Ok(run::start(node, attempt)),
+        Err(end) => Err(run::refused(node, end)),
+    }
+}
+
+/// What an attempt ends with.
+pub(crate) async fn ended(node: &Node, begun: Begun) -> Ran {
+    match begun {
+        Ok(ended) => ended.await.unwrap_or_else(|_| run::refused(node, lost())),
+        Err(ran) => ran,
     }
-    let ran = run::start(node, attempt).await;
-    ran.unwrap_or_else(|_| run::refused(node, lost()))
 }
 
 fn arrive(node: &Node, attempt: &Attempt) -> Result<(), End> {
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -91,8 +91,10 @@
     cancelled: oneshot::Receiver<()>,
 ) -> Report {
     tokio::select! {
-        report = carry(node, attempt) => report,
+        biased;
+        // First, or an attempt that was cancelled before it began would begin.
         Ok(()) = cancelled => cancelled_report(node, attempt),
+        report = carry(node, attempt) => report,
     }
 }
 
--- a/crates/mesh/src/link/serve.rs
+++ b/crates/mesh/src/link/serve.rs
@@ -16,7 +16,7 @@
 use crate::executor;
 use crate::fleet;
 use crate::node::Node;
-use crate::wire::{Ask, AskId, Reply, ToClient, ToServer};
+use crate::wire::{Ask, AskId, Attempt, Reply, ToClient, ToServer};
 
 /// Pause after a failed accept, most often for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -43,6 +43,13 @@
     running: RefCell<HashMap<AskId, AttemptId>>,
 }
 
+impl Connection {
+    fn reply(&self, id: AskId, reply: Reply) {
+        // It fails only where the link is closed; whoever asked will settle.
+        let _ = self.queue.send(encode(&ToClient(id, reply)));
+    }
+}
+
 async fn connection(node: Rc<Node>, stream: TcpStream) {
     if stream.set_nodelay(true).is_err() {
         return;
@@ -65,6 +72,7 @@
 async fn read(connection: &Rc<Connection>, mut reader: Reader) {
     while let Some(Ok(frame)) = reader.next().await {
         match decode::<ToServer>(&frame) {
+            Some(ToServer::Ask(id, Ask::Run(attempt))) => run(connection, id, attempt),
             Some(ToServer::Ask(id, ask)) => {
                 ntex::rt::spawn(answer(Rc::clone(connection), id, ask));
             }
@@ -74,6 +82,18 @@
     }
 }
 
+/// Takes an attempt before the next message is read, which may cancel it.
+fn run(connection: &Rc<Connection>, id: AskId, attempt: Attempt) {
+    connection.running.borrow_mut().insert(id, attempt.id);
+    let begun = executor::begin(&connection.node, attempt);
+    let connection = Rc::clone(connection);
+    ntex::rt::spawn(async move {
+        let ran = executor::ended(&connection.node, begun).await;
+        connection.running.borrow_mut().remove(&id);
+        connection.reply(id, Reply::Ran(ran));
+    });
+}
+
 fn cancel(connection: &Connection, id: AskId) {
     let attempt = connection.running.borrow_mut().remove(&id);
     if let Some(attempt) = attempt {
@@ -84,12 +104,7 @@
 async fn answer(connection: Rc<Connection>, id: AskId, ask: Ask) {
     let node = &connection.node;
     let reply = match ask {
-        Ask::Run(attempt) => {
-            connection.running.borrow_mut().insert(id, attempt.id);
-            let ran = executor::execute(node, attempt).await;
-            connection.running.borrow_mut().remove(&id);
-            Reply::Ran(ran)
-        }
+        Ask::Run(attempt) => Reply::Ran(executor::execute(node, attempt).await),
         Ask::Settle(attempt, ticket) => {
             Reply::Settled(executor::settle(node, attempt, ticket).await)
         }
@@ -97,6 +112,5 @@
         Ask::Newer(held) => Reply::Newer(fleet::configuration::newer_than(node, held)),
         Ask::Ping => Reply::Pong,
     };
-    // It fails only where the link is closed; whoever asked will settle.
-    let _ = connection.queue.send(encode(&ToClient(id, reply)));
+    connection.reply(id, reply);
 }
