--- a/crates/calls/src/placement.rs
+++ b/crates/calls/src/placement.rs
@@ -21,7 +21,7 @@
 
 use crate::ids::Time;
 use crate::queue::Occupancy;
-use crate::router::{Candidate, Pick};
+use crate::router::{Candidate, Pick, may_eject};
 use row::Row;
 
 /// Share of the time to the objective that an answer may take, on average, while
@@ -150,7 +150,7 @@
         now: Time,
     ) -> Option<Duration> {
         let rows = self.services.get_mut(service)?;
-        let may_eject = row::may_eject(rows.values(), now);
+        let may_eject = may_eject(rows.values().map(|row| row.is_ejected(now)));
         let row = rows.get_mut(upstream)?;
         row.finished(seen, occupancy, may_eject, now)
     }
--- a/crates/calls/src/placement/row.rs
+++ b/crates/calls/src/placement/row.rs
@@ -187,15 +187,3 @@
         Some(time)
     }
 }
-
-/// Whether one more of these may be ejected: at most half are. A signal that is
-/// wrong for all of them (a bad network card of our own, a poisonous request)
-/// would otherwise eject everyone and turn into an outage.
-pub(super) fn may_eject<'a>(rows: impl Iterator<Item = &'a Row>, now: Time) -> bool {
-    let (mut all, mut ejected) = (0_usize, 0_usize);
-    for row in rows {
-        all += 1;
-        ejected += usize::from(row.is_ejected(now));
-    }
-    (ejected + 1) * 2 <= all
-}
--- a/crates/calls/src/queue.rs
+++ b/crates/calls/src/queue.rs
@@ -15,7 +15,9 @@
 //!
 //! See `docs/design/platform.md`.
 
-use std::collections::{BTreeMap, HashMap};
+mod kinds;
+
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -24,6 +26,7 @@
 use crate::admission::{Dispatch, Verdict};
 use crate::ids::{AttemptId, Time};
 use crate::refusal::{Reason, Refusal};
+use kinds::Kinds;
 
 /// Share of the time to its objective that a call may spend waiting. Run times
 /// vary by more than their mean: at a third, a call whose run takes twice its
@@ -33,20 +36,6 @@
 /// Least time after which coming back is worthwhile.
 const LEAST_RETRY_AFTER: Duration = Duration::from_millis(10);
 
-/// Weight of a new sample in the mean run time, once there are enough. A kind
-/// gets tens of samples a second, so a change shows within a second.
-const GAIN: f64 = 1.0 / 16.0;
-
-/// Kinds whose run times are kept; the others go by the mean of all.
-const MAX_KINDS: usize = 256;
-
-/// Time in which the share of a kind that was taken loses most of its weight.
-const SHARE_MEMORY: Duration = Duration::from_secs(2);
-
-/// Steps in which shares are compared. Within one step the earlier deadline
-/// decides, which would otherwise hardly ever do.
-const SHARE_STEPS: u8 = 10;
-
 /// A call that asks for a slot.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct QueueAsk {
@@ -76,55 +65,6 @@
     pub service: Duration,
 }
 
-/// Mean of run times, which follows changes.
-#[derive(Clone, Copy, Debug, Default)]
-struct Mean {
-    seconds: f64,
-    samples: u32,
-}
-
-impl Mean {
-    fn record(&mut self, sample: Duration) {
-        self.samples = self.samples.saturating_add(1);
-        let gain = GAIN.max(1.0 / f64::from(self.samples));
-        self.seconds += (sample.as_secs_f64() - self.seconds) * gain;
-    }
-
-    fn get(&self) -> Option<Duration> {
-        (self.samples > 0).then(|| Duration::from_secs_f64(self.seconds))
-    }
-}
-
-/// What is known of the calls of one kind.
-#[derive(Clone, Copy, Debug, Default)]
-struct Kind {
-    service: Mean,
-    asked: f64,
-    taken: f64,
-    at: Time,
-}
-
-impl Kind {
-    fn forget(&mut self, now: Time) {
-        let passed = now.saturating_sub(self.at);
-        let kept = (-passed.as_secs_f64() / SHARE_MEMORY.as_secs_f64()).exp();
-        self.asked *= kept;
-        self.taken *= kept;
-        self.at = now;
-    }
-
-    /// Tenths of the calls of this kind that were taken lately. Without it the
-    /// kind with the shortest deadlines would get all that its rank is left
-    /// with, and the others of the rank nothing.
-    fn share(&self) -> u8 {
-        let steps = self.taken / self.asked.max(1.0) * f64::from(SHARE_STEPS);
-        let mut reached = 1..=SHARE_STEPS;
-        reached
-            .rfind(|step| steps >= f64::from(*step))
-            .unwrap_or_default()
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Running {
     kind: SmolStr,
@@ -137,8 +77,7 @@
     slots: u32,
     running: BTreeMap<AttemptId, Running>,
     waiting: Vec<QueueAsk>,
-    kinds: HashMap<SmolStr, Kind>,
-    all: Mean,
+    kinds: Kinds,
 }
 
 impl Queue {
@@ -149,8 +88,7 @@
             slots,
             running: BTreeMap::new(),
             waiting: Vec::new(),
-            kinds: HashMap::new(),
-            all: Mean::default(),
+            kinds: Kinds::default(),
         }
     }
 
@@ -166,16 +104,13 @@
             running: count(self.running.len()),
             queued: count(self.waiting.len()),
             slots: self.slots,
-            service: self.all.get().unwrap_or_default(),
+            service: self.kinds.mean(),
         }
     }
 
     /// Decides about a call at once. Others that wait may have to make room.
     pub fn offer(&mut self, ask: QueueAsk, now: Time) -> (Verdict, Vec<Dispatch>) {
-        if let Some(kind) = self.kind_mut(&ask.kind) {
-            kind.forget(now);
-            kind.asked += 1.0;
-        }
+        self.kinds.asked(&ask.kind, now);
         let service = self.service(&ask.kind);
         if now + service >= ask.expires && !self.is_idle() {
             let refusal = Refusal::retry(Reason::Deadline, LEAST_RETRY_AFTER);
@@ -201,10 +136,7 @@
     pub fn release(&mut self, attempt: AttemptId, now: Time) {
         if let Some(run) = self.running.remove(&attempt) {
             let took = now.saturating_sub(run.started);
-            self.all.record(took);
-            if let Some(kind) = self.kind_mut(&run.kind) {
-                kind.service.record(took);
-            }
+            self.kinds.ran(&run.kind, took);
         }
         self.cancel(attempt);
     }
@@ -241,11 +173,8 @@
         self.waiting.retain(|it| it.attempt != attempt);
     }
 
-    /// Mean run time of a kind; of all kinds before its first run, and zero
-    /// before any, so that nothing is refused on a guess.
     fn service(&self, kind: &str) -> Duration {
-        let own = self.kinds.get(kind).and_then(|it| it.service.get());
-        own.or_else(|| self.all.get()).unwrap_or_default()
+        self.kinds.service(kind)
     }
 
     /// An idle executor takes a call whatever the estimate says. Refusing all of
@@ -259,15 +188,8 @@
         self.running.len() < self.slots as usize
     }
 
-    fn kind_mut(&mut self, kind: &SmolStr) -> Option<&mut Kind> {
-        let has_room = self.kinds.len() < MAX_KINDS || self.kinds.contains_key(kind);
-        has_room.then(|| self.kinds.entry(kind.clone()).or_default())
-    }
-
     fn start(&mut self, ask: &QueueAsk, now: Time) {
-        if let Some(kind) = self.kind_mut(&ask.kind) {
-            kind.taken += 1.0;
-        }
+        self.kinds.taken(&ask.kind);
         let run = Running {
             kind: ask.kind.clone(),
             started: now,
@@ -281,7 +203,7 @@
 
     fn position(&self, ask: &QueueAsk, now: Time) -> (u8, bool, u8, Time) {
         let is_late = now + self.service(&ask.kind) > ask.objective;
-        let share = self.kinds.get(&ask.kind).map_or(0, Kind::share);
+        let share = self.kinds.share(&ask.kind);
         (ask.rank, is_late, share, ask.expires)
     }
 
@@ -294,7 +216,7 @@
     /// Time until a slot is free for a call behind `ahead`.
     fn wait_behind<'a>(&self, ahead: impl Iterator<Item = &'a QueueAsk>) -> Duration {
         let ahead: Duration = ahead.map(|it| self.service(&it.kind)).sum();
-        let first = self.all.get().unwrap_or_default();
+        let first = self.kinds.mean();
         (ahead + first) / self.slots.max(1)
     }
 
@@ -315,7 +237,7 @@
         let mut order: Vec<usize> = (0..self.waiting.len()).collect();
         order.sort_by_key(|index| self.position(&self.waiting[*index], now));
         let mut ahead = Duration::ZERO;
-        let first = self.all.get().unwrap_or_default();
+        let first = self.kinds.mean();
         let mut out = Vec::new();
         for index in order {
             let ask = &self.waiting[index];
--- a/crates/calls/src/router/ejection.rs
+++ b/crates/calls/src/router/ejection.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use super::upstream::Row;
 use crate::ids::Time;
 
 /// Failures in a row that eject.
@@ -61,11 +60,11 @@
 /// Whether one more of these may be ejected: at most half are. A signal that is
 /// wrong for all of them (a bad network card of our own, a poisonous request)
 /// would otherwise eject everyone and turn into an outage.
-pub(super) fn may_eject<'a>(rows: impl Iterator<Item = &'a Row>, now: Time) -> bool {
+pub(crate) fn may_eject(are_ejected: impl Iterator<Item = bool>) -> bool {
     let (mut all, mut ejected) = (0_usize, 0_usize);
-    for row in rows {
+    for is_ejected in are_ejected {
         all += 1;
-        ejected += usize::from(row.is_ejected(now));
+        ejected += usize::from(is_ejected);
     }
     (ejected + 1) * 2 <= all
 }
--- a/crates/calls/src/router/mod.rs
+++ b/crates/calls/src/router/mod.rs
@@ -19,6 +19,8 @@
 use crate::ids::{Incarnation, Time};
 use upstream::Row;
 
+pub(crate) use ejection::may_eject;
+
 /// Score from which calls may leave the availability zone: nearly every slot is
 /// taken, so a wait here is likely to cost more than the way to another zone.
 const SPILL_SCORE: f64 = 0.8;
@@ -167,7 +169,7 @@
         let Some(rows) = self.services.get_mut(service) else {
             return;
         };
-        let may_eject = ejection::may_eject(rows.values(), now);
+        let may_eject = may_eject(rows.values().map(|row| row.is_ejected(now)));
         let Some(row) = rows.get_mut(upstream) else {
             return;
         };
--- a/crates/resource/src/difference.rs
+++ b/crates/resource/src/difference.rs
@@ -53,15 +53,7 @@
             });
         }
         let next = self.with(difference.version, &difference.puts, &difference.deletes);
-        let found = next.digest();
-        if found != difference.digest {
-            return Err(ApplyError::DigestMismatch {
-                expected: difference.digest,
-                found,
-            });
-        }
-        next.check_references()?;
-        Ok(next)
+        next.checked(difference.digest)
     }
 
     /// This state, sharing what it has in common with `earlier`. Several states in
--- a/crates/resource/src/state.rs
+++ b/crates/resource/src/state.rs
@@ -107,15 +107,17 @@
             });
         }
         let next = self.changed(delta.version, &delta.puts, &delta.deletes);
-        let found = next.digest();
-        if found != delta.digest {
-            return Err(ApplyError::DigestMismatch {
-                expected: delta.digest,
-                found,
-            });
+        next.checked(delta.digest)
+    }
+
+    /// This state, if it is the one that `expected` is the digest of, and whole.
+    pub(crate) fn checked(self, expected: Digest) -> Result<Self, ApplyError> {
+        let found = self.digest();
+        if found != expected {
+            return Err(ApplyError::DigestMismatch { expected, found });
         }
-        next.check_references()?;
-        Ok(next)
+        self.check_references()?;
+        Ok(self)
     }
 
     /// The delta that puts and deletes these resources on top of this state.
