Remember a target's good-bye whether its life was known or not

A good-bye marked known lives only, so a heartbeat from before it, held up on the way, was taken for a new target that takes calls. Ruled out: calls in the queue (the queue was empty), and the trial's longer waits (same code path).

Good-byes of unknown lives are now kept, and peers tell a restarted daemon the last life of its target that said it drains. Tests a_good_bye_holds_for_a_life_that_was_not_known_before (red before) and a_restarted_daemon_hears_that_its_target_drains.

--- a/crates/daemon/src/control/gossip.rs
+++ b/crates/daemon/src/control/gossip.rs
@@ -90,6 +90,8 @@
                 node.control.woke();
             }
             Action::Superseded { birth } => superseded(node, birth),
+            // Targets are configured here and announce nothing.
+            Action::TargetDrained(_) => {}
         }
     }
     if is_changed {
--- a/crates/distribution/tests/all/sizes.rs
+++ b/crates/distribution/tests/all/sizes.rs
@@ -45,6 +45,7 @@
         introduce: false,
         words: Vec::new(),
         rows: Vec::new(),
+        drained: None,
     };
     let state = full_size();
     let one = state.delta(vec![upstream(5)], Vec::new());
--- a/crates/membership/src/action.rs
+++ b/crates/membership/src/action.rs
@@ -114,6 +114,8 @@
         /// How long it was frozen.
         gap: Duration,
     },
+    /// A peer remembers that this life of the target beside this daemon drains.
+    TargetDrained(SmolStr),
     /// A newer process runs under this instance's id: this one must stop.
     Superseded {
         /// The other one's birth.
--- a/crates/membership/src/hearing.rs
+++ b/crates/membership/src/hearing.rs
@@ -77,6 +77,9 @@
             self.hear_word(word);
         }
         self.hear_head_age(now, message.head_age);
+        if let Some(upstream) = message.drained {
+            self.actions.push(Action::TargetDrained(upstream));
+        }
         self.actions.push(Action::PeerHolds {
             peer: from,
             addr,
--- a/crates/membership/src/local_target.rs
+++ b/crates/membership/src/local_target.rs
@@ -50,8 +50,6 @@
 struct Life {
     beat: Heartbeat,
     heard: Time,
-    /// It said good-bye, which holds whatever else comes in of it.
-    left: bool,
 }
 
 /// The target beside this daemon, by its own words.
@@ -60,6 +58,9 @@
     interval: Duration,
     present: Option<Life>,
     earlier: VecDeque<Life>,
+    /// Lives that said good-bye, known or not: this process may have started
+    /// after their last heartbeat.
+    departed: VecDeque<SmolStr>,
 }
 
 impl LocalTarget {
@@ -70,16 +71,13 @@
             interval,
             present: None,
             earlier: VecDeque::new(),
+            departed: VecDeque::new(),
         }
     }
 
     /// Takes in a heartbeat.
     pub fn hear(&mut self, mut beat: Heartbeat, now: Time) -> Heard {
-        if self
-            .earlier
-            .iter()
-            .any(|it| it.beat.upstream == beat.upstream)
-        {
+        if self.is_over(&beat.upstream) {
             return Heard::Stale;
         }
         if let Some(life) = &mut self.present
@@ -95,20 +93,31 @@
             life.heard = now;
             return Heard::Taken;
         }
-        self.replace(Life {
-            beat,
-            heard: now,
-            left: false,
-        });
+        self.replace(Life { beat, heard: now });
         Heard::Taken
     }
 
-    /// The life with this id said good-bye. It may still finish what it runs.
-    pub fn leave(&mut self, upstream: &str) {
-        let lives = self.present.iter_mut().chain(&mut self.earlier);
-        for life in lives.filter(|it| it.beat.upstream == upstream) {
-            life.left = true;
+    /// The life with this id said good-bye, which holds whatever else comes in of
+    /// it. It may still finish what it runs. Returns whether that is news.
+    pub fn leave(&mut self, upstream: &str) -> bool {
+        if self.departed.iter().any(|it| it == upstream) {
+            return false;
+        }
+        self.departed.push_back(upstream.into());
+        if self.departed.len() > EARLIER_LIVES {
+            self.departed.pop_front();
         }
+        true
+    }
+
+    /// Whether a heartbeat of this life can only be a late one.
+    fn is_over(&self, upstream: &str) -> bool {
+        let earlier = self.earlier.iter().map(|it| &it.beat.upstream);
+        earlier.chain(&self.departed).any(|it| it == upstream)
+    }
+
+    fn has_left(&self, life: &Life) -> bool {
+        self.departed.contains(&life.beat.upstream)
     }
 
     /// The target itself answered under this id. A heartbeat that was held up
@@ -130,7 +139,7 @@
     #[must_use]
     pub fn admits(&self, now: Time) -> Option<&Heartbeat> {
         let life = self.heard_lately(now)?;
-        let takes = !life.left && !life.beat.draining;
+        let takes = !self.has_left(life) && !life.beat.draining;
         takes.then_some(&life.beat)
     }
 
@@ -148,7 +157,7 @@
             upstream: life.beat.upstream.clone(),
             service: life.beat.service.clone(),
             slots: life.beat.slots,
-            draining: life.left || life.beat.draining,
+            draining: self.has_left(life) || life.beat.draining,
         })
     }
 
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -210,6 +210,7 @@
             introduce: false,
             words: Vec::new(),
             rows: Vec::new(),
+            drained: self.table.get(peer).and_then(|entry| entry.drained.clone()),
         }
     }
 
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -19,6 +19,9 @@
     /// platform showed is a hint where to knock: it may be of an instance that
     /// died long ago, and must not come back to life through it.
     pub confirmed: bool,
+    /// The last life of its target that it said drains. Its next process does not
+    /// know of it, and the target may have been told that its drain is known.
+    pub drained: Option<SmolStr>,
     /// Whether the last contact of this daemon with it failed.
     pub unreached: bool,
     pub(crate) suspect_until: Option<Time>,
@@ -91,6 +94,7 @@
         if !confirmed && member.birth <= entry.member.birth {
             return Merge::Stale;
         }
+        entry.drained = drained(&member).or(entry.drained.take());
         let newly_confirmed = confirmed && !entry.confirmed;
         entry.confirmed |= confirmed;
         let newer = (member.incarnation, member.state) > entry.rank();
@@ -149,11 +153,18 @@
     }
 }
 
+fn drained(member: &Member) -> Option<SmolStr> {
+    let announced = member.announced.as_ref();
+    let drains = announced.filter(|it| it.draining);
+    drains.map(|it| it.upstream.clone())
+}
+
 impl Entry {
     pub(crate) fn new(member: Member, confirmed: bool) -> Self {
         Self {
-            member,
             version: 0,
+            drained: drained(&member),
+            member,
             confirmed,
             unreached: false,
             suspect_until: None,
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -47,6 +47,10 @@
     pub words: Vec<Word>,
     /// News with addresses.
     pub rows: Vec<Row>,
+    /// The last life of the receiver's target that the receiver, or its former
+    /// process, said drains.
+    #[serde(default)]
+    pub drained: Option<SmolStr>,
 }
 
 /// State of one member, for receivers that have its row.
--- a/crates/membership/tests/all/codec.rs
+++ b/crates/membership/tests/all/codec.rs
@@ -19,6 +19,7 @@
         introduce: false,
         words: Vec::new(),
         rows: vec![Row::from(&member(0, 1, 5))],
+        drained: Some("i-7".into()),
     };
     let bytes = rmp_serde::to_vec(&message).expect("encodes");
     assert_eq!(
--- a/crates/membership/tests/all/failures.rs
+++ b/crates/membership/tests/all/failures.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use stoatstep_membership::{Action, Input, MemberState, Row};
+use stoatstep_membership::{Action, Announced, Config, Input, MemberState, Membership, Row, Time};
 
 use crate::fleet::{Fleet, key, member};
 
@@ -257,3 +257,43 @@
         .collect();
     assert_eq!(zones, ["z1"; 3]);
 }
+
+/// A target drains, and its daemon, which acked that, is replaced. The new process
+/// knows nothing of it; were it to take a late heartbeat for news, it would send
+/// calls to a target that is about to end. Its peers tell it.
+#[test]
+fn a_restarted_daemon_hears_that_its_target_drains() {
+    let mut old = Membership::new(member(0, 1, 1_000), Config::default(), 1);
+    let mut peer = Membership::new(member(0, 2, 1_000), Config::default(), 2);
+    let announced = Announced {
+        upstream: "i-7".into(),
+        service: "floatdesk".into(),
+        slots: 13,
+        draining: true,
+    };
+    old.handle(Time::ZERO, Input::TargetAnnounced(Some(announced)));
+    introduce(&mut old, &mut peer);
+    let mut new = Membership::new(member(0, 1, 2_000), Config::default(), 3);
+    let drained = introduce(&mut new, &mut peer);
+    assert!(
+        drained.contains(&Action::TargetDrained("i-7".into())),
+        "{drained:?}"
+    );
+}
+
+/// One exchange from the first to the second, which has its row from the platform;
+/// gives what the first is to do.
+fn introduce(one: &mut Membership, other: &mut Membership) -> Vec<Action> {
+    let rows = vec![one.announcement().row];
+    other.handle(Time::ZERO, Input::Announced { rows });
+    let rows = vec![other.announcement().row];
+    one.handle(Time::ZERO, Input::Announced { rows });
+    let actions = one.handle(Time::ZERO, Input::Tick);
+    let message = actions.into_iter().find_map(|action| match action {
+        Action::Exchange { message, .. } => Some(message),
+        _ => None,
+    });
+    let (reply, _) = other.answer(Time::ZERO, message.expect("it contacts the other"));
+    let peer = reply.from;
+    one.handle(Time::ZERO, Input::Replied { peer, reply })
+}
--- a/crates/membership/tests/all/local_target.rs
+++ b/crates/membership/tests/all/local_target.rs
@@ -108,3 +108,16 @@
     target.hear(beat("a", 2), at(3_200));
     assert_eq!(admitted(&target, at(3_200)), Some("a"));
 }
+
+/// A daemon was restarted, and the first that it hears is its target's good-bye,
+/// which it acks. A heartbeat from before the good-bye was held up and comes in
+/// next: it looks like one of a new target that takes calls.
+#[test]
+fn a_good_bye_holds_for_a_life_that_was_not_known_before() {
+    let mut target = LocalTarget::new(INTERVAL);
+    target.leave("a");
+    assert_eq!(target.hear(beat("a", 7), at(100)), Heard::Stale);
+    assert_eq!(admitted(&target, at(100)), None);
+    target.hear(beat("b", 1), at(200));
+    assert_eq!(admitted(&target, at(200)), Some("b"));
+}
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -146,8 +146,10 @@
 
 /// A life of the target said good-bye.
 pub(crate) fn leave(node: &Node, upstream: &str) {
-    slog::info!(node.log, "target leaves"; UPSTREAM => upstream);
-    node.executor.tables.borrow_mut().upstream.leave(upstream);
+    let is_news = node.executor.tables.borrow_mut().upstream.leave(upstream);
+    if is_news {
+        slog::info!(node.log, "target leaves"; UPSTREAM => upstream);
+    }
     flush_if_closed(node);
 }
 
--- a/crates/mesh/src/fleet/gossip.rs
+++ b/crates/mesh/src/fleet/gossip.rs
@@ -114,6 +114,7 @@
                     "zone" => %zone, "reachable" => reachable);
             }
             Action::Woke { gap } => woke(node, gap),
+            Action::TargetDrained(upstream) => executor::leave(node, &upstream),
             Action::Superseded { birth } => {
                 slog::error!(node.log, "a newer process runs under this id"; "birth" => birth);
                 drain::begin(node);
