--- a/tests/all/decoders.rs
+++ b/tests/all/decoders.rs
@@ -181,5 +181,6 @@
         introduce: false,
         words: vec![Word(row().key(), 3, MemberState::Suspect.into())],
         rows: vec![row()],
+        drained: Some("i-7".into()),
     }
 }
