Take every question of a link in one place

An attempt could be taken in two places of the same file, one of which was never reached. News of a version and signs of life, which wait for nothing, are now answered without a task of their own.

The adapter's tests pass as before.

--- a/crates/mesh/src/link/serve.rs
+++ b/crates/mesh/src/link/serve.rs
@@ -72,16 +72,40 @@
 async fn read(connection: &Rc<Connection>, mut reader: Reader) {
     while let Some(Ok(frame)) = reader.next().await {
         match decode::<ToServer>(&frame) {
-            Some(ToServer::Ask(id, Ask::Run(attempt))) => run(connection, id, attempt),
-            Some(ToServer::Ask(id, ask)) => {
-                ntex::rt::spawn(answer(Rc::clone(connection), id, ask));
-            }
+            Some(ToServer::Ask(id, ask)) => take(connection, id, ask),
             Some(ToServer::Cancel(id)) => cancel(connection, id),
             None => return,
         }
     }
 }
 
+fn take(connection: &Rc<Connection>, id: AskId, ask: Ask) {
+    let node = Rc::clone(&connection.node);
+    match ask {
+        Ask::Run(attempt) => run(connection, id, attempt),
+        Ask::Settle(attempt, ticket) => later(connection, id, async move {
+            Reply::Settled(executor::settle(&node, attempt, ticket).await)
+        }),
+        Ask::Gossip(message) => later(connection, id, async move {
+            Reply::Gossip(fleet::gossip::answer(&node, message).await)
+        }),
+        Ask::Newer(held) => {
+            let newer = fleet::configuration::newer_than(&node, held);
+            connection.reply(id, Reply::Newer(newer));
+        }
+        Ask::Ping => connection.reply(id, Reply::Pong),
+    }
+}
+
+/// Sends a reply when it is there; messages behind the question go on meanwhile.
+fn later(connection: &Rc<Connection>, id: AskId, reply: impl Future<Output = Reply> + 'static) {
+    let connection = Rc::clone(connection);
+    ntex::rt::spawn(async move {
+        let reply = reply.await;
+        connection.reply(id, reply);
+    });
+}
+
 /// Takes an attempt before the next message is read, which may cancel it.
 fn run(connection: &Rc<Connection>, id: AskId, attempt: Attempt) {
     connection.running.borrow_mut().insert(id, attempt.id);
@@ -100,17 +124,3 @@
         executor::cancel(&connection.node, attempt);
     }
 }
-
-async fn answer(connection: Rc<Connection>, id: AskId, ask: Ask) {
-    let node = &connection.node;
-    let reply = match ask {
-        Ask::Run(attempt) => Reply::Ran(executor::execute(node, attempt).await),
-        Ask::Settle(attempt, ticket) => {
-            Reply::Settled(executor::settle(node, attempt, ticket).await)
-        }
-        Ask::Gossip(message) => Reply::Gossip(fleet::gossip::answer(node, message).await),
-        Ask::Newer(held) => Reply::Newer(fleet::configuration::newer_than(node, held)),
-        Ask::Ping => Reply::Pong,
-    };
-    connection.reply(id, reply);
-}
