Leave idle connections alone that the target has dropped

Cause: a target may drop idle connections without notice, and sooner than the 4 s after which they are no longer used. The next request on each is reset, and for a claim that is a 502, once for every idle connection. The first such reset now tells the age from which others are left alone, for a minute.

--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use slog::Logger;
 use stoatstep_calls::{
     Arrival, AttemptId, Deadline, Incarnation, Ledger, LedgerConfig, Occupancy, Queue, Reason,
     Refusal, Settled, Ticket,
@@ -69,7 +70,7 @@
 }
 
 impl Executor {
-    pub(crate) fn new(cfg: &MeshConfig, clock: Clock) -> Self {
+    pub(crate) fn new(cfg: &MeshConfig, clock: Clock, log: Logger) -> Self {
         let incarnation: Incarnation = rand::rng().random();
         let bounds = LedgerConfig {
             answer_bytes: KEPT_ANSWER_BYTES,
@@ -84,7 +85,7 @@
         };
         Self {
             tables: RefCell::new(tables),
-            target: Target::new(cfg.addresses.target, &cfg.dialect, clock),
+            target: Target::new(cfg.addresses.target, &cfg.dialect, clock, log),
         }
     }
 
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -1,5 +1,6 @@
 //! Requests to the target beside this daemon.
 
+mod lifetime;
 mod pool;
 
 use std::net::SocketAddr;
@@ -12,6 +13,7 @@
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode, Uri};
+use slog::Logger;
 use smol_str::{SmolStr, ToSmolStr};
 use stoatstep_calls::{Answer, Header, Reason, Refusal, is_of_connection};
 use stoatstep_resource::UpstreamName;
@@ -59,6 +61,7 @@
 pub(super) struct Target {
     pool: Pool,
     names: Names,
+    log: Logger,
 }
 
 /// The dialect's names in the form that the HTTP library wants.
@@ -93,10 +96,11 @@
 }
 
 impl Target {
-    pub(super) fn new(addr: SocketAddr, dialect: &Dialect, clock: Clock) -> Self {
+    pub(super) fn new(addr: SocketAddr, dialect: &Dialect, clock: Clock, log: Logger) -> Self {
         Self {
             pool: Pool::new(addr, clock),
             names: Names::new(dialect),
+            log,
         }
     }
 
@@ -119,11 +123,21 @@
                 // The target closed an idle connection just before it was used,
                 // and not a byte of the request went out.
                 Err(Some(unsent)) => req = unsent,
-                Err(None) => return TargetEnd::Unknown(Reason::LostAnswer),
+                Err(None) => {
+                    self.note_failed(&connection);
+                    return TargetEnd::Unknown(Reason::LostAnswer);
+                }
             }
         }
     }
 
+    fn note_failed(&self, connection: &Connection) {
+        if let Some(limit) = self.pool.failed(connection) {
+            slog::info!(self.log, "target drops idle connections";
+                "unused_after_ms" => limit.as_millis());
+        }
+    }
+
     /// Closes idle connections that the target is about to close itself.
     pub(super) fn sweep(&self) {
         self.pool.sweep();
--- a/crates/mesh/src/executor/target/pool.rs
+++ b/crates/mesh/src/executor/target/pool.rs
@@ -5,7 +5,7 @@
 //! difference decides whether a call may be refused as not run, so connections
 //! are held here and used one by one through a client library that tells.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -22,6 +22,7 @@
 use tokio::time::timeout;
 
 use super::closes;
+use super::lifetime::Lifetime;
 use crate::clock::Clock;
 
 /// Time for a connection to come up. The target is on this instance; one that
@@ -45,11 +46,13 @@
 pub(super) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    idle_since: Time,
     idle_until: Time,
+    taken: Time,
 }
 
 impl Connection {
-    async fn open(addr: SocketAddr) -> Option<Self> {
+    async fn open(addr: SocketAddr, clock: &Clock) -> Option<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
         let stream = stream.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
@@ -58,10 +61,13 @@
             // Its errors reach whoever waits for an answer on it.
             let _ = connection.await;
         });
+        let now = clock.now();
         Some(Self {
             sender,
             driver,
-            idle_until: Time::ZERO,
+            idle_since: now,
+            idle_until: now,
+            taken: now,
         })
     }
 
@@ -75,6 +81,11 @@
     fn is_usable(&self, now: Time) -> bool {
         now < self.idle_until && self.sender.is_ready() && !self.sender.is_closed()
     }
+
+    /// How long it had been idle when it was taken; zero for a new one.
+    fn idled(&self) -> Duration {
+        self.taken.saturating_sub(self.idle_since)
+    }
 }
 
 impl Drop for Connection {
@@ -88,6 +99,7 @@
     addr: SocketAddr,
     clock: Clock,
     idle: RefCell<Vec<Connection>>,
+    lifetime: Cell<Lifetime>,
 }
 
 impl Pool {
@@ -96,18 +108,32 @@
             addr,
             clock,
             idle: RefCell::default(),
+            lifetime: Cell::default(),
         }
     }
 
     /// An idle connection or else a new one; `None` where none comes up.
     pub(super) async fn take(&self) -> Option<Connection> {
         let now = self.clock.now();
-        while let Some(connection) = self.pop() {
-            if connection.is_usable(now) {
+        while let Some(mut connection) = self.pop() {
+            connection.taken = now;
+            let is_fresh = self.lifetime.get().allows(connection.idled(), now);
+            if is_fresh && connection.is_usable(now) {
                 return Some(connection);
             }
         }
-        Connection::open(self.addr).await
+        Connection::open(self.addr, &self.clock).await
+    }
+
+    /// A connection failed after a request was sent on it. Returns the idle time
+    /// from which others are not used any more, where that tells one.
+    pub(super) fn failed(&self, connection: &Connection) -> Option<Duration> {
+        let now = self.clock.now();
+        let took = now.saturating_sub(connection.taken);
+        let mut lifetime = self.lifetime.get();
+        let limit = lifetime.failed(connection.idled(), took, now);
+        self.lifetime.set(lifetime);
+        limit
     }
 
     /// Keeps a connection whose answer came in whole.
@@ -116,7 +142,8 @@
         if closes(headers) || idle.len() >= MAX_IDLE {
             return;
         }
-        connection.idle_until = self.clock.now() + idle_time(headers);
+        connection.idle_since = self.clock.now();
+        connection.idle_until = connection.idle_since + idle_time(headers);
         idle.push(connection);
     }
 
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -70,7 +70,7 @@
             links: Links::new(clock, log.clone()),
             journal: Journal::new(log.clone()),
             entry: Entry::new(&cfg),
-            executor: Executor::new(&cfg, clock),
+            executor: Executor::new(&cfg, clock, log.clone()),
             fleet: Fleet::new(&cfg),
             in_flight: Cell::new(0),
             departure: Cell::new(Departure::new(cfg.grace)),
