Have a fleet that starts at once find all of itself within seconds

Cause: a starting daemon reads the roster before it writes its own row, so daemons that start together miss each other. Pairs that met are not alone any more and look again only 4 to 10 s later.

Ruled out: lost rows (a later look shows them), failed reads (no warning in the logs), load (load average 3.5 on 8 cores).

Change: the looks after a start are a decision of their own without a network (RosterLooks), the first 2 to 3 s after the row was written.

Also: a key that waits for a previous home says in a log line which one, and why.

--- a/crates/daemon/src/call/homes.rs
+++ b/crates/daemon/src/call/homes.rs
@@ -1,5 +1,6 @@
 //! Homes of idempotency keys: asking previous homes, and answering new ones.
 
+use std::fmt::Display;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use super::sync;
 use super::target::RunEnd;
 use super::wire::{Attempt, WireHome, WireHomeAnswer, WireHomeReply};
+use crate::control::warning::warn;
 use crate::node::Node;
 
 /// Most that the calendar clocks of two machines differ.
@@ -76,7 +78,7 @@
 async fn ask(node: &Rc<Node>, key: &IntentKey, question: &Handover) -> Result<(), RunEnd> {
     let Some(member) = node.control.serving(&question.upstream).pop() else {
         settle_deleted(node, key, question);
-        return Err(RunEnd::Refused(moving()));
+        return Err(unsettled(node, question, &"no instance of it is known"));
     };
     let message = WireHome {
         key: key.clone(),
@@ -87,12 +89,13 @@
         .calls
         .peers
         .send_fresh(addr, "/peer/home", &message, ASK_BOUND);
-    let Ok(reply) = answer.await else {
-        return Err(RunEnd::Refused(moving()));
+    let reply: WireHomeReply = match answer.await {
+        Ok(reply) => reply,
+        Err(err) => return Err(unsettled(node, question, &err)),
     };
-    let reply: WireHomeReply = reply;
     if reply.version < question.version {
-        return Err(RunEnd::Refused(moving()));
+        let behind = format_args!("it has applied version {}", reply.version);
+        return Err(unsettled(node, question, &behind));
     }
     let wall = node.calls.clock.wall();
     let mut tables = node.calls.executor.borrow_mut();
@@ -101,12 +104,19 @@
         .confirm(&question.upstream, reply.version, wall);
     match HomeAnswer::from(reply.answer) {
         HomeAnswer::Never => Ok(()),
-        HomeAnswer::Running => Err(RunEnd::Refused(moving())),
+        HomeAnswer::Running => Err(unsettled(node, question, &"the key runs there")),
         HomeAnswer::Done(answer) => Err(RunEnd::Done(answer)),
         HomeAnswer::Unknown => Err(RunEnd::refused(Reason::KeyUnsettled)),
     }
 }
 
+/// The end of an attempt whose key a previous home has not spoken for.
+fn unsettled(node: &Node, question: &Handover, cause: &dyn Display) -> RunEnd {
+    let what = format_args!("{}: {cause}", question.upstream);
+    warn(node, "key waits for a previous home", &what);
+    RunEnd::Refused(moving())
+}
+
 /// An upstream that is still configured may be cut off and running keys, so
 /// silence alone never settles it. Its deletion is the operator's word that its
 /// instance runs nothing.
--- a/crates/daemon/src/call/peers.rs
+++ b/crates/daemon/src/call/peers.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::error::Error;
+use std::fmt;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -55,6 +56,15 @@
     Lost,
 }
 
+impl fmt::Display for PeerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NotSent => "the question was not sent",
+            Self::Lost => "no answer",
+        })
+    }
+}
+
 struct Peer {
     client: Client,
     ticket: Ticket,
--- a/crates/daemon/src/control/announce.rs
+++ b/crates/daemon/src/control/announce.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use ntex::time::{Millis, sleep};
-use rand::RngExt;
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
 use smol_str::SmolStr;
+use stoatstep_distribution::RosterLooks;
 
 use super::warning::warn;
 use super::{cold_start, platform};
@@ -21,15 +23,6 @@
 /// How often it is looked whether the time has come, or the daemon drains.
 const STEP: Millis = Millis(500);
 
-/// Earliest second look at the roster, and how far the looks are spread. Those
-/// who started together may have read it before any of them was in it, and
-/// would go on as fleets that don't know of each other.
-const SECOND_LOOK: Duration = Duration::from_secs(4);
-const SECOND_LOOK_SPREAD: Duration = Duration::from_secs(6);
-
-/// First further look of a daemon that met nobody.
-const FIRST_LOOK_ALONE: Duration = Duration::from_millis(750);
-
 pub(super) async fn run(node: Rc<Node>) {
     // Platform or peers name the last life's incarnation, above which this one
     // must start; a row written before would be taken for an old one.
@@ -37,7 +30,7 @@
         sleep(STEP).await;
     }
     let mut write_due = node.control.now();
-    let mut looks = Looks::new(write_due);
+    let mut looks = RosterLooks::new(write_due, Xoshiro256PlusPlus::from_rng(&mut rand::rng()));
     while !node.draining.get() {
         if write_due <= node.control.now() {
             write_due = node.control.now() + write(&node).await;
@@ -54,40 +47,6 @@
     }
 }
 
-/// When the roster is read again.
-struct Looks {
-    due: Duration,
-    due_alone: Duration,
-    pause_alone: Duration,
-}
-
-impl Looks {
-    fn new(now: Duration) -> Self {
-        let share = rand::rng().random_range(0.0..1.0);
-        Self {
-            due: now + SECOND_LOOK + SECOND_LOOK_SPREAD.mul_f64(share),
-            due_alone: now + FIRST_LOOK_ALONE,
-            pause_alone: FIRST_LOOK_ALONE,
-        }
-    }
-
-    /// A daemon that knows nobody looks sooner, and ever more seldom: it may be
-    /// the only one that there is.
-    fn is_due(&mut self, now: Duration, is_alone: bool) -> bool {
-        if is_alone && self.due_alone <= now {
-            self.pause_alone = (self.pause_alone * 2).min(INTERVAL);
-            let share = rand::rng().random_range(0.5..1.5);
-            self.due_alone = now + self.pause_alone.mul_f64(share);
-            return true;
-        }
-        let is_due = self.due <= now;
-        if is_due {
-            self.due = now + INTERVAL;
-        }
-        is_due
-    }
-}
-
 fn is_settled(node: &Node) -> bool {
     let cold_start = node.control.cold_start.borrow();
     cold_start.has_read_roster() || cold_start.is_done()
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -21,7 +21,7 @@
 mod tables;
 mod tick;
 mod traffic;
-mod warning;
+pub(crate) mod warning;
 mod write;
 
 use std::rc::Rc;
--- a/crates/daemon/src/control/warning.rs
+++ b/crates/daemon/src/control/warning.rs
@@ -18,7 +18,7 @@
 }
 
 /// Logs a warning, or counts it towards the next one of its kind.
-pub(super) fn warn(node: &Node, message: &'static str, err: &dyn Display) {
+pub(crate) fn warn(node: &Node, message: &'static str, err: &dyn Display) {
     let now = node.control.now();
     let admission = node.control.warnings.borrow_mut().admit(message, now);
     let Admission::Log { suppressed } = admission else {
--- a/crates/distribution/tests/all/main.rs
+++ b/crates/distribution/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod poller;
 mod repair;
 mod replica;
+mod roster_looks;
 mod serving;
 mod sizes;
 mod spread;
