Ask a target whether it takes calls before its first one

Cause: after a restart a daemon took a heartbeat that was sent before its target's good-bye for news, until its first peer answered. Calls could then reach a target whose leaving the process before had acknowledged.

Ruled out: a row in the store for each acknowledgement (a write a departure, unreadable in an outage of the store); waiting for a peer (none may be in reach, and none may have heard).

Change: LocalTarget admits a life that is new to the process only once the target itself, asked by this process, said under that id that it takes calls. The path is a new optional field of services, health_path, which the adapter takes from the operator's document. An answer for another life than the one asked for changes nothing where a later one was heard meanwhile.

--- a/crates/distribution/tests/all/support.rs
+++ b/crates/distribution/tests/all/support.rs
@@ -13,6 +13,7 @@
     Resource::Service(Service {
         name: name.into(),
         policy: None,
+        health_path: None,
     })
 }
 
--- a/crates/load/src/fleet/shape.rs
+++ b/crates/load/src/fleet/shape.rs
@@ -150,6 +150,7 @@
             all.push(Resource::Service(Service {
                 name: service.name.clone(),
                 policy: Some(policy.clone()),
+                health_path: None,
             }));
             all.push(Resource::Route(route(service)));
         }
--- a/crates/membership/src/local_target.rs
+++ b/crates/membership/src/local_target.rs
@@ -3,7 +3,8 @@
 //! Nobody lists targets: each one tells its daemon about itself. Its heartbeats
 //! can come late, and those of an earlier life of the target after those of a
 //! later one, so lives are told apart by their ids and the heartbeats of one
-//! life by their sequence.
+//! life by their sequence. A daemon that restarts remembers neither, so a life
+//! that is new to it takes calls only once the target itself has confirmed it.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -50,6 +51,9 @@
 struct Life {
     beat: Heartbeat,
     heard: Time,
+    /// The target itself said, asked by this process, that it is this life and
+    /// takes calls.
+    is_confirmed: bool,
 }
 
 /// The target beside this daemon, by its own words.
@@ -93,10 +97,22 @@
             life.heard = now;
             return Heard::Taken;
         }
-        self.replace(Life { beat, heard: now });
+        self.replace(Life {
+            beat,
+            heard: now,
+            is_confirmed: false,
+        });
         Heard::Taken
     }
 
+    /// The life that calls wait for: heard of lately, and not confirmed yet.
+    #[must_use]
+    pub fn unconfirmed(&self, now: Time) -> Option<&Heartbeat> {
+        let life = self.heard_lately(now)?;
+        let is_open = !life.is_confirmed && self.takes_calls(life);
+        is_open.then_some(&life.beat)
+    }
+
     /// The life with this id said good-bye, which holds whatever else comes in of
     /// it. It may still finish what it runs. Returns whether that is news.
     pub fn leave(&mut self, upstream: &str) -> bool {
@@ -116,31 +132,52 @@
         earlier.chain(&self.departed).any(|it| it == upstream)
     }
 
-    fn has_left(&self, life: &Life) -> bool {
-        self.departed.contains(&life.beat.upstream)
+    fn is_present(&self, upstream: &str) -> bool {
+        let life = self.present.as_ref();
+        life.is_some_and(|it| it.beat.upstream == upstream)
+    }
+
+    fn takes_calls(&self, life: &Life) -> bool {
+        !self.departed.contains(&life.beat.upstream) && !life.beat.draining
     }
 
-    /// The target itself answered under this id. A heartbeat that was held up
-    /// until after a restart of this daemon looks like one of a newer life; the
-    /// target's own answer shows that it was an older one.
-    pub fn answered_as(&mut self, upstream: &str) {
-        let is_present = |it: &Life| it.beat.upstream == upstream;
-        if self.present.as_ref().is_some_and(is_present) {
+    /// The target itself, asked for the life `asked`, answered as `actual`. A
+    /// heartbeat that was held up until after a restart of this daemon looks like
+    /// one of a newer life; the target's own answer shows that it was an older
+    /// one. Where another life was heard of since, the answer is the late one.
+    pub fn answered_as(&mut self, asked: &str, actual: &str) {
+        if asked == actual || !self.is_present(asked) {
             return;
         }
-        let known = self.earlier.iter().position(is_present);
+        let mut lives = self.earlier.iter();
+        let known = lives.position(|it| it.beat.upstream == actual);
         match known.and_then(|at| self.earlier.remove(at)) {
             Some(life) => self.replace(life),
             None => self.retire(),
         }
     }
 
+    /// The target said that it is this life and takes calls. It was asked by this
+    /// process, so whatever it says later (that it drains, or good-bye) comes
+    /// here too.
+    ///
+    /// Without this, a daemon that restarted would take a late heartbeat for
+    /// news, and send calls to a target whose good-bye the process before it
+    /// acked. The target's own word is enough: it calls itself ready no more
+    /// from the moment on at which it begins to leave, which is before any ack.
+    pub fn confirm(&mut self, upstream: &str) {
+        let life = self.present.as_mut();
+        if let Some(life) = life.filter(|it| it.beat.upstream == upstream) {
+            life.is_confirmed = true;
+        }
+    }
+
     /// The target, where it takes new calls.
     #[must_use]
     pub fn admits(&self, now: Time) -> Option<&Heartbeat> {
         let life = self.heard_lately(now)?;
-        let takes = !self.has_left(life) && !life.beat.draining;
-        takes.then_some(&life.beat)
+        let is_open = life.is_confirmed && self.takes_calls(life);
+        is_open.then_some(&life.beat)
     }
 
     /// The service of the target, if one was ever heard of.
@@ -149,15 +186,18 @@
         self.present.as_ref().map(|it| &it.beat.service)
     }
 
-    /// What peers are told.
+    /// What peers are told; nothing of a target that is yet to be confirmed.
     #[must_use]
     pub fn announced(&self, now: Time) -> Option<Announced> {
         let life = self.heard_lately(now)?;
+        if self.unconfirmed(now).is_some() {
+            return None;
+        }
         Some(Announced {
             upstream: life.beat.upstream.clone(),
             service: life.beat.service.clone(),
             slots: life.beat.slots,
-            draining: self.has_left(life) || life.beat.draining,
+            draining: !self.takes_calls(life),
         })
     }
 
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -4,11 +4,12 @@
 //! call after the target's drain, and no more calls than it has slots are
 //! decided here, against what entries believe.
 
+mod confirm;
 mod run;
 mod slot;
 mod target;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,6 +29,7 @@
 use crate::journal::UPSTREAM;
 use crate::node::Node;
 use crate::wire::{Attempt, End, Ran, WireSettled};
+pub(crate) use confirm::ask_target;
 use target::Target;
 
 /// Slots of the target until it has said how many it has.
@@ -51,6 +53,8 @@
 pub(crate) struct Executor {
     tables: RefCell<Tables>,
     target: Target,
+    /// The target is being asked whether it takes calls.
+    is_asking: Cell<bool>,
 }
 
 struct Tables {
@@ -86,6 +90,7 @@
         Self {
             tables: RefCell::new(tables),
             target: Target::new(cfg.addresses.target, &cfg.dialect, clock, log),
+            is_asking: Cell::new(false),
         }
     }
 
@@ -104,6 +109,11 @@
         self.tables.borrow().queue.occupancy()
     }
 
+    /// Whether calls go to the target.
+    pub(crate) fn takes_calls(&self, now: stoatstep_calls::Time) -> bool {
+        self.tables.borrow().upstream.admits(now).is_some()
+    }
+
     /// What peers are told about the target.
     pub(crate) fn announced(&self, now: stoatstep_calls::Time) -> Option<Announced> {
         self.tables.borrow().upstream.announced(now)
@@ -112,25 +122,40 @@
 
 /// Takes in a heartbeat of the target. Once it returns, no call is sent to a
 /// target that drains, so that its drain may be acked.
-pub(crate) fn hear(node: &Node, beat: Heartbeat) -> Heard {
+pub(crate) fn hear(node: &Rc<Node>, beat: Heartbeat) -> Heard {
+    let slots = beat.slots;
+    let heard = learn(node, |target, now| target.hear(beat, now));
+    if heard == Heard::Taken {
+        node.executor.tables.borrow_mut().queue.set_slots(slots);
+    }
+    ask_target(node);
+    heard
+}
+
+/// A life of the target said good-bye.
+pub(crate) fn leave(node: &Node, upstream: &str) {
+    let is_news = learn(node, |target, _| target.leave(upstream));
+    if is_news {
+        slog::info!(node.log, "target leaves"; UPSTREAM => upstream);
+    }
+}
+
+/// Has `change` act on what is known of the target, and on the queue what follows
+/// from it.
+fn learn<T>(node: &Node, change: impl FnOnce(&mut LocalTarget, stoatstep_calls::Time) -> T) -> T {
     let now = node.clock.now();
     let mut tables = node.executor.tables.borrow_mut();
-    let slots = beat.slots;
     let before = tables.upstream.admits(now).cloned();
-    let heard = tables.upstream.hear(beat, now);
+    let learned = change(&mut tables.upstream, now);
     let after = tables.upstream.admits(now).cloned();
-    let change = changed_target(before, after);
-    if heard == Heard::Taken {
-        tables.queue.set_slots(slots);
-    }
     drop(tables);
-    if let Some(change) = change {
+    if let Some(change) = changed_target(before, after) {
         slog::info!(node.log, "target"; UPSTREAM => %change.upstream,
             "service" => %change.service, "slots" => change.slots,
             "sequence" => change.sequence, "draining" => change.draining);
     }
     flush_if_closed(node);
-    heard
+    learned
 }
 
 /// The target that is announced now, where another one or none was before.
@@ -145,22 +170,6 @@
     }))
 }
 
-/// A life of the target said good-bye.
-pub(crate) fn leave(node: &Node, upstream: &str) {
-    let is_news = node.executor.tables.borrow_mut().upstream.leave(upstream);
-    if is_news {
-        slog::info!(node.log, "target leaves"; UPSTREAM => upstream);
-    }
-    flush_if_closed(node);
-}
-
-fn answered_as(node: &Node, upstream: &str) {
-    let mut tables = node.executor.tables.borrow_mut();
-    tables.upstream.answered_as(upstream);
-    drop(tables);
-    flush_if_closed(node);
-}
-
 /// What waits for a target that takes no new calls is better off elsewhere, and
 /// must not be sent to it after its drain was acked.
 fn flush_if_closed(node: &Node) {
@@ -289,10 +298,11 @@
 }
 
 /// What the executor does from time to time.
-pub(crate) fn tick(node: &Node) {
+pub(crate) fn tick(node: &Rc<Node>) {
     let now = node.clock.now();
     node.executor.tables.borrow_mut().ledger.tick(now);
     node.executor.target.sweep();
+    ask_target(node);
     slot::pump(node);
 }
 
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -137,7 +137,7 @@
     Report {
         in_queue: started.saturating_sub(came),
         at_target: node.clock.now().saturating_sub(started),
-        ..of_target(node, end)
+        ..of_target(node, attempt, end)
     }
 }
 
@@ -148,7 +148,7 @@
     tables.ledger.start(attempt.id)
 }
 
-fn of_target(node: &Node, end: TargetEnd) -> Report {
+fn of_target(node: &Node, attempt: &Attempt, end: TargetEnd) -> Report {
     let (end, arrived) = match end {
         TargetEnd::Answered(answer) => (End::Answered(answer), true),
         TargetEnd::Unknown(reason) => (End::Refused(Refusal::permanent(reason)), true),
@@ -158,7 +158,9 @@
             actual,
         } => {
             if let Some(actual) = actual {
-                super::answered_as(node, &actual);
+                super::learn(node, |target, _| {
+                    target.answered_as(&attempt.upstream, &actual);
+                });
             }
             (End::Refused(refusal), arrived)
         }
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -27,6 +27,10 @@
 /// that a broken one never looks complete.
 const MAX_ANSWER: usize = 64 << 20;
 
+/// Largest answer to a question about the target's health. Nothing of its body
+/// is read.
+const MAX_HEALTH: usize = 16 << 10;
+
 /// Pause asked for where the target refuses without saying for how long.
 const SHED_RETRY: Duration = Duration::from_millis(100);
 
@@ -57,8 +61,18 @@
     }
 }
 
+/// What the target says of itself.
+#[derive(Clone, Debug)]
+pub(super) struct Health {
+    /// A success where it takes calls.
+    pub(super) status: StatusCode,
+    /// The life that answered.
+    pub(super) upstream: Option<UpstreamName>,
+}
+
 /// The target's address, the connections to it, and the names of its headers.
 pub(super) struct Target {
+    addr: SocketAddr,
     pool: Pool,
     names: Names,
     log: Logger,
@@ -98,6 +112,7 @@
 impl Target {
     pub(super) fn new(addr: SocketAddr, dialect: &Dialect, clock: Clock, log: Logger) -> Self {
         Self {
+            addr,
             pool: Pool::new(addr, clock),
             names: Names::new(dialect),
             log,
@@ -138,6 +153,21 @@
         }
     }
 
+    /// Asks the target how it is; `None` where it does not answer.
+    pub(super) async fn health(&self, path: &str) -> Option<Health> {
+        let req = Request::get(path).header(HOST, self.addr.to_string());
+        let req = req.body(Full::default()).ok()?;
+        let mut connection = self.pool.take().await?;
+        let (head, body) = connection.send(req).await.ok()?.into_parts();
+        let body = Limited::new(body, MAX_HEALTH).collect().await;
+        body.ok()?;
+        self.pool.put_back(connection, &head.headers);
+        Some(Health {
+            status: head.status,
+            upstream: text(&head.headers, &self.names.upstream),
+        })
+    }
+
     /// Closes idle connections that the target is about to close itself.
     pub(super) fn sweep(&self) {
         self.pool.sweep();
--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use super::gossip;
+use crate::executor;
 use crate::host::{Cursor, Host, HostError, Update};
 use crate::in_force::InForce;
 use crate::node::Node;
@@ -163,6 +164,8 @@
     if source == Source::Host {
         gossip::tell_all(node);
     }
+    // The first configuration names the path at which targets are asked.
+    executor::ask_target(node);
     true
 }
 
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -101,6 +101,8 @@
     node.journal
         .gauge("queue.running", occupancy.running.into());
     node.journal.gauge("queue.waiting", occupancy.queued.into());
+    let takes_calls = node.executor.takes_calls(node.clock.now());
+    node.journal.gauge("target.takes_calls", takes_calls.into());
     node.journal
         .gauge("host.reached", node.fleet.reaches_host.get().into());
 }
--- a/crates/resource/benches/state.rs
+++ b/crates/resource/benches/state.rs
@@ -55,7 +55,11 @@
     let mut resources = Vec::new();
     for i in 0..SERVICES {
         let name = format!("service-{i:02}").into();
-        resources.push(Resource::Service(Service { name, policy: None }));
+        resources.push(Resource::Service(Service {
+            name,
+            policy: None,
+            health_path: None,
+        }));
         resources.push(Resource::Route(Route {
             name: format!("route-{i:02}").into(),
             prefix: format!("/service-{i:02}").into(),
--- a/crates/resource/src/files/kinds.rs
+++ b/crates/resource/src/files/kinds.rs
@@ -135,6 +135,7 @@
     let service = Service {
         name: reader.text(cx, "name"),
         policy: reader.optional_text(cx, "policy"),
+        health_path: reader.optional_text(cx, "health_path"),
     };
     reader.finish(cx);
     service
--- a/crates/resource/src/lib.rs
+++ b/crates/resource/src/lib.rs
@@ -28,7 +28,9 @@
 };
 pub use key::{Key, KeyError, Kind, UnknownKind};
 pub use state::{Held, SnapshotError, State};
-pub use types::{Policy, Resource, Retry, Route, Service, Share, TenantLimit, Upstream};
+pub use types::{
+    HEALTH_PATH, Policy, Resource, Retry, Route, Service, Share, TenantLimit, Upstream,
+};
 pub use validate::{
     MAX_ATTEMPTS, MAX_BUDGET_PERCENT, MAX_CONNECTIONS, MAX_NAME_LEN, MAX_PREFIX_LEN, MAX_PRIORITY,
     MAX_RESOURCES, MAX_SLOTS, MAX_TENANT_LIMITS, MAX_TIMEOUT, MAX_WEIGHT, MIN_TIMEOUT, check_name,
--- a/crates/resource/src/types.rs
+++ b/crates/resource/src/types.rs
@@ -8,6 +8,10 @@
 use crate::ids::{PolicyName, RouteName, ServiceName, TenantName, UpstreamName};
 use crate::key::{Key, Kind};
 
+/// Path at which a target says whether it takes calls, unless its service names
+/// another one.
+pub const HEALTH_PATH: &str = "/healthz";
+
 /// A service: what callers ask for, carried by its upstreams.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Service {
@@ -15,6 +19,17 @@
     pub name: ServiceName,
     /// Policy for calls whose route names none.
     pub policy: Option<PolicyName>,
+    /// Path at which a target says whether it takes calls; [`HEALTH_PATH`] where
+    /// absent.
+    pub health_path: Option<SmolStr>,
+}
+
+impl Service {
+    /// The path at which targets of this service say whether they take calls.
+    #[must_use]
+    pub fn health_path(&self) -> &str {
+        self.health_path.as_deref().unwrap_or(HEALTH_PATH)
+    }
 }
 
 /// An upstream: one target's share of a service. Its address is not written
--- a/crates/resource/src/validate/resources.rs
+++ b/crates/resource/src/validate/resources.rs
@@ -12,7 +12,7 @@
 use super::names::{check_name, check_prefix};
 use crate::finding::{Finding, Place};
 use crate::key::Key;
-use crate::types::{Policy, Resource, Route, TenantLimit, Upstream};
+use crate::types::{Policy, Resource, Route, Service, TenantLimit, Upstream};
 use crate::wire::duration_text;
 
 /// Adds every finding of one resource, seen by itself.
@@ -24,7 +24,7 @@
     check.name();
     match resource {
         Resource::Policy(policy) => check.policy(policy),
-        Resource::Service(_) => {}
+        Resource::Service(service) => check.service(service),
         Resource::Upstream(upstream) => check.upstream(upstream),
         Resource::Route(route) => check.route(route),
     }
@@ -57,6 +57,15 @@
         }
     }
 
+    fn service(&mut self, service: &Service) {
+        let Some(path) = &service.health_path else {
+            return;
+        };
+        if let Err(message) = check_prefix(path) {
+            self.add("health_path", message);
+        }
+    }
+
     fn upstream(&mut self, upstream: &Upstream) {
         self.within("slots", upstream.slots, 1..=MAX_SLOTS);
         self.within("connections", upstream.connections, 1..=MAX_CONNECTIONS);
--- a/crates/resource/src/wire/packed.rs
+++ b/crates/resource/src/wire/packed.rs
@@ -29,6 +29,7 @@
     Service {
         name: ServiceName,
         policy: Option<PolicyName>,
+        health_path: Option<SmolStr>,
     },
     #[serde(rename = "u")]
     Upstream {
@@ -85,6 +86,7 @@
             Resource::Service(service) => Self::Service {
                 name: service.name.clone(),
                 policy: service.policy.clone(),
+                health_path: service.health_path.clone(),
             },
             Resource::Upstream(upstream) => Self::Upstream {
                 name: upstream.name.clone(),
@@ -131,7 +133,15 @@
                 },
                 limits: limits.into_iter().map(TenantLimit::from).collect(),
             }),
-            PackedResource::Service { name, policy } => Self::Service(Service { name, policy }),
+            PackedResource::Service {
+                name,
+                policy,
+                health_path,
+            } => Self::Service(Service {
+                name,
+                policy,
+                health_path,
+            }),
             PackedResource::Upstream {
                 name,
                 service,
--- a/crates/resource/src/wire/resource.rs
+++ b/crates/resource/src/wire/resource.rs
@@ -32,6 +32,9 @@
     /// Policy for calls whose route names none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub policy: Option<PolicyName>,
+    /// Path at which targets say whether they take calls.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub health_path: Option<SmolStr>,
 }
 
 /// See [`Upstream`].
@@ -171,6 +174,7 @@
             ResourceWire::Service(service) => Self::Service(Service {
                 name: service.name,
                 policy: service.policy,
+                health_path: service.health_path,
             }),
             ResourceWire::Upstream(upstream) => Self::Upstream(Upstream {
                 name: upstream.name,
@@ -274,6 +278,7 @@
             Resource::Service(service) => Self::Service(ServiceWire {
                 name: service.name.clone(),
                 policy: service.policy.clone(),
+                health_path: service.health_path.clone(),
             }),
             Resource::Upstream(upstream) => Self::Upstream(UpstreamWire {
                 name: upstream.name.clone(),
--- a/crates/resource/tests/all/difference.rs
+++ b/crates/resource/tests/all/difference.rs
@@ -9,6 +9,7 @@
         resource: Arc::new(Resource::Service(Service {
             name: (*name).into(),
             policy: policy.map(Into::into),
+            health_path: None,
         })),
     });
     State::from_snapshot(version, held).expect("names differ")
--- a/crates/resource/tests/all/support.rs
+++ b/crates/resource/tests/all/support.rs
@@ -9,6 +9,7 @@
     Resource::Service(Service {
         name: name.into(),
         policy: None,
+        health_path: None,
     })
 }
 
@@ -30,8 +31,13 @@
 pub(crate) fn any_resource() -> impl Strategy<Value = Resource> {
     let name = || "[a-z0-9]{1,12}".prop_map(smol_str::SmolStr::from);
     let reference = || proptest::option::of(name());
-    let service = (name(), reference())
-        .prop_map(|(name, policy)| Resource::Service(Service { name, policy }));
+    let service = (name(), reference(), reference()).prop_map(|(name, policy, health_path)| {
+        Resource::Service(Service {
+            name,
+            policy,
+            health_path,
+        })
+    });
     let upstream = (name(), name(), any::<u32>(), any::<u32>()).prop_map(
         |(name, service, slots, connections)| {
             Resource::Upstream(Upstream {
--- a/crates/scenario/src/run/operator.rs
+++ b/crates/scenario/src/run/operator.rs
@@ -28,6 +28,7 @@
     let service = Resource::Service(Service {
         name: SERVICE.into(),
         policy: None,
+        health_path: None,
     });
     let route = Resource::Route(route(&SmolStr::new_static("floats")));
     let upstreams = (0..fleet.instances()).map(|index| {
--- a/crates/scenario/src/script/deed.rs
+++ b/crates/scenario/src/script/deed.rs
@@ -59,6 +59,7 @@
         "service" => Resource::Service(Service {
             name: words.name("a name")?,
             policy: None,
+            health_path: None,
         }),
         "route" => {
             let name = words.name("a name")?;
--- a/crates/standin-platform/tests/version_log.rs
+++ b/crates/standin-platform/tests/version_log.rs
@@ -71,6 +71,7 @@
     let resource = Resource::Service(Service {
         name: name.into(),
         policy: None,
+        health_path: None,
     });
     Change {
         operation: operation.into(),
--- a/tests/all/decoders.rs
+++ b/tests/all/decoders.rs
@@ -88,6 +88,7 @@
     let service = Service {
         name: "floatdesk".into(),
         policy: None,
+        health_path: None,
     };
     let route = Route {
         name: "floatdesk".into(),
@@ -108,6 +109,7 @@
     let service = Service {
         name: "refundhall".into(),
         policy: None,
+        health_path: None,
     };
     let routes = state.of_kind(Kind::Route).map(|held| held.resource.key());
     state.delta(vec![Resource::Service(service)], routes.collect())
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -226,6 +226,7 @@
             let service = wire::ServiceWire {
                 name: (*name).into(),
                 policy: None,
+                health_path: None,
             };
             let route = wire::RouteWire {
                 name: (*name).into(),
--- a/tests/all/lifecycle.rs
+++ b/tests/all/lifecycle.rs
@@ -16,6 +16,7 @@
     vec![ResourceWire::Service(ServiceWire {
         name: name.into(),
         policy: None,
+        health_path: None,
     })]
 }
 
