Tell a member's comeback also where the platform's row shows it first

Cause: a daemon that reads the roster finds the row of a member's newer process and takes the member for present, but nobody is told of the change. The member's own words bring nothing newer, so the list of where calls go stays without it until something else changes. Callers saw 503 home-moving for keys whose other possible home had restarted, for 10 s and more (log of the entry: "key waits for a previous home: no instance of it is known", while its status showed the member as alive).

Ruled out: a member that is not known (the status of all four daemons showed all four), a question that is not answered, a version that lags (the new log line names neither).

Test: a_member_that_a_platform_row_brings_back_is_a_change, red before.

--- a/crates/membership/src/hearing.rs
+++ b/crates/membership/src/hearing.rs
@@ -233,11 +233,25 @@
             if member.key() == self.me {
                 self.hear_of_self(&member);
             } else {
-                self.table.merge_row(member, false);
+                self.hear_hint(member);
             }
         }
     }
 
+    /// A row that only the platform showed. For a stranger it says where to knock.
+    /// A member that it shows in a newer process is present by that: its own words
+    /// will bring nothing newer, so whoever waits for the change would miss it, and
+    /// would send no call there until something else changes.
+    fn hear_hint(&mut self, member: Member) {
+        let key = member.key();
+        if self.table.merge_row(member, false) != Merge::Changed {
+            return;
+        }
+        if self.table.get(key).is_some_and(|it| it.confirmed) {
+            self.changed(key);
+        }
+    }
+
     pub(crate) fn changed(&mut self, key: MemberKey) {
         self.spread(key);
         self.actions.push(Action::Changed(key));
--- a/crates/membership/tests/all/merging.rs
+++ b/crates/membership/tests/all/merging.rs
@@ -49,6 +49,26 @@
     assert_eq!(digests.len(), 1);
 }
 
+/// A daemon left as planned and started again. Another one reads the new process's
+/// row at the platform before it hears from it. What it makes of its table, such as
+/// where calls go, has to follow at once: the new process's own words bring nothing
+/// that is newer, so no later moment would tell.
+#[test]
+fn a_member_that_a_platform_row_brings_back_is_a_change() {
+    let mut node = Membership::new(member(0, 0, 5), Config::default(), 1);
+    let mut left = member(0, 1, 5);
+    left.state = MemberState::Leaving;
+    for row in [member(0, 1, 5), left] {
+        let rows = vec![Row::from(&row)];
+        node.handle(std::time::Duration::ZERO, Input::TablePulled { rows });
+    }
+    let rows = vec![Row::from(&member(0, 1, 9))];
+    let actions = node.handle(std::time::Duration::ZERO, Input::Announced { rows });
+    let state = node.table().get(key(0, 1)).map(|it| it.member.state);
+    assert_eq!(state, Some(MemberState::Alive));
+    assert!(actions.contains(&Action::Changed(key(0, 1))), "{actions:?}");
+}
+
 #[test]
 fn a_new_birth_brings_its_addresses() {
     let mut node = Membership::new(member(0, 0, 5), Config::default(), 1);
