--- a/crates/calls/src/throttle.rs
+++ b/crates/calls/src/throttle.rs
@@ -52,6 +52,18 @@
         self.asked = (self.asked - 1.0).max(0.0);
     }
 
+    /// Calls asked for lately; older ones weigh less.
+    #[must_use]
+    pub fn asked(&self) -> f64 {
+        self.asked
+    }
+
+    /// Those of them that ended well.
+    #[must_use]
+    pub fn ended_well(&self) -> f64 {
+        self.good
+    }
+
     fn forget(&mut self, now: Time) {
         let passed = now.saturating_sub(self.at);
         let kept = (-passed.as_secs_f64() / MEMORY.as_secs_f64()).exp();
--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use stoatstep_settings::{Program, Stop, Values};
+use stoatstep_telemetry::fields;
 
 use super::operands;
 use crate::console::Console;
@@ -98,8 +99,8 @@
         let Ok(line) = serde_json::from_str::<Line>(json) else {
             continue;
         };
-        if line.text("request") == request {
-            report.left_out += line.number("left_out");
+        if line.text(fields::REQUEST) == request {
+            report.left_out += line.number(fields::LEFT_OUT);
             report.lines.push(line);
         }
     }
@@ -135,17 +136,19 @@
         let ended = self.lines.iter().rfind(|it| it.msg == "call ended");
         let Some(ended) = ended else {
             return match self.lines.iter().find(|it| it.msg == "request refused") {
-                Some(line) => format!("it did not run: {}", meaning(&line.text("reason"))),
+                Some(line) => format!("it did not run: {}", meaning(&line.text(fields::REASON))),
                 None => "its entry has no line of its end: the caller left, or the daemon died"
                     .to_owned(),
             };
         };
-        let reason = meaning(&ended.text("reason"));
-        match ended.text("outcome").as_str() {
+        let reason = meaning(&ended.text(fields::REASON));
+        match ended.text(fields::OUTCOME).as_str() {
             "not-run" => format!("it did not run and never will: {reason}"),
             "unknown" => format!("it may have run, and its answer is lost: {reason}"),
-            _ if ended.number("status") >= 500 => "its target answered with a failure".to_owned(),
-            _ if ended.flag("late") => late(ended),
+            _ if ended.number(fields::STATUS) >= 500 => {
+                "its target answered with a failure".to_owned()
+            }
+            _ if ended.flag(fields::LATE) => late(ended),
             _ => "it was answered in time".to_owned(),
         }
     }
@@ -153,8 +156,13 @@
 
 /// The part of a late answer's time that was the largest.
 fn late(ended: &Line) -> String {
-    let (queue, target) = (ended.number("queue_us"), ended.number("target_us"));
-    let rest = ended.number("total_us").saturating_sub(queue + target);
+    let (queue, target) = (
+        ended.number(fields::QUEUE_US),
+        ended.number(fields::TARGET_US),
+    );
+    let rest = ended
+        .number(fields::TOTAL_US)
+        .saturating_sub(queue + target);
     let parts = [
         (queue, "waiting for a slot"),
         (target, "at its target"),
@@ -169,15 +177,15 @@
 
 fn sentence(line: &Line) -> String {
     let ms = |key: &str| line.number(key) / 1000;
-    let upstream = line.text("upstream");
-    let arrived = if line.flag("arrived") {
+    let upstream = line.text(fields::UPSTREAM);
+    let arrived = if line.flag(fields::ARRIVED) {
         "its target got to see it"
     } else {
         "its target never saw it"
     };
     match line.msg.as_str() {
         "call ended" => {
-            let zone = if line.flag("other_zone") {
+            let zone = if line.flag(fields::OTHER_ZONE) {
                 " in another zone"
             } else {
                 ""
@@ -186,37 +194,37 @@
                 "entry: {} by route {} of version {}, {} attempts, last at {upstream}{zone}; \
                  {} ms in all, {} in queues, {} at targets; given {} ms, objective {} ms",
                 outcome(line),
-                line.text("route"),
-                line.text("version"),
-                line.text("attempts"),
-                ms("total_us"),
-                ms("queue_us"),
-                ms("target_us"),
-                line.text("given_ms"),
-                line.text("objective_ms"),
+                line.text(fields::ROUTE),
+                line.text(fields::VERSION),
+                line.text(fields::ATTEMPTS),
+                ms(fields::TOTAL_US),
+                ms(fields::QUEUE_US),
+                ms(fields::TARGET_US),
+                line.text(fields::GIVEN_MS),
+                line.text(fields::OBJECTIVE_MS),
             )
         }
         "attempt failed" => format!(
             "entry: attempt at {upstream} brought no answer after {} ms: {}; {arrived}",
-            ms("took_us"),
-            meaning(&line.text("reason"))
+            ms(fields::TOOK_US),
+            meaning(&line.text(fields::REASON))
         ),
         "run failed" => format!(
             "executor of {upstream}: {}; {arrived}; {} ms in the queue, {} at the target; \
              {} running and {} waiting then",
-            meaning(&line.text("reason")),
-            ms("queue_us"),
-            ms("target_us"),
-            line.text("running"),
-            line.text("queued"),
+            meaning(&line.text(fields::REASON)),
+            ms(fields::QUEUE_US),
+            ms(fields::TARGET_US),
+            line.text(fields::RUNNING),
+            line.text(fields::QUEUED),
         ),
         "request refused" => format!(
             "entry: refused when it came: {}",
-            meaning(&line.text("reason"))
+            meaning(&line.text(fields::REASON))
         ),
         "target ejected" => format!(
             "entry: with it, {upstream} was left out for {} ms",
-            line.text("for_ms")
+            line.text(fields::FOR_MS)
         ),
         "retry budget spent" => "entry: not tried again, the retry budget was spent".to_owned(),
         other => other.to_owned(),
@@ -224,9 +232,9 @@
 }
 
 fn outcome(line: &Line) -> String {
-    match line.text("outcome").as_str() {
-        "answered" => format!("answered with status {}", line.text("status")),
-        other => format!("{other} ({})", line.text("reason")),
+    match line.text(fields::OUTCOME).as_str() {
+        "answered" => format!("answered with status {}", line.text(fields::STATUS)),
+        other => format!("{other} ({})", line.text(fields::REASON)),
     }
 }
 
--- a/crates/mesh/src/drain.rs
+++ b/crates/mesh/src/drain.rs
@@ -6,6 +6,7 @@
 
 use crate::fleet;
 use crate::node::Node;
+use stoatstep_telemetry::fields;
 
 /// How often it is looked whether all calls are answered.
 const POLL: Duration = Duration::from_millis(50);
@@ -35,7 +36,7 @@
     let mut departure = node.departure.get();
     departure.begin(node.clock.now());
     node.departure.set(departure);
-    slog::info!(node.log, "draining"; "in_flight" => node.in_flight.get());
+    slog::info!(node.log, "draining"; fields::IN_FLIGHT => node.in_flight.get());
     fleet::gossip::leave(node);
 }
 
@@ -48,5 +49,5 @@
     while !may_end() {
         tokio::time::sleep(POLL).await;
     }
-    slog::info!(node.log, "drained"; "in_flight" => node.in_flight.get());
+    slog::info!(node.log, "drained"; fields::IN_FLIGHT => node.in_flight.get());
 }
--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -7,12 +7,13 @@
 use rand::RngExt;
 use stoatstep_calls::{AttemptId, Occupancy, Reason, Refusal, Seen, Ticket, Time};
 use stoatstep_resource::UpstreamName;
+use stoatstep_telemetry::fields;
 use tokio::time::{sleep, timeout};
 
 use super::call::Call;
 use crate::executor;
 use crate::fleet::Place;
-use crate::journal::{AttemptFailed, REQUEST, UPSTREAM};
+use crate::journal::AttemptFailed;
 use crate::link::LinkError;
 use crate::node::Node;
 use crate::wire::{Ask, Attempt, End, Ran, Reply, WireSettled};
@@ -292,8 +293,8 @@
         if let Some(time) = ejected {
             self.node.journal.count("targets.ejected");
             slog::info!(self.node.log, "target ejected";
-                UPSTREAM => %self.upstream, "service" => %service,
-                REQUEST => %self.call.parts.request_id, "for_ms" => time.as_millis());
+                fields::UPSTREAM => %self.upstream, fields::SERVICE => %service,
+                fields::REQUEST => %self.call.parts.request_id, fields::FOR_MS => time.as_millis());
         }
     }
 }
--- a/crates/mesh/src/entry/carry.rs
+++ b/crates/mesh/src/entry/carry.rs
@@ -5,12 +5,13 @@
 
 use stoatstep_calls::{Attempts, Outcome, Pick, Reason, Refusal};
 use stoatstep_resource::UpstreamName;
+use stoatstep_telemetry::fields;
 
 use super::Tables;
 use super::attempt::{self, Ended};
 use super::call::Call;
 use crate::fleet::Place;
-use crate::journal::{REQUEST, Times};
+use crate::journal::Times;
 use crate::node::Node;
 use crate::wire::End;
 
@@ -141,14 +142,18 @@
 
 fn earn(node: &Node, call: &Call) {
     let mut tables = node.entry.tables.borrow_mut();
-    let percent = node.cfg.retries.percent / BUDGET_SHARE;
-    let reserve = reserve(node);
+    let (percent, reserve) = (percent(node), reserve(node));
     let budget = tables.budgets.entry(call.parts.service.clone());
     let budget = budget.or_default();
     budget.set_reserve(reserve);
     budget.earn(percent);
 }
 
+/// Retries that each call earns, in hundredths.
+fn percent(node: &Node) -> u32 {
+    node.cfg.retries.percent / BUDGET_SHARE
+}
+
 /// This daemon's part of what the whole fleet may save up.
 fn reserve(node: &Node) -> u32 {
     let daemons = u32::try_from(node.fleet.size()).unwrap_or(u32::MAX);
@@ -164,8 +169,9 @@
         node.journal.count("retries.refused");
         if let Some(left_out) = node.journal.admits("retry", node.clock.now()) {
             slog::info!(node.log, "retry budget spent";
-                REQUEST => %call.parts.request_id, "service" => %call.parts.service,
-                "left_out" => left_out);
+                fields::REQUEST => %call.parts.request_id, fields::SERVICE => %call.parts.service,
+                fields::PERCENT => percent(node), fields::RESERVE => reserve(node),
+                fields::LEFT_OUT => left_out);
         }
     }
     has_left
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -18,10 +18,11 @@
 use stoatstep_calls::{Candidate, Placement, Refusal, RetryBudget, Throttle, Ticket, Time};
 use stoatstep_http::drop_body;
 use stoatstep_resource::{RouteName, ServiceName};
+use stoatstep_telemetry::fields;
 
 use crate::config::MeshConfig;
 use crate::drain::InFlight;
-use crate::journal::{CallEnded, REASON, REQUEST, Times};
+use crate::journal::{CallEnded, Times};
 use crate::node::Node;
 use call::Call;
 use carry::Carried;
@@ -120,5 +121,5 @@
     let id = req.headers().get(node.cfg.dialect.request_id.as_str());
     let id = id.and_then(|it| it.to_str().ok()).unwrap_or_default();
     slog::info!(node.log, "request refused";
-        REQUEST => id, REASON => kind, "path" => req.path(), "left_out" => left_out);
+        fields::REQUEST => id, fields::REASON => kind, fields::PATH => req.path(), fields::LEFT_OUT => left_out);
 }
--- a/crates/mesh/src/entry/throttle.rs
+++ b/crates/mesh/src/entry/throttle.rs
@@ -4,6 +4,7 @@
 
 use rand::RngExt;
 use stoatstep_calls::{Reason, Refusal, Throttle};
+use stoatstep_telemetry::fields;
 
 use super::call::Call;
 use super::carry::Carried;
@@ -31,7 +32,22 @@
         return true;
     }
     let throttle = throttles.entry(route.clone()).or_default();
-    throttle.admits(draw, node.clock.now())
+    let is_let_through = throttle.admits(draw, node.clock.now());
+    let seen = *throttle;
+    drop(tables);
+    if !is_let_through {
+        note_refused(node, call, &seen);
+    }
+    is_let_through
+}
+
+fn note_refused(node: &Node, call: &Call, seen: &Throttle) {
+    if let Some(left_out) = node.journal.admits("throttle", node.clock.now()) {
+        slog::info!(node.log, "route throttled";
+            fields::REQUEST => %call.parts.request_id, fields::ROUTE => %call.parts.route,
+            fields::ASKED => seen.asked(), fields::GOOD => seen.ended_well(),
+            fields::LEFT_OUT => left_out);
+    }
 }
 
 /// What a call that is not let through ends with.
--- a/crates/mesh/src/executor/confirm.rs
+++ b/crates/mesh/src/executor/confirm.rs
@@ -10,12 +10,12 @@
 use smol_str::SmolStr;
 use stoatstep_membership::Heartbeat;
 use stoatstep_resource::{HEALTH_PATH, Key, Kind, Resource};
+use stoatstep_telemetry::fields;
 use tokio::time::timeout;
 
 use super::learn;
 use super::target::Health;
 use crate::fleet::gossip;
-use crate::journal::UPSTREAM;
 use crate::node::Node;
 
 /// Time for the target to answer. It queues the question behind the runs of the
@@ -81,7 +81,7 @@
     else {
         return;
     };
-    slog::warn!(node.log, "target not confirmed"; UPSTREAM => %asked,
-        "sequence" => beat.sequence, "status" => status,
-        "answered_as" => actual.as_deref(), "left_out" => left_out);
+    slog::warn!(node.log, "target not confirmed"; fields::UPSTREAM => %asked,
+        fields::SEQUENCE => beat.sequence, fields::STATUS => status,
+        fields::ANSWERED_AS => actual.as_deref(), fields::LEFT_OUT => left_out);
 }
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -22,11 +22,11 @@
 };
 use stoatstep_membership::{Announced, Heard, Heartbeat, LocalTarget};
 use stoatstep_resource::ServiceName;
+use stoatstep_telemetry::fields;
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
 use crate::config::MeshConfig;
-use crate::journal::UPSTREAM;
 use crate::node::Node;
 use crate::wire::{Attempt, End, Ran, WireSettled};
 pub(crate) use confirm::ask_target;
@@ -136,7 +136,7 @@
 pub(crate) fn leave(node: &Node, upstream: &str) {
     let is_news = learn(node, |target, _| target.leave(upstream));
     if is_news {
-        slog::info!(node.log, "target leaves"; UPSTREAM => upstream);
+        slog::info!(node.log, "target leaves"; fields::UPSTREAM => upstream);
     }
 }
 
@@ -150,9 +150,9 @@
     let after = tables.upstream.admits(now).cloned();
     drop(tables);
     if let Some(change) = changed_target(before, after) {
-        slog::info!(node.log, "target"; UPSTREAM => %change.upstream,
-            "service" => %change.service, "slots" => change.slots,
-            "sequence" => change.sequence, "draining" => change.draining);
+        slog::info!(node.log, "target"; fields::UPSTREAM => %change.upstream,
+            fields::SERVICE => %change.service, fields::SLOTS => change.slots,
+            fields::SEQUENCE => change.sequence, fields::DRAINING => change.draining);
     }
     flush_if_closed(node);
     learned
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -17,6 +17,7 @@
 use smol_str::{SmolStr, ToSmolStr};
 use stoatstep_calls::{Answer, Header, Reason, Refusal, is_of_connection};
 use stoatstep_resource::UpstreamName;
+use stoatstep_telemetry::fields;
 
 use crate::clock::Clock;
 use crate::dialect::Dialect;
@@ -149,7 +150,7 @@
     fn note_failed(&self, connection: &Connection) {
         if let Some(limit) = self.pool.failed(connection) {
             slog::info!(self.log, "target drops idle connections";
-                "unused_after_ms" => limit.as_millis());
+                fields::UNUSED_AFTER_MS => limit.as_millis());
         }
     }
 
--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -9,6 +9,7 @@
 use stoatstep_distribution::{Mark, PollRole};
 use stoatstep_membership::{Input, MemberKey};
 use stoatstep_resource::State;
+use stoatstep_telemetry::fields;
 use tokio::time::timeout;
 
 use super::gossip;
@@ -62,6 +63,7 @@
 pub(crate) async fn run<H: Host>(node: Rc<Node>, host: Rc<H>) {
     let mut cursor = None;
     let mut failures: u32 = 0;
+    let mut last_failure = None;
     loop {
         let role = role(&node);
         if role == PollRole::Idle && node.fleet.in_force().is_some() {
@@ -78,6 +80,7 @@
             Ok(update) => {
                 cursor = (role == PollRole::Poller).then_some(update.cursor);
                 failures = 0;
+                last_failure = None;
                 if !node.fleet.reaches_host.replace(true) {
                     slog::info!(node.log, "host reached");
                 }
@@ -92,7 +95,11 @@
                 }
             }
             Err(err) => {
-                note_failure(&node, &err);
+                if last_failure.as_ref() != Some(&err) {
+                    note_failure(&node, &err);
+                }
+                node.journal.count("host.failures");
+                last_failure = Some(err);
                 // Read anew, which is answered at once or not at all.
                 cursor = None;
                 failures += 1;
@@ -105,17 +112,18 @@
     }
 }
 
-/// One line where the host is lost, and one for each answer that makes no sense.
+/// One line where the host is lost, and one for each answer that makes no sense. A
+/// document that makes none stays until the operator writes another, and is read
+/// about three times a second until then.
 fn note_failure(node: &Node, err: &HostError) {
-    node.journal.count("host.failures");
     match err {
         HostError::HistoryLost => slog::info!(node.log, "host's history lost, read anew"),
         HostError::Malformed(_) => {
-            slog::error!(node.log, "configuration not understood"; "error" => %err);
+            slog::error!(node.log, "configuration not understood"; fields::ERROR => %err);
         }
         HostError::Unavailable(_) => {
             if node.fleet.reaches_host.replace(false) {
-                slog::warn!(node.log, "host lost"; "error" => %err);
+                slog::warn!(node.log, "host lost"; fields::ERROR => %err);
             }
         }
     }
@@ -154,12 +162,12 @@
     }
     if let Err(err) = state.check_references() {
         slog::error!(node.log, "configuration refused";
-            "version" => version, "held" => held, "source" => ?source, "error" => %err);
+            fields::VERSION => version, fields::HELD => held, fields::SOURCE => ?source, fields::ERROR => %err);
         return false;
     }
     let mark = replace(node, state);
     slog::info!(node.log, "configuration in force";
-        "version" => version, "before" => held, "source" => ?source);
+        fields::VERSION => version, fields::BEFORE => held, fields::SOURCE => ?source);
     gossip::input(node, Input::Holds(mark));
     if source == Source::Host {
         gossip::tell_all(node);
@@ -238,7 +246,9 @@
             offer(node, state, Source::Peer);
         }
         Ok(None) => {}
-        Err(err) => slog::error!(node.log, "a peer's configuration is broken"; "error" => err),
+        Err(err) => {
+            slog::error!(node.log, "a peer's configuration is broken"; fields::ERROR => err)
+        }
     }
 }
 
--- a/crates/mesh/src/fleet/gossip.rs
+++ b/crates/mesh/src/fleet/gossip.rs
@@ -7,9 +7,9 @@
 use stoatstep_membership::{
     Action, Exchange, GossipReply, GossipRequest, Input, MemberKey, ZoneDigest,
 };
+use stoatstep_telemetry::fields;
 
 use super::{configuration, refresh};
-use crate::journal::UPSTREAM;
 use crate::node::Node;
 use crate::wire::{Ask, Reply};
 use crate::{drain, executor};
@@ -111,12 +111,12 @@
             }
             Action::ZoneReachable { zone, reachable } => {
                 slog::warn!(node.log, "way to a zone changed";
-                    "zone" => %zone, "reachable" => reachable);
+                    fields::ZONE => %zone, fields::REACHABLE => reachable);
             }
             Action::Woke { gap } => woke(node, gap),
             Action::TargetDrained(upstream) => executor::leave(node, &upstream),
             Action::Superseded { birth } => {
-                slog::error!(node.log, "a newer process runs under this id"; "birth" => birth);
+                slog::error!(node.log, "a newer process runs under this id"; fields::BIRTH => birth);
                 drain::begin(node);
             }
         }
@@ -138,16 +138,16 @@
     let member = &entry.member;
     let announced = member.announced.as_ref();
     slog::info!(node.log, "member";
-        "instance" => %member.instance, "zone" => %member.zone,
-        "incarnation" => member.incarnation, "state" => ?member.state,
-        UPSTREAM => announced.map_or("", |it| it.upstream.as_str()),
-        "service" => announced.map_or("", |it| it.service.as_str()),
-        "draining" => announced.is_some_and(|it| it.draining), "left_out" => left_out);
+        fields::INSTANCE => %member.instance, fields::ZONE => %member.zone,
+        fields::INCARNATION => member.incarnation, fields::STATE => ?member.state,
+        fields::UPSTREAM => announced.map_or("", |it| it.upstream.as_str()),
+        fields::SERVICE => announced.map_or("", |it| it.service.as_str()),
+        fields::DRAINING => announced.is_some_and(|it| it.draining), fields::LEFT_OUT => left_out);
 }
 
 /// The instance was suspended. Everything that waits here is old.
 fn woke(node: &Rc<Node>, gap: Duration) {
-    slog::warn!(node.log, "woke from a suspension"; "gap_ms" => gap.as_millis());
+    slog::warn!(node.log, "woke from a suspension"; fields::GAP_MS => gap.as_millis());
     executor::woke(node);
     node.links.close_all();
     node.fleet.woke.notify_waiters();
--- a/crates/mesh/src/fleet/roster.rs
+++ b/crates/mesh/src/fleet/roster.rs
@@ -5,6 +5,7 @@
 
 use rand::RngExt;
 use stoatstep_membership::Input;
+use stoatstep_telemetry::fields;
 use tokio::time::timeout;
 
 use super::gossip;
@@ -104,7 +105,7 @@
         match answer {
             Ok(answer) => Some(answer),
             Err(err) => {
-                slog::warn!(self.node.log, "roster not {}", what; "error" => %err);
+                slog::warn!(self.node.log, "roster not {}", what; fields::ERROR => %err);
                 None
             }
         }
--- a/crates/mesh/src/journal.rs
+++ b/crates/mesh/src/journal.rs
@@ -10,23 +10,10 @@
 use slog::Logger;
 use smol_str::SmolStr;
 use stoatstep_calls::{AttemptId, Outcome, Reason, Time};
-use stoatstep_telemetry::{Admission, Histograms, Metrics, RateLimit, Stage};
+use stoatstep_telemetry::{Admission, Histograms, Metrics, RateLimit, Stage, fields};
 
 use crate::wire::{CallParts, End};
 
-/// Id of the caller's request.
-pub(crate) const REQUEST: &str = "request";
-/// Id of one attempt of it at one executor.
-pub(crate) const ATTEMPT: &str = "attempt";
-/// The life of the target that was chosen.
-pub(crate) const UPSTREAM: &str = "upstream";
-/// Why something ended as it did.
-pub(crate) const REASON: &str = "reason";
-/// HTTP status.
-pub(crate) const STATUS: &str = "status";
-/// Whether the target got to see the request.
-pub(crate) const ARRIVED: &str = "arrived";
-
 /// Lines a second about calls that went well. Enough for every call of an
 /// ordinary day; under a flood the rest is counted.
 const ORDINARY: u32 = 200;
@@ -153,13 +140,13 @@
             None => ("", false),
         };
         slog::info!(self.log, "call ended";
-            REQUEST => %ended.call.request_id, "route" => %ended.call.route,
-            "service" => %ended.call.service, "version" => ended.version,
-            "outcome" => outcome, STATUS => status, REASON => reason, "late" => is_late,
-            UPSTREAM => upstream, "other_zone" => spilled, "attempts" => ended.attempts,
-            "total_us" => micros(ended.times.total), "queue_us" => micros(ended.times.queue),
-            "target_us" => micros(ended.times.target), "given_ms" => millis(ended.given),
-            "objective_ms" => millis(ended.objective), "left_out" => left_out);
+            fields::REQUEST => %ended.call.request_id, fields::ROUTE => %ended.call.route,
+            fields::SERVICE => %ended.call.service, fields::VERSION => ended.version,
+            fields::OUTCOME => outcome, fields::STATUS => status, fields::REASON => reason, fields::LATE => is_late,
+            fields::UPSTREAM => upstream, fields::OTHER_ZONE => spilled, fields::ATTEMPTS => ended.attempts,
+            fields::TOTAL_US => micros(ended.times.total), fields::QUEUE_US => micros(ended.times.queue),
+            fields::TARGET_US => micros(ended.times.target), fields::GIVEN_MS => millis(ended.given),
+            fields::OBJECTIVE_MS => millis(ended.objective), fields::LEFT_OUT => left_out);
     }
 
     /// One line about each attempt that brought no answer.
@@ -167,10 +154,10 @@
         self.count("attempts.failed");
         if let Some(left_out) = self.admits("attempt", now) {
             slog::info!(self.log, "attempt failed";
-                REQUEST => %failed.call.request_id, ATTEMPT => format!("{:032x}", failed.attempt),
-                UPSTREAM => failed.upstream, REASON => failed.reason.as_str(),
-                ARRIVED => failed.arrived, "took_us" => micros(failed.took),
-                "left_out" => left_out);
+                fields::REQUEST => %failed.call.request_id, fields::ATTEMPT => format!("{:032x}", failed.attempt),
+                fields::UPSTREAM => failed.upstream, fields::REASON => failed.reason.as_str(),
+                fields::ARRIVED => failed.arrived, fields::TOOK_US => micros(failed.took),
+                fields::LEFT_OUT => left_out);
         }
     }
 
@@ -179,11 +166,11 @@
         self.count("runs.failed");
         if let Some(left_out) = self.admits("run", now) {
             slog::info!(self.log, "run failed";
-                REQUEST => %failed.call.request_id, ATTEMPT => format!("{:032x}", failed.attempt),
-                UPSTREAM => failed.upstream, REASON => failed.reason.as_str(),
-                ARRIVED => failed.arrived, "queue_us" => micros(failed.times.queue),
-                "target_us" => micros(failed.times.target), "running" => failed.running,
-                "queued" => failed.queued, "left_out" => left_out);
+                fields::REQUEST => %failed.call.request_id, fields::ATTEMPT => format!("{:032x}", failed.attempt),
+                fields::UPSTREAM => failed.upstream, fields::REASON => failed.reason.as_str(),
+                fields::ARRIVED => failed.arrived, fields::QUEUE_US => micros(failed.times.queue),
+                fields::TARGET_US => micros(failed.times.target), fields::RUNNING => failed.running,
+                fields::QUEUED => failed.queued, fields::LEFT_OUT => left_out);
         }
     }
 
--- a/crates/mesh/src/link/dial.rs
+++ b/crates/mesh/src/link/dial.rs
@@ -10,6 +10,7 @@
 use futures_util::StreamExt;
 use slog::Logger;
 use stoatstep_calls::Time;
+use stoatstep_telemetry::fields;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{Notify, oneshot};
@@ -245,7 +246,7 @@
     if open > 0 {
         let silent = clock.now().saturating_sub(link.heard.get());
         slog::warn!(log, "link lost";
-            "peer" => %addr, "open" => open, "silent_ms" => silent.as_millis());
+            fields::PEER => %addr, fields::OPEN => open, fields::SILENT_MS => silent.as_millis());
     }
     link.close(Stage::Closed, LinkError::Lost);
 }
--- a/crates/mesh/src/link/serve.rs
+++ b/crates/mesh/src/link/serve.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use stoatstep_calls::AttemptId;
+use stoatstep_telemetry::fields;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{self, UnboundedSender};
 use tokio_util::codec::{FramedRead, FramedWrite};
@@ -29,7 +30,7 @@
                 ntex::rt::spawn(connection(Rc::clone(&node), stream));
             }
             Err(err) => {
-                slog::warn!(node.log, "link not accepted"; "error" => %err);
+                slog::warn!(node.log, "link not accepted"; fields::ERROR => %err);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -22,6 +22,7 @@
 use stoatstep_calls::Departure;
 use stoatstep_http::Server;
 use stoatstep_membership::{Heard, Heartbeat};
+use stoatstep_telemetry::fields;
 
 /// Interval of the periodic work. Membership counts its time in it.
 const TICK: Duration = Duration::from_millis(250);
@@ -132,7 +133,7 @@
         })
         .await;
     if let Err(err) = ended {
-        slog::crit!(log, "callers not served"; "error" => %err);
+        slog::crit!(log, "callers not served"; fields::ERROR => %err);
     }
 }
 
@@ -146,7 +147,7 @@
         })
         .await;
     if let Err(err) = ended {
-        slog::error!(log, "metrics not served"; "error" => %err);
+        slog::error!(log, "metrics not served"; fields::ERROR => %err);
     }
 }
 
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,7 +1,8 @@
 //! What a program says about itself: logs, metrics and histograms.
 //!
 //! [`logger`] writes JSON lines to standard error, and [`batched_logger`] many of
-//! them at a time, with [`RateLimit`] in front of messages that faults can repeat. [`Metrics`] counts through `cadence`
+//! them at a time, with [`RateLimit`] in front of messages that faults can repeat;
+//! what the lines carry is named in [`fields`]. [`Metrics`] counts through `cadence`
 //! and keeps the sums in memory for `/metrics`. [`Histograms`] holds a
 //! histogram of latency for each tenant, class and [`Stage`]. All three are
 //! bounded in memory, whatever callers send: a daemon shares its instance with
@@ -9,6 +10,7 @@
 
 mod batch;
 mod exposition;
+pub mod fields;
 mod histograms;
 mod log;
 mod metrics;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -14,4 +14,5 @@
 mod process;
 mod process_rules;
 mod programs;
+mod sidecar;
 mod spreading;
--- /dev/null
+++ b/tests/all/sidecar.rs
@@ -0,0 +1,151 @@
+//! `stoatstep-sidecar` as a process: settings, signals and what it says of them.
+
+use std::fs;
+use std::io::Read;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{self, Signal};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_stoatstep-sidecar");
+
+/// Longest time that a test waits for the process.
+const BOUND: Duration = Duration::from_secs(10);
+
+/// Lines are gathered for a tenth of a second before they are written.
+const GATHERED: Duration = Duration::from_millis(300);
+
+/// Loopback addresses of one test.
+fn addr(test: u8, port: u16) -> SocketAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    (Ipv4Addr::new(127, high | 0x80, low, test), 7000 + port).into()
+}
+
+/// A settings file for a daemon whose store does not answer.
+fn settings(test: u8) -> Value {
+    json!({
+        "node": "n0", "zone": "a", "region": "north", "service": "floatdesk",
+        "listen": {"inbound": addr(test, 0), "outbound": addr(test, 1),
+                   "ready": addr(test, 2), "control": addr(test, 3)},
+        "app_address": addr(test, 4), "heartbeat_s": 1.5,
+        "bounds": ["retry_budget_ratio=0.2", "retry_slack=60", "grace_s=6"],
+        "platform": {"address": addr(test, 5)},
+    })
+}
+
+fn file(test: u8, content: &Value) -> PathBuf {
+    let name = format!("sidecar-{}-{test}.json", std::process::id());
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, content.to_string()).expect("a file for settings");
+    path
+}
+
+fn start(path: &Path) -> Child {
+    let mut command = Command::new(PROGRAM);
+    command.env("STOATSTEP_NODE_FILE", path);
+    let piped = command.stdout(Stdio::piped()).stderr(Stdio::piped());
+    piped.spawn().expect("the program starts")
+}
+
+fn tell(child: &Child, what: Signal) {
+    let id = i32::try_from(child.id()).expect("an id of a process");
+    signal::kill(Pid::from_raw(id), what).expect("it runs");
+    std::thread::sleep(GATHERED);
+}
+
+fn ended(mut child: Child) -> Output {
+    let end = Instant::now() + BOUND;
+    while child.try_wait().expect("a child of this process").is_none() {
+        if Instant::now() > end {
+            child.kill().expect("a child of this process");
+            panic!("it still runs after {BOUND:?}");
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    child.wait_with_output().expect("it ended")
+}
+
+fn messages(output: &Output) -> Vec<String> {
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let lines = text.lines().map(|it| serde_json::from_str::<Value>(it));
+    let lines = lines.map(|it| it.expect("JSON"));
+    let own = lines.filter(|it| it["msg"] != "host lost" && it["msg"] != "member");
+    own.map(|it| it["msg"].as_str().unwrap_or_default().to_owned())
+        .collect()
+}
+
+/// The settings file changes twice while the process runs, the second time for the
+/// worse. It says what it read each time, goes on, and ends as told.
+#[test]
+fn a_process_says_how_it_started_read_its_settings_and_stopped() {
+    let path = file(1, &settings(1));
+    let child = start(&path);
+    std::thread::sleep(GATHERED);
+    tell(&child, Signal::SIGHUP);
+    file(1, &json!({"node": "n0"}));
+    tell(&child, Signal::SIGHUP);
+    tell(&child, Signal::SIGTERM);
+    let output = ended(child);
+    assert!(output.status.success(), "{output:?}");
+    let said = messages(&output);
+    let expected = [
+        "started",
+        "settings read again",
+        "settings not understood",
+        "draining",
+        "drained",
+        "stopped",
+    ];
+    let own = said.iter().filter(|it| expected.contains(&it.as_str()));
+    assert_eq!(own.collect::<Vec<_>>(), expected, "{said:?}");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(text.contains("missing field `zone`"), "{text}");
+}
+
+#[test]
+fn settings_that_are_wrong_stop_the_start_with_their_place() {
+    let mut wrong = settings(2);
+    wrong["app_address"] = json!("nowhere");
+    let output = ended(start(&file(2, &wrong)));
+    assert!(!output.status.success());
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(text.contains("invalid socket address"), "{text}");
+    assert!(text.contains("line 1"), "{text}");
+}
+
+/// Nobody reads what the process writes, and callers ask for paths that do not
+/// exist. The pipe is full after some hundred lines; answers still come at once.
+#[test]
+fn a_reader_that_is_stuck_delays_no_answer() {
+    let child = start(&file(3, &settings(3)));
+    std::thread::sleep(GATHERED);
+    let mut slowest = Duration::ZERO;
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(6) {
+        let asked = Instant::now();
+        let answer = ask(addr(3, 1));
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        slowest = slowest.max(asked.elapsed());
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    assert!(slowest < Duration::from_millis(500), "{slowest:?}");
+    tell(&child, Signal::SIGTERM);
+    assert!(ended(child).status.success());
+}
+
+fn ask(addr: SocketAddr) -> String {
+    let mut stream = std::net::TcpStream::connect(addr).expect("it listens");
+    let id = "x".repeat(200);
+    let text = format!(
+        "GET /nowhere HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: {id}\r\nX-Timeout-Ms: 500\r\n\
+         Connection: close\r\n\r\n"
+    );
+    std::io::Write::write_all(&mut stream, text.as_bytes()).expect("it reads");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("a whole answer");
+    answer
+}
