--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -247,7 +247,7 @@
         }
         Ok(None) => {}
         Err(err) => {
-            slog::error!(node.log, "a peer's configuration is broken"; fields::ERROR => err)
+            slog::error!(node.log, "a peer's configuration is broken"; fields::ERROR => err);
         }
     }
 }
