Keep one table of candidates for both ways of choosing among them

Router and Placement each had a table of upstreams with the same bookkeeping: lists of membership taken in, what was seen dropped with a new process, who is open, who is ejected, doubled lengths of ejections with an unnamed bound. It is now one (candidates.rs); what each saw, and the score or time that follows from it, stays with it.

The 99 tests of the crate pass unchanged.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod admission;
 mod answer;
+mod candidates;
 mod class;
 mod deadline;
 mod departure;
@@ -37,6 +38,7 @@
 
 pub use admission::{Admission, AdmissionConfig, Ask, Dispatch, Load, Verdict};
 pub use answer::{Answer, Header, is_of_connection};
+pub use candidates::{Candidate, CandidateState, Pick};
 pub use class::{Class, UnknownClass};
 pub use deadline::Deadline;
 pub use departure::Departure;
@@ -53,7 +55,7 @@
 pub use queue::{Occupancy, Queue, QueueAsk};
 pub use refusal::{Outcome, Reason, Refusal};
 pub use retry::{Attempts, Backoff, RetryBudget, Settlement, may_retry};
-pub use router::{Candidate, CandidateState, Pick, Report, Router};
+pub use router::{Report, Router};
 pub use routes::{ResolvedRoute, RouteTable};
 pub use silence::{Silence, SilenceAction, SilenceConfig};
 pub use throttle::Throttle;
--- a/crates/calls/src/placement.rs
+++ b/crates/calls/src/placement.rs
@@ -11,18 +11,17 @@
 //! sooner: bytes between zones are dear, and an answer that meets the objective is
 //! as good as one that beats it.
 
-mod row;
+mod seen;
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
 use stoatstep_resource::{ServiceName, UpstreamName, ZoneName};
 
+use crate::candidates::{Candidate, Candidates, Open, Pick};
 use crate::ids::Time;
 use crate::queue::Occupancy;
-use crate::router::{Candidate, Pick, may_eject};
-use row::Row;
+use seen::{Record, Row, time_to_answer};
 
 /// Share of the time to the objective that an answer may take, on average, while
 /// the call stays in its zone. Run times of twice their mean are common enough
@@ -55,33 +54,27 @@
 /// Tables of the targets of every service, as one entry sees them.
 #[derive(Clone, Debug)]
 pub struct Placement {
-    zone: ZoneName,
-    services: BTreeMap<ServiceName, BTreeMap<UpstreamName, Row>>,
+    candidates: Candidates<Record>,
 }
 
 impl Placement {
     /// For an entry in `zone`.
     #[must_use]
     pub fn new(zone: ZoneName) -> Self {
-        let services = BTreeMap::new();
-        Self { zone, services }
+        Self {
+            candidates: Candidates::new(zone),
+        }
     }
 
     /// Replaces the candidates of a service. What was seen of those that stay is
     /// kept.
     pub fn set_candidates(&mut self, service: &ServiceName, list: &[Candidate], now: Time) {
-        let rows = self.services.entry(service.clone()).or_default();
-        rows.retain(|name, _| list.iter().any(|it| it.upstream == *name));
-        for candidate in list {
-            rows.entry(candidate.upstream.clone())
-                .or_insert_with(|| Row::new(candidate, now))
-                .update(candidate, now);
-        }
+        self.candidates.set(service, list, now);
     }
 
     /// Forgets services that are not in `keep`.
     pub fn retain_services(&mut self, keep: impl Fn(&ServiceName) -> bool) {
-        self.services.retain(|name, _| keep(name));
+        self.candidates.retain_services(keep);
     }
 
     /// Chooses a target, none of `tried`, for a call that has `objective` left
@@ -94,48 +87,15 @@
         now: Time,
         rng: &mut dyn Rng,
     ) -> Option<Pick> {
-        let rows = self.services.get(service)?;
-        let open = |row: &&Row| !row.is_leaving(now) && !tried.contains(&row.name);
-        let open: Vec<&Row> = rows.values().filter(open).collect();
-        let sound = |row: &&&Row| row.is_sound(now);
-        let sound: Vec<&Row> = open.iter().filter(sound).copied().collect();
-        // What is believed of all of them may be wrong, and must not stop the
-        // service: with no sound candidate left, the doubtful ones are tried.
-        let from = if sound.is_empty() { &open } else { &sound };
-        let chosen = self.choose(from, objective, now, rng)?;
-        Some(Pick {
-            upstream: chosen.name.clone(),
-            spilled: chosen.zone != self.zone,
-        })
-    }
-
-    fn choose<'a>(
-        &self,
-        from: &[&'a Row],
-        objective: Duration,
-        now: Time,
-        rng: &mut dyn Rng,
-    ) -> Option<&'a Row> {
-        let own = |row: &&Row| row.zone == self.zone;
-        let (near, far): (Vec<&Row>, Vec<&Row>) = from.iter().copied().partition(own);
-        let typical = typical_service(from, now);
-        let Some(near) = soonest(&near, typical, now, rng) else {
-            return soonest(&far, typical, now, rng);
-        };
-        let Some(far) = soonest(&far, typical, now, rng) else {
-            return Some(near);
-        };
-        let here = near.time_to_answer(typical, now);
-        let saved = here.saturating_sub(far.time_to_answer(typical, now));
-        let is_late = here > objective.mul_f64(STAY_SHARE);
-        let spills = is_late && saved > objective.mul_f64(SPILL_SHARE);
-        Some(if spills { far } else { near })
+        let open = self.candidates.open(service, tried, now)?;
+        let chosen = choose(&open, objective, now, rng)?;
+        Some(self.candidates.pick(chosen))
     }
 
     /// An attempt was sent.
     pub fn started(&mut self, service: &ServiceName, upstream: &UpstreamName) {
-        if let Some(row) = self.row(service, upstream) {
-            row.started();
+        if let Some(row) = self.candidates.started(service, upstream) {
+            row.seen.sent();
         }
     }
 
@@ -149,30 +109,42 @@
         occupancy: Option<Occupancy>,
         now: Time,
     ) -> Option<Duration> {
-        let rows = self.services.get_mut(service)?;
-        let may_eject = may_eject(rows.values().map(|row| row.is_ejected(now)));
-        let row = rows.get_mut(upstream)?;
-        row.finished(seen, occupancy, may_eject, now)
+        let (row, may_eject) = self.candidates.finished(service, upstream, now)?;
+        seen::finished(row, seen, occupancy, may_eject, now)
     }
 
     /// Targets of a service that are ejected now.
     #[must_use]
     pub fn ejected(&self, service: &ServiceName, now: Time) -> Vec<UpstreamName> {
-        let rows = self.services.get(service).into_iter();
-        let rows = rows.flat_map(|it| it.values());
-        let ejected = rows.filter(|row| row.is_ejected(now));
-        ejected.map(|row| row.name.clone()).collect()
+        self.candidates.ejected(service, now)
     }
+}
 
-    fn row(&mut self, service: &ServiceName, upstream: &UpstreamName) -> Option<&mut Row> {
-        self.services.get_mut(service)?.get_mut(upstream)
-    }
+fn choose<'a>(
+    open: &Open<'a, Record>,
+    objective: Duration,
+    now: Time,
+    rng: &mut dyn Rng,
+) -> Option<&'a Row> {
+    let typical = typical_service(open, now);
+    let Some(near) = soonest(&open.near, typical, now, rng) else {
+        return soonest(&open.far, typical, now, rng);
+    };
+    let Some(far) = soonest(&open.far, typical, now, rng) else {
+        return Some(near);
+    };
+    let here = time_to_answer(near, typical, now);
+    let saved = here.saturating_sub(time_to_answer(far, typical, now));
+    let is_late = here > objective.mul_f64(STAY_SHARE);
+    let spills = is_late && saved > objective.mul_f64(SPILL_SHARE);
+    Some(if spills { far } else { near })
 }
 
 /// What a run takes at a target of which nothing recent is known: the mean of
 /// the others.
-fn typical_service(rows: &[&Row], now: Time) -> Duration {
-    let known: Vec<Duration> = rows.iter().filter_map(|it| it.service(now)).collect();
+fn typical_service(open: &Open<'_, Record>, now: Time) -> Duration {
+    let rows = open.near.iter().chain(&open.far);
+    let known: Vec<Duration> = rows.filter_map(|it| it.seen.service(now)).collect();
     let sum: Duration = known.iter().sum();
     sum / u32::try_from(known.len().max(1)).unwrap_or(1)
 }
@@ -190,5 +162,5 @@
         len => rng.random_range(1..len),
     };
     let sampled = (0..SAMPLES).map(|it| rows[(first + it * step) % rows.len()]);
-    sampled.min_by_key(|row| row.time_to_answer(typical, now))
+    sampled.min_by_key(|row| time_to_answer(row, typical, now))
 }
--- /dev/null
+++ b/crates/calls/src/placement/seen.rs
@@ -0,0 +1,125 @@
+//! What a placement has seen of one target, and the time to an answer that follows
+//! from it.
+
+use std::time::Duration;
+
+use super::Seen;
+use crate::candidates::{self, Lengths};
+use crate::ids::Time;
+use crate::queue::Occupancy;
+
+/// Age at which a reported occupancy no longer counts: a few run times.
+const OCCUPANCY_LIFE: Duration = Duration::from_millis(500);
+
+/// Age at which a reported run time no longer counts. A slow target is left
+/// alone for so long, and then tried again as if it were like the others.
+const SERVICE_LIFE: Duration = Duration::from_secs(3);
+
+/// Time for which a target that said it is full is taken to be so, beyond what
+/// it reported.
+const FULL_FOR: Duration = Duration::from_millis(50);
+
+/// Weight of a new outcome in the share of failures.
+const FAILURE_GAIN: f64 = 0.15;
+
+/// Share of failures from which a target is ejected: four failures in a row, or
+/// about every third call over a longer time. Single failures are ordinary.
+const EJECT_FROM: f64 = 0.4;
+
+/// Share with which a target comes back: two more failures eject it again.
+const AFTER_EJECTION: f64 = 0.2;
+
+/// How long a target is left out. One that was mended is in use again within the
+/// longest.
+const EJECTIONS: Lengths = Lengths {
+    first: Duration::from_millis(400),
+    longest: Duration::from_secs(4),
+};
+
+pub(super) type Row = candidates::Row<Record>;
+
+/// What was seen of one target.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Record {
+    /// Attempts of this entry that were sent after the last report.
+    sent_since: u32,
+    /// What its executor said last, and when.
+    reported: Option<(Occupancy, Time)>,
+    full_until: Time,
+    /// Share of failures, the newer ones weighing more.
+    failures: f64,
+}
+
+impl Record {
+    pub(super) fn sent(&mut self) {
+        self.sent_since += 1;
+    }
+
+    /// Mean time of a run, where it is known and recent.
+    pub(super) fn service(&self, now: Time) -> Option<Duration> {
+        let (reported, at) = self.reported?;
+        let is_recent = now.saturating_sub(at) < SERVICE_LIFE;
+        let is_known = !reported.service.is_zero();
+        (is_recent && is_known).then_some(reported.service)
+    }
+
+    /// Calls that ran or waited there lately, by its own word. That has the calls of
+    /// all entries in it, and those sent since come on top.
+    fn occupied(&self, now: Time) -> u32 {
+        match self.reported {
+            Some((reported, at)) if now.saturating_sub(at) < OCCUPANCY_LIFE => {
+                reported.running + reported.queued + self.sent_since
+            }
+            _ => 0,
+        }
+    }
+}
+
+/// Time that an answer would take: the wait for a slot and the run itself.
+pub(super) fn time_to_answer(row: &Row, typical: Duration, now: Time) -> Duration {
+    let service = row.seen.service(now).unwrap_or(typical);
+    let slots = row.slots.max(1);
+    let occupied = row.seen.occupied(now).max(row.in_flight);
+    let waiting = (occupied + 1).saturating_sub(slots);
+    let wait = service * waiting / slots;
+    let full = row.seen.full_until.saturating_sub(now);
+    wait.max(full) + service
+}
+
+/// Takes in how an attempt ended. Gives the time for which the target is left out,
+/// where this is what ejected it.
+pub(super) fn finished(
+    row: &mut Row,
+    seen: Seen,
+    occupancy: Option<Occupancy>,
+    may_eject: bool,
+    now: Time,
+) -> Option<Duration> {
+    if let Some(occupancy) = occupancy {
+        row.seen.reported = Some((occupancy, now));
+        row.seen.sent_since = 0;
+    }
+    match seen {
+        Seen::Answered => succeeded(row),
+        Seen::Full => row.seen.full_until = now + FULL_FOR,
+        Seen::Failed => return failed(row, may_eject, now),
+        Seen::Leaving => row.leaves(now),
+        Seen::Nothing => {}
+    }
+    None
+}
+
+fn succeeded(row: &mut Row) {
+    row.seen.failures *= 1.0 - FAILURE_GAIN;
+    row.ejection.succeeded();
+}
+
+fn failed(row: &mut Row, may_eject: bool, now: Time) -> Option<Duration> {
+    row.ejection.failed();
+    row.seen.failures += (1.0 - row.seen.failures) * FAILURE_GAIN;
+    if row.seen.failures < EJECT_FROM || !may_eject || row.ejection.is_ejected(now) {
+        return None;
+    }
+    row.seen.failures = AFTER_EJECTION;
+    Some(row.ejection.eject(EJECTIONS, now))
+}
