--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -236,11 +236,17 @@
 }
 
 async fn pull(node: &Rc<Node>, addr: SocketAddr) {
-    let ask = Ask::Newer(held(node));
+    let asked_with = held(node);
+    let ask = Ask::Newer(asked_with);
     let reply = node.links.ask_within(addr, ask, PULL_BOUND).await;
     let Ok(Reply::Newer(newer)) = reply else {
         return;
     };
+    // The host or another peer was faster. A difference from what was held before
+    // says nothing now, and the next exchange tells whether the peer has still more.
+    if held(node) != asked_with {
+        return;
+    }
     match decode(node, newer) {
         Ok(Some(state)) => {
             offer(node, state, Source::Peer);
@@ -257,7 +263,6 @@
         Newer::Nothing => return Ok(None),
         Newer::Whole(snapshot) => State::try_from(snapshot).map_err(|err| err.to_string())?,
         Newer::Difference(difference) => {
-            // A newer version may have come into force since the question.
             let Some(held) = node.fleet.in_force() else {
                 return Ok(None);
             };
