Don't take a caller that leaves for a failure of its route

Cause: a route's throttle counts what it lets through and what of that ends well. A call whose caller left before its end counted as let through and never as ended, like a failure.

Change: such a call is taken back from the count. It also has a line of its own now, "caller left", which stoatctl explain tells; before, its entry said nothing of it at all.

--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -218,6 +218,7 @@
             line.text(fields::RUNNING),
             line.text(fields::QUEUED),
         ),
+        "caller left" => format!("entry: its caller left after {} ms", ms(fields::TOTAL_US)),
         "request refused" => format!(
             "entry: refused when it came: {}",
             meaning(&line.text(fields::REASON))
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -83,7 +83,9 @@
         }
     };
     let carried = if throttle::admits(node, &call) {
+        let mut awaited = Awaited::new(node, &call, begun);
         let carried = carry::carry(node, &call).await;
+        awaited.has_ended = true;
         throttle::note(node, &call, &carried.end);
         carried
     } else {
@@ -93,6 +95,38 @@
     respond::ended(&carried.end, node.is_leaving())
 }
 
+/// A call that is let through and whose caller waits. Dropped before the call has
+/// ended, it says that the caller left.
+struct Awaited<'a> {
+    node: &'a Node,
+    call: &'a Call,
+    begun: Time,
+    has_ended: bool,
+}
+
+impl<'a> Awaited<'a> {
+    fn new(node: &'a Node, call: &'a Call, begun: Time) -> Self {
+        Self {
+            node,
+            call,
+            begun,
+            has_ended: false,
+        }
+    }
+}
+
+impl Drop for Awaited<'_> {
+    fn drop(&mut self) {
+        if self.has_ended {
+            return;
+        }
+        throttle::left(self.node, self.call);
+        let now = self.node.clock.now();
+        let waited = now.saturating_sub(self.begun);
+        self.node.journal.caller_left(&self.call.parts, waited, now);
+    }
+}
+
 fn ended(node: &Node, call: &Call, carried: &Carried, begun: Time) {
     let now = node.clock.now();
     let ended = CallEnded {
--- a/crates/mesh/src/entry/throttle.rs
+++ b/crates/mesh/src/entry/throttle.rs
@@ -60,6 +60,18 @@
     }
 }
 
+/// The caller of a call that was let through left before its end.
+///
+/// A target that makes two calls at once gives up the second where the first is
+/// refused. Were such calls to count like failures, a route that is shut would stay
+/// so: hardly a pair is let through whole, and of the others nothing ends well.
+pub(super) fn left(node: &Node, call: &Call) {
+    let mut tables = node.entry.tables.borrow_mut();
+    if let Some(throttle) = tables.throttles.get_mut(&call.parts.route) {
+        throttle.unknown();
+    }
+}
+
 /// Learns from how a call ended. A call that was refused says nothing about what
 /// its target would have done.
 pub(super) fn note(node: &Node, call: &Call, end: &End) {
--- a/crates/mesh/src/journal.rs
+++ b/crates/mesh/src/journal.rs
@@ -149,6 +149,17 @@
             fields::OBJECTIVE_MS => millis(ended.objective), fields::LEFT_OUT => left_out);
     }
 
+    /// One line about each call whose caller did not wait for its end.
+    pub(crate) fn caller_left(&self, call: &CallParts, waited: Duration, now: Time) {
+        self.count("calls.left");
+        if let Some(left_out) = self.admits("left", now) {
+            slog::info!(self.log, "caller left";
+                fields::REQUEST => %call.request_id, fields::ROUTE => %call.route,
+                fields::SERVICE => %call.service, fields::TOTAL_US => micros(waited),
+                fields::LEFT_OUT => left_out);
+        }
+    }
+
     /// One line about each attempt that brought no answer.
     pub(crate) fn attempt_failed(&self, failed: &AttemptFailed<'_>, now: Time) {
         self.count("attempts.failed");
