--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -131,15 +131,23 @@
 }
 
 impl Report {
+    /// What is known of a request that did not become a call, or that has no end.
+    fn conclusion_without_end(&self) -> String {
+        let said = |msg: &str| self.lines.iter().find(|it| it.msg == msg);
+        if let Some(line) = said("request refused") {
+            return format!("it did not run: {}", meaning(&line.text(fields::REASON)));
+        }
+        if said("caller left").is_some() {
+            return "its caller left before it ended; it may have run".to_owned();
+        }
+        "its entry has no line of its end: the daemon died, or its lines are missing".to_owned()
+    }
+
     /// What the caller may rely on.
     fn conclusion(&self) -> String {
         let ended = self.lines.iter().rfind(|it| it.msg == "call ended");
         let Some(ended) = ended else {
-            return match self.lines.iter().find(|it| it.msg == "request refused") {
-                Some(line) => format!("it did not run: {}", meaning(&line.text(fields::REASON))),
-                None => "its entry has no line of its end: the caller left, or the daemon died"
-                    .to_owned(),
-            };
+            return self.conclusion_without_end();
         };
         let reason = meaning(&ended.text(fields::REASON));
         match ended.text(fields::OUTCOME).as_str() {
--- a/tests/all/explain.rs
+++ b/tests/all/explain.rs
@@ -56,3 +56,14 @@
     assert!(!found);
     assert!(text.contains("no line speaks of it"), "{text}");
 }
+
+#[test]
+fn a_caller_that_left_is_told_from_a_daemon_that_died() {
+    let (found, text) = explain("r-left");
+    assert!(found);
+    assert!(text.contains("its caller left after 41 ms"), "{text}");
+    assert!(
+        text.contains("=> its caller left before it ended"),
+        "{text}"
+    );
+}
