--- a/crates/calls/src/router/mod.rs
+++ b/crates/calls/src/router/mod.rs
@@ -16,7 +16,7 @@
 use crate::admission::Load;
 use crate::candidates::{Candidate, Candidates, Open, Pick};
 use crate::ids::Time;
-use seen::{Row, Seen};
+use seen::{Record, Row};
 
 /// Score from which calls may leave the availability zone: nearly every slot is
 /// taken, so a wait here is likely to cost more than the way to another zone.
@@ -44,7 +44,7 @@
 /// Tables of the upstreams of every service, as one entry sees them.
 #[derive(Clone, Debug)]
 pub struct Router {
-    candidates: Candidates<Seen>,
+    candidates: Candidates<Record>,
 }
 
 impl Router {
@@ -106,7 +106,7 @@
     }
 }
 
-fn choose<'a>(open: &Open<'a, Seen>, now: Time, rng: &mut dyn Rng) -> Option<&'a Row> {
+fn choose<'a>(open: &Open<'a, Record>, now: Time, rng: &mut dyn Rng) -> Option<&'a Row> {
     let Some(near) = better_of_two(&open.near, now, rng) else {
         return better_of_two(&open.far, now, rng);
     };
--- a/crates/calls/src/router/seen.rs
+++ b/crates/calls/src/router/seen.rs
@@ -32,10 +32,10 @@
     longest: Duration::from_secs(30),
 };
 
-pub(super) type Row = candidates::Row<Seen>;
+pub(super) type Row = candidates::Row<Record>;
 
 #[derive(Clone, Debug, Default)]
-pub(super) struct Seen {
+pub(super) struct Record {
     reported: Load,
     reported_at: Time,
     paused_until: Time,
@@ -89,7 +89,7 @@
     }
 }
 
-fn take_load(seen: &mut Seen, load: Option<Load>, now: Time) {
+fn take_load(seen: &mut Record, load: Option<Load>, now: Time) {
     if let Some(load) = load {
         seen.reported = load;
         seen.reported_at = now;
