--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -15,6 +15,7 @@
 mod config;
 mod guard;
 mod hearing;
+mod life;
 mod local_target;
 mod machine;
 mod member;
@@ -27,6 +28,7 @@
 
 pub use action::{Action, Input};
 pub use config::Config;
+pub use life::{Birth, id_of_life, life_name};
 pub use local_target::{Heard, Heartbeat, LocalTarget};
 pub use machine::Membership;
 pub use member::{
--- a/crates/membership/src/local_target.rs
+++ b/crates/membership/src/local_target.rs
@@ -2,8 +2,8 @@
 //!
 //! Nobody lists targets: each one tells its daemon about itself. Its heartbeats
 //! can come late, and those of an earlier life of the target after those of a
-//! later one, so lives are told apart by their ids and the heartbeats of one
-//! life by their sequence. A daemon that restarts remembers neither, so a life
+//! later one, so lives are told apart by their ids and births and the heartbeats
+//! of one life by their sequence. A daemon that restarts remembers neither, so a life
 //! that is new to it takes calls only once the target itself has confirmed it.
 
 use std::collections::VecDeque;
@@ -11,6 +11,7 @@
 
 use smol_str::SmolStr;
 
+use crate::life::{self, Birth, id_of_life, life_name};
 use crate::member::{Announced, Time};
 
 /// Intervals without a heartbeat after which the target counts as gone. One may
@@ -24,8 +25,10 @@
 /// What a target says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
-    /// Id of this life of the target.
+    /// Names this life of the target; see [`life_name`].
     pub upstream: SmolStr,
+    /// When this life began, where the target tells.
+    pub born: Option<Birth>,
     /// Service that it runs.
     pub service: SmolStr,
     /// Calls that it runs at a time.
@@ -45,6 +48,9 @@
     Taken,
     /// It is older than what is known.
     Stale,
+    /// It names a service that the configuration does not have, so no call could
+    /// ever go by it; whoever wrote it is not the target.
+    UnknownService,
 }
 
 #[derive(Clone, Debug)]
@@ -56,6 +62,20 @@
     is_confirmed: bool,
 }
 
+impl Life {
+    /// Whether this life began after the one that sent `beat`, or tells its birth
+    /// while a heartbeat under the same id does not.
+    ///
+    /// A heartbeat that a partition held up comes in after its sender has crashed.
+    /// Taken for news, it would replace the life that serves, and calls would wait
+    /// for a target that is gone.
+    fn outlives(&self, beat: &Heartbeat) -> bool {
+        let has_same_id = id_of_life(&self.beat.upstream) == id_of_life(&beat.upstream);
+        let hides_birth = has_same_id && self.beat.born.is_some() && beat.born.is_none();
+        hides_birth || life::is_earlier(beat.born, self.beat.born)
+    }
+}
+
 /// The target beside this daemon, by its own words.
 #[derive(Clone, Debug)]
 pub struct LocalTarget {
@@ -97,6 +117,9 @@
             life.heard = now;
             return Heard::Taken;
         }
+        if self.present.as_ref().is_some_and(|it| it.outlives(&beat)) {
+            return Heard::Stale;
+        }
         self.replace(Life {
             beat,
             heard: now,
@@ -113,8 +136,18 @@
         is_open.then_some(&life.beat)
     }
 
-    /// The life with this id said good-bye, which holds whatever else comes in of
-    /// it. It may still finish what it runs. Returns whether that is news.
+    /// The life meant by a good-bye under this id. Where it does not tell its birth,
+    /// it is that of the present life: a former one could not send it any more.
+    #[must_use]
+    pub fn life_meant(&self, id: &str, born: Option<Birth>) -> SmolStr {
+        let present = self.present.as_ref().map(|it| &it.beat.upstream);
+        let present = present.filter(|it| born.is_none() && id_of_life(it) == id);
+        present.cloned().unwrap_or_else(|| life_name(id, born))
+    }
+
+    /// This life said good-bye, which holds whatever else comes in of it, and says
+    /// nothing of a later one under the same id. It may still finish what it runs.
+    /// Returns whether that is news.
     pub fn leave(&mut self, upstream: &str) -> bool {
         if self.departed.iter().any(|it| it == upstream) {
             return false;
@@ -141,16 +174,16 @@
         !self.departed.contains(&life.beat.upstream) && !life.beat.draining
     }
 
-    /// The target itself, asked for the life `asked`, answered as `actual`. A
+    /// The target itself, asked for the life `asked`, answered with the id `actual`. A
     /// heartbeat that was held up until after a restart of this daemon looks like
     /// one of a newer life; the target's own answer shows that it was an older
     /// one. Where another life was heard of since, the answer is the late one.
     pub fn answered_as(&mut self, asked: &str, actual: &str) {
-        if asked == actual || !self.is_present(asked) {
+        if id_of_life(asked) == actual || !self.is_present(asked) {
             return;
         }
         let mut lives = self.earlier.iter();
-        let known = lives.position(|it| it.beat.upstream == actual);
+        let known = lives.rposition(|it| id_of_life(&it.beat.upstream) == actual);
         match known.and_then(|at| self.earlier.remove(at)) {
             Some(life) => self.replace(life),
             None => self.retire(),
--- a/crates/membership/tests/all/local_target.rs
+++ b/crates/membership/tests/all/local_target.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use stoatstep_membership::{Heard, Heartbeat, LocalTarget};
+use stoatstep_membership::{Birth, Heard, Heartbeat, LocalTarget, id_of_life, life_name};
 
 const INTERVAL: Duration = Duration::from_secs(1);
 
@@ -14,6 +14,7 @@
         service: "floatdesk".into(),
         slots: 13,
         sequence,
+        born: None,
         draining: false,
         cold: Duration::ZERO,
     }
@@ -177,3 +178,76 @@
     target.confirm("b");
     assert_eq!(admitted(&target, at(200)), Some("b"));
 }
+
+fn beat_of(born: Birth, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        born: Some(born),
+        ..beat(&life_name("a", Some(born)), sequence)
+    }
+}
+
+/// The life of target "a" that began at 1000, heard and confirmed.
+fn born_at_1000() -> LocalTarget {
+    let mut target = LocalTarget::new(INTERVAL);
+    target.hear(beat_of(1_000, 70), at(0));
+    target.confirm("a#1000");
+    target
+}
+
+#[test]
+fn a_life_is_named_by_id_and_birth() {
+    assert_eq!(life_name("i-7", Some(5)), "i-7#5");
+    assert_eq!(life_name("i-7", None), "i-7");
+    assert_eq!(id_of_life("i-7#5"), "i-7");
+    assert_eq!(id_of_life("i-7"), "i-7");
+}
+
+/// A target crashes and starts again under its id. Its heartbeats count from one again:
+/// by their numbers alone all of them would be late ones, and the target would get no
+/// calls for as long as the life before had lasted.
+#[test]
+fn a_target_that_starts_again_under_its_id_is_another_life() {
+    let mut target = born_at_1000();
+    assert_eq!(target.hear(beat_of(2_000, 1), at(100)), Heard::Taken);
+    assert_eq!(admitted(&target, at(100)), None, "not confirmed yet");
+    target.confirm("a#2000");
+    assert_eq!(admitted(&target, at(100)), Some("a#2000"));
+}
+
+/// The same, and a heartbeat of the life before was held up by a partition.
+#[test]
+fn a_late_heartbeat_of_the_former_birth_changes_nothing() {
+    let mut target = born_at_1000();
+    target.hear(beat_of(2_000, 1), at(100));
+    target.confirm("a#2000");
+    assert_eq!(target.hear(beat_of(1_000, 71), at(200)), Heard::Stale);
+    assert_eq!(target.hear(beat_of(500, 99), at(200)), Heard::Stale);
+    assert_eq!(target.hear(beat("a", 99), at(200)), Heard::Stale);
+    assert_eq!(admitted(&target, at(200)), Some("a#2000"));
+}
+
+/// A target said good-bye, was acked, and starts again under its id. The good-bye
+/// was that of the life before, and still holds for it.
+#[test]
+fn a_departure_does_not_bind_the_next_birth_nor_is_it_lifted_by_it() {
+    let mut target = born_at_1000();
+    let left = target.life_meant("a", None);
+    assert_eq!(left, "a#1000");
+    assert!(target.leave(&left));
+    assert_eq!(admitted(&target, at(0)), None);
+    assert_eq!(target.hear(beat_of(2_000, 1), at(100)), Heard::Taken);
+    target.confirm("a#2000");
+    assert_eq!(admitted(&target, at(100)), Some("a#2000"));
+    assert_eq!(target.hear(beat_of(1_000, 71), at(200)), Heard::Stale);
+    assert_eq!(target.life_meant("a", Some(1_000)), "a#1000");
+    assert!(!target.leave("a#1000"), "it is no news");
+    assert_eq!(admitted(&target, at(200)), Some("a#2000"));
+}
+
+/// The target answers with its id alone, which says nothing about the birth.
+#[test]
+fn an_answer_under_the_same_id_keeps_the_present_birth() {
+    let mut target = born_at_1000();
+    target.answered_as("a#1000", "a");
+    assert_eq!(admitted(&target, at(0)), Some("a#1000"));
+}
--- a/crates/mesh/src/executor/confirm.rs
+++ b/crates/mesh/src/executor/confirm.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use smol_str::SmolStr;
-use stoatstep_membership::Heartbeat;
-use stoatstep_resource::{HEALTH_PATH, Key, Kind, Resource};
+use stoatstep_membership::{Heartbeat, id_of_life};
+use stoatstep_resource::{HEALTH_PATH, Service};
 use stoatstep_telemetry::fields;
 use tokio::time::timeout;
 
@@ -51,15 +51,7 @@
 /// The path that the configuration in force names for the service.
 fn health_path(node: &Node, service: &SmolStr) -> Option<SmolStr> {
     let in_force = node.fleet.in_force()?;
-    let key = Key {
-        kind: Kind::Service,
-        name: service.clone(),
-    };
-    let held = in_force.state.get(&key);
-    let path = held.and_then(|held| match held.resource.as_ref() {
-        Resource::Service(service) => Some(service.health_path()),
-        _ => None,
-    });
+    let path = in_force.service(service).map(Service::health_path);
     Some(path.unwrap_or(HEALTH_PATH).into())
 }
 
@@ -71,7 +63,7 @@
         learn(node, |target, _| target.answered_as(asked, actual));
     }
     let is_well = health.is_some_and(|it| it.status.is_success());
-    if is_well && actual.as_ref() == Some(asked) {
+    if is_well && actual.as_deref() == Some(id_of_life(asked)) {
         learn(node, |target, _| target.confirm(asked));
         return;
     }
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -20,7 +20,7 @@
     Arrival, AttemptId, Deadline, Incarnation, Ledger, LedgerConfig, Occupancy, Queue, Reason,
     Refusal, Settled, Ticket,
 };
-use stoatstep_membership::{Announced, Heard, Heartbeat, LocalTarget};
+use stoatstep_membership::{Announced, Birth, Heard, Heartbeat, LocalTarget};
 use stoatstep_resource::ServiceName;
 use stoatstep_telemetry::fields;
 use tokio::sync::oneshot;
@@ -123,6 +123,9 @@
 /// Takes in a heartbeat of the target. Once it returns, no call is sent to a
 /// target that drains, so that its drain may be acked.
 pub(crate) fn hear(node: &Rc<Node>, beat: Heartbeat) -> Heard {
+    if !names_known_service(node, &beat) {
+        return Heard::UnknownService;
+    }
     let slots = beat.slots;
     let heard = learn(node, |target, now| target.hear(beat, now));
     if heard == Heard::Taken {
@@ -132,7 +135,23 @@
     heard
 }
 
-/// A life of the target said good-bye.
+/// Whether the configuration has the service. Before there is one every service may
+/// be; without the check, one heartbeat of another writer under the target's id would
+/// take the target out of its service until the next of its own.
+fn names_known_service(node: &Node, beat: &Heartbeat) -> bool {
+    let Some(in_force) = node.fleet.in_force() else {
+        return true;
+    };
+    in_force.service(&beat.service).is_some()
+}
+
+/// The target said good-bye under this id.
+pub(crate) fn target_left(node: &Node, id: &str, born: Option<Birth>) {
+    let life = node.executor.tables.borrow().upstream.life_meant(id, born);
+    leave(node, &life);
+}
+
+/// A life of the target said good-bye, here or to the process before this one.
 pub(crate) fn leave(node: &Node, upstream: &str) {
     let is_news = learn(node, |target, _| target.leave(upstream));
     if is_news {
@@ -150,6 +169,8 @@
     let after = tables.upstream.admits(now).cloned();
     drop(tables);
     if let Some(change) = changed_target(before, after) {
+        // Idle connections led to the life before, if they lead anywhere.
+        node.executor.target.forget_connections();
         slog::info!(node.log, "target"; fields::UPSTREAM => %change.upstream,
             fields::SERVICE => %change.service, fields::SLOTS => change.slots,
             fields::SEQUENCE => change.sequence, fields::DRAINING => change.draining);
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -16,6 +16,7 @@
 use slog::Logger;
 use smol_str::{SmolStr, ToSmolStr};
 use stoatstep_calls::{Answer, Header, Reason, Refusal, is_of_connection};
+use stoatstep_membership::id_of_life;
 use stoatstep_resource::UpstreamName;
 use stoatstep_telemetry::fields;
 
@@ -169,6 +170,12 @@
         })
     }
 
+    /// Closes all idle connections: another life of the target has begun. A request on
+    /// one of them would be reset, and its outcome unknown.
+    pub(super) fn forget_connections(&self) {
+        self.pool.clear();
+    }
+
     /// Closes idle connections that the target is about to close itself.
     pub(super) fn sweep(&self) {
         self.pool.sweep();
@@ -197,7 +204,7 @@
             (&self.names.request_id, call.request_id.as_str()),
             (&self.names.timeout_ms, millis.as_str()),
             (&self.names.caller_service, call.caller_service.as_str()),
-            (&self.names.expected_upstream, attempt.upstream.as_str()),
+            (&self.names.expected_upstream, id_of_life(&attempt.upstream)),
         ];
         for (name, value) in own {
             let value = HeaderValue::from_str(value).ok()?;
--- a/crates/mesh/src/executor/target/pool.rs
+++ b/crates/mesh/src/executor/target/pool.rs
@@ -147,6 +147,10 @@
         idle.push(connection);
     }
 
+    pub(super) fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     pub(super) fn sweep(&self) {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
--- a/crates/mesh/src/in_force.rs
+++ b/crates/mesh/src/in_force.rs
@@ -4,7 +4,7 @@
 
 use stoatstep_calls::RouteTable;
 use stoatstep_membership::Mark;
-use stoatstep_resource::{State, Version};
+use stoatstep_resource::{Key, Kind, Resource, Service, State, Version};
 
 /// One version, compiled for routing. It is immutable: a call keeps the one that
 /// it began with, and a new version replaces the pointer to it.
@@ -24,6 +24,18 @@
         }
     }
 
+    /// The service with this name.
+    pub(crate) fn service(&self, name: &str) -> Option<&Service> {
+        let key = Key {
+            kind: Kind::Service,
+            name: name.into(),
+        };
+        match self.state.get(&key)?.resource.as_ref() {
+            Resource::Service(service) => Some(service),
+            _ => None,
+        }
+    }
+
     pub(crate) fn version(&self) -> Version {
         self.state.version()
     }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -34,4 +34,4 @@
 pub use dialect::Dialect;
 pub use host::{Cursor, Host, HostError, Update};
 pub use node::Mesh;
-pub use stoatstep_membership::{Heard, Heartbeat};
+pub use stoatstep_membership::{Birth, Heard, Heartbeat, life_name};
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -21,7 +21,7 @@
 use crate::{drain, fleet::gossip};
 use stoatstep_calls::Departure;
 use stoatstep_http::Server;
-use stoatstep_membership::{Heard, Heartbeat};
+use stoatstep_membership::{Birth, Heard, Heartbeat};
 use stoatstep_telemetry::fields;
 
 /// Interval of the periodic work. Membership counts its time in it.
@@ -103,10 +103,10 @@
         heard
     }
 
-    /// A life of the target said good-bye. Once this returns, no further call
-    /// goes to it.
-    pub fn target_left(&self, upstream: &str) {
-        executor::leave(&self.0, upstream);
+    /// The target with this id said good-bye, for the life that began at `born` where
+    /// it tells. Once this returns, no further call goes to that life.
+    pub fn target_left(&self, id: &str, born: Option<Birth>) {
+        executor::target_left(&self.0, id, born);
         gossip::target_changed(&self.0);
     }
 
