Place calls by the bytes and the run time of their routes' answers, and let throttled ones return in time

Hypothesis: a throttled caller that is told 300 ms comes back when its objective of 200 ms has passed.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod admission;
 mod answer;
+mod answers;
 mod candidates;
 mod class;
 mod deadline;
@@ -38,6 +39,7 @@
 
 pub use admission::{Admission, AdmissionConfig, Ask, Dispatch, Load, Verdict};
 pub use answer::{Answer, Header, is_of_connection};
+pub use answers::Answers;
 pub use candidates::{Candidate, CandidateState, Pick};
 pub use class::{Class, UnknownClass};
 pub use deadline::Deadline;
@@ -51,7 +53,7 @@
     set_id,
 };
 pub use ledger::{Arrival, Ledger, LedgerConfig, Settled, Ticket};
-pub use placement::{Placement, Seen};
+pub use placement::{Placement, Seen, Wish};
 pub use queue::{Occupancy, Queue, QueueAsk};
 pub use refusal::{Outcome, Reason, Refusal};
 pub use retry::{Attempts, Backoff, RetryBudget, Settlement, may_retry};
--- a/crates/calls/src/placement.rs
+++ b/crates/calls/src/placement.rs
@@ -21,16 +21,52 @@
 use crate::candidates::{Candidate, Candidates, Open, Pick};
 use crate::ids::Time;
 use crate::queue::Occupancy;
-use seen::{Record, Row, time_to_answer};
+use seen::{Record, Row, Typical, time_to_answer};
 
 /// Share of the time to the objective that an answer may take, on average, while
 /// the call stays in its zone. Run times of twice their mean are common enough
 /// that with more of it too many answers would be late.
 const STAY_SHARE: f64 = 0.6;
 
-/// Share of the time to the objective that another zone has to save before a
-/// call goes there.
-const SPILL_SHARE: f64 = 0.25;
+/// Share of the time to the objective that another zone has to save before a call
+/// with a small answer goes there.
+const SPILL_SHARE: f64 = 0.05;
+
+/// Bytes of an answer for which another zone has to save the whole time to the
+/// objective.
+const SPILL_BYTES: f64 = 32_768.0;
+
+/// The same as `STAY_SHARE`, for a call whose answer is this large or larger. One that
+/// most likely meets its objective in its zone has nothing to gain elsewhere.
+const STAY_SHARE_LARGE: f64 = 1.0;
+
+/// A call that is to be placed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Wish {
+    /// Time left to its latency objective.
+    pub objective: Duration,
+    /// Mean bytes of the answers of its route.
+    pub answer_bytes: f64,
+    /// Mean time of a run of its route, where one was seen.
+    pub run: Option<Duration>,
+}
+
+impl Wish {
+    /// Part of the time to the objective for which its answer's bytes count.
+    fn weight(&self) -> f64 {
+        self.answer_bytes / SPILL_BYTES
+    }
+
+    /// Whether an answer from its own zone in `here` is worth one from elsewhere in
+    /// `there`.
+    fn spills(&self, here: Duration, there: Duration) -> bool {
+        let stay = STAY_SHARE + (STAY_SHARE_LARGE - STAY_SHARE) * self.weight().min(1.0);
+        let spill = SPILL_SHARE + self.weight();
+        let saved = here.saturating_sub(there);
+        let is_late = here > self.objective.mul_f64(stay);
+        is_late && saved > self.objective.mul_f64(spill)
+    }
+}
 
 /// Candidates of a zone that are looked at. The best of all would draw every
 /// entry to the same target until its next answer.
@@ -77,18 +113,17 @@
         self.candidates.retain_services(keep);
     }
 
-    /// Chooses a target, none of `tried`, for a call that has `objective` left
-    /// to meet its latency objective. `None` where no one is left.
+    /// Chooses a target, none of `tried`. `None` where no one is left.
     pub fn pick(
         &self,
         service: &ServiceName,
         tried: &[UpstreamName],
-        objective: Duration,
+        wish: Wish,
         now: Time,
         rng: &mut dyn Rng,
     ) -> Option<Pick> {
         let open = self.candidates.open(service, tried, now)?;
-        let chosen = choose(&open, objective, now, rng)?;
+        let chosen = choose(&open, wish, now, rng)?;
         Some(self.candidates.pick(chosen))
     }
 
@@ -122,11 +157,14 @@
 
 fn choose<'a>(
     open: &Open<'a, Record>,
-    objective: Duration,
+    wish: Wish,
     now: Time,
     rng: &mut dyn Rng,
 ) -> Option<&'a Row> {
-    let typical = typical_service(open, now);
+    let typical = Typical {
+        service: typical_service(open, now),
+        run: wish.run,
+    };
     let Some(near) = soonest(&open.near, typical, now, rng) else {
         return soonest(&open.far, typical, now, rng);
     };
@@ -134,10 +172,8 @@
         return Some(near);
     };
     let here = time_to_answer(near, typical, now);
-    let saved = here.saturating_sub(time_to_answer(far, typical, now));
-    let is_late = here > objective.mul_f64(STAY_SHARE);
-    let spills = is_late && saved > objective.mul_f64(SPILL_SHARE);
-    Some(if spills { far } else { near })
+    let there = time_to_answer(far, typical, now);
+    Some(if wish.spills(here, there) { far } else { near })
 }
 
 /// What a run takes at a target of which nothing recent is known: the mean of
@@ -152,7 +188,7 @@
 /// The one of a few random candidates that would answer soonest.
 fn soonest<'a>(
     rows: &[&'a Row],
-    typical: Duration,
+    typical: Typical,
     now: Time,
     rng: &mut dyn Rng,
 ) -> Option<&'a Row> {
--- a/crates/calls/src/placement/seen.rs
+++ b/crates/calls/src/placement/seen.rs
@@ -75,15 +75,36 @@
     }
 }
 
+/// What is known beside the target's own record.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Typical {
+    /// What a run takes at a target of which nothing recent is known.
+    pub(super) service: Duration,
+    /// What a run of this call's route takes, over all targets.
+    pub(super) run: Option<Duration>,
+}
+
+impl Typical {
+    /// What a run of this call takes at a target whose runs take `service`. Targets
+    /// report a mean over all routes: where the others run for longer, a short call
+    /// would look late wherever it goes and leave its zone for nothing.
+    fn run_at(&self, service: Duration) -> Duration {
+        let Some(run) = self.run.filter(|_| !self.service.is_zero()) else {
+            return service;
+        };
+        run.mul_f64(service.as_secs_f64() / self.service.as_secs_f64())
+    }
+}
+
 /// Time that an answer would take: the wait for a slot and the run itself.
-pub(super) fn time_to_answer(row: &Row, typical: Duration, now: Time) -> Duration {
-    let service = row.seen.service(now).unwrap_or(typical);
+pub(super) fn time_to_answer(row: &Row, typical: Typical, now: Time) -> Duration {
+    let service = row.seen.service(now).unwrap_or(typical.service);
     let slots = row.slots.max(1);
     let occupied = row.seen.occupied(now).max(row.in_flight);
     let waiting = (occupied + 1).saturating_sub(slots);
     let wait = service * waiting / slots;
     let full = row.seen.full_until.saturating_sub(now);
-    wait.max(full) + service
+    wait.max(full) + typical.run_at(service)
 }
 
 /// Takes in how an attempt ended. Gives the time for which the target is left out,
--- a/crates/calls/tests/all/placement.rs
+++ b/crates/calls/tests/all/placement.rs
@@ -3,7 +3,7 @@
 
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
-use stoatstep_calls::{Candidate, CandidateState, Occupancy, Placement, Seen};
+use stoatstep_calls::{Candidate, CandidateState, Occupancy, Placement, Seen, Wish};
 use stoatstep_resource::{ServiceName, UpstreamName};
 
 const MS: Duration = Duration::from_millis(1);
@@ -26,6 +26,7 @@
 
 struct Entry {
     placement: Placement,
+    wish: Wish,
     rng: Xoshiro256PlusPlus,
 }
 
@@ -36,13 +37,18 @@
         placement.set_candidates(&service(), list, Duration::ZERO);
         Self {
             placement,
+            wish: Wish {
+                objective: OBJECTIVE,
+                answer_bytes: 0.0,
+                run: None,
+            },
             rng: Xoshiro256PlusPlus::seed_from_u64(1),
         }
     }
 
     fn pick(&mut self, tried: &[UpstreamName], now: Duration) -> Option<UpstreamName> {
         let rng = &mut self.rng;
-        let picked = self.placement.pick(&service(), tried, OBJECTIVE, now, rng);
+        let picked = self.placement.pick(&service(), tried, self.wish, now, rng);
         picked.map(|it| it.upstream)
     }
 
@@ -106,6 +112,34 @@
     assert_eq!(entry.shares(NOW).get("near"), None);
 }
 
+/// The target of the own zone is full, and answers after 0.85 of the objective; another
+/// zone answers after 0.4 of it. A lookup of 1.5 KB leaves, which makes room. A download
+/// of 90 KB, whose bytes between zones cost sixty times as much, stays: it is in time.
+#[test]
+fn large_answers_stay_where_small_ones_leave() {
+    let mut entry = Entry::new(&[candidate("near", "a"), candidate("far", "b")]);
+    entry.saw("near", Seen::Answered, occupied(10, 10, 100), NOW);
+    entry.saw("far", Seen::Answered, occupied(0, 0, 100), NOW);
+    entry.wish.answer_bytes = 1_500.0;
+    assert_eq!(entry.shares(NOW).get("near"), None);
+    entry.wish.answer_bytes = 90_000.0;
+    assert_eq!(entry.shares(NOW).get("far"), None);
+}
+
+/// A target runs long calls and short ones, and reports their mean, 100 ms. A call whose
+/// route takes 15 ms meets an objective of 45 ms where it is. Judged by the mean it would
+/// be late everywhere, and leave its zone for any target that is a little less busy.
+#[test]
+fn a_short_call_is_judged_by_the_run_time_of_its_route() {
+    let mut entry = Entry::new(&[candidate("near", "a"), candidate("far", "b")]);
+    entry.saw("near", Seen::Answered, occupied(9, 0, 100), NOW);
+    entry.saw("far", Seen::Answered, occupied(0, 0, 60), NOW);
+    entry.wish.objective = MS * 45;
+    assert_eq!(entry.shares(NOW).get("near"), None);
+    entry.wish.run = Some(MS * 15);
+    assert_eq!(entry.shares(NOW).get("far"), None);
+}
+
 #[test]
 fn a_slow_target_gets_calls_once_the_fast_ones_are_busy() {
     let mut entry = Entry::new(&[candidate("fast", "a"), candidate("slow", "a")]);
--- a/crates/mesh/src/entry/carry.rs
+++ b/crates/mesh/src/entry/carry.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stoatstep_calls::{Attempts, Outcome, Pick, Reason, Refusal};
+use stoatstep_calls::{Attempts, Outcome, Pick, Reason, Refusal, Wish};
 use stoatstep_resource::UpstreamName;
 use stoatstep_telemetry::fields;
 
@@ -105,9 +105,19 @@
 fn choose(node: &Node, call: &Call, tried: &[UpstreamName]) -> Option<(Pick, Place)> {
     let now = node.clock.now();
     let mut tables = node.entry.tables.borrow_mut();
-    let Tables { placement, rng, .. } = &mut *tables;
-    let objective = call.objective.saturating_sub(now);
-    let pick = placement.pick(&call.parts.service, tried, objective, now, rng)?;
+    let Tables {
+        placement,
+        answers,
+        rng,
+        ..
+    } = &mut *tables;
+    let answers = answers.get(&call.parts.route).copied().unwrap_or_default();
+    let wish = Wish {
+        objective: call.objective.saturating_sub(now),
+        answer_bytes: answers.bytes(),
+        run: answers.run(),
+    };
+    let pick = placement.pick(&call.parts.service, tried, wish, now, rng)?;
     let place = node.fleet.place(&pick.upstream)?;
     Some((pick, place))
 }
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -15,7 +15,9 @@
 use ntex::http::{Request, Response};
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
-use stoatstep_calls::{Candidate, Placement, Refusal, RetryBudget, Throttle, Ticket, Time};
+use stoatstep_calls::{
+    Answers, Candidate, Placement, Refusal, RetryBudget, Throttle, Ticket, Time,
+};
 use stoatstep_http::drop_body;
 use stoatstep_resource::{RouteName, ServiceName};
 use stoatstep_telemetry::fields;
@@ -24,9 +26,17 @@
 use crate::drain::InFlight;
 use crate::journal::{CallEnded, Times};
 use crate::node::Node;
+use crate::wire::End;
 use call::Call;
 use carry::Carried;
 
+/// Routes of which more is remembered than the configuration says; a daemon's callers
+/// use a few dozen.
+const MAX_ROUTES: usize = 1024;
+
+/// Status from which a target's answer is a failure.
+const FAILURE: u16 = 500;
+
 pub(crate) struct Entry {
     tables: RefCell<Tables>,
 }
@@ -34,6 +44,8 @@
 struct Tables {
     placement: Placement,
     budgets: BTreeMap<ServiceName, RetryBudget>,
+    /// What the answers of each route in use are like.
+    answers: HashMap<RouteName, Answers>,
     /// How the calls of each route in use ended lately.
     throttles: HashMap<RouteName, Throttle>,
     /// The newest ticket of each executor.
@@ -46,6 +58,7 @@
         let tables = Tables {
             placement: Placement::new(cfg.zone.clone()),
             budgets: BTreeMap::new(),
+            answers: HashMap::new(),
             throttles: HashMap::new(),
             tickets: HashMap::new(),
             rng: Xoshiro256PlusPlus::from_rng(&mut rand::rng()),
@@ -89,7 +102,7 @@
         throttle::note(node, &call, &carried.end);
         carried
     } else {
-        throttle::refused()
+        throttle::refused(node, &call)
     };
     ended(node, &call, &carried, begun);
     respond::ended(&carried.end, node.is_leaving())
@@ -143,6 +156,24 @@
         placed: carried.placed.clone(),
     };
     node.journal.call_ended(&ended, now);
+    note_answer(node, call, &carried);
+}
+
+/// Failures are left out: they are short whatever the route. So are calls with more than
+/// one attempt, whose times at targets are added up.
+fn note_answer(node: &Node, call: &Call, carried: &Carried) {
+    let End::Answered(answer) = &carried.end else {
+        return;
+    };
+    if answer.status >= FAILURE || carried.attempts > 1 {
+        return;
+    }
+    let answers = &mut node.entry.tables.borrow_mut().answers;
+    let route = &call.parts.route;
+    if answers.len() < MAX_ROUTES || answers.contains_key(route) {
+        let seen = answers.entry(route.clone()).or_default();
+        seen.record(answer.body.len(), carried.times.target);
+    }
 }
 
 /// A request that did not become a call.
--- a/crates/mesh/src/entry/throttle.rs
+++ b/crates/mesh/src/entry/throttle.rs
@@ -1,28 +1,22 @@
 //! Refuses calls of routes whose targets mostly fail.
 
-use std::time::Duration;
-
 use rand::RngExt;
 use stoatstep_calls::{Reason, Refusal, Throttle};
 use stoatstep_telemetry::fields;
 
 use super::call::Call;
 use super::carry::Carried;
+use super::{FAILURE, MAX_ROUTES};
 use crate::journal::Times;
 use crate::node::Node;
 use crate::wire::End;
 
-/// Routes that are watched; more are let through unwatched.
-const MAX_ROUTES: usize = 1024;
-
-/// Pause asked for: long enough for the overloaded service to work off what it
-/// has.
-const PAUSE: Duration = Duration::from_millis(300);
-
-/// Status from which a target's answer is a failure.
-const FAILURE: u16 = 500;
+/// Pause asked for, as a part of the time to the latency objective: whoever comes back
+/// after it can still be answered in time.
+const PAUSE_SHARE: f64 = 0.25;
 
-/// Whether a call is let through.
+/// Whether a call is let through. Where too many routes are watched, the others are let
+/// through unwatched.
 pub(super) fn admits(node: &Node, call: &Call) -> bool {
     let mut tables = node.entry.tables.borrow_mut();
     let draw = tables.rng.random();
@@ -51,9 +45,11 @@
 }
 
 /// What a call that is not let through ends with.
-pub(super) fn refused() -> Carried {
+pub(super) fn refused(node: &Node, call: &Call) -> Carried {
+    let left = call.objective.saturating_sub(node.clock.now());
+    let pause = left.mul_f64(PAUSE_SHARE);
     Carried {
-        end: End::Refused(Refusal::retry(Reason::Throttled, PAUSE)),
+        end: End::Refused(Refusal::retry(Reason::Throttled, pause)),
         times: Times::default(),
         attempts: 0,
         placed: None,
--- a/crates/mesh/src/journal.rs
+++ b/crates/mesh/src/journal.rs
@@ -135,6 +135,10 @@
             return;
         };
         let (outcome, status, reason) = described(ended.end);
+        let bytes = match ended.end {
+            End::Answered(answer) => answer.body.len(),
+            End::Refused(_) => 0,
+        };
         let (upstream, spilled) = match &ended.placed {
             Some((upstream, spilled)) => (upstream.as_str(), *spilled),
             None => ("", false),
@@ -146,7 +150,7 @@
             fields::UPSTREAM => upstream, fields::OTHER_ZONE => spilled, fields::ATTEMPTS => ended.attempts,
             fields::TOTAL_US => micros(ended.times.total), fields::QUEUE_US => micros(ended.times.queue),
             fields::TARGET_US => micros(ended.times.target), fields::GIVEN_MS => millis(ended.given),
-            fields::OBJECTIVE_MS => millis(ended.objective), fields::LEFT_OUT => left_out);
+            fields::OBJECTIVE_MS => millis(ended.objective), fields::BYTES => bytes, fields::LEFT_OUT => left_out);
     }
 
     /// One line about each call whose caller did not wait for its end.
--- a/crates/telemetry/src/fields.rs
+++ b/crates/telemetry/src/fields.rs
@@ -97,9 +97,11 @@
 pub const ASKED: &str = "asked";
 /// Those of them that ended well.
 pub const GOOD: &str = "good";
+/// Bytes of the answer's body.
+pub const BYTES: &str = "bytes";
 
 /// Every name above, in the order of this page.
-pub const ALL: [&str; 48] = [
+pub const ALL: [&str; 49] = [
     REQUEST,
     ATTEMPT,
     UPSTREAM,
@@ -148,4 +150,5 @@
     RESERVE,
     ASKED,
     GOOD,
+    BYTES,
 ];
