Treat the instance's link as a resource beside the target's slots

Change: messages larger than what the link carries in 8 ms go in pieces at its pace, small ones between them; the rest of an answer whose caller left is withdrawn; an executor refuses a call whose expected answer its link could not deliver within the objective, before its target works for it; answers tell the link's backlog and rate, by which entries place large answers. The settings state the rate.

Ruled out: streaming the answer through both daemons. A body that is cut at the target can be fetched again as long as nothing of it went out. Also ruled out: one large transfer of the whole daemon at a time, which a peer that does not read would hold up.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -36,6 +36,7 @@
 mod routes;
 mod silence;
 mod throttle;
+mod uplink;
 
 pub use admission::{Admission, AdmissionConfig, Ask, Dispatch, Load, Verdict};
 pub use answer::{Answer, Header, is_of_connection};
@@ -61,3 +62,4 @@
 pub use routes::{ResolvedRoute, RouteTable};
 pub use silence::{Silence, SilenceAction, SilenceConfig};
 pub use throttle::Throttle;
+pub use uplink::Uplink;
--- a/crates/calls/src/placement.rs
+++ b/crates/calls/src/placement.rs
@@ -164,6 +164,7 @@
     let typical = Typical {
         service: typical_service(open, now),
         run: wish.run,
+        bytes: wish.answer_bytes,
     };
     let Some(near) = soonest(&open.near, typical, now, rng) else {
         return soonest(&open.far, typical, now, rng);
--- a/crates/calls/src/placement/seen.rs
+++ b/crates/calls/src/placement/seen.rs
@@ -8,6 +8,10 @@
 use crate::ids::Time;
 use crate::queue::Occupancy;
 
+/// Mean bytes of a route's answers from which they count as large. Smaller ones go out
+/// between the pieces of large ones.
+const LARGE_ANSWER: f64 = 16_384.0;
+
 /// Age at which a reported occupancy no longer counts: a few run times.
 const OCCUPANCY_LIFE: Duration = Duration::from_millis(500);
 
@@ -63,6 +67,22 @@
         (is_recent && is_known).then_some(reported.service)
     }
 
+    /// Time that an answer of so many bytes takes on the way from there. Small ones go
+    /// before large ones, and hardly take any.
+    fn on_link(&self, bytes: f64, now: Time) -> Duration {
+        let Some((reported, at)) = self.reported else {
+            return Duration::ZERO;
+        };
+        let age = now.saturating_sub(at);
+        let rate = f64::from(reported.link_bytes_per_s);
+        if rate <= 0.0 || bytes < LARGE_ANSWER || age >= SERVICE_LIFE {
+            return Duration::ZERO;
+        }
+        let own = Duration::try_from_secs_f64(bytes / rate).unwrap_or_default();
+        let sent_since = own * self.sent_since;
+        reported.link_backlog.saturating_sub(age) + sent_since + own
+    }
+
     /// Calls that ran or waited there lately, by its own word. That has the calls of
     /// all entries in it, and those sent since come on top.
     fn occupied(&self, now: Time) -> u32 {
@@ -82,6 +102,8 @@
     pub(super) service: Duration,
     /// What a run of this call's route takes, over all targets.
     pub(super) run: Option<Duration>,
+    /// Mean bytes of the answers of this call's route.
+    pub(super) bytes: f64,
 }
 
 impl Typical {
@@ -104,7 +126,7 @@
     let waiting = (occupied + 1).saturating_sub(slots);
     let wait = service * waiting / slots;
     let full = row.seen.full_until.saturating_sub(now);
-    wait.max(full) + typical.run_at(service)
+    wait.max(full) + typical.run_at(service) + row.seen.on_link(typical.bytes, now)
 }
 
 /// Takes in how an attempt ended. Gives the time for which the target is left out,
--- a/crates/calls/src/queue.rs
+++ b/crates/calls/src/queue.rs
@@ -63,6 +63,10 @@
     pub slots: u32,
     /// Mean time of a run, over all kinds; zero before the first.
     pub service: Duration,
+    /// Time in which the large answers that are under way from there leave its link.
+    pub link_backlog: Duration,
+    /// Bytes a second that its link carries; zero where nothing holds answers up.
+    pub link_bytes_per_s: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -105,6 +109,8 @@
             queued: count(self.waiting.len()),
             slots: self.slots,
             service: self.kinds.mean(),
+            link_backlog: Duration::ZERO,
+            link_bytes_per_s: 0,
         }
     }
 
--- a/crates/calls/tests/all/main.rs
+++ b/crates/calls/tests/all/main.rs
@@ -12,3 +12,4 @@
 mod routes;
 mod silence;
 mod throttle;
+mod uplink;
--- a/crates/calls/tests/all/placement.rs
+++ b/crates/calls/tests/all/placement.rs
@@ -81,6 +81,8 @@
         queued,
         slots: 10,
         service: MS * service_ms,
+        link_backlog: Duration::ZERO,
+        link_bytes_per_s: 0,
     }
 }
 
--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -39,6 +39,7 @@
     pub(crate) grace: Duration,
     pub(crate) retries: RetryBounds,
     pub(crate) metrics: Option<SocketAddr>,
+    pub(crate) link_bytes_per_s: Option<f64>,
 }
 
 /// What all daemons together may add to a service's load by retries.
@@ -75,6 +76,7 @@
                 slack: 10,
             },
             metrics: None,
+            link_bytes_per_s: None,
         }
     }
 
@@ -108,6 +110,14 @@
         self
     }
 
+    /// What the instance's link carries, in bytes a second. Default: not known, and large
+    /// answers are sent as fast as connections take them.
+    #[must_use]
+    pub fn link(mut self, bytes_per_s: f64) -> Self {
+        self.link_bytes_per_s = Some(bytes_per_s);
+        self
+    }
+
     /// What all daemons together may add to a service's load by retries: this
     /// many for each hundred requests, and `slack` on top. Default 20 and 10.
     #[must_use]
--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -96,7 +96,7 @@
             call: Rc::clone(&call.parts),
         };
         let (ended, occupancy) = match place {
-            Place::Local => of_ran(local(node, attempt).await),
+            Place::Local => off_link(of_ran(local(node, attempt).await)),
             Place::Remote(addr) => remote(node, call, addr, attempt).await,
         };
         let is_stale = matches!(&ended.end, End::Refused(it) if it.reason == Reason::StaleTicket);
@@ -198,6 +198,16 @@
     }
 }
 
+/// Answers of the own target do not leave the instance.
+fn off_link((ended, occupancy): (Ended, Option<Occupancy>)) -> (Ended, Option<Occupancy>) {
+    let occupancy = occupancy.map(|it| Occupancy {
+        link_backlog: Duration::ZERO,
+        link_bytes_per_s: 0,
+        ..it
+    });
+    (ended, occupancy)
+}
+
 fn of_ran(ran: Ran) -> (Ended, Option<Occupancy>) {
     let ended = Ended {
         in_queue: ran.in_queue,
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -17,11 +17,11 @@
 use rand::RngExt;
 use slog::Logger;
 use stoatstep_calls::{
-    Arrival, AttemptId, Deadline, Incarnation, Ledger, LedgerConfig, Occupancy, Queue, Reason,
-    Refusal, Settled, Ticket,
+    Answer, Answers, Arrival, AttemptId, Deadline, Incarnation, Ledger, LedgerConfig, Occupancy,
+    Queue, Reason, Refusal, Settled, Ticket,
 };
 use stoatstep_membership::{Announced, Birth, Heard, Heartbeat, LocalTarget};
-use stoatstep_resource::ServiceName;
+use stoatstep_resource::{RouteName, ServiceName};
 use stoatstep_telemetry::fields;
 use tokio::sync::oneshot;
 
@@ -32,6 +32,9 @@
 pub(crate) use confirm::ask_target;
 use target::Target;
 
+/// Routes of whose answers is known what they are like; a target serves a few.
+const MAX_ROUTES: usize = 256;
+
 /// Slots of the target until it has said how many it has.
 const SLOTS_UNKNOWN: u32 = 1;
 
@@ -63,6 +66,8 @@
     waiting: HashMap<AttemptId, oneshot::Sender<Result<(), Refusal>>>,
     runs: BTreeMap<AttemptId, Run>,
     upstream: LocalTarget,
+    /// What the answers of each route that runs here are like.
+    answers: HashMap<RouteName, Answers>,
 }
 
 /// A run that goes on.
@@ -86,6 +91,7 @@
             waiting: HashMap::new(),
             runs: BTreeMap::new(),
             upstream: LocalTarget::new(cfg.heartbeat),
+            answers: HashMap::new(),
         };
         Self {
             tables: RefCell::new(tables),
@@ -201,9 +207,18 @@
     }
 }
 
+/// How an attempt came, and its answer goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Way {
+    /// From this daemon's own entry; its answer does not leave the instance.
+    Local,
+    /// Over a link.
+    Link,
+}
+
 /// Runs one attempt. Also the way of an entry to its own target.
 pub(crate) async fn execute(node: &Rc<Node>, attempt: Attempt) -> Ran {
-    ended(node, begin(node, attempt)).await
+    ended(node, begin(node, attempt, Way::Local)).await
 }
 
 /// An attempt that was taken, or what it ended with at once.
@@ -211,9 +226,14 @@
 
 /// Takes an attempt. From here on it can be cancelled, though nothing of it may
 /// have been done yet: word that its caller left can be the very next message.
-pub(crate) fn begin(node: &Rc<Node>, attempt: Attempt) -> Begun {
-    match arrive(node, &attempt) {
-        Ok(()) => Ok(run::start(node, attempt)),
+pub(crate) fn begin(node: &Rc<Node>, attempt: Attempt, way: Way) -> Begun {
+    match arrive(node, &attempt, way) {
+        Ok(()) => {
+            if way == Way::Link {
+                expect_answer(node, &attempt);
+            }
+            Ok(run::start(node, attempt))
+        }
         Err(end) => Err(run::refused(node, end)),
     }
 }
@@ -226,7 +246,7 @@
     }
 }
 
-fn arrive(node: &Node, attempt: &Attempt) -> Result<(), End> {
+fn arrive(node: &Node, attempt: &Attempt, way: Way) -> Result<(), End> {
     let now = node.clock.now();
     let mut tables = node.executor.tables.borrow_mut();
     let present = tables.upstream.admits(now);
@@ -237,6 +257,9 @@
         let refusal = Refusal::retry(Reason::Draining, DRAINING_RETRY);
         return Err(End::Refused(refusal));
     }
+    if way == Way::Link {
+        fits_link(node, &tables, attempt)?;
+    }
     match tables.ledger.arrive(attempt.id, attempt.ticket, now) {
         Arrival::New => Ok(()),
         Arrival::Refused(refusal) => Err(End::Refused(refusal)),
@@ -245,6 +268,39 @@
     }
 }
 
+/// Refuses a call whose answer the instance's link could not deliver in time, before the
+/// target works for it.
+fn fits_link(node: &Node, tables: &Tables, attempt: &Attempt) -> Result<(), End> {
+    let answers = tables.answers.get(&attempt.call.route).copied();
+    let answers = answers.unwrap_or_default();
+    let run = answers.run().unwrap_or_default();
+    let within = if attempt.objective.is_zero() {
+        attempt.left
+    } else {
+        attempt.objective
+    };
+    let taken = node
+        .uplink
+        .read(|it| it.takes(answers.bytes(), run, within));
+    taken.map_err(|after| End::Refused(Refusal::retry(Reason::Overload, after)))
+}
+
+fn expect_answer(node: &Node, attempt: &Attempt) {
+    let tables = node.executor.tables.borrow();
+    let answers = tables.answers.get(&attempt.call.route);
+    let bytes = answers.map_or(0.0, Answers::bytes);
+    drop(tables);
+    node.uplink.expects(attempt.id, bytes);
+}
+
+/// What the next answers of the route will be like.
+fn learn_answer(tables: &mut Tables, route: &RouteName, answer: &Answer, run: Duration) {
+    if tables.answers.len() < MAX_ROUTES || tables.answers.contains_key(route) {
+        let answers = tables.answers.entry(route.clone()).or_default();
+        answers.record(answer.body.len(), run);
+    }
+}
+
 fn lost() -> End {
     End::Refused(Refusal::permanent(Reason::LostAnswer))
 }
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -3,12 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stoatstep_calls::{Deadline, Outcome, Reason, Refusal, Settled};
+use stoatstep_calls::{Deadline, Occupancy, Outcome, Reason, Refusal, Settled, Uplink};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use super::target::TargetEnd;
-use super::{QUEUE_RETRY, Run, Tables, slot};
+use super::{QUEUE_RETRY, Run, Tables, learn_answer, slot};
 use crate::drain::InFlight;
 use crate::journal::{RunFailed, Times};
 use crate::node::Node;
@@ -17,6 +17,9 @@
 /// Largest answer that is kept for an entry whose link broke.
 const MAX_KEPT: usize = 256 << 10;
 
+/// Status from which a target's answer is a failure.
+const FAILURE: u16 = 500;
+
 /// How a run ended, and where its time went.
 struct Report {
     end: End,
@@ -53,7 +56,7 @@
     ntex::rt::spawn(async move {
         let _in_flight = InFlight::enter(&node);
         let report = carry_or_cancel(&node, &attempt, cancelled).await;
-        finish(&node, &attempt, &report.end);
+        finish(&node, &attempt, &report);
         note_failure(&node, &attempt, &report);
         // Where the link is gone, the ledger has the end.
         let _ = tx.send(ran(&node, report));
@@ -77,7 +80,11 @@
     let tables = node.executor.tables.borrow();
     Ran {
         ticket: tables.ledger.ticket(now),
-        occupancy: tables.queue.occupancy(),
+        occupancy: Occupancy {
+            link_backlog: node.uplink.read(Uplink::backlog),
+            link_bytes_per_s: node.uplink.read(Uplink::bytes_per_s),
+            ..tables.queue.occupancy()
+        },
         in_queue: report.in_queue,
         at_target: report.at_target,
         arrived: report.arrived,
@@ -195,9 +202,15 @@
     node.journal.run_failed(&failed, node.clock.now());
 }
 
-fn finish(node: &Node, attempt: &Attempt, end: &End) {
+fn finish(node: &Node, attempt: &Attempt, report: &Report) {
+    node.uplink.ended(attempt.id);
     let mut tables = node.executor.tables.borrow_mut();
-    record(&mut tables, attempt, end);
+    if let End::Answered(answer) = &report.end
+        && answer.status < FAILURE
+    {
+        learn_answer(&mut tables, &attempt.call.route, answer, report.at_target);
+    }
+    record(&mut tables, attempt, &report.end);
     let run = tables.runs.remove(&attempt.id);
     drop(tables);
     for waiter in run.into_iter().flat_map(|it| it.waiters) {
--- a/crates/mesh/src/link/dial.rs
+++ b/crates/mesh/src/link/dial.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_util::StreamExt;
 use slog::Logger;
 use stoatstep_calls::Time;
@@ -17,6 +16,8 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 use tokio_util::codec::{FramedRead, FramedWrite};
 
+use super::pieces::{Assembly, Outgoing};
+use super::uplink::SharedUplink;
 use super::{Reader, codec, decode, encode, write};
 use crate::clock::Clock;
 use crate::wire::{Ask, AskId, Reply, ToClient, ToServer};
@@ -52,14 +53,16 @@
 pub(crate) struct Links {
     clock: Clock,
     log: Logger,
+    uplink: Rc<SharedUplink>,
     table: RefCell<HashMap<SocketAddr, Rc<Link>>>,
 }
 
 impl Links {
-    pub(crate) fn new(clock: Clock, log: Logger) -> Self {
+    pub(crate) fn new(uplink: Rc<SharedUplink>, clock: Clock, log: Logger) -> Self {
         Self {
             clock,
             log,
+            uplink,
             table: RefCell::default(),
         }
     }
@@ -70,7 +73,7 @@
         let (tx, rx) = oneshot::channel();
         let id = link.register(tx, self.clock.now())?;
         let question = Question { link: &link, id };
-        link.send(&ToServer::Ask(id, ask));
+        link.send(id, &ToServer::Ask(id, ask));
         let reply = rx.await.unwrap_or(Err(LinkError::Lost));
         question.answered();
         reply
@@ -107,8 +110,13 @@
         let (tx, rx) = mpsc::unbounded_channel();
         let link = Rc::new(Link::new(tx));
         links.insert(addr, Rc::clone(&link));
-        let log = self.log.clone();
-        ntex::rt::spawn(run(Rc::clone(&link), addr, rx, self.clock, log));
+        let way = Way {
+            addr,
+            uplink: Rc::clone(&self.uplink),
+            clock: self.clock,
+            log: self.log.clone(),
+        };
+        ntex::rt::spawn(run(Rc::clone(&link), rx, way));
         link
     }
 }
@@ -126,7 +134,7 @@
 type Waiter = oneshot::Sender<Result<Reply, LinkError>>;
 
 struct Link {
-    queue: UnboundedSender<Bytes>,
+    queue: UnboundedSender<Outgoing>,
     open: RefCell<HashMap<AskId, Waiter>>,
     next: Cell<AskId>,
     stage: Cell<Stage>,
@@ -138,7 +146,7 @@
 }
 
 impl Link {
-    fn new(queue: UnboundedSender<Bytes>) -> Self {
+    fn new(queue: UnboundedSender<Outgoing>) -> Self {
         Self {
             queue,
             open: RefCell::default(),
@@ -174,10 +182,10 @@
         Ok(id)
     }
 
-    fn send(&self, message: &ToServer) {
+    fn send(&self, id: AskId, message: &ToServer) {
         // It fails only where the link is closed, and then every open question
         // has been told so.
-        let _ = self.queue.send(encode(message));
+        let _ = self.queue.send(Outgoing::Message(id, encode(message)));
     }
 
     fn close(&self, stage: Stage, err: LinkError) {
@@ -211,17 +219,27 @@
 impl Drop for Question<'_> {
     fn drop(&mut self) {
         self.link.open.borrow_mut().remove(&self.id);
-        self.link.send(&ToServer::Cancel(self.id));
+        // A large question may still be on its way out.
+        let _ = self.link.queue.send(Outgoing::Withdraw(self.id));
+        self.link.send(self.id, &ToServer::Cancel(self.id));
     }
 }
 
-async fn run(
-    link: Rc<Link>,
+/// Where a link leads, and what it goes over.
+struct Way {
     addr: SocketAddr,
-    queue: UnboundedReceiver<Bytes>,
+    uplink: Rc<SharedUplink>,
     clock: Clock,
     log: Logger,
-) {
+}
+
+async fn run(link: Rc<Link>, queue: UnboundedReceiver<Outgoing>, way: Way) {
+    let Way {
+        addr,
+        uplink,
+        clock,
+        log,
+    } = way;
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
     let Ok(Ok(stream)) = connected else {
         link.close(Stage::Down(clock.now() + DOWN_FOR), LinkError::NotSent);
@@ -238,7 +256,7 @@
     let reader = FramedRead::new(reader, codec());
     let writer = FramedWrite::new(writer, codec());
     tokio::select! {
-        () = write(writer, queue) => {}
+        () = write(writer, queue, uplink) => {}
         () = read(&link, reader, clock) => {}
         () = link.give_up.notified() => {}
     }
@@ -253,6 +271,7 @@
 
 /// Delivers answers until the link ends or is silent for too long.
 async fn read(link: &Link, mut reader: Reader, clock: Clock) {
+    let mut assembly = Assembly::default();
     let mut check = interval(CHECK);
     check.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -263,7 +282,12 @@
                     return;
                 };
                 link.heard.set(clock.now());
-                let Some(message) = decode::<ToClient>(&frame) else {
+                let message = match assembly.take(frame) {
+                    Ok(Some(message)) => message,
+                    Ok(None) => continue,
+                    Err(_) => return,
+                };
+                let Some(message) = decode::<ToClient>(&message) else {
                     return;
                 };
                 link.deliver(message);
@@ -275,7 +299,7 @@
                     return;
                 }
                 if silent >= CHECK {
-                    link.send(&ToServer::Ask(AskId::MAX, Ask::Ping));
+                    link.send(AskId::MAX, &ToServer::Ask(AskId::MAX, Ask::Ping));
                 }
             }
         }
--- a/crates/mesh/src/link/serve.rs
+++ b/crates/mesh/src/link/serve.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_util::StreamExt;
 use stoatstep_calls::AttemptId;
 use stoatstep_telemetry::fields;
@@ -13,8 +12,9 @@
 use tokio::sync::mpsc::{self, UnboundedSender};
 use tokio_util::codec::{FramedRead, FramedWrite};
 
+use super::pieces::{Assembly, Outgoing};
 use super::{Reader, codec, decode, encode, write};
-use crate::executor;
+use crate::executor::{self, Way};
 use crate::fleet;
 use crate::node::Node;
 use crate::wire::{Ask, AskId, Attempt, Reply, ToClient, ToServer};
@@ -40,14 +40,15 @@
 /// One link, and the attempts that came over it and have not ended.
 struct Connection {
     node: Rc<Node>,
-    queue: UnboundedSender<Bytes>,
+    queue: UnboundedSender<Outgoing>,
     running: RefCell<HashMap<AskId, AttemptId>>,
 }
 
 impl Connection {
     fn reply(&self, id: AskId, reply: Reply) {
         // It fails only where the link is closed; whoever asked will settle.
-        let _ = self.queue.send(encode(&ToClient(id, reply)));
+        let message = encode(&ToClient(id, reply));
+        let _ = self.queue.send(Outgoing::Message(id, message));
     }
 }
 
@@ -63,7 +64,7 @@
     });
     let (reader, writer) = stream.into_split();
     tokio::select! {
-        () = write(FramedWrite::new(writer, codec()), rx) => {}
+        () = write(FramedWrite::new(writer, codec()), rx, Rc::clone(&node.uplink)) => {}
         () = read(&connection, FramedRead::new(reader, codec())) => {}
     }
     let running = std::mem::take(&mut *connection.running.borrow_mut());
@@ -71,8 +72,14 @@
 }
 
 async fn read(connection: &Rc<Connection>, mut reader: Reader) {
+    let mut assembly = Assembly::default();
     while let Some(Ok(frame)) = reader.next().await {
-        match decode::<ToServer>(&frame) {
+        let message = match assembly.take(frame) {
+            Ok(Some(message)) => message,
+            Ok(None) => continue,
+            Err(_) => return,
+        };
+        match decode::<ToServer>(&message) {
             Some(ToServer::Ask(id, ask)) => take(connection, id, ask),
             Some(ToServer::Cancel(id)) => cancel(connection, id),
             None => return,
@@ -110,7 +117,7 @@
 /// Takes an attempt before the next message is read, which may cancel it.
 fn run(connection: &Rc<Connection>, id: AskId, attempt: Attempt) {
     connection.running.borrow_mut().insert(id, attempt.id);
-    let begun = executor::begin(&connection.node, attempt);
+    let begun = executor::begin(&connection.node, attempt, Way::Link);
     let connection = Rc::clone(connection);
     ntex::rt::spawn(async move {
         let ran = executor::ended(&connection.node, begun).await;
@@ -124,4 +131,6 @@
     if let Some(attempt) = attempt {
         executor::cancel(&connection.node, attempt);
     }
+    // Its answer may be on its way out.
+    let _ = connection.queue.send(Outgoing::Withdraw(id));
 }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -17,7 +17,7 @@
 use crate::fleet::{self, Fleet};
 use crate::host::Host;
 use crate::journal::Journal;
-use crate::link::{self, Links};
+use crate::link::{self, Links, SharedUplink};
 use crate::{drain, fleet::gossip};
 use stoatstep_calls::Departure;
 use stoatstep_http::Server;
@@ -34,6 +34,8 @@
     pub(crate) log: Logger,
     pub(crate) clock: Clock,
     pub(crate) journal: Journal,
+    /// What this instance's link carries.
+    pub(crate) uplink: Rc<SharedUplink>,
     pub(crate) links: Links,
     pub(crate) entry: Entry,
     pub(crate) executor: Executor,
@@ -67,8 +69,10 @@
             None => None,
         };
         let clock = Clock::start();
+        let uplink = Rc::new(SharedUplink::new(cfg.link_bytes_per_s, clock));
         let node = Rc::new(Node {
-            links: Links::new(clock, log.clone()),
+            links: Links::new(Rc::clone(&uplink), clock, log.clone()),
+            uplink,
             journal: Journal::new(log.clone()),
             entry: Entry::new(&cfg),
             executor: Executor::new(&cfg, clock, log.clone()),
