--- a/crates/calls/src/uplink.rs
+++ b/crates/calls/src/uplink.rs
@@ -119,7 +119,7 @@
         if needed <= within || (self.expected.is_empty() && self.waiting <= 0.0) {
             return Ok(());
         }
-        Err(needed - within)
+        Err(needed.saturating_sub(within))
     }
 
     /// A target works on an answer of which so many bytes are expected.
