--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -156,7 +156,7 @@
         placed: carried.placed.clone(),
     };
     node.journal.call_ended(&ended, now);
-    note_answer(node, call, &carried);
+    note_answer(node, call, carried);
 }
 
 /// Failures are left out: they are short whatever the route. So are calls with more than
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -222,7 +222,7 @@
 }
 
 /// An attempt that was taken, or what it ended with at once.
-pub(crate) type Begun = Result<oneshot::Receiver<Ran>, Ran>;
+pub(crate) type Begun = Result<oneshot::Receiver<Ran>, Box<Ran>>;
 
 /// Takes an attempt. From here on it can be cancelled, though nothing of it may
 /// have been done yet: word that its caller left can be the very next message.
@@ -234,7 +234,7 @@
             }
             Ok(run::start(node, attempt))
         }
-        Err(end) => Err(run::refused(node, end)),
+        Err(end) => Err(Box::new(run::refused(node, end))),
     }
 }
 
@@ -242,7 +242,7 @@
 pub(crate) async fn ended(node: &Node, begun: Begun) -> Ran {
     match begun {
         Ok(ended) => ended.await.unwrap_or_else(|_| run::refused(node, lost())),
-        Err(ran) => ran,
+        Err(ran) => *ran,
     }
 }
 
--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use rand::RngExt;
 use stoatstep_distribution::{Mark, PollRole};
 use stoatstep_membership::{Input, MemberKey};
@@ -13,6 +14,7 @@
 use tokio::time::timeout;
 
 use super::gossip;
+use super::packed::{self, Packed};
 use crate::executor;
 use crate::host::{Cursor, Host, HostError, Update};
 use crate::in_force::InForce;
@@ -205,6 +207,30 @@
     if held.version() <= theirs.version {
         return Newer::Nothing;
     }
+    if let Some(bytes) = kept(node, theirs, held.mark) {
+        return Newer::Packed(bytes);
+    }
+    let newer = packed::pack(leading_to(node, theirs, &held));
+    if let Newer::Packed(bytes) = &newer {
+        let packed = Packed {
+            from: theirs,
+            to: held.mark,
+            bytes: bytes.clone(),
+        };
+        node.fleet.packed.replace(Some(packed));
+    }
+    newer
+}
+
+/// What was packed for another peer that asked for the same.
+fn kept(node: &Node, from: Mark, to: Mark) -> Option<Bytes> {
+    let packed = node.fleet.packed.borrow();
+    let packed = packed.as_ref();
+    let packed = packed.filter(|it| it.from == from && it.to == to);
+    packed.map(|it| it.bytes.clone())
+}
+
+fn leading_to(node: &Node, theirs: Mark, held: &InForce) -> Newer {
     let former = node.fleet.former.borrow();
     match former.iter().find(|(mark, _)| *mark == theirs) {
         Some((_, state)) => Newer::Difference((&state.difference(&held.state)).into()),
@@ -259,8 +285,13 @@
 }
 
 fn decode(node: &Node, newer: Newer) -> Result<Option<State>, String> {
+    let newer = match newer {
+        Newer::Packed(bytes) => packed::unpack(&bytes).map_err(|err| err.to_string())?,
+        plain => plain,
+    };
     let state = match newer {
         Newer::Nothing => return Ok(None),
+        Newer::Packed(_) => return Err("packed twice".into()),
         Newer::Whole(snapshot) => State::try_from(snapshot).map_err(|err| err.to_string())?,
         Newer::Difference(difference) => {
             let Some(held) = node.fleet.in_force() else {
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod configuration;
 pub(crate) mod gossip;
+mod packed;
 pub(crate) mod roster;
 
 use std::cell::{Cell, RefCell};
@@ -22,6 +23,7 @@
 use crate::config::MeshConfig;
 use crate::in_force::InForce;
 use crate::node::Node;
+use packed::Packed;
 
 /// Where attempts for a target go.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,6 +39,8 @@
     in_force: RefCell<Option<Rc<InForce>>>,
     /// States that were in force before, the newest last.
     former: RefCell<VecDeque<(Mark, Arc<State>)>>,
+    /// What was last sent to a peer, for the others that hold the same.
+    packed: RefCell<Option<Packed>>,
     places: RefCell<HashMap<UpstreamName, Place>>,
     /// A pull of the configuration from a peer goes on.
     is_pulling: Cell<bool>,
@@ -56,6 +60,7 @@
             membership: RefCell::new(Membership::new(me, Config::default(), seed)),
             in_force: RefCell::default(),
             former: RefCell::default(),
+            packed: RefCell::default(),
             places: RefCell::default(),
             is_pulling: Cell::new(false),
             reaches_host: Cell::new(false),
--- a/crates/mesh/src/link/mod.rs
+++ b/crates/mesh/src/link/mod.rs
@@ -57,7 +57,7 @@
     mut queue: UnboundedReceiver<Outgoing>,
     uplink: Rc<SharedUplink>,
 ) {
-    let mut outbox = Outbox::new(Rc::clone(&uplink));
+    let mut outbox = Outbox::new(uplink);
     loop {
         tokio::select! {
             biased;
@@ -70,7 +70,7 @@
                     outbox.push(outgoing);
                 }
             }
-            () = uplink.turn(), if outbox.has_large() => {
+            () = outbox.turn(), if outbox.has_large() => {
                 let Some(piece) = outbox.piece() else {
                     continue;
                 };
--- a/crates/mesh/src/link/pieces.rs
+++ b/crates/mesh/src/link/pieces.rs
@@ -31,6 +31,9 @@
 pub(super) enum Outgoing {
     /// A message about this question.
     Message(AskId, Bytes),
+    /// The same, for a message that goes before large answers and does not wait for the
+    /// link: a configuration has to be in force within seconds.
+    Urgent(AskId, Bytes),
     /// Nobody waits for the message about this question any more.
     Withdraw(AskId),
 }
@@ -38,6 +41,7 @@
 struct Large {
     id: AskId,
     rest: Bytes,
+    is_urgent: bool,
 }
 
 /// What waits to be sent on one link.
@@ -59,19 +63,30 @@
 
     pub(super) fn push(&mut self, outgoing: Outgoing) {
         match outgoing {
-            Outgoing::Message(id, bytes) => self.message(id, bytes),
+            Outgoing::Message(id, bytes) => self.message(id, bytes, false),
+            Outgoing::Urgent(id, bytes) => self.message(id, bytes, true),
             Outgoing::Withdraw(id) => self.withdraw(id),
         }
     }
 
-    fn message(&mut self, id: AskId, bytes: Bytes) {
+    fn message(&mut self, id: AskId, bytes: Bytes, is_urgent: bool) {
         let piece = self.uplink.read(stoatstep_calls::Uplink::piece_bytes);
         if bytes.len() <= piece {
             self.small.push_back(frame(WHOLE, None, &bytes));
             return;
         }
         self.uplink.waits(bytes.len());
-        self.large.push_back(Large { id, rest: bytes });
+        let large = Large {
+            id,
+            rest: bytes,
+            is_urgent,
+        };
+        let ahead = self
+            .large
+            .iter()
+            .take_while(|it| it.is_urgent || !is_urgent);
+        let at = ahead.count();
+        self.large.insert(at, large);
     }
 
     /// The bytes of an answer whose caller has gone would only delay others.
@@ -89,6 +104,13 @@
         !self.large.is_empty()
     }
 
+    /// Waits until the next piece may go.
+    pub(super) async fn turn(&self) {
+        if !self.large.front().is_some_and(|it| it.is_urgent) {
+            self.uplink.turn().await;
+        }
+    }
+
     /// The next frame that need not wait for the link.
     pub(super) fn small(&mut self) -> Option<Bytes> {
         let frame = self.small.pop_front()?;
--- a/crates/mesh/src/link/serve.rs
+++ b/crates/mesh/src/link/serve.rs
@@ -47,8 +47,13 @@
 impl Connection {
     fn reply(&self, id: AskId, reply: Reply) {
         // It fails only where the link is closed; whoever asked will settle.
+        let is_urgent = matches!(reply, Reply::Newer(_));
         let message = encode(&ToClient(id, reply));
-        let _ = self.queue.send(Outgoing::Message(id, message));
+        let _ = self.queue.send(if is_urgent {
+            Outgoing::Urgent(id, message)
+        } else {
+            Outgoing::Message(id, message)
+        });
     }
 }
 
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -84,6 +84,9 @@
     /// All of it.
     #[serde(rename = "w")]
     Whole(SnapshotWire),
+    /// One of the others, compressed.
+    #[serde(rename = "z")]
+    Packed(Bytes),
 }
 
 /// What every attempt of one call has in common.
