Send large answers one after the other, smaller ones first; mechanisms can be switched off

Hypothesis: with pieces of all answers in turns every download takes as long as all of them, so most are late (16.5 in 100).

--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -1,5 +1,6 @@
 //! Settings of the daemon, which its host's adapter fills in.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use stoatstep_resource::{InstanceId, ServiceName, ZoneName};
 
 use crate::dialect::Dialect;
+use crate::mechanism::Mechanism;
 
 /// Time between two heartbeats of a target, unless the host says otherwise.
 const HEARTBEAT: Duration = Duration::from_secs(1);
@@ -40,6 +42,7 @@
     pub(crate) retries: RetryBounds,
     pub(crate) metrics: Option<SocketAddr>,
     pub(crate) link_bytes_per_s: Option<f64>,
+    pub(crate) without: BTreeSet<Mechanism>,
 }
 
 /// What all daemons together may add to a service's load by retries.
@@ -77,6 +80,7 @@
             },
             metrics: None,
             link_bytes_per_s: None,
+            without: BTreeSet::new(),
         }
     }
 
@@ -110,6 +114,18 @@
         self
     }
 
+    /// Mechanisms that are switched off. Default: none. Each one measured is worth what
+    /// `docs/design/further.md` says.
+    #[must_use]
+    pub fn without(mut self, mechanisms: BTreeSet<Mechanism>) -> Self {
+        self.without = mechanisms;
+        self
+    }
+
+    pub(crate) fn has(&self, mechanism: Mechanism) -> bool {
+        !self.without.contains(&mechanism)
+    }
+
     /// What the instance's link carries, in bytes a second. Default: not known, and large
     /// answers are sent as fast as connections take them.
     #[must_use]
--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -15,6 +15,7 @@
 use crate::fleet::Place;
 use crate::journal::AttemptFailed;
 use crate::link::LinkError;
+use crate::mechanism::Mechanism;
 use crate::node::Node;
 use crate::wire::{Ask, Attempt, End, Ran, Reply, WireSettled};
 
@@ -69,7 +70,10 @@
 ) -> Ended {
     let mut outstanding = Outstanding::new(node, call, upstream);
     let (ended, occupancy) = attempt(node, call, upstream, place).await;
-    outstanding.seen = seen(&ended);
+    outstanding.seen = match seen(&ended) {
+        Seen::Failed if !node.cfg.has(Mechanism::Ejection) => Seen::Nothing,
+        seen => seen,
+    };
     outstanding.occupancy = occupancy;
     ended
 }
--- a/crates/mesh/src/entry/carry.rs
+++ b/crates/mesh/src/entry/carry.rs
@@ -12,6 +12,7 @@
 use super::call::Call;
 use crate::fleet::Place;
 use crate::journal::Times;
+use crate::mechanism::Mechanism;
 use crate::node::Node;
 use crate::wire::End;
 
@@ -114,8 +115,12 @@
     let answers = answers.get(&call.parts.route).copied().unwrap_or_default();
     let wish = Wish {
         objective: call.objective.saturating_sub(now),
-        answer_bytes: answers.bytes(),
-        run: answers.run(),
+        answer_bytes: if node.cfg.has(Mechanism::AnswerSize) {
+            answers.bytes()
+        } else {
+            0.0
+        },
+        run: answers.run().filter(|_| node.cfg.has(Mechanism::RouteTime)),
     };
     let pick = placement.pick(&call.parts.service, tried, wish, now, rng)?;
     let place = node.fleet.place(&pick.upstream)?;
@@ -129,7 +134,7 @@
     let may = match &ended.end {
         End::Answered(answer) => idempotent && answer.status >= 500,
         End::Refused(refusal) => match refusal.outcome() {
-            Outcome::NotRun => is_worth_asking_on(made, refusal.reason),
+            Outcome::NotRun => is_worth_asking_on(node, made, refusal.reason),
             Outcome::Unknown | Outcome::Answered => {
                 idempotent && refusal.reason != Reason::TimedOut
             }
@@ -143,11 +148,16 @@
     !ended.arrived || take_retry(node, call)
 }
 
-fn is_worth_asking_on(made: &mut Made, reason: Reason) -> bool {
+fn is_worth_asking_on(node: &Node, made: &mut Made, reason: Reason) -> bool {
+    let overloaded = if node.cfg.has(Mechanism::SecondQueue) {
+        MAX_OVERLOADED
+    } else {
+        1
+    };
     if matches!(reason, Reason::Overload | Reason::Deadline) {
         made.overloaded += 1;
     }
-    made.tried.len() < MAX_REFUSALS && made.overloaded < MAX_OVERLOADED
+    made.tried.len() < MAX_REFUSALS && made.overloaded < overloaded
 }
 
 fn earn(node: &Node, call: &Call) {
--- a/crates/mesh/src/entry/throttle.rs
+++ b/crates/mesh/src/entry/throttle.rs
@@ -8,6 +8,7 @@
 use super::carry::Carried;
 use super::{FAILURE, MAX_ROUTES};
 use crate::journal::Times;
+use crate::mechanism::Mechanism;
 use crate::node::Node;
 use crate::wire::End;
 
@@ -18,6 +19,9 @@
 /// Whether a call is let through. Where too many routes are watched, the others are let
 /// through unwatched.
 pub(super) fn admits(node: &Node, call: &Call) -> bool {
+    if !node.cfg.has(Mechanism::Throttle) {
+        return true;
+    }
     let mut tables = node.entry.tables.borrow_mut();
     let draw = tables.rng.random();
     let throttles = &mut tables.throttles;
--- a/crates/mesh/src/executor/slot.rs
+++ b/crates/mesh/src/executor/slot.rs
@@ -6,6 +6,7 @@
 use tokio::sync::oneshot;
 
 use super::QUEUE_RETRY;
+use crate::mechanism::Mechanism;
 use crate::node::Node;
 use crate::wire::Attempt;
 
@@ -46,11 +47,16 @@
     deadline: Deadline,
 ) -> Result<Slot, Refusal> {
     let now = node.clock.now();
+    let objective = if node.cfg.has(Mechanism::QueueObjective) {
+        now + attempt.objective
+    } else {
+        deadline.expires()
+    };
     let ask = QueueAsk {
         attempt: attempt.id,
         kind: attempt.call.route.clone(),
         rank: attempt.call.priority,
-        objective: now + attempt.objective,
+        objective,
         expires: deadline.expires(),
     };
     let (verdict, pushed_out) = offer(node, ask, now);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -27,11 +27,13 @@
 mod in_force;
 mod journal;
 mod link;
+mod mechanism;
 mod node;
 mod wire;
 
 pub use config::{Addresses, MeshConfig};
 pub use dialect::Dialect;
 pub use host::{Cursor, Host, HostError, Update};
+pub use mechanism::{Mechanism, UnknownMechanism};
 pub use node::Mesh;
 pub use stoatstep_membership::{Birth, Heard, Heartbeat, life_name};
--- a/crates/mesh/src/link/pieces.rs
+++ b/crates/mesh/src/link/pieces.rs
@@ -9,7 +9,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 
 use super::MAX_FRAME;
-use super::uplink::SharedUplink;
+use super::uplink::{Order, SharedUplink};
 use crate::wire::AskId;
 
 /// First byte of a frame.
@@ -42,6 +42,7 @@
     id: AskId,
     rest: Bytes,
     is_urgent: bool,
+    order: Order,
 }
 
 /// What waits to be sent on one link.
@@ -78,13 +79,12 @@
         self.uplink.waits(bytes.len());
         let large = Large {
             id,
+            order: self.uplink.order(bytes.len()),
             rest: bytes,
             is_urgent,
         };
-        let ahead = self
-            .large
-            .iter()
-            .take_while(|it| it.is_urgent || !is_urgent);
+        let place = |it: &Large| (!it.is_urgent, it.order);
+        let ahead = self.large.iter().take_while(|it| place(it) < place(&large));
         let at = ahead.count();
         self.large.insert(at, large);
     }
@@ -106,8 +106,9 @@
 
     /// Waits until the next piece may go.
     pub(super) async fn turn(&self) {
-        if !self.large.front().is_some_and(|it| it.is_urgent) {
-            self.uplink.turn().await;
+        match self.large.front() {
+            Some(large) if !large.is_urgent => self.uplink.turn(large.order).await,
+            Some(_) | None => {}
         }
     }
 
--- /dev/null
+++ b/crates/mesh/src/mechanism.rs
@@ -0,0 +1,63 @@
+//! Mechanisms that can be switched off, to see what each is worth.
+
+use std::str::FromStr;
+
+/// What a daemon decides by. All of them are on unless a setting names them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Mechanism {
+    /// Part of a route's calls is refused while most of those let through fail.
+    Throttle,
+    /// Targets that fail often are left out for a while.
+    Ejection,
+    /// Queues refuse by the latency objective; without it, by the deadline.
+    QueueObjective,
+    /// A call refused by one queue is offered to a second one.
+    SecondQueue,
+    /// Calls with small answers leave their zone before those with large ones.
+    AnswerSize,
+    /// Calls are placed by the run time of their own route.
+    RouteTime,
+    /// Large answers go at the pace of the instance's link, and are refused where it has
+    /// no room.
+    LinkPace,
+}
+
+impl Mechanism {
+    /// Every mechanism.
+    pub const ALL: [Self; 7] = [
+        Self::Throttle,
+        Self::Ejection,
+        Self::QueueObjective,
+        Self::SecondQueue,
+        Self::AnswerSize,
+        Self::RouteTime,
+        Self::LinkPace,
+    ];
+
+    /// Its name in settings.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Throttle => "throttle",
+            Self::Ejection => "ejection",
+            Self::QueueObjective => "queue-objective",
+            Self::SecondQueue => "second-queue",
+            Self::AnswerSize => "answer-size",
+            Self::RouteTime => "route-time",
+            Self::LinkPace => "link-pace",
+        }
+    }
+}
+
+/// A setting names a mechanism that does not exist.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnknownMechanism;
+
+impl FromStr for Mechanism {
+    type Err = UnknownMechanism;
+
+    fn from_str(text: &str) -> Result<Self, UnknownMechanism> {
+        let named = |it: &Self| it.as_str() == text;
+        Self::ALL.into_iter().find(named).ok_or(UnknownMechanism)
+    }
+}
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -18,6 +18,7 @@
 use crate::host::Host;
 use crate::journal::Journal;
 use crate::link::{self, Links, SharedUplink};
+use crate::mechanism::Mechanism;
 use crate::{drain, fleet::gossip};
 use stoatstep_calls::Departure;
 use stoatstep_http::Server;
@@ -69,7 +70,11 @@
             None => None,
         };
         let clock = Clock::start();
-        let uplink = Rc::new(SharedUplink::new(cfg.link_bytes_per_s, clock));
+        let uplink = Rc::new(SharedUplink::new(
+            cfg.link_bytes_per_s
+                .filter(|_| cfg.has(Mechanism::LinkPace)),
+            clock,
+        ));
         let node = Rc::new(Node {
             links: Links::new(Rc::clone(&uplink), clock, log.clone()),
             uplink,
