--- a/crates/calls/src/answer.rs
+++ b/crates/calls/src/answer.rs
@@ -3,6 +3,9 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+/// Status from which an answer is a failure of its target.
+const FAILURE: u16 = 500;
+
 /// One header of an answer.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Header {
@@ -27,6 +30,12 @@
 }
 
 impl Answer {
+    /// Whether the target says that it failed.
+    #[must_use]
+    pub fn is_failure(&self) -> bool {
+        self.status >= FAILURE
+    }
+
     /// Bytes that keeping this answer takes, about.
     #[must_use]
     pub fn weight(&self) -> usize {
--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -257,7 +257,7 @@
 
 fn seen(ended: &Ended) -> Seen {
     let refusal = match &ended.end {
-        End::Answered(answer) if answer.status >= 500 => return Seen::Failed,
+        End::Answered(answer) if answer.is_failure() => return Seen::Failed,
         End::Answered(_) => return Seen::Answered,
         End::Refused(refusal) => refusal,
     };
--- a/crates/mesh/src/entry/carry.rs
+++ b/crates/mesh/src/entry/carry.rs
@@ -25,7 +25,7 @@
 
 /// The same for refusals by overload. Where two queues are too long, so most
 /// likely is the third.
-const MAX_OVERLOADED: usize = 2;
+const MAX_OVERLOADED: usize = 3;
 
 /// Least time that another attempt is worth starting for.
 const LEAST_TIME: Duration = Duration::from_millis(5);
@@ -132,7 +132,7 @@
     made.arrived += u32::from(ended.arrived);
     let idempotent = call.parts.idempotent;
     let may = match &ended.end {
-        End::Answered(answer) => idempotent && answer.status >= 500,
+        End::Answered(answer) => idempotent && answer.is_failure(),
         End::Refused(refusal) => match refusal.outcome() {
             Outcome::NotRun => is_worth_asking_on(node, made, refusal.reason),
             Outcome::Unknown | Outcome::Answered => {
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -34,9 +34,6 @@
 /// use a few dozen.
 const MAX_ROUTES: usize = 1024;
 
-/// Status from which a target's answer is a failure.
-const FAILURE: u16 = 500;
-
 pub(crate) struct Entry {
     tables: RefCell<Tables>,
 }
@@ -165,7 +162,7 @@
     let End::Answered(answer) = &carried.end else {
         return;
     };
-    if answer.status >= FAILURE || carried.attempts > 1 {
+    if answer.is_failure() || carried.attempts > 1 {
         return;
     }
     let answers = &mut node.entry.tables.borrow_mut().answers;
--- a/crates/mesh/src/entry/throttle.rs
+++ b/crates/mesh/src/entry/throttle.rs
@@ -4,9 +4,9 @@
 use stoatstep_calls::{Reason, Refusal, Throttle};
 use stoatstep_telemetry::fields;
 
+use super::MAX_ROUTES;
 use super::call::Call;
 use super::carry::Carried;
-use super::{FAILURE, MAX_ROUTES};
 use crate::journal::Times;
 use crate::mechanism::Mechanism;
 use crate::node::Node;
@@ -81,7 +81,7 @@
         return;
     };
     match end {
-        End::Answered(answer) if answer.status >= FAILURE => {}
+        End::Answered(answer) if answer.is_failure() => {}
         End::Answered(_) => throttle.good(now),
         End::Refused(refusal) if refusal.reason == Reason::TimedOut => {}
         End::Refused(_) => Throttle::unknown(throttle),
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -4,7 +4,9 @@
 //! call after the target's drain, and no more calls than it has slots are
 //! decided here, against what entries believe.
 
+mod answers;
 mod confirm;
+mod heard;
 mod run;
 mod slot;
 mod target;
@@ -17,12 +19,11 @@
 use rand::RngExt;
 use slog::Logger;
 use stoatstep_calls::{
-    Answer, Answers, Arrival, AttemptId, Deadline, Incarnation, Ledger, LedgerConfig, Occupancy,
-    Queue, Reason, Refusal, Settled, Ticket,
+    Answers, Arrival, AttemptId, Deadline, Incarnation, Ledger, LedgerConfig, Occupancy, Queue,
+    Reason, Refusal, Settled, Ticket,
 };
-use stoatstep_membership::{Announced, Birth, Heard, Heartbeat, LocalTarget};
+use stoatstep_membership::{Announced, LocalTarget};
 use stoatstep_resource::{RouteName, ServiceName};
-use stoatstep_telemetry::fields;
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
@@ -30,11 +31,10 @@
 use crate::node::Node;
 use crate::wire::{Attempt, End, Ran, WireSettled};
 pub(crate) use confirm::ask_target;
+use heard::learn;
+pub(crate) use heard::{hear, leave, target_left};
 use target::Target;
 
-/// Routes of whose answers is known what they are like; a target serves a few.
-const MAX_ROUTES: usize = 256;
-
 /// Slots of the target until it has said how many it has.
 const SLOTS_UNKNOWN: u32 = 1;
 
@@ -126,87 +126,6 @@
     }
 }
 
-/// Takes in a heartbeat of the target. Once it returns, no call is sent to a
-/// target that drains, so that its drain may be acked.
-pub(crate) fn hear(node: &Rc<Node>, beat: Heartbeat) -> Heard {
-    if !names_known_service(node, &beat) {
-        return Heard::UnknownService;
-    }
-    let slots = beat.slots;
-    let heard = learn(node, |target, now| target.hear(beat, now));
-    if heard == Heard::Taken {
-        node.executor.tables.borrow_mut().queue.set_slots(slots);
-    }
-    ask_target(node);
-    heard
-}
-
-/// Whether the configuration has the service. Before there is one every service may
-/// be; without the check, one heartbeat of another writer under the target's id would
-/// take the target out of its service until the next of its own.
-fn names_known_service(node: &Node, beat: &Heartbeat) -> bool {
-    let Some(in_force) = node.fleet.in_force() else {
-        return true;
-    };
-    in_force.service(&beat.service).is_some()
-}
-
-/// The target said good-bye under this id.
-pub(crate) fn target_left(node: &Node, id: &str, born: Option<Birth>) {
-    let life = node.executor.tables.borrow().upstream.life_meant(id, born);
-    leave(node, &life);
-}
-
-/// A life of the target said good-bye, here or to the process before this one.
-pub(crate) fn leave(node: &Node, upstream: &str) {
-    let is_news = learn(node, |target, _| target.leave(upstream));
-    if is_news {
-        slog::info!(node.log, "target leaves"; fields::UPSTREAM => upstream);
-    }
-}
-
-/// Has `change` act on what is known of the target, and on the queue what follows
-/// from it.
-fn learn<T>(node: &Node, change: impl FnOnce(&mut LocalTarget, stoatstep_calls::Time) -> T) -> T {
-    let now = node.clock.now();
-    let mut tables = node.executor.tables.borrow_mut();
-    let before = tables.upstream.admits(now).cloned();
-    let learned = change(&mut tables.upstream, now);
-    let after = tables.upstream.admits(now).cloned();
-    drop(tables);
-    if let Some(change) = changed_target(before, after) {
-        // Idle connections led to the life before, if they lead anywhere.
-        node.executor.target.forget_connections();
-        slog::info!(node.log, "target"; fields::UPSTREAM => %change.upstream,
-            fields::SERVICE => %change.service, fields::SLOTS => change.slots,
-            fields::SEQUENCE => change.sequence, fields::DRAINING => change.draining);
-    }
-    flush_if_closed(node);
-    learned
-}
-
-/// The target that is announced now, where another one or none was before.
-fn changed_target(before: Option<Heartbeat>, after: Option<Heartbeat>) -> Option<Heartbeat> {
-    let id = |beat: &Option<Heartbeat>| beat.as_ref().map(|it| it.upstream.clone());
-    if id(&before) == id(&after) {
-        return None;
-    }
-    after.or(before.map(|it| Heartbeat {
-        draining: true,
-        ..it
-    }))
-}
-
-/// What waits for a target that takes no new calls is better off elsewhere, and
-/// must not be sent to it after its drain was acked.
-fn flush_if_closed(node: &Node) {
-    let now = node.clock.now();
-    let is_open = node.executor.tables.borrow().upstream.admits(now).is_some();
-    if !is_open {
-        slot::flush(node, Reason::Draining);
-    }
-}
-
 /// How an attempt came, and its answer goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Way {
@@ -230,7 +149,7 @@
     match arrive(node, &attempt, way) {
         Ok(()) => {
             if way == Way::Link {
-                expect_answer(node, &attempt);
+                answers::expect(node, &attempt);
             }
             Ok(run::start(node, attempt))
         }
@@ -258,7 +177,7 @@
         return Err(End::Refused(refusal));
     }
     if way == Way::Link {
-        fits_link(node, &tables, attempt)?;
+        answers::fits_link(node, &tables, attempt)?;
     }
     match tables.ledger.arrive(attempt.id, attempt.ticket, now) {
         Arrival::New => Ok(()),
@@ -268,39 +187,6 @@
     }
 }
 
-/// Refuses a call whose answer the instance's link could not deliver in time, before the
-/// target works for it.
-fn fits_link(node: &Node, tables: &Tables, attempt: &Attempt) -> Result<(), End> {
-    let answers = tables.answers.get(&attempt.call.route).copied();
-    let answers = answers.unwrap_or_default();
-    let run = answers.run().unwrap_or_default();
-    let within = if attempt.objective.is_zero() {
-        attempt.left
-    } else {
-        attempt.objective
-    };
-    let taken = node
-        .uplink
-        .read(|it| it.takes(answers.bytes(), run, within));
-    taken.map_err(|after| End::Refused(Refusal::retry(Reason::Overload, after)))
-}
-
-fn expect_answer(node: &Node, attempt: &Attempt) {
-    let tables = node.executor.tables.borrow();
-    let answers = tables.answers.get(&attempt.call.route);
-    let bytes = answers.map_or(0.0, Answers::bytes);
-    drop(tables);
-    node.uplink.expects(attempt.id, bytes);
-}
-
-/// What the next answers of the route will be like.
-fn learn_answer(tables: &mut Tables, route: &RouteName, answer: &Answer, run: Duration) {
-    if tables.answers.len() < MAX_ROUTES || tables.answers.contains_key(route) {
-        let answers = tables.answers.entry(route.clone()).or_default();
-        answers.record(answer.body.len(), run);
-    }
-}
-
 fn lost() -> End {
     End::Refused(Refusal::permanent(Reason::LostAnswer))
 }
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -8,7 +8,7 @@
 use tokio::time::timeout;
 
 use super::target::TargetEnd;
-use super::{QUEUE_RETRY, Run, Tables, learn_answer, slot};
+use super::{QUEUE_RETRY, Run, Tables, answers, slot};
 use crate::drain::InFlight;
 use crate::journal::{RunFailed, Times};
 use crate::node::Node;
@@ -17,9 +17,6 @@
 /// Largest answer that is kept for an entry whose link broke.
 const MAX_KEPT: usize = 256 << 10;
 
-/// Status from which a target's answer is a failure.
-const FAILURE: u16 = 500;
-
 /// How a run ended, and where its time went.
 struct Report {
     end: End,
@@ -206,9 +203,9 @@
     node.uplink.ended(attempt.id);
     let mut tables = node.executor.tables.borrow_mut();
     if let End::Answered(answer) = &report.end
-        && answer.status < FAILURE
+        && !answer.is_failure()
     {
-        learn_answer(&mut tables, &attempt.call.route, answer, report.at_target);
+        answers::learn(&mut tables, &attempt.call.route, answer, report.at_target);
     }
     record(&mut tables, attempt, &report.end);
     let run = tables.runs.remove(&attempt.id);
--- a/crates/mesh/src/journal.rs
+++ b/crates/mesh/src/journal.rs
@@ -125,7 +125,7 @@
         self.measure(ended);
         let is_late = ended.times.total > ended.objective;
         let kind = match ended.end {
-            End::Answered(answer) if answer.status >= 500 => "failed",
+            End::Answered(answer) if answer.is_failure() => "failed",
             End::Answered(_) if is_late => "late",
             End::Answered(_) => "answered",
             End::Refused(refusal) => refusal.reason.as_str(),
