Bound the loop of a test, and say where two thresholds come from

The test of what a link cannot deliver went on for ever where nothing is refused, which is how it met the code without that refusal. It now ends with a failure of its own. The other change is to comments.

--- a/crates/calls/src/placement.rs
+++ b/crates/calls/src/placement.rs
@@ -29,11 +29,14 @@
 const STAY_SHARE: f64 = 0.6;
 
 /// Share of the time to the objective that another zone has to save before a call
-/// with a small answer goes there.
+/// with a small answer goes there: some milliseconds, or a gain of nothing would cost
+/// bytes. What it leaves makes room for the large answers of its zone.
 const SPILL_SHARE: f64 = 0.05;
 
 /// Bytes of an answer for which another zone has to save the whole time to the
-/// objective.
+/// objective. It lies between the answers that leave first, of a few KB, and downloads
+/// of some 90 KB. Over five days with trouble and three seeds each, placing by bytes
+/// raised the mean worth from 0.555 to 0.561; see `docs/design/further.md`.
 const SPILL_BYTES: f64 = 32_768.0;
 
 /// The same as `STAY_SHARE`, for a call whose answer is this large or larger. One that
--- a/crates/calls/tests/all/uplink.rs
+++ b/crates/calls/tests/all/uplink.rs
@@ -36,6 +36,7 @@
             Err(after) => break after,
         }
         taken += 1;
+        assert!(taken < 100, "nothing is refused");
     };
     assert_eq!(taken, 6, "six times 89 ms");
     assert!(after < MS * 89, "{after:?}");
