Ask the host less while a fleet starts

Cause: a start of 295 makes 1,306 calls to the store: each daemon writes its row, reads the list, reads the configuration, and opens a wait for changes, since it takes itself for a poller until it has met its zone.

Change: where the fleet starts for the first time, looks and first questions are spread, and whoever was found by a peer does not look; otherwise the list is read first, and a row that a former process left stays. Waiting for changes begins once the zone is met.

Ruled out: one directory row a zone (one call a daemon, but a new protocol with the store); a spread after a loss of power, when callers wait.

Tests: 103 calls for 24 daemons before, at most 56 now; a row written again before.

--- a/crates/calls/src/placement/seen.rs
+++ b/crates/calls/src/placement/seen.rs
@@ -26,7 +26,7 @@
 const RUN_LIFE_A_TARGET: Duration = Duration::from_secs(1);
 
 /// Longest such age: a target that is well again is in use within a minute.
-const LONGEST_RUN_LIFE: Duration = Duration::from_secs(60);
+const LONGEST_RUN_LIFE: Duration = Duration::from_mins(1);
 
 /// Age at which a reported run time no longer counts, among so many targets of a zone.
 pub(super) fn run_life(targets: usize) -> Duration {
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -188,6 +188,14 @@
         &self.table
     }
 
+    /// Whether rows that only the platform showed name members of the own zone that were
+    /// not met yet: some of them live, and this daemon's view of its zone is a part.
+    #[must_use]
+    pub fn is_meeting_zone(&self) -> bool {
+        let mut entries = self.table.iter();
+        entries.any(|(_, entry)| !entry.confirmed && self.is_own_zone(entry))
+    }
+
     /// What this daemon holds.
     #[must_use]
     pub fn mark(&self) -> Mark {
--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -43,6 +43,7 @@
     pub(crate) metrics: Option<SocketAddr>,
     pub(crate) link_bytes_per_s: Option<f64>,
     pub(crate) without: BTreeSet<Mechanism>,
+    pub(crate) is_first_start: bool,
 }
 
 /// What all daemons together may add to a service's load by retries.
@@ -81,6 +82,7 @@
             metrics: None,
             link_bytes_per_s: None,
             without: BTreeSet::new(),
+            is_first_start: false,
         }
     }
 
@@ -134,6 +136,14 @@
         self
     }
 
+    /// Whether the whole fleet starts for the first time, before it has callers. Default:
+    /// no. Daemons then take their time over finding each other, and ask the host less.
+    #[must_use]
+    pub fn first_start(mut self, is_first_start: bool) -> Self {
+        self.is_first_start = is_first_start;
+        self
+    }
+
     /// What all daemons together may add to a service's load by retries: this
     /// many for each hundred requests, and `slack` on top. Default 20 and 10.
     #[must_use]
--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -39,6 +39,20 @@
 const OWN_PAUSE: Duration = Duration::from_secs(1);
 const IDLE_PAUSE: Duration = Duration::from_millis(500);
 
+/// Age of the process from which it waits for changes on behalf of its zone although it
+/// may not have met its zone. Until it has, it takes itself for one of the two that do,
+/// and in a start of all every daemon would open a wait that lasts for seconds: 295 calls
+/// to the host for nothing. What is written meanwhile is seen when the wait begins, since
+/// it goes on from the first read.
+const MEETS_ZONE_WITHIN: Duration = Duration::from_secs(2);
+
+/// How often a daemon looks whether it has met its zone, or whether its turn has come.
+const START_STEP: Duration = Duration::from_millis(100);
+
+/// Time over which the first questions of a fleet that starts for the first time are
+/// spread. Nobody calls yet, and most daemons have the configuration from a peer before.
+const FIRST_START_SPREAD: Duration = Duration::from_millis(2500);
+
 /// Pause after a change. Changes in quick succession are then fetched a few at a
 /// time, and still come into force well within two seconds.
 const GAP: Duration = Duration::from_millis(500);
@@ -63,6 +77,7 @@
 /// Two daemons of each zone wait for changes and tell the others; see
 /// [`PollRole`]. A daemon that has nothing yet asks at once, whatever its role.
 pub(crate) async fn run<H: Host>(node: Rc<Node>, host: Rc<H>) {
+    first_turn(&node).await;
     let mut cursor = None;
     let mut failures: u32 = 0;
     let mut last_failure = None;
@@ -73,6 +88,10 @@
             tokio::time::sleep(IDLE_PAUSE).await;
             continue;
         }
+        if cursor.is_some() && is_meeting_zone(&node) {
+            tokio::time::sleep(START_STEP).await;
+            continue;
+        }
         let asked = tokio::select! {
             asked = ask(&*host, cursor) => asked,
             // Changes were missed, and the connection may be gone.
@@ -114,6 +133,17 @@
     }
 }
 
+/// Waits for this daemon's turn in a first start, or for a peer to be faster.
+async fn first_turn(node: &Node) {
+    if !node.cfg.is_first_start {
+        return;
+    }
+    let turn = FIRST_START_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+    while node.clock.now() < turn && node.fleet.in_force().is_none() {
+        tokio::time::sleep(START_STEP).await;
+    }
+}
+
 /// One line where the host is lost, and one for each answer that makes no sense. A
 /// document that makes none stays until the operator writes another, and is read
 /// about three times a second until then.
@@ -131,6 +161,13 @@
     }
 }
 
+/// Whether this daemon most likely knows but a part of its zone.
+fn is_meeting_zone(node: &Node) -> bool {
+    let is_young = node.clock.now() < MEETS_ZONE_WITHIN;
+    let membership = node.fleet.membership.borrow();
+    is_young && (node.cfg.is_first_start || membership.is_meeting_zone())
+}
+
 fn role(node: &Node) -> PollRole {
     let membership = node.fleet.membership.borrow();
     let zone = membership.table().in_zone(&node.cfg.zone);
--- a/crates/mesh/src/fleet/roster.rs
+++ b/crates/mesh/src/fleet/roster.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use stoatstep_membership::Input;
+use stoatstep_membership::{Input, Row};
 use stoatstep_telemetry::fields;
 use tokio::time::timeout;
 
@@ -27,6 +27,13 @@
 /// Longest pause between two looks of a daemon that knows nobody.
 const LONGEST_ALONE: Duration = Duration::from_secs(30);
 
+/// Doublings of the pause, at most; by then it is the longest one.
+const MAX_DOUBLINGS: u32 = 8;
+
+/// Time over which the first looks of a fleet that starts for the first time are spread.
+/// Nobody calls yet, and whoever was found by one that looked earlier need not look.
+const FIRST_START_SPREAD: Duration = Duration::from_secs(2);
+
 /// Keeps this instance on the list, and looks at it while no peer is known.
 pub(crate) async fn run<H: Host>(node: Rc<Node>, host: Rc<H>) {
     let mut roster = Roster {
@@ -61,29 +68,53 @@
 impl<H: Host> Roster<H> {
     /// Does what is due and returns the time until the next step.
     async fn step(&mut self) -> Duration {
-        if !self.is_announced {
-            let announcement = self.node.fleet.membership.borrow().announcement();
-            let written = self.say("announced", self.host.announce(&announcement));
-            self.is_announced = written.await.is_some();
+        if self.node.cfg.is_first_start && !self.is_announced {
+            if !self.announce().await {
+                return RETRY;
+            }
+            return FIRST_START_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
         }
         let is_alone = self.node.fleet.size() == 1;
-        // Whoever announces itself before it looks is on the list of all that look
-        // later, so of any two daemons at least one finds the other.
-        if self.looks > 0 && !is_alone {
-            return if self.is_announced {
-                LONGEST_ALONE
-            } else {
-                RETRY
-            };
+        let wants_look = is_alone || self.looks == 0 && !self.node.cfg.is_first_start;
+        if !wants_look {
+            // An instance that met the fleet has to be found by those that start later.
+            let is_announced = self.is_announced || self.announce().await;
+            return if is_announced { LONGEST_ALONE } else { RETRY };
         }
-        let Some(rows) = self.say("read", self.host.roster()).await else {
+        if !self.look().await {
             return RETRY;
+        }
+        if !self.is_announced && !self.announce().await {
+            return RETRY;
+        }
+        let doublings = self.looks.min(MAX_DOUBLINGS) - 1;
+        (SECOND_LOOK * (1 << doublings)).min(LONGEST_ALONE)
+    }
+
+    /// Looks at the list; `false` where there was no answer.
+    ///
+    /// A row that a former process of this instance left says where to knock as well as a
+    /// new one would, so it stays as it is: where 295 instances lose power at once, that
+    /// saves a write of each. Two that look before either is on the list miss each other,
+    /// but are then alone, and look again.
+    async fn look(&mut self) -> bool {
+        let Some(rows) = self.say("read", self.host.roster()).await else {
+            return false;
         };
-        let rows = rows.into_iter().map(|it| it.row).collect();
+        let rows: Vec<_> = rows.into_iter().map(|it| it.row).collect();
+        let cfg = &self.node.cfg;
+        let is_own = |it: &Row| it.instance == cfg.instance && it.peer == cfg.addresses.peers;
+        self.is_announced |= rows.iter().any(is_own);
         gossip::input(&self.node, Input::Announced { rows });
         self.looks += 1;
-        let doublings = self.looks.min(8) - 1;
-        (SECOND_LOOK * (1 << doublings)).min(LONGEST_ALONE)
+        true
+    }
+
+    async fn announce(&mut self) -> bool {
+        let announcement = self.node.fleet.membership.borrow().announcement();
+        let written = self.say("announced", self.host.announce(&announcement));
+        self.is_announced = written.await.is_some();
+        self.is_announced
     }
 
     async fn delete_forgotten(&self) {
