stoatctl calls adds up what callers got, by route and span of time

Figures by route were read off log lines by scripts that nobody kept. The log line that both commands read is one type now. Golden test on stored lines.

--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -1,14 +1,13 @@
 //! `stoatctl explain`: tells from log lines what became of one request.
 
-use std::collections::BTreeMap;
 use std::fmt;
 use std::io::{BufRead, stdin};
 
-use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use serde::Serialize;
 use stoatstep_settings::{Program, Stop, Values};
 use stoatstep_telemetry::fields;
 
+use super::log_line::Line;
 use super::operands;
 use crate::console::Console;
 use crate::exit::Exit;
@@ -32,36 +31,6 @@
     Ok(Options { request })
 }
 
-/// One log line, as far as this command reads it.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-struct Line {
-    ts: String,
-    msg: String,
-    #[serde(flatten)]
-    fields: BTreeMap<String, Value>,
-}
-
-impl Line {
-    fn text(&self, key: &str) -> String {
-        match self.fields.get(key) {
-            Some(Value::String(text)) => text.clone(),
-            Some(value) => value.to_string(),
-            None => String::new(),
-        }
-    }
-
-    fn number(&self, key: &str) -> u64 {
-        self.fields
-            .get(key)
-            .and_then(Value::as_u64)
-            .unwrap_or_default()
-    }
-
-    fn flag(&self, key: &str) -> bool {
-        self.fields.get(key) == Some(&Value::Bool(true))
-    }
-}
-
 /// What became of one request, in order.
 #[derive(Serialize)]
 struct Report {
@@ -82,8 +51,6 @@
     Ok(exit)
 }
 
-/// Lines of other programs, and what comes before a line's first brace (a name or
-/// time that a collector added), are passed over.
 fn read(request: &str, input: impl BufRead) -> Result<Report, Failure> {
     let mut report = Report {
         request: request.to_owned(),
@@ -95,8 +62,7 @@
         if !line.contains(request) {
             continue;
         }
-        let json = line.find('{').map(|at| &line[at..]).unwrap_or_default();
-        let Ok(line) = serde_json::from_str::<Line>(json) else {
+        let Some(line) = Line::read(&line) else {
             continue;
         };
         if line.text(fields::REQUEST) == request {
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -1,10 +1,12 @@
 //! The commands and how they are chosen.
 
 mod apply;
+mod calls;
 mod delete;
 mod drain;
 mod explain;
 mod get;
+mod log_line;
 mod operands;
 mod status;
 mod submit;
@@ -31,9 +33,10 @@
     Status(status::Options),
     Drain(drain::Options),
     Explain(explain::Options),
+    Calls(calls::Options),
 }
 
-const PROGRAMS: [&Program; 8] = [
+const PROGRAMS: [&Program; 9] = [
     &validate::PROGRAM,
     &apply::PROGRAM,
     &get::PROGRAM,
@@ -42,6 +45,7 @@
     &status::PROGRAM,
     &drain::PROGRAM,
     &explain::PROGRAM,
+    &calls::PROGRAM,
 ];
 
 /// Runs the command that the arguments name.
@@ -93,6 +97,7 @@
         "status" => with_output(read(&status::PROGRAM)?, status::options, Command::Status),
         "drain" => with_output(read(&drain::PROGRAM)?, drain::options, Command::Drain),
         "explain" => with_output(read(&explain::PROGRAM)?, explain::options, Command::Explain),
+        "calls" => with_output(read(&calls::PROGRAM)?, calls::options, Command::Calls),
         _ => Err(usage(&name, "is no command; see stoatctl --help")),
     }
 }
@@ -162,5 +167,6 @@
         Command::Status(options) => status::run(options, console).await,
         Command::Drain(options) => drain::run(options, console).await,
         Command::Explain(options) => explain::run(&options, console),
+        Command::Calls(options) => calls::run(&options, console),
     }
 }
--- a/tests/all/explain.rs
+++ b/tests/all/explain.rs
@@ -7,14 +7,16 @@
 const LINES: &str = include_str!("../logs/three-failures.jsonl");
 
 fn explain(request: &str) -> (bool, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_stoatctl"))
-        .args(["explain", request])
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .spawn()
-        .expect("the program starts");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_stoatctl"));
+    read_lines(command.args(["explain", request]), LINES)
+}
+
+/// Has a command read these lines; gives whether it succeeded, and what it printed.
+pub(crate) fn read_lines(command: &mut Command, lines: &str) -> (bool, String) {
+    let command = command.stdin(Stdio::piped()).stdout(Stdio::piped());
+    let mut child = command.spawn().expect("the program starts");
     let mut stdin = child.stdin.take().expect("a pipe");
-    stdin.write_all(LINES.as_bytes()).expect("it reads");
+    stdin.write_all(lines.as_bytes()).expect("it reads");
     drop(stdin);
     let output = child.wait_with_output().expect("it ends");
     let text = String::from_utf8(output.stdout).expect("text");
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod handover;
 mod http;
 mod lifecycle;
+mod log_calls;
 mod operators;
 mod process;
 mod process_rules;
