--- a/crates/calls/src/placement.rs
+++ b/crates/calls/src/placement.rs
@@ -214,6 +214,6 @@
     };
     let samples = rows.len().div_ceil(ONE_SAMPLE_IN);
     let samples = samples.clamp(LEAST_SAMPLES, MOST_SAMPLES);
-    let sampled = (0..samples).map(|it| rows[(first + it * step) % rows.len()]);
-    sampled.min_by_key(|row| time_to_answer(row, typical, now))
+    let drawn = (0..samples).map(|it| rows[(first + it * step) % rows.len()]);
+    drawn.min_by_key(|row| time_to_answer(row, typical, now))
 }
--- a/crates/calls/tests/all/placement.rs
+++ b/crates/calls/tests/all/placement.rs
@@ -203,7 +203,7 @@
         .map(|(_, n)| *n)
         .sum();
     assert!(
-        slow * 100 < all * 18,
+        slow * 100 < all * 6,
         "{slow} of {all} calls went to slow targets"
     );
 }
