--- a/crates/membership/tests/all/failures.rs
+++ b/crates/membership/tests/all/failures.rs
@@ -368,7 +368,7 @@
     for (zone, n) in (1..3).flat_map(|zone| (0..12).map(move |n| (zone, n))) {
         fleet.start(member(zone, n, 2000), &all);
     }
-    fleet.run(Duration::from_secs(60));
+    fleet.run(Duration::from_mins(1));
     let (dark, living) = zone.split_at(6);
     for n in living {
         fleet.start(member(0, *n, 2000), &all);
