--- a/crates/calls/src/placement.rs
+++ b/crates/calls/src/placement.rs
@@ -71,18 +71,9 @@
     }
 }
 
-/// Candidates of a zone that are looked at, at least. The best of all would draw every
+/// Candidates of a zone that are looked at. The best of all would draw every
 /// entry to the same target until its next answer.
-const LEAST_SAMPLES: usize = 2;
-
-/// Of more candidates one in so many is looked at. A third of the targets may be twice as
-/// slow as the others: of two drawn both are slow for every ninth call, of four hardly
-/// ever. On a quiet day of 295 instances late answers of the longest kind went from 6.4 to
-/// 4.9 in 100 with four of 37 looked at in place of two (one play each).
-const ONE_SAMPLE_IN: usize = 10;
-
-/// Candidates that are looked at, at most. What is known of more of them is older.
-const MOST_SAMPLES: usize = 4;
+const SAMPLES: usize = 2;
 
 /// How an attempt ended, as far as it tells about the target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -212,8 +203,6 @@
         1 => 0,
         len => rng.random_range(1..len),
     };
-    let samples = rows.len().div_ceil(ONE_SAMPLE_IN);
-    let samples = samples.clamp(LEAST_SAMPLES, MOST_SAMPLES);
-    let drawn = (0..samples).map(|it| rows[(first + it * step) % rows.len()]);
+    let drawn = (0..SAMPLES).map(|it| rows[(first + it * step) % rows.len()]);
     drawn.min_by_key(|row| time_to_answer(row, typical, now))
 }
