Ask a few targets of the zone beside each call how occupied they are

Cause: an entry meets each of its 17 targets about once a second, and what it knows of one lives half a second, so it chose as good as blindly.

Change: beside each call three targets of the own zone are asked; the answers are compared for the next calls while they are fresh. It can be switched off as load-probes.

--- a/crates/calls/src/candidates.rs
+++ b/crates/calls/src/candidates.rs
@@ -210,13 +210,22 @@
         }
     }
 
+    /// The row of one upstream.
+    pub(crate) fn row(
+        &mut self,
+        service: &ServiceName,
+        upstream: &UpstreamName,
+    ) -> Option<&mut Row<S>> {
+        self.services.get_mut(service)?.get_mut(upstream)
+    }
+
     /// An attempt was sent to this one.
     pub(crate) fn started(
         &mut self,
         service: &ServiceName,
         upstream: &UpstreamName,
     ) -> Option<&mut Row<S>> {
-        let row = self.services.get_mut(service)?.get_mut(upstream)?;
+        let row = self.row(service, upstream)?;
         row.in_flight += 1;
         Some(row)
     }
--- a/crates/calls/src/placement.rs
+++ b/crates/calls/src/placement.rs
@@ -73,6 +73,11 @@
     }
 }
 
+/// Share of the time to the objective by which answers may differ and count as equally
+/// soon. Callers don't notice, and a target that is a little slower than the fastest one,
+/// or has just joined, would else stand idle while all are.
+const EVEN_SHARE: f64 = 0.05;
+
 /// Candidates of a zone that are looked at. The best of all would draw every
 /// entry to the same target until its next answer.
 const SAMPLES: usize = 2;
@@ -132,6 +137,46 @@
         Some(self.candidates.pick(chosen))
     }
 
+    /// Targets of the own zone that are worth asking how occupied they are: up to
+    /// `count`, drawn from those of which nothing was heard in the last moments. They
+    /// count as asked from now on.
+    pub fn to_ask(
+        &mut self,
+        service: &ServiceName,
+        among: Among<'_>,
+        count: usize,
+        now: Time,
+        rng: &mut dyn Rng,
+    ) -> Vec<UpstreamName> {
+        let Some(open) = self.candidates.open(service, &[], among, now) else {
+            return Vec::new();
+        };
+        let near = open.near.iter().filter(|it| it.seen.is_worth_asking(now));
+        let mut names: Vec<UpstreamName> = near.map(|it| it.name.clone()).collect();
+        while names.len() > count {
+            names.swap_remove(rng.random_range(0..names.len()));
+        }
+        for name in &names {
+            if let Some(row) = self.candidates.row(service, name) {
+                row.seen.asked(now);
+            }
+        }
+        names
+    }
+
+    /// An executor said, asked beside calls, how occupied it is.
+    pub fn told(
+        &mut self,
+        service: &ServiceName,
+        upstream: &UpstreamName,
+        occupancy: Occupancy,
+        now: Time,
+    ) {
+        if let Some(row) = self.candidates.row(service, upstream) {
+            row.seen.told(occupancy, now);
+        }
+    }
+
     /// An attempt was sent.
     pub fn started(&mut self, service: &ServiceName, upstream: &UpstreamName) {
         if let Some(row) = self.candidates.started(service, upstream) {
@@ -173,7 +218,8 @@
         run: wish.run,
         bytes: wish.answer_bytes,
     };
-    let Some(near) = soonest(&open.near, typical, now, rng) else {
+    let even = wish.objective.mul_f64(EVEN_SHARE);
+    let Some(near) = soonest_known(&open.near, typical, even, now, rng) else {
         return soonest(&open.far, typical, now, rng);
     };
     let Some(far) = soonest(&open.far, typical, now, rng) else {
@@ -193,6 +239,33 @@
     sum / u32::try_from(known.len().max(1)).unwrap_or(1)
 }
 
+/// The one that would answer soonest among all of which something was heard in the last
+/// moments, or among a few random ones where that is hardly any.
+///
+/// Without fresh words an entry that meets each of its 17 targets once a second chooses
+/// as good as blindly: with 6 slots a target and four fifths of them in use, calls wait at
+/// one while slots idle at the next.
+fn soonest_known<'a>(
+    rows: &[&'a Row],
+    typical: Typical,
+    even: Duration,
+    now: Time,
+    rng: &mut dyn Rng,
+) -> Option<&'a Row> {
+    let known = rows.iter().copied().filter(|it| it.seen.is_fresh(now));
+    let known: Vec<_> = known.collect();
+    if known.len() < SAMPLES {
+        return soonest(rows, typical, now, rng);
+    }
+    let timed = known
+        .into_iter()
+        .map(|row| (time_to_answer(row, typical, now), row));
+    let mut timed: Vec<_> = timed.collect();
+    let best = timed.iter().map(|(time, _)| *time).min()?;
+    timed.retain(|(time, _)| *time <= best + even);
+    Some(timed[rng.random_range(0..timed.len())].1)
+}
+
 /// The one of a few random candidates that would answer soonest.
 fn soonest<'a>(
     rows: &[&'a Row],
--- a/crates/calls/src/placement/seen.rs
+++ b/crates/calls/src/placement/seen.rs
@@ -15,6 +15,13 @@
 /// Age at which a reported occupancy no longer counts: a few run times.
 const OCCUPANCY_LIFE: Duration = Duration::from_millis(500);
 
+/// Age up to which words of several targets are compared. In that time a target with 6
+/// slots and runs of 200 ms gets some three calls from all entries.
+const FRESH: Duration = Duration::from_millis(100);
+
+/// Age of the last word, or of the last question, from which a target is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(50);
+
 /// Least age at which a reported run time no longer counts. A slow target is left alone
 /// for so long, and then tried again as if it were like the others.
 const LEAST_RUN_LIFE: Duration = Duration::from_secs(3);
@@ -69,6 +76,8 @@
     sent_since: u32,
     /// What its executor said last, and when.
     reported: Option<(Occupancy, Time)>,
+    /// When it was last asked how occupied it is.
+    asked: Option<Time>,
     full_until: Time,
     /// Share of failures, the newer ones weighing more.
     failures: f64,
@@ -79,6 +88,31 @@
         self.sent_since += 1;
     }
 
+    /// It was asked how occupied it is.
+    pub(super) fn asked(&mut self, now: Time) {
+        self.asked = Some(now);
+    }
+
+    /// It said how occupied it is.
+    pub(super) fn told(&mut self, occupancy: Occupancy, now: Time) {
+        self.reported = Some((occupancy, now));
+        self.sent_since = 0;
+    }
+
+    /// Whether its last word is so fresh that it can be compared with others by it.
+    pub(super) fn is_fresh(&self, now: Time) -> bool {
+        self.reported
+            .is_some_and(|(_, at)| now.saturating_sub(at) < FRESH)
+    }
+
+    /// Whether a question now would bring news.
+    pub(super) fn is_worth_asking(&self, now: Time) -> bool {
+        let is_recent = |at: Time| now.saturating_sub(at) < ASK_AGAIN;
+        let was_asked = self.asked.is_some_and(is_recent);
+        let was_heard = self.reported.is_some_and(|(_, at)| is_recent(at));
+        !was_asked && !was_heard
+    }
+
     /// Mean time of a run, where it is known and recent.
     pub(super) fn service(&self, life: Duration, now: Time) -> Option<Duration> {
         let (reported, at) = self.reported?;
@@ -162,8 +196,7 @@
     now: Time,
 ) -> Option<Duration> {
     if let Some(occupancy) = occupancy {
-        row.seen.reported = Some((occupancy, now));
-        row.seen.sent_since = 0;
+        row.seen.told(occupancy, now);
     }
     match seen {
         Seen::Answered => succeeded(row),
--- a/crates/calls/tests/all/placement.rs
+++ b/crates/calls/tests/all/placement.rs
@@ -54,6 +54,13 @@
         picked.map(|it| it.upstream)
     }
 
+    /// Targets that would be asked beside a call.
+    fn asked(&mut self, now: Duration) -> Vec<UpstreamName> {
+        let rng = &mut self.rng;
+        let among = self.wish.among;
+        self.placement.to_ask(&service(), among, 3, now, rng)
+    }
+
     fn saw(
         &mut self,
         name: &str,
@@ -263,3 +270,87 @@
     entry.saw("two", Seen::Leaving, None, NOW);
     assert_eq!(entry.pick(&[], NOW), None);
 }
+
+/// 17 targets of a zone, one of which has free slots; the entry has not called it for a
+/// while. Choosing among two at random it would find it once in nine calls, and the others
+/// would wait. It asks three at a time, beside its calls, and sends the next call there.
+#[test]
+fn a_target_that_said_it_is_free_gets_the_next_call() {
+    let names: Vec<String> = (0..17).map(|n| format!("target-{n}")).collect();
+    let list: Vec<_> = names.iter().map(|name| candidate(name, "a")).collect();
+    let mut entry = Entry::new(&list);
+    let mut now = NOW;
+    let mut asked_for = 0;
+    while entry.pick(&[], now).as_deref() != Some("target-11") || asked_for < 17 {
+        for name in entry.asked(now) {
+            let running = if name == "target-11" { 2 } else { 10 };
+            let occupancy = occupied(running, 5, 100);
+            entry.placement.told(&service(), &name, occupancy, now);
+            asked_for += 1;
+        }
+        now += MS * 10;
+        assert!(now < NOW + Duration::from_secs(2), "never found");
+    }
+    let shares = entry.shares(now);
+    assert_eq!(shares.get("target-11"), Some(&1_000));
+}
+
+#[test]
+fn a_target_is_not_asked_again_at_once() {
+    let mut entry = Entry::new(&[candidate("one", "a"), candidate("two", "a")]);
+    assert_eq!(entry.asked(NOW).len(), 2);
+    assert_eq!(entry.asked(NOW + MS), Vec::<UpstreamName>::new());
+    assert_eq!(entry.asked(NOW + MS * 60).len(), 2);
+}
+
+#[test]
+fn targets_of_other_zones_are_not_asked() {
+    let mut entry = Entry::new(&[candidate("near", "a"), candidate("far", "b")]);
+    assert_eq!(entry.asked(NOW), [UpstreamName::new("near")]);
+}
+
+/// Words of a second ago say nothing of the slots now: the entry goes back to looking at
+/// two at random, and does not send everything to the one that was free then.
+#[test]
+fn old_words_are_not_compared() {
+    let names: Vec<String> = (0..6).map(|n| format!("target-{n}")).collect();
+    let list: Vec<_> = names.iter().map(|name| candidate(name, "a")).collect();
+    let mut entry = Entry::new(&list);
+    for name in &names {
+        let running = if name == "target-1" { 0 } else { 10 };
+        let name = UpstreamName::new(name);
+        entry
+            .placement
+            .told(&service(), &name, occupied(running, 5, 100), NOW);
+    }
+    assert_eq!(entry.shares(NOW).len(), 1);
+    assert!(entry.shares(NOW + Duration::from_secs(1)).len() > 3);
+}
+
+/// A bad version's targets stand idle. They are neither asked nor called.
+#[test]
+fn only_targets_that_the_call_may_go_to_are_called() {
+    let mut new = candidate("new", "a");
+    new.software = "v2".into();
+    let mut entry = Entry::new(&[candidate("old", "a"), new]);
+    entry.wish.among = Among::OtherSoftware("v2");
+    assert_eq!(entry.asked(NOW), [UpstreamName::new("old")]);
+    assert_eq!(entry.shares(NOW).get("new"), None);
+    entry.wish.among = Among::Software("v2");
+    assert_eq!(entry.shares(NOW).get("old"), None);
+}
+
+/// Both targets are idle, and one answers a millisecond sooner. The other one has just
+/// joined; were it never called, nobody would know how it answers when the first is busy.
+#[test]
+fn calls_are_spread_where_the_difference_does_not_matter() {
+    let mut entry = Entry::new(&[candidate("one", "a"), candidate("two", "a")]);
+    for (name, ms) in [("one", 20), ("two", 21)] {
+        let occupancy = occupied(0, 0, ms);
+        entry
+            .placement
+            .told(&service(), &name.into(), occupancy, NOW);
+    }
+    let shares = entry.shares(NOW);
+    assert!(shares.values().all(|it| *it > 300), "{shares:?}");
+}
--- a/crates/mesh/src/entry/carry.rs
+++ b/crates/mesh/src/entry/carry.rs
@@ -11,6 +11,7 @@
 use super::attempt::{self, Ended};
 use super::call::Call;
 use super::divided::Divided;
+use super::probes;
 use crate::fleet::Place;
 use crate::journal::Times;
 use crate::mechanism::Mechanism;
@@ -55,6 +56,7 @@
         let Some((pick, place)) = choose(node, call, &made.tried, &mut divided) else {
             return made.finish();
         };
+        probes::ask(node, &call.parts.service, divided.among());
         let ended = attempt::at(node, call, &pick.upstream, place).await;
         divided.note(&ended.end);
         made.tried.push(pick.upstream.clone());
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod call;
 mod carry;
 mod divided;
+mod probes;
 mod respond;
 mod throttle;
 
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -21,7 +21,7 @@
 use slog::Logger;
 use stoatstep_calls::{
     Answers, Arrival, AttemptId, Deadline, Incarnation, Ledger, LedgerConfig, Occupancy, Queue,
-    Reason, Refusal, Settled, Ticket,
+    Reason, Refusal, Settled, Ticket, Uplink,
 };
 use stoatstep_membership::{Announced, LocalTarget};
 use stoatstep_resource::{RouteName, ServiceName, UpstreamName};
@@ -162,6 +162,15 @@
     }
 }
 
+/// How occupied the target and the instance's link are, for entries.
+pub(crate) fn occupancy(node: &Node) -> Occupancy {
+    Occupancy {
+        link_backlog: node.uplink.read(Uplink::backlog),
+        link_bytes_per_s: node.uplink.read(Uplink::bytes_per_s),
+        ..node.executor.occupancy()
+    }
+}
+
 /// How an attempt came, and its answer goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Way {
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stoatstep_calls::{Deadline, Occupancy, Outcome, Reason, Refusal, Settled, Uplink};
+use stoatstep_calls::{Deadline, Outcome, Reason, Refusal, Settled};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -77,11 +77,7 @@
     let tables = node.executor.tables.borrow();
     Ran {
         ticket: tables.ledger.ticket(now),
-        occupancy: Occupancy {
-            link_backlog: node.uplink.read(Uplink::backlog),
-            link_bytes_per_s: node.uplink.read(Uplink::bytes_per_s),
-            ..tables.queue.occupancy()
-        },
+        occupancy: super::occupancy(node),
         in_queue: report.in_queue,
         at_target: report.at_target,
         arrived: report.arrived,
--- a/crates/mesh/src/link/serve.rs
+++ b/crates/mesh/src/link/serve.rs
@@ -127,6 +127,10 @@
             fleet::gossip::told(&node, peer, mark);
             connection.reply(id, Reply::Pong);
         }
+        Ask::Occupancy => {
+            let occupancy = executor::occupancy(&node);
+            connection.reply(id, Reply::Occupancy(occupancy));
+        }
         Ask::Ping => connection.reply(id, Reply::Pong),
     }
 }
--- a/crates/mesh/src/mechanism.rs
+++ b/crates/mesh/src/mechanism.rs
@@ -20,11 +20,13 @@
     /// Large answers go at the pace of the instance's link, and are refused where it has
     /// no room.
     LinkPace,
+    /// Beside each call a few targets are asked how occupied they are.
+    LoadProbes,
 }
 
 impl Mechanism {
     /// Every mechanism.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Throttle,
         Self::Ejection,
         Self::QueueObjective,
@@ -32,6 +34,7 @@
         Self::AnswerSize,
         Self::RouteTime,
         Self::LinkPace,
+        Self::LoadProbes,
     ];
 
     /// Its name in settings.
@@ -45,6 +48,7 @@
             Self::AnswerSize => "answer-size",
             Self::RouteTime => "route-time",
             Self::LinkPace => "link-pace",
+            Self::LoadProbes => "load-probes",
         }
     }
 }
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -57,6 +57,9 @@
     /// What the receiver has seen of its target since the order.
     #[serde(rename = "e")]
     Evidence(ServiceName, OrderId),
+    /// How occupied the receiver's target is.
+    #[serde(rename = "u")]
+    Occupancy,
     /// Whether anybody listens.
     #[serde(rename = "p")]
     Ping,
@@ -80,6 +83,9 @@
     /// To [`Ask::Evidence`].
     #[serde(rename = "e")]
     Evidence(Evidence),
+    /// To [`Ask::Occupancy`].
+    #[serde(rename = "u")]
+    Occupancy(Occupancy),
     /// To [`Ask::Ping`], [`Ask::Holds`] and [`Ask::Rollout`].
     #[serde(rename = "p")]
     Pong,
