Let no daemon end a roll-out that is cut off from its old side

Cause: found by reading. A daemon beside a target that is tried, cut off from all of the old side, took that for too few calls, and halted the roll-out once it was overdue; its word would have overruled the last step at the others.

Change: without word of the old side it decides nothing. Not shown by a test of its own; the tests of roll-outs pass.

--- a/crates/mesh/src/rollout/judge.rs
+++ b/crates/mesh/src/rollout/judge.rs
@@ -101,7 +101,9 @@
                 }
             }
             Step::Trial | Step::Load => {
-                let verdict = self.look(node).await;
+                let Some(verdict) = self.look(node).await else {
+                    return;
+                };
                 match (verdict, self.due(node)) {
                     (Verdict::Bad(seen), _) => self.condemn(node, &seen),
                     (Verdict::Unclear, _) if self.is_overdue() => {
@@ -114,14 +116,14 @@
                     _ => {}
                 }
             }
-            Step::All => match self.look(node).await {
-                Verdict::Bad(seen) => self.condemn(node, &seen),
-                Verdict::Good | Verdict::Unclear => {
-                    if self.is_old_side_done(node).await {
-                        settle(Settling::Complete);
-                    }
+            Step::All => {
+                let verdict = self.look(node).await;
+                if let Some(Verdict::Bad(seen)) = verdict {
+                    self.condemn(node, &seen);
+                } else if verdict.is_some() && self.is_old_side_done(node).await {
+                    settle(Settling::Complete);
                 }
-            },
+            }
             Step::Halted => {
                 if self.at_step_for >= self.later(STEP_LATER) {
                     settle(Settling::RollBack);
@@ -150,9 +152,9 @@
         plan.due(&self.progress, now)
     }
 
-    /// What the evidence says. One that is not beside a target that is tried does not look:
-    /// those that are halt the version for all.
-    async fn look(&self, node: &Rc<Node>) -> Verdict {
+    /// What the evidence says; `None` for a daemon that is cut off from the old side. What
+    /// it has seen alone is no comparison, and it must not end a roll-out by it.
+    async fn look(&self, node: &Rc<Node>) -> Option<Verdict> {
         let is_tried = |peer: &&Peer| self.canaries.has(&peer.upstream);
         let tried: Vec<Peer> = self.view.new.iter().filter(is_tried).cloned().collect();
         let order = &self.progress.order;
@@ -162,11 +164,10 @@
         let new = evidence::ask(node, order, &tried).await;
         let old = evidence::ask(node, order, &old).await;
         if old.is_empty() && !self.view.old.is_empty() {
-            // Cut off from the old side: what came from here alone is no comparison.
-            return Verdict::Unclear;
+            return None;
         }
         node.rollouts.in_touch.set(Some(node.clock.now()));
-        judge(&new, &old)
+        Some(judge(&new, &old))
     }
 
     fn condemn(&self, node: &Rc<Node>, seen: &Seen) {
