Complete a roll-out early enough for a look every 200 ms

Cause: found by reading the log of a roll-out that was completed 0.089 s before its deadline. It is looked at every 200 ms whether the last 150 ms have begun, so one daemon alone would see that too late in a quarter of all cases; here five look.

Change: the last call begins 350 ms before the deadline. Test: in each phase of the looks the completion leaves 100 ms or more (0 ms before).

--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -38,8 +38,10 @@
 const LEAST_ALL: Duration = Duration::from_millis(700);
 
 /// Time before the deadline at which the roll-out is completed though some runs on the
-/// old side go on: the write itself takes some milliseconds, more when repeated.
-const LAST_CALL: Duration = Duration::from_millis(150);
+/// old side go on. Whether it is time is looked at every 200 ms, a look takes some
+/// milliseconds, and so do the read and the write that settle it; with less, one daemon
+/// alone would miss every fourth deadline.
+const LAST_CALL: Duration = Duration::from_millis(350);
 
 /// When the steps of one roll-out are due, as times before its deadline.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/rollout/tests/all/plan.rs
+++ b/crates/rollout/tests/all/plan.rs
@@ -69,3 +69,19 @@
     let heard = Progress::ordered(order, late, BEGUN + late);
     assert_eq!(heard.due, BEGUN + Duration::from_secs(15));
 }
+
+/// One daemon alone takes a roll-out on, and looks every 200 ms whether it is time. It must
+/// not come to see that only after the deadline.
+#[test]
+fn a_look_every_200_ms_completes_before_the_deadline() {
+    let lasts = Duration::from_secs(15);
+    let progress = progress(lasts);
+    for phase in 0..200 {
+        let first = BEGUN + Duration::from_millis(phase);
+        let looks = (0..80).map(|look| first + Duration::from_millis(200) * look);
+        let mut due = looks.filter(|now| Plan::is_last_call(&progress, *now));
+        let completed = due.next().expect("it comes to its end");
+        let left = progress.due.saturating_sub(completed);
+        assert!(left >= Duration::from_millis(100), "{phase}: {left:?}");
+    }
+}
