Log the end of a target's process with what it ran

From logs alone nobody could tell a request that ends each target which runs it from targets that end by themselves: no line said that a target's process had ended, and lines about a request named it only by the id of one try. The daemon beside the target now asks, where an answer is lost, whether anybody still listens, and names the fingerprints of all that ran; lines of failed runs carry the fingerprint too. No decision changes.

Fingerprint moved out of the memory of keys, which is no longer its only user. Ruled out: asking by an idle connection's state, which lags behind the end by a turn of the event loop.

--- a/crates/calls/src/intent/key.rs
+++ b/crates/calls/src/intent/key.rs
@@ -7,7 +7,7 @@
 use smol_str::{SmolStr, ToSmolStr};
 use stoatstep_resource::{ServiceName, TenantName};
 use uuid::Uuid;
-use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::Wall;
 
@@ -131,21 +131,3 @@
         smol_str::format_smolstr!("{}/{}", self.tenant, self.key.text())
     }
 }
-
-/// Hash over what a request asks for. The same key with another fingerprint is
-/// a caller's mistake, and the first answer must not be given to it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Fingerprint(pub u128);
-
-impl Fingerprint {
-    /// Over method, path with query, and body.
-    #[must_use]
-    pub fn of(method: &str, path: &str, body: &[u8]) -> Self {
-        let mut hasher = Xxh3::new();
-        for part in [method.as_bytes(), path.as_bytes(), body] {
-            hasher.update(&part.len().to_le_bytes());
-            hasher.update(part);
-        }
-        Self(hasher.digest128())
-    }
-}
--- a/crates/calls/src/intent/memory.rs
+++ b/crates/calls/src/intent/memory.rs
@@ -4,8 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::key::{Fingerprint, IntentKey};
+use super::key::IntentKey;
 use crate::answer::Answer;
+use crate::fingerprint::Fingerprint;
 use crate::ids::Wall;
 
 /// The whole memory of an [`IntentTable`] whose process runs nothing any more.
--- a/crates/calls/src/intent/mod.rs
+++ b/crates/calls/src/intent/mod.rs
@@ -15,6 +15,6 @@
 
 pub use config::IntentConfig;
 pub use home::{Handover, Home, HomeSets, KnownMembers, home_of, set_id};
-pub use key::{Fingerprint, IntentKey, KeyError, KeyText};
+pub use key::{IntentKey, KeyError, KeyText};
 pub use memory::{IntentMemory, Remembered, RememberedRun};
 pub use table::{Begin, HomeAnswer, IntentTable};
--- a/crates/calls/src/intent/table/mod.rs
+++ b/crates/calls/src/intent/table/mod.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 use super::config::IntentConfig;
-use super::key::{Fingerprint, IntentKey};
+use super::key::IntentKey;
 use crate::answer::Answer;
+use crate::fingerprint::Fingerprint;
 use crate::ids::{AttemptId, Wall};
 use crate::refusal::{Reason, Refusal};
 
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -25,6 +25,7 @@
 mod departure;
 mod drain;
 mod estimate;
+mod fingerprint;
 mod ids;
 mod intent;
 mod ledger;
@@ -47,11 +48,11 @@
 pub use departure::Departure;
 pub use drain::{Drain, DrainStep};
 pub use estimate::Estimate;
+pub use fingerprint::Fingerprint;
 pub use ids::{AttemptId, Incarnation, SetId, Time, Wall};
 pub use intent::{
-    Begin, Fingerprint, Handover, Home, HomeAnswer, HomeSets, IntentConfig, IntentKey,
-    IntentMemory, IntentTable, KeyError, KeyText, KnownMembers, Remembered, RememberedRun, home_of,
-    set_id,
+    Begin, Handover, Home, HomeAnswer, HomeSets, IntentConfig, IntentKey, IntentMemory,
+    IntentTable, KeyError, KeyText, KnownMembers, Remembered, RememberedRun, home_of, set_id,
 };
 pub use ledger::{Arrival, Ledger, LedgerConfig, Settled, Ticket};
 pub use placement::{Placement, Seen, Wish};
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -6,6 +6,7 @@
 
 mod answers;
 mod confirm;
+mod ended;
 mod heard;
 mod judged;
 mod run;
@@ -31,7 +32,7 @@
 use crate::clock::Clock;
 use crate::config::MeshConfig;
 use crate::node::Node;
-use crate::wire::{Attempt, End, Ran, WireSettled};
+use crate::wire::{Attempt, CallParts, End, Ran, WireSettled};
 pub(crate) use confirm::ask_target;
 use heard::learn;
 pub(crate) use heard::{hear, leave, target_left};
@@ -75,12 +76,16 @@
     answers: HashMap<RouteName, Answers>,
     /// How runs ended since the newest order for a roll-out of the service.
     tally: Tally,
+    /// The last life of the target that was seen to end.
+    ended: Option<UpstreamName>,
 }
 
 /// A run that goes on.
 struct Run {
     cancel: Option<oneshot::Sender<()>>,
-    idempotent: bool,
+    call: Rc<CallParts>,
+    /// The life of the target that it was handed to; none while it waits for a slot.
+    at: Option<UpstreamName>,
     /// Wakes those that wait for its end.
     waiters: Vec<oneshot::Sender<()>>,
 }
@@ -100,6 +105,7 @@
             upstream: LocalTarget::new(cfg.heartbeat),
             answers: HashMap::new(),
             tally: Tally::default(),
+            ended: None,
         };
         Self {
             tables: RefCell::new(tables),
@@ -250,7 +256,7 @@
     let mut tables = node.executor.tables.borrow_mut();
     let is_waiting = tables.waiting.contains_key(&attempt);
     let run = tables.runs.get_mut(&attempt);
-    let run = run.filter(|it| it.idempotent || is_waiting);
+    let run = run.filter(|it| it.call.idempotent || is_waiting);
     if let Some(cancel) = run.and_then(|it| it.cancel.take()) {
         let _ = cancel.send(());
     }
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -8,7 +8,7 @@
 use tokio::time::timeout;
 
 use super::target::TargetEnd;
-use super::{QUEUE_RETRY, Run, Tables, answers, judged, slot};
+use super::{QUEUE_RETRY, Run, Tables, answers, ended, judged, slot};
 use crate::drain::InFlight;
 use crate::journal::{RunFailed, Times};
 use crate::node::Node;
@@ -43,7 +43,8 @@
     let (cancel, cancelled) = oneshot::channel();
     let run = Run {
         cancel: Some(cancel),
-        idempotent: attempt.call.idempotent,
+        call: Rc::clone(&attempt.call),
+        at: None,
         waiters: Vec::new(),
     };
     let mut tables = node.executor.tables.borrow_mut();
@@ -131,6 +132,9 @@
     }
     let end = timeout(left, node.executor.target.call(attempt, left)).await;
     let end = end.unwrap_or(TargetEnd::Unknown(Reason::TimedOut));
+    if matches!(end, TargetEnd::Unknown(Reason::LostAnswer)) {
+        ended::look(node, &attempt.upstream).await;
+    }
     if matches!(end, TargetEnd::Answered(_)) {
         slot.finish();
     }
@@ -145,7 +149,11 @@
 /// not run.
 fn may_start(node: &Node, attempt: &Attempt) -> bool {
     let mut tables = node.executor.tables.borrow_mut();
-    tables.ledger.start(attempt.id)
+    let may_start = tables.ledger.start(attempt.id);
+    if may_start && let Some(run) = tables.runs.get_mut(&attempt.id) {
+        run.at = Some(attempt.upstream.clone());
+    }
+    may_start
 }
 
 fn of_target(node: &Node, attempt: &Attempt, end: TargetEnd) -> Report {
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -170,6 +170,12 @@
         })
     }
 
+    /// Whether the target's process is there to take connections; `false` only where its
+    /// instance says that nobody listens.
+    pub(super) async fn listens(&self) -> bool {
+        self.pool.listens().await
+    }
+
     /// Closes all idle connections: another life of the target has begun. A request on
     /// one of them would be reset, and its outcome unknown.
     pub(super) fn forget_connections(&self) {
--- a/crates/mesh/src/executor/target/pool.rs
+++ b/crates/mesh/src/executor/target/pool.rs
@@ -6,6 +6,7 @@
 //! are held here and used one by one through a client library that tells.
 
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -52,17 +53,17 @@
 }
 
 impl Connection {
-    async fn open(addr: SocketAddr, clock: &Clock) -> Option<Self> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
-        let stream = stream.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    async fn open(addr: SocketAddr, clock: &Clock) -> io::Result<Self> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
+        stream.set_nodelay(true)?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = tokio::task::spawn_local(async move {
             // Its errors reach whoever waits for an answer on it.
             let _ = connection.await;
         });
         let now = clock.now();
-        Some(Self {
+        Ok(Self {
             sender,
             driver,
             idle_since: now,
@@ -122,7 +123,20 @@
                 return Some(connection);
             }
         }
-        Connection::open(self.addr, &self.clock).await
+        Connection::open(self.addr, &self.clock).await.ok()
+    }
+
+    /// Whether somebody takes connections at the target's address. A connection that comes
+    /// up is kept for the next request, in place of the one whose loss led to the question.
+    pub(super) async fn listens(&self) -> bool {
+        match Connection::open(self.addr, &self.clock).await {
+            Ok(mut connection) => {
+                connection.idle_until = connection.idle_since + IDLE;
+                self.keep(connection);
+                true
+            }
+            Err(err) => err.kind() != io::ErrorKind::ConnectionRefused,
+        }
     }
 
     /// A connection failed after a request was sent on it. Returns the idle time
@@ -138,13 +152,19 @@
 
     /// Keeps a connection whose answer came in whole.
     pub(super) fn put_back(&self, mut connection: Connection, headers: &HeaderMap) {
-        let mut idle = self.idle.borrow_mut();
-        if closes(headers) || idle.len() >= MAX_IDLE {
+        if closes(headers) {
             return;
         }
         connection.idle_since = self.clock.now();
         connection.idle_until = connection.idle_since + idle_time(headers);
-        idle.push(connection);
+        self.keep(connection);
+    }
+
+    fn keep(&self, connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < MAX_IDLE {
+            idle.push(connection);
+        }
     }
 
     pub(super) fn clear(&self) {
--- a/crates/mesh/src/journal.rs
+++ b/crates/mesh/src/journal.rs
@@ -185,7 +185,8 @@
                 fields::UPSTREAM => failed.upstream, fields::REASON => failed.reason.as_str(),
                 fields::ARRIVED => failed.arrived, fields::QUEUE_US => micros(failed.times.queue),
                 fields::TARGET_US => micros(failed.times.target), fields::RUNNING => failed.running,
-                fields::QUEUED => failed.queued, fields::LEFT_OUT => left_out);
+                fields::QUEUED => failed.queued, fields::CONTENT => %failed.call.fingerprint(),
+                fields::LEFT_OUT => left_out);
         }
     }
 
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -8,7 +8,9 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use stoatstep_calls::{Answer, AttemptId, Header, Occupancy, Refusal, Settled, Ticket};
+use stoatstep_calls::{
+    Answer, AttemptId, Fingerprint, Header, Occupancy, Refusal, Settled, Ticket,
+};
 use stoatstep_membership::{GossipReply, GossipRequest, Mark, MemberKey};
 use stoatstep_resource::wire::{DifferenceWire, SnapshotWire};
 use stoatstep_resource::{RouteName, ServiceName, UpstreamName};
@@ -130,6 +132,20 @@
     pub(crate) caller_service: ServiceName,
 }
 
+impl CallParts {
+    /// Names what the call asks for, as its target sees it. Callers' own headers are left
+    /// out: many differ with each try of the same request.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::over([
+            self.caller_service.as_bytes(),
+            self.method.as_bytes(),
+            self.host.as_bytes(),
+            self.path.as_bytes(),
+            &self.body,
+        ])
+    }
+}
+
 /// One attempt of a call at one target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Attempt {
--- a/crates/telemetry/src/fields.rs
+++ b/crates/telemetry/src/fields.rs
@@ -117,9 +117,15 @@
 pub const OLD_BAD: &str = "old_bad";
 /// All runs of those targets that count.
 pub const OLD_RUNS: &str = "old_runs";
+/// Fingerprint of what a request asks for; the same for each repeat, whatever its id.
+pub const CONTENT: &str = "content";
+/// Fingerprints of several requests, with spaces between them.
+pub const CONTENTS: &str = "contents";
+/// Calls that a target ran.
+pub const RUNS: &str = "runs";
 
 /// Every name above, in the order of this page.
-pub const ALL: [&str; 58] = [
+pub const ALL: [&str; 61] = [
     REQUEST,
     ATTEMPT,
     UPSTREAM,
@@ -178,4 +184,7 @@
     NEW_RUNS,
     OLD_BAD,
     OLD_RUNS,
+    CONTENT,
+    CONTENTS,
+    RUNS,
 ];
