Refuse requests under which targets end

Callers saw other calls refused or lost for ten seconds at a time: one request ended each target that ran it, and came again under other ids at any entry.

Cause: a daemon knew a request by the id of one try only. Attempts and retry budgets bound one try; nothing bound what one content does over many tries, and what one executor saw was known to no other. Class: unbounded retry of a harmful request across callers, for want of shared memory by content.

Mend: the daemon beside a target that ended tells all daemons the fingerprints of what it ran; a request that three targets ran when they ended and that none answered lately is refused as not run, by entries before each attempt and by executors when it comes and before it starts, for ten minutes, doubling. What a target answered in the last ten seconds is not suspected, and an answer clears. Evidence is told at once (own zone, followers of other zones, who pass it on) and again in the regular exchanges, which also teach daemons that start.

Ruled out: attempts beyond the route's (requests made two), the retry budget (rose by single steps), targets that end cold by themselves (the first five had run for long).

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -12,6 +12,7 @@
 //!
 //! * the entry uses [`RouteTable`], [`Router`] or [`Placement`], [`RetryBudget`], [`Backoff`], [`Deadline`] and
 //!   [`Silence`];
+//! * both use [`Quarantine`];
 //! * the executor uses [`Admission`] or [`Queue`], [`Ledger`], [`IntentTable`], [`Drain`] and [`Departure`].
 //!
 //! The reasons are in `docs/design/calls.md` and `docs/design/at-most-once.md`.
@@ -30,6 +31,7 @@
 mod intent;
 mod ledger;
 mod placement;
+mod quarantine;
 mod queue;
 mod refusal;
 mod retry;
@@ -56,6 +58,9 @@
 };
 pub use ledger::{Arrival, Ledger, LedgerConfig, Settled, Ticket};
 pub use placement::{Placement, Seen, Wish};
+pub use quarantine::{
+    ANSWERED_FOR, Finding, LIVES, Learned, LifeMark, Quarantine, RecentAnswers, life_mark,
+};
 pub use queue::{Occupancy, Queue, QueueAsk};
 pub use refusal::{Outcome, Reason, Refusal};
 pub use retry::{Attempts, Backoff, RetryBudget, Settlement, may_retry};
--- /dev/null
+++ b/crates/calls/src/quarantine.rs
@@ -0,0 +1,350 @@
+//! Requests under which targets end, and which are not run any more.
+//!
+//! Some request may end each target's process that begins to run it. Its callers send it
+//! again under other ids, at any entry, and each repeat takes a target with all that the
+//! target runs. Attempts and retry budgets can't stop that: to them each repeat is another
+//! call. So what counts is what a request asks for, its [`Fingerprint`]: daemons tell each
+//! other what a target ran when its process ended, and a request that [`LIVES`] targets
+//! ran when they ended, and that none has answered, is refused as not run.
+//!
+//! How the ways were weighed is in `docs/design/quarantine.md`.
+
+mod recent;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::fingerprint::Fingerprint;
+use crate::ids::Time;
+
+pub use recent::RecentAnswers;
+
+/// Names a life of a target that ended.
+pub type LifeMark = u64;
+
+/// Names a life of a target in what daemons tell each other.
+#[must_use]
+pub fn life_mark(upstream: &str) -> LifeMark {
+    xxh3_64(upstream.as_bytes())
+}
+
+/// Lives that ended while they ran a request before it is refused. With two, a request
+/// that happens to run at two targets of a rack as both end would be refused; with four,
+/// each request that does end targets takes one more.
+pub const LIVES: usize = 3;
+
+/// Lives remembered for one request.
+const MAX_LIVES: usize = 8;
+
+/// Time for which a request is refused, from the end of the last target. Somebody has to
+/// mend the targets meanwhile; it doubles with each life that ends under a later trial.
+const HOLD: Duration = Duration::from_mins(10);
+
+/// Doublings of that time at most.
+const MAX_DOUBLINGS: usize = 4;
+
+/// Time for which a request stays suspected that has not ended enough targets. One that
+/// comes less often takes a target now and then, as any other cause does.
+const SUSPECTED_FOR: Duration = Duration::from_mins(10);
+
+/// Time for which an answer speaks for a request. A request that many callers send runs at
+/// most targets of a rack that ends at once; each of its answers says that it did no harm.
+/// Much longer, and one that becomes lethal by a change of data would go on for as long.
+pub const ANSWERED_FOR: Duration = Duration::from_secs(10);
+
+/// Time for which peers are told of what is new. Every daemon exchanges words with some
+/// peer each second, so by then all have heard of it that take part.
+const TOLD_FOR: Duration = Duration::from_secs(15);
+
+/// Requests remembered. A target names as many as it has slots when it ends, so these are
+/// the ends of some dozens.
+const MAX_REQUESTS: usize = 1024;
+
+/// Requests of which a peer is told at a time.
+const MAX_TOLD: usize = 64;
+
+/// What daemons tell each other about a request. Times are given as ages, as clocks of two
+/// instances differ.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Finding {
+    /// Targets ended while they ran it.
+    #[serde(rename = "e")]
+    Ended {
+        /// The request.
+        request: Fingerprint,
+        /// Every life of a target that is known to have ended so.
+        lives: Vec<LifeMark>,
+        /// Time since the last of them did.
+        ago: Duration,
+    },
+    /// A target answered it.
+    #[serde(rename = "a")]
+    Answered {
+        /// The request.
+        request: Fingerprint,
+        /// Time since then.
+        ago: Duration,
+    },
+}
+
+impl Finding {
+    /// The request that it is about.
+    #[must_use]
+    pub fn request(&self) -> Fingerprint {
+        match self {
+            Self::Ended { request, .. } | Self::Answered { request, .. } => *request,
+        }
+    }
+}
+
+/// What a finding changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Learned {
+    /// Nothing.
+    Nothing,
+    /// A request is suspected for one more reason.
+    Suspicion,
+    /// A request is refused from now on, for this long.
+    Held(Duration),
+    /// A request is no longer suspected; it was refused until now if that is said.
+    Cleared {
+        /// It was refused.
+        was_held: bool,
+    },
+}
+
+#[derive(Clone, Debug)]
+enum Record {
+    Suspected(Suspected),
+    Answered(Time),
+}
+
+#[derive(Clone, Debug)]
+struct Suspected {
+    lives: Vec<LifeMark>,
+    /// When the last of them ended.
+    ended: Time,
+    /// When this record last changed.
+    changed: Time,
+}
+
+impl Suspected {
+    /// Adds lives, and says whether one of them is news.
+    fn add(&mut self, lives: &[LifeMark], ended: Time, now: Time) -> bool {
+        let before = self.lives.len();
+        for life in lives {
+            if self.lives.len() < MAX_LIVES && !self.lives.contains(life) {
+                self.lives.push(*life);
+            }
+        }
+        let is_news = self.lives.len() > before;
+        if is_news {
+            // Only then: between two daemons that tell each other, an age that is taken
+            // over each time would creep by the time on the way.
+            self.ended = self.ended.max(ended);
+            self.changed = now;
+        }
+        is_news
+    }
+
+    /// For how long the request is refused from the end of the last target on.
+    fn hold(&self) -> Option<Duration> {
+        let later = self.lives.len().checked_sub(LIVES)?;
+        let doublings = u32::try_from(later.min(MAX_DOUBLINGS)).unwrap_or_default();
+        Some(HOLD * 2_u32.pow(doublings))
+    }
+
+    fn left(&self, now: Time) -> Option<Duration> {
+        let left = (self.ended + self.hold()?).saturating_sub(now);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// After a hold the lives are remembered for as long again: if the request ends one
+    /// more target then, that is enough.
+    fn is_over(&self, now: Time) -> bool {
+        let kept = self.hold().map_or(SUSPECTED_FOR, |it| it * 2);
+        now > self.ended + kept
+    }
+}
+
+impl Record {
+    fn is_over(&self, now: Time) -> bool {
+        match self {
+            Self::Suspected(it) => it.is_over(now),
+            Self::Answered(at) => now > *at + ANSWERED_FOR,
+        }
+    }
+
+    /// What goes first where too much is remembered.
+    fn weight(&self) -> (usize, Time) {
+        match self {
+            Self::Suspected(it) => (it.lives.len(), it.changed),
+            Self::Answered(at) => (0, *at),
+        }
+    }
+}
+
+/// What one daemon knows of requests under which targets ended.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    records: HashMap<Fingerprint, Record>,
+}
+
+impl Quarantine {
+    /// Whether nothing is suspected, so that no fingerprint has to be computed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Time for which a request is still refused; `None` where it may run.
+    #[must_use]
+    pub fn holds(&self, request: Fingerprint, now: Time) -> Option<Duration> {
+        match self.records.get(&request)? {
+            Record::Suspected(it) => it.left(now),
+            Record::Answered(_) => None,
+        }
+    }
+
+    /// Lives of targets that are known to have ended under a request.
+    #[must_use]
+    pub fn lives(&self, request: Fingerprint) -> usize {
+        match self.records.get(&request) {
+            Some(Record::Suspected(it)) => it.lives.len(),
+            Some(Record::Answered(_)) | None => 0,
+        }
+    }
+
+    /// Takes in a finding, one's own or a peer's.
+    pub fn hear(&mut self, finding: &Finding, now: Time) -> Learned {
+        match finding {
+            Finding::Ended {
+                request,
+                lives,
+                ago,
+            } => self.ended(*request, lives, now.saturating_sub(*ago), now),
+            Finding::Answered { request, ago } => self.answered(*request, *ago, now),
+        }
+    }
+
+    /// What is known of a request, for others.
+    #[must_use]
+    pub fn finding(&self, request: Fingerprint, now: Time) -> Option<Finding> {
+        let record = self.records.get(&request)?;
+        Some(finding(request, record, now))
+    }
+
+    /// What peers are told in the regular exchanges: what changed lately, and whatever is
+    /// refused, for those that have just started.
+    #[must_use]
+    pub fn news(&self, now: Time) -> Vec<Finding> {
+        let is_told = |it: &Record| match it {
+            Record::Suspected(it) => {
+                it.left(now).is_some() || now.saturating_sub(it.changed) < TOLD_FOR
+            }
+            Record::Answered(_) => !it.is_over(now),
+        };
+        let mut told: Vec<_> = self.records.iter().filter(|(_, it)| is_told(it)).collect();
+        told.sort_by_key(|(_, it)| std::cmp::Reverse(it.weight()));
+        told.truncate(MAX_TOLD);
+        let findings = told.into_iter();
+        findings.map(|(key, it)| finding(*key, it, now)).collect()
+    }
+
+    /// Forgets what is over.
+    pub fn tick(&mut self, now: Time) {
+        self.records.retain(|_, it| !it.is_over(now));
+    }
+
+    fn ended(
+        &mut self,
+        request: Fingerprint,
+        lives: &[LifeMark],
+        ended: Time,
+        now: Time,
+    ) -> Learned {
+        if let Some(Record::Answered(at)) = self.records.get(&request)
+            && now <= *at + ANSWERED_FOR
+        {
+            return Learned::Nothing;
+        }
+        let was_held = self.holds(request, now).is_some();
+        self.make_room();
+        let record = self.records.entry(request);
+        let record = record
+            .and_modify(|it| {
+                if matches!(it, Record::Answered(_)) {
+                    *it = Record::Suspected(Suspected::new(ended, now));
+                }
+            })
+            .or_insert_with(|| Record::Suspected(Suspected::new(ended, now)));
+        let Record::Suspected(suspected) = record else {
+            return Learned::Nothing;
+        };
+        if !suspected.add(lives, ended, now) {
+            return Learned::Nothing;
+        }
+        match suspected.left(now) {
+            Some(left) if !was_held => Learned::Held(left),
+            _ => Learned::Suspicion,
+        }
+    }
+
+    fn answered(&mut self, request: Fingerprint, ago: Duration, now: Time) -> Learned {
+        let at = now.saturating_sub(ago);
+        let was_held = self.holds(request, now).is_some();
+        match self.records.get_mut(&request) {
+            Some(Record::Answered(known)) => {
+                *known = at.max(*known);
+                Learned::Nothing
+            }
+            Some(record) => {
+                *record = Record::Answered(at);
+                Learned::Cleared { was_held }
+            }
+            // Word of what it speaks against may be on its way.
+            None => {
+                self.make_room();
+                self.records.insert(request, Record::Answered(at));
+                Learned::Nothing
+            }
+        }
+    }
+
+    fn make_room(&mut self) {
+        if self.records.len() < MAX_REQUESTS {
+            return;
+        }
+        let least = self.records.iter().min_by_key(|(_, it)| it.weight());
+        if let Some(request) = least.map(|(key, _)| *key) {
+            self.records.remove(&request);
+        }
+    }
+}
+
+impl Suspected {
+    fn new(ended: Time, now: Time) -> Self {
+        Self {
+            lives: Vec::new(),
+            ended,
+            changed: now,
+        }
+    }
+}
+
+fn finding(request: Fingerprint, record: &Record, now: Time) -> Finding {
+    match record {
+        Record::Suspected(it) => Finding::Ended {
+            request,
+            lives: it.lives.clone(),
+            ago: now.saturating_sub(it.ended),
+        },
+        Record::Answered(at) => Finding::Answered {
+            request,
+            ago: now.saturating_sub(*at),
+        },
+    }
+}
--- a/crates/calls/src/refusal.rs
+++ b/crates/calls/src/refusal.rs
@@ -78,6 +78,8 @@
     Draining => "draining", NotRun;
     /// The target's version gets no calls, or no more of them, at this step of a roll-out.
     Held => "held", NotRun;
+    /// Targets end whenever they run it.
+    Quarantined => "quarantined", NotRun;
     /// The daemon has just started and may not serve by any version yet.
     NotReady => "not-ready", NotRun;
     /// No route matches the path.
@@ -133,6 +135,7 @@
             Self::TimedOut
                 | Self::BadRequest
                 | Self::TooLarge
+                | Self::Quarantined
                 | Self::KeyReused
                 | Self::KeyFromFuture
                 | Self::KeyExpired
--- a/crates/calls/tests/all/main.rs
+++ b/crates/calls/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod intent;
 mod ledger;
 mod placement;
+mod quarantine;
 mod queue;
 mod retry;
 mod router;
--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -56,7 +56,7 @@
         }
     }
 
-    fn refused(refusal: Refusal, arrived: bool) -> Self {
+    pub(super) fn refused(refusal: Refusal, arrived: bool) -> Self {
         Self::of(End::Refused(refusal), arrived)
     }
 }
--- a/crates/mesh/src/entry/carry.rs
+++ b/crates/mesh/src/entry/carry.rs
@@ -16,6 +16,7 @@
 use crate::journal::Times;
 use crate::mechanism::Mechanism;
 use crate::node::Node;
+use crate::quarantine;
 use crate::wire::End;
 
 /// Pause asked for where no executor can be reached.
@@ -53,6 +54,11 @@
     let mut divided = Divided::of(node, call);
     earn(node, call);
     loop {
+        // Word may have come since the last attempt, or because of it.
+        if let Some(refusal) = quarantine::refusal(node, &call.parts) {
+            made.note(Ended::refused(refusal, false));
+            return made.finish();
+        }
         let Some((pick, place)) = choose(node, call, &made.tried, &mut divided) else {
             return made.finish();
         };
@@ -183,7 +189,7 @@
     if matches!(reason, Reason::Overload | Reason::Deadline) {
         made.overloaded += 1;
     }
-    made.tried.len() < MAX_REFUSALS && made.overloaded < overloaded
+    reason.allows_retry() && made.tried.len() < MAX_REFUSALS && made.overloaded < overloaded
 }
 
 fn earn(node: &Node, call: &Call) {
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -28,6 +28,7 @@
 use crate::drain::InFlight;
 use crate::journal::{CallEnded, Times};
 use crate::node::Node;
+use crate::quarantine;
 use crate::wire::End;
 use call::Call;
 use carry::Carried;
@@ -141,6 +142,9 @@
 
 fn ended(node: &Node, call: &Call, carried: &Carried, begun: Time) {
     let now = node.clock.now();
+    if matches!(carried.end, End::Answered(_)) {
+        quarantine::answered(node, &call.parts);
+    }
     let ended = CallEnded {
         call: &call.parts,
         end: &carried.end,
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -22,7 +22,7 @@
 use slog::Logger;
 use stoatstep_calls::{
     Answers, Arrival, AttemptId, Deadline, Incarnation, Ledger, LedgerConfig, Occupancy, Queue,
-    Reason, Refusal, Settled, Ticket, Uplink,
+    Reason, RecentAnswers, Refusal, Settled, Ticket, Uplink,
 };
 use stoatstep_membership::{Announced, LocalTarget};
 use stoatstep_resource::{RouteName, ServiceName, UpstreamName};
@@ -32,6 +32,7 @@
 use crate::clock::Clock;
 use crate::config::MeshConfig;
 use crate::node::Node;
+use crate::quarantine;
 use crate::wire::{Attempt, CallParts, End, Ran, WireSettled};
 pub(crate) use confirm::ask_target;
 use heard::learn;
@@ -78,6 +79,8 @@
     tally: Tally,
     /// The last life of the target that was seen to end.
     ended: Option<UpstreamName>,
+    /// What the target answered lately.
+    recent: RecentAnswers,
 }
 
 /// A run that goes on.
@@ -106,6 +109,7 @@
             answers: HashMap::new(),
             tally: Tally::default(),
             ended: None,
+            recent: RecentAnswers::default(),
         };
         Self {
             tables: RefCell::new(tables),
@@ -218,6 +222,9 @@
 
 fn arrive(node: &Node, attempt: &Attempt, way: Way) -> Result<(), End> {
     let now = node.clock.now();
+    if let Some(refusal) = quarantine::refusal(node, &attempt.call) {
+        return Err(End::Refused(refusal));
+    }
     let mut tables = node.executor.tables.borrow_mut();
     let present = tables.upstream.admits(now);
     let is_meant = present
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -12,6 +12,7 @@
 use crate::drain::InFlight;
 use crate::journal::{RunFailed, Times};
 use crate::node::Node;
+use crate::quarantine;
 use crate::wire::{Attempt, End, Ran};
 
 /// Largest answer that is kept for an entry whose link broke.
@@ -127,6 +128,9 @@
         let refusal = Refusal::retry(Reason::Deadline, QUEUE_RETRY);
         return Report::not_started(refusal);
     };
+    if let Some(refusal) = quarantine::refusal(node, &attempt.call) {
+        return Report::not_started(refusal);
+    }
     if !may_start(node, attempt) {
         return Report::not_started(Refusal::permanent(Reason::Revoked));
     }
@@ -204,7 +208,11 @@
 }
 
 fn finish(node: &Node, attempt: &Attempt, report: &Report) {
+    let now = node.clock.now();
     node.uplink.ended(attempt.id);
+    if matches!(report.end, End::Answered(_)) {
+        quarantine::answered(node, &attempt.call);
+    }
     let mut tables = node.executor.tables.borrow_mut();
     if let End::Answered(answer) = &report.end
         && !answer.is_failure()
@@ -212,7 +220,10 @@
         answers::learn(&mut tables, &attempt.call.route, answer, report.at_target);
     }
     if node.rollouts.is_judged(&attempt.call.service) {
-        judged::count(&mut tables, attempt, report, node.clock.now());
+        judged::count(&mut tables, attempt, report, now);
+    }
+    if matches!(report.end, End::Answered(_)) {
+        tables.recent.note(attempt.call.fingerprint(), now);
     }
     record(&mut tables, attempt, &report.end);
     let run = tables.runs.remove(&attempt.id);
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -176,6 +176,11 @@
         self.pool.listens().await
     }
 
+    /// The same a moment later; a connection that is still open says so as well.
+    pub(super) async fn still_listens(&self) -> bool {
+        self.pool.has_open() || self.pool.listens().await
+    }
+
     /// Closes all idle connections: another life of the target has begun. A request on
     /// one of them would be reset, and its outcome unknown.
     pub(super) fn forget_connections(&self) {
--- a/crates/mesh/src/executor/target/pool.rs
+++ b/crates/mesh/src/executor/target/pool.rs
@@ -139,6 +139,12 @@
         }
     }
 
+    /// Whether an idle connection is still open at the other end.
+    pub(super) fn has_open(&self) -> bool {
+        let idle = self.idle.borrow();
+        idle.iter().any(|it| !it.sender.is_closed())
+    }
+
     /// A connection failed after a request was sent on it. Returns the idle time
     /// from which others are not used any more, where that tells one.
     pub(super) fn failed(&self, connection: &Connection) -> Option<Duration> {
--- a/crates/mesh/src/fleet/gossip.rs
+++ b/crates/mesh/src/fleet/gossip.rs
@@ -15,8 +15,8 @@
 use super::{configuration, refresh_soon};
 use crate::node::Node;
 use crate::rollout::{self, Source};
-use crate::wire::{Ask, Reply};
-use crate::{drain, executor};
+use crate::wire::{Ask, News, Reply};
+use crate::{drain, executor, quarantine};
 
 /// Time for a probe. A round trip in a region takes a few milliseconds.
 const PROBE_BOUND: Duration = Duration::from_millis(500);
@@ -110,6 +110,36 @@
     }
 }
 
+/// Tells every daemon in reach: those of the own zone, and for each other zone those that
+/// follow the host for it, which [pass it on](relay).
+pub(crate) fn tell_fleet(node: &Rc<Node>, word: &Ask) {
+    tell(node, own_zone(node), word);
+    tell(node, followers_elsewhere(node), word);
+}
+
+/// Passes on to the own zone what came from another one, where this daemon is one of those
+/// that are told for it.
+pub(crate) fn relay(node: &Rc<Node>, word: &Ask) {
+    if configuration::follows_host(node) {
+        tell(node, own_zone(node), word);
+    }
+}
+
+/// What goes along with an exchange.
+pub(crate) fn news(node: &Node) -> News {
+    let now = node.clock.now();
+    News {
+        rollouts: node.rollouts.news(now),
+        findings: node.requests.news(now),
+    }
+}
+
+/// Takes in what came along with an exchange.
+pub(crate) fn hear_news(node: &Rc<Node>, news: News) {
+    hear_rollouts(node, news.rollouts);
+    quarantine::hear(node, &news.findings, quarantine::Way::Exchange);
+}
+
 /// Takes in what a peer says of roll-outs.
 pub(crate) fn hear_rollouts(node: &Rc<Node>, rollouts: Vec<Progress>) {
     for progress in rollouts {
@@ -240,13 +270,10 @@
     message: GossipRequest,
     bound: Duration,
 ) -> Option<GossipReply> {
-    let rollouts = node.rollouts.news(node.clock.now());
-    let reply = node
-        .links
-        .ask_within(addr, Ask::Gossip(message, rollouts), bound);
-    match reply.await {
-        Ok(Reply::Gossip(reply, rollouts)) => {
-            hear_rollouts(node, rollouts);
+    let ask = Ask::Gossip(message, news(node));
+    match node.links.ask_within(addr, ask, bound).await {
+        Ok(Reply::Gossip(reply, news)) => {
+            hear_news(node, news);
             Some(reply)
         }
         Ok(_) | Err(_) => None,
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -29,6 +29,7 @@
 mod link;
 mod mechanism;
 mod node;
+mod quarantine;
 mod rollout;
 mod wire;
 
--- a/crates/mesh/src/link/serve.rs
+++ b/crates/mesh/src/link/serve.rs
@@ -17,6 +17,7 @@
 use crate::executor::{self, Way};
 use crate::fleet;
 use crate::node::Node;
+use crate::quarantine;
 use crate::rollout::{self, Source};
 use crate::wire::{Ask, AskId, Attempt, Reply, ToClient, ToServer};
 
@@ -100,10 +101,10 @@
         Ask::Settle(attempt, ticket) => later(connection, id, async move {
             Reply::Settled(executor::settle(&node, attempt, ticket).await)
         }),
-        Ask::Gossip(message, rollouts) => later(connection, id, async move {
-            fleet::gossip::hear_rollouts(&node, rollouts);
+        Ask::Gossip(message, news) => later(connection, id, async move {
+            fleet::gossip::hear_news(&node, news);
             let reply = fleet::gossip::answer(&node, message).await;
-            Reply::Gossip(reply, node.rollouts.news(node.clock.now()))
+            Reply::Gossip(reply, fleet::gossip::news(&node))
         }),
         Ask::Newer(held) => {
             let newer = fleet::configuration::newer_than(&node, held);
@@ -119,6 +120,10 @@
             rollout::hear(&node, &progress, Source::Peer);
             connection.reply(id, Reply::Pong);
         }
+        Ask::Findings(findings) => {
+            quarantine::hear(&node, &findings, quarantine::Way::Direct);
+            connection.reply(id, Reply::Pong);
+        }
         Ask::Evidence(service, order) => {
             let evidence = rollout::evidence(&node, &service, order);
             connection.reply(id, Reply::Evidence(evidence));
--- a/crates/mesh/src/mechanism.rs
+++ b/crates/mesh/src/mechanism.rs
@@ -22,11 +22,13 @@
     LinkPace,
     /// Beside each call a few targets are asked how occupied they are.
     LoadProbes,
+    /// Requests under which targets end are refused.
+    Quarantine,
 }
 
 impl Mechanism {
     /// Every mechanism.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Throttle,
         Self::Ejection,
         Self::QueueObjective,
@@ -35,6 +37,7 @@
         Self::RouteTime,
         Self::LinkPace,
         Self::LoadProbes,
+        Self::Quarantine,
     ];
 
     /// Its name in settings.
@@ -49,6 +52,7 @@
             Self::RouteTime => "route-time",
             Self::LinkPace => "link-pace",
             Self::LoadProbes => "load-probes",
+            Self::Quarantine => "quarantine",
         }
     }
 }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -19,6 +19,7 @@
 use crate::journal::Journal;
 use crate::link::{self, Links, SharedUplink};
 use crate::mechanism::Mechanism;
+use crate::quarantine::Requests;
 use crate::rollout::{self, Rollouts};
 use crate::{drain, fleet::gossip};
 use stoatstep_calls::Departure;
@@ -43,6 +44,7 @@
     pub(crate) executor: Executor,
     pub(crate) fleet: Fleet,
     pub(crate) rollouts: Rollouts,
+    pub(crate) requests: Requests,
     pub(crate) in_flight: Cell<u32>,
     pub(crate) departure: Cell<Departure>,
 }
@@ -85,6 +87,7 @@
             executor: Executor::new(&cfg, clock, log.clone()),
             fleet: Fleet::new(&cfg),
             rollouts: Rollouts::default(),
+            requests: Requests::default(),
             in_flight: Cell::new(0),
             departure: Cell::new(Departure::new(cfg.grace)),
             cfg,
@@ -172,5 +175,6 @@
         gossip::tick(&node);
         gossip::target_changed(&node);
         executor::tick(&node);
+        node.requests.tick(node.clock.now());
     }
 }
--- /dev/null
+++ b/crates/mesh/src/quarantine.rs
@@ -0,0 +1,128 @@
+//! Requests under which targets end, as one daemon takes part in finding and refusing
+//! them. What is decided is in [`Quarantine`].
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use stoatstep_calls::{
+    Finding, Fingerprint, Learned, Quarantine, Reason, Refusal, Time, life_mark,
+};
+use stoatstep_telemetry::fields;
+
+use crate::fleet::gossip;
+use crate::mechanism::Mechanism;
+use crate::node::Node;
+use crate::wire::{Ask, CallParts};
+
+/// How a peer's finding came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Way {
+    /// As a word of its own, told the moment it was found.
+    Direct,
+    /// Along with a regular exchange.
+    Exchange,
+}
+
+/// What a daemon knows of requests under which targets end.
+#[derive(Default)]
+pub(crate) struct Requests {
+    known: RefCell<Quarantine>,
+}
+
+impl Requests {
+    /// What peers are told in the regular exchanges.
+    pub(crate) fn news(&self, now: Time) -> Vec<Finding> {
+        self.known.borrow().news(now)
+    }
+
+    /// Forgets what is over.
+    pub(crate) fn tick(&self, now: Time) {
+        self.known.borrow_mut().tick(now);
+    }
+}
+
+/// A refusal for a call that is not to be run; asked by the entry before each attempt, and
+/// by the executor when an attempt comes and before it starts. The executor asks since an
+/// entry that has just started knows nothing yet, and since word may have come while the
+/// call waited in the queue.
+pub(crate) fn refusal(node: &Node, call: &CallParts) -> Option<Refusal> {
+    let known = node.requests.known.borrow();
+    if known.is_empty() || !node.cfg.has(Mechanism::Quarantine) {
+        return None;
+    }
+    let left = known.holds(call.fingerprint(), node.clock.now())?;
+    Some(Refusal::retry(Reason::Quarantined, left))
+}
+
+/// The life `upstream` of the target beside this daemon ended while it ran these requests.
+///
+/// Every daemon is told at once. By the regular exchanges alone it takes seconds, in which
+/// a request that comes ten times a second takes the rest of its service's targets.
+pub(crate) fn target_ended(node: &Rc<Node>, upstream: &str, requests: &[Fingerprint]) {
+    let now = node.clock.now();
+    let lives = vec![life_mark(upstream)];
+    let ended = |request: &Fingerprint| Finding::Ended {
+        request: *request,
+        lives: lives.clone(),
+        ago: Duration::ZERO,
+    };
+    let news = requests.iter().map(ended);
+    let news: Vec<_> = news.filter(|it| learn(node, it)).collect();
+    // Told with the lives that ended before, for those that missed word of them.
+    let known = node.requests.known.borrow();
+    let findings = news
+        .iter()
+        .filter_map(|it| known.finding(it.request(), now));
+    let findings: Vec<_> = findings.collect();
+    drop(known);
+    if !findings.is_empty() {
+        gossip::tell_fleet(node, &Ask::Findings(findings));
+    }
+}
+
+/// A target answered a call.
+pub(crate) fn answered(node: &Node, call: &CallParts) {
+    let known = node.requests.known.borrow();
+    if known.is_empty() {
+        return;
+    }
+    let request = call.fingerprint();
+    let is_suspected = known.lives(request) > 0;
+    drop(known);
+    if is_suspected {
+        let ago = Duration::ZERO;
+        learn(node, &Finding::Answered { request, ago });
+    }
+}
+
+/// Takes in what a peer found, and passes on what is news.
+pub(crate) fn hear(node: &Rc<Node>, findings: &[Finding], way: Way) {
+    let news = findings.iter().filter(|it| learn(node, it));
+    let news: Vec<_> = news.cloned().collect();
+    if way == Way::Direct && !news.is_empty() {
+        gossip::relay(node, &Ask::Findings(news));
+    }
+}
+
+/// Takes in a finding, and says whether it is news.
+fn learn(node: &Node, finding: &Finding) -> bool {
+    let now = node.clock.now();
+    let mut known = node.requests.known.borrow_mut();
+    let learned = known.hear(finding, now);
+    let lives = known.lives(finding.request());
+    drop(known);
+    match learned {
+        Learned::Nothing | Learned::Cleared { was_held: false } => {}
+        Learned::Suspicion => node.journal.count("requests.suspected"),
+        Learned::Held(left) => {
+            node.journal.count("requests.quarantined");
+            slog::warn!(node.log, "request quarantined"; fields::CONTENT => %finding.request(),
+                fields::LIVES => lives, fields::FOR_MS => left.as_millis());
+        }
+        Learned::Cleared { was_held: true } => {
+            slog::warn!(node.log, "quarantine lifted"; fields::CONTENT => %finding.request());
+        }
+    }
+    learned != Learned::Nothing
+}
--- a/crates/mesh/src/rollout/spread.rs
+++ b/crates/mesh/src/rollout/spread.rs
@@ -6,7 +6,7 @@
 
 use super::Source;
 use super::view::View;
-use crate::fleet::{configuration, gossip};
+use crate::fleet::gossip;
 use crate::node::Node;
 use crate::wire::Ask;
 
@@ -18,14 +18,8 @@
 pub(super) fn pass_on(node: &Rc<Node>, progress: &Progress, source: Source) {
     let told = Ask::Rollout(progress.clone());
     match source {
-        Source::Host | Source::Own => {
-            gossip::tell(node, gossip::own_zone(node), &told);
-            gossip::tell(node, gossip::followers_elsewhere(node), &told);
-        }
-        Source::Peer if configuration::follows_host(node) => {
-            gossip::tell(node, gossip::own_zone(node), &told);
-        }
-        Source::Peer => {}
+        Source::Host | Source::Own => gossip::tell_fleet(node, &told),
+        Source::Peer => gossip::relay(node, &told),
     }
     if source == Source::Own {
         let view = View::of(node, &progress.order.service, &progress.order.target);
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use stoatstep_calls::{
-    Answer, AttemptId, Fingerprint, Header, Occupancy, Refusal, Settled, Ticket,
+    Answer, AttemptId, Finding, Fingerprint, Header, Occupancy, Refusal, Settled, Ticket,
 };
 use stoatstep_membership::{GossipReply, GossipRequest, Mark, MemberKey};
 use stoatstep_resource::wire::{DifferenceWire, SnapshotWire};
@@ -44,9 +44,9 @@
     /// has not started never will; for one that runs the answer waits.
     #[serde(rename = "s")]
     Settle(AttemptId, Ticket),
-    /// About membership, with how far the roll-outs that go on have come.
+    /// About membership, with what else is new.
     #[serde(rename = "g")]
-    Gossip(GossipRequest, Vec<Progress>),
+    Gossip(GossipRequest, News),
     /// The configuration, if it is newer than this one.
     #[serde(rename = "n")]
     Newer(Mark),
@@ -56,6 +56,9 @@
     /// A roll-out has come so far; answered like a ping.
     #[serde(rename = "o")]
     Rollout(Progress),
+    /// What is known of requests under which targets end; answered like a ping.
+    #[serde(rename = "q")]
+    Findings(Vec<Finding>),
     /// What the receiver has seen of its target since the order.
     #[serde(rename = "e")]
     Evidence(ServiceName, OrderId),
@@ -78,7 +81,7 @@
     Settled(WireSettled),
     /// To [`Ask::Gossip`].
     #[serde(rename = "g")]
-    Gossip(GossipReply, Vec<Progress>),
+    Gossip(GossipReply, News),
     /// To [`Ask::Newer`]; with all roll-outs, where the asker has just started.
     #[serde(rename = "n")]
     Newer(Newer, Vec<Progress>),
@@ -88,11 +91,21 @@
     /// To [`Ask::Occupancy`].
     #[serde(rename = "u")]
     Occupancy(Occupancy),
-    /// To [`Ask::Ping`], [`Ask::Holds`] and [`Ask::Rollout`].
+    /// To [`Ask::Ping`], [`Ask::Holds`], [`Ask::Rollout`] and [`Ask::Findings`].
     #[serde(rename = "p")]
     Pong,
 }
 
+/// What goes along with the regular exchanges, so that whoever missed a word of its own
+/// about it hears of it within seconds.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct News {
+    /// How far the roll-outs have come that go on.
+    pub(crate) rollouts: Vec<Progress>,
+    /// About requests under which targets end.
+    pub(crate) findings: Vec<Finding>,
+}
+
 /// A newer configuration.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum Newer {
--- a/crates/telemetry/src/fields.rs
+++ b/crates/telemetry/src/fields.rs
@@ -123,9 +123,11 @@
 pub const CONTENTS: &str = "contents";
 /// Calls that a target ran.
 pub const RUNS: &str = "runs";
+/// Lives of targets that ended while they ran a request.
+pub const LIVES: &str = "lives";
 
 /// Every name above, in the order of this page.
-pub const ALL: [&str; 61] = [
+pub const ALL: [&str; 62] = [
     REQUEST,
     ATTEMPT,
     UPSTREAM,
@@ -187,4 +189,5 @@
     CONTENT,
     CONTENTS,
     RUNS,
+    LIVES,
 ];
