Keep refused requests where they outlast all daemons

Daemons teach those that start what is refused; where all end at once nobody is left to do so, and the request would take three targets and more once again.

Ruled out: a table of its own, which costs every start a call; the daemon with the deciding word alone as writer, which may not have heard of the other two ends when it hears of its own.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -59,7 +59,8 @@
 pub use ledger::{Arrival, Ledger, LedgerConfig, Settled, Ticket};
 pub use placement::{Placement, Seen, Wish};
 pub use quarantine::{
-    ANSWERED_FOR, Finding, LIVES, Learned, LifeMark, Quarantine, RecentAnswers, life_mark,
+    ANSWERED_FOR, Finding, KeptRequest, LIVES, Learned, LifeMark, Quarantine, RecentAnswers,
+    life_mark,
 };
 pub use queue::{Occupancy, Queue, QueueAsk};
 pub use refusal::{Outcome, Reason, Refusal};
--- a/crates/calls/src/quarantine.rs
+++ b/crates/calls/src/quarantine.rs
@@ -9,6 +9,7 @@
 //!
 //! How the ways were weighed is in `docs/design/quarantine.md`.
 
+mod kept;
 mod recent;
 
 use std::collections::HashMap;
@@ -20,6 +21,7 @@
 use crate::fingerprint::Fingerprint;
 use crate::ids::Time;
 
+pub use kept::KeptRequest;
 pub use recent::RecentAnswers;
 
 /// Names a life of a target that ended.
@@ -150,11 +152,8 @@
         is_news
     }
 
-    /// For how long the request is refused from the end of the last target on.
     fn hold(&self, needed: usize) -> Option<Duration> {
-        let later = self.lives.len().checked_sub(needed)?;
-        let doublings = u32::try_from(later.min(MAX_DOUBLINGS)).unwrap_or_default();
-        Some(HOLD * 2_u32.pow(doublings))
+        hold(self.lives.len(), needed)
     }
 
     fn left(&self, needed: usize, now: Time) -> Option<Duration> {
@@ -359,6 +358,13 @@
     }
 }
 
+/// For how long a request is refused from the end of the last of so many lives on.
+fn hold(lives: usize, needed: usize) -> Option<Duration> {
+    let later = lives.checked_sub(needed)?;
+    let doublings = u32::try_from(later.min(MAX_DOUBLINGS)).unwrap_or_default();
+    Some(HOLD * 2_u32.pow(doublings))
+}
+
 fn finding(request: Fingerprint, record: &Record, now: Time) -> Finding {
     match record {
         Record::Suspected(it) => Finding::Ended {
--- a/crates/mesh/src/fleet/roster.rs
+++ b/crates/mesh/src/fleet/roster.rs
@@ -1,5 +1,6 @@
 //! The host's list of instances, by which daemons find their first peers.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use super::gossip;
 use crate::host::{Host, HostError};
 use crate::node::Node;
+use crate::quarantine;
 
 /// Time for an answer of the host.
 const ANSWER_BOUND: Duration = Duration::from_secs(2);
@@ -42,6 +44,7 @@
         is_announced: false,
         looks: 0,
         due: node.clock.now(),
+        keeps_from: Cell::default(),
     };
     while !node.is_leaving() {
         if node.clock.now() >= roster.due {
@@ -50,6 +53,7 @@
             roster.due = node.clock.now() + pause.mul_f64(share);
         }
         roster.delete_forgotten().await;
+        roster.keep_requests().await;
         tokio::time::sleep(STEP).await;
     }
     let own = node.cfg.instance.clone();
@@ -63,6 +67,8 @@
     /// Looks at the list that were answered.
     looks: u32,
     due: Duration,
+    /// Requests are not kept before that, since the host did not take the last one.
+    keeps_from: Cell<Duration>,
 }
 
 impl<H: Host> Roster<H> {
@@ -98,10 +104,11 @@
     /// saves a write of each. Two that look before either is on the list miss each other,
     /// but are then alone, and look again.
     async fn look(&mut self) -> bool {
-        let Some(rows) = self.say("read", self.host.roster()).await else {
+        let Some(listed) = self.say("read", self.host.roster()).await else {
             return false;
         };
-        let rows: Vec<_> = rows.into_iter().map(|it| it.row).collect();
+        quarantine::hear_kept(&self.node, &listed.requests);
+        let rows: Vec<_> = listed.members.into_iter().map(|it| it.row).collect();
         let cfg = &self.node.cfg;
         let is_own = |it: &Row| it.instance == cfg.instance && it.peer == cfg.addresses.peers;
         self.is_announced |= rows.iter().any(is_own);
@@ -124,6 +131,26 @@
         }
     }
 
+    /// Writes and deletes what has to be kept of requests that are refused. What the host
+    /// does not take is tried again; until then every daemon knows it.
+    async fn keep_requests(&self) {
+        if self.node.clock.now() < self.keeps_from.get() {
+            return;
+        }
+        while let Some(next) = self.node.requests.next_to_keep() {
+            let kept = quarantine::kept(&self.node, next);
+            let done = match &kept {
+                Some(request) => self.say("kept", self.host.keep(request)).await,
+                None => self.say("kept", self.host.drop_kept(next)).await,
+            };
+            if done.is_none() {
+                self.node.requests.keep(next);
+                self.keeps_from.set(self.node.clock.now() + RETRY);
+                return;
+            }
+        }
+    }
+
     /// The answer, or a log line that says what was not done.
     async fn say<T>(
         &self,
--- a/crates/mesh/src/host.rs
+++ b/crates/mesh/src/host.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use smol_str::SmolStr;
+use stoatstep_calls::{Fingerprint, KeptRequest};
 use stoatstep_membership::Announcement;
 use stoatstep_resource::{InstanceId, ServiceName, State};
 use stoatstep_rollout::{Order, OrderId, Software, Step, UnixTime};
@@ -82,6 +83,16 @@
     }
 }
 
+/// What the host's list holds. Both parts stand in one list, so that a daemon that starts
+/// asks once.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listed {
+    /// The instances that announced themselves.
+    pub members: Vec<Announcement>,
+    /// Requests under which targets ended.
+    pub requests: Vec<KeptRequest>,
+}
+
 /// Version of a row at the host; 0 where there is no row.
 pub type RowVersion = u64;
 
@@ -134,8 +145,14 @@
     ) -> impl Future<Output = Result<Update, HostError>>;
 
     /// The instances that announced themselves, by which a daemon that starts
-    /// finds its first peer.
-    fn roster(&self) -> impl Future<Output = Result<Vec<Announcement>, HostError>>;
+    /// finds its first peer, and the requests that it has to refuse.
+    fn roster(&self) -> impl Future<Output = Result<Listed, HostError>>;
+
+    /// Keeps a request that is refused.
+    fn keep(&self, request: &KeptRequest) -> impl Future<Output = Result<(), HostError>>;
+
+    /// Keeps a request no longer.
+    fn drop_kept(&self, request: Fingerprint) -> impl Future<Output = Result<(), HostError>>;
 
     /// Adds this instance to the roster.
     fn announce(&self, own: &Announcement) -> impl Future<Output = Result<(), HostError>>;
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -36,10 +36,11 @@
 pub use config::{Addresses, MeshConfig};
 pub use dialect::Dialect;
 pub use host::{
-    Cursor, HeldRollout, Host, HostError, RolloutNews, RolloutState, RolloutStatus, RowVersion,
-    Update,
+    Cursor, HeldRollout, Host, HostError, Listed, RolloutNews, RolloutState, RolloutStatus,
+    RowVersion, Update,
 };
 pub use mechanism::{Mechanism, UnknownMechanism};
 pub use node::Mesh;
+pub use stoatstep_calls::{Fingerprint, KeptRequest};
 pub use stoatstep_membership::{Birth, Heard, Heartbeat, life_name};
 pub use stoatstep_rollout::{Order, OrderId, Software, UnixTime};
--- a/crates/mesh/src/quarantine.rs
+++ b/crates/mesh/src/quarantine.rs
@@ -2,14 +2,16 @@
 //! them. What is decided is in [`Quarantine`].
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use stoatstep_calls::{
-    Finding, Fingerprint, Learned, Quarantine, Reason, Refusal, Time, life_mark,
+    Finding, Fingerprint, KeptRequest, LIVES, Learned, Quarantine, Reason, Refusal, Time, life_mark,
 };
 use stoatstep_telemetry::fields;
 
+use crate::clock::unix_time;
 use crate::fleet::gossip;
 use crate::mechanism::Mechanism;
 use crate::node::Node;
@@ -28,6 +30,10 @@
 #[derive(Default)]
 pub(crate) struct Requests {
     known: RefCell<Quarantine>,
+    /// Requests that the target beside this daemon ran when it ended.
+    own: RefCell<BTreeSet<Fingerprint>>,
+    /// Requests of which the host has to be told, each once.
+    to_keep: RefCell<BTreeSet<Fingerprint>>,
 }
 
 impl Requests {
@@ -36,9 +42,22 @@
         self.known.borrow().news(now)
     }
 
+    /// Has the host told how a request stands, when it is reached.
+    pub(crate) fn keep(&self, request: Fingerprint) {
+        self.to_keep.borrow_mut().insert(request);
+    }
+
+    /// The next request of which the host has to be told.
+    pub(crate) fn next_to_keep(&self) -> Option<Fingerprint> {
+        self.to_keep.borrow_mut().pop_first()
+    }
+
     /// Forgets what is over.
     pub(crate) fn tick(&self, now: Time) {
-        self.known.borrow_mut().tick(now);
+        let mut known = self.known.borrow_mut();
+        known.tick(now);
+        let mut own = self.own.borrow_mut();
+        own.retain(|it| known.lives(*it) > 0);
     }
 }
 
@@ -67,6 +86,7 @@
         lives: lives.clone(),
         ago: Duration::ZERO,
     };
+    node.requests.own.borrow_mut().extend(requests);
     let news = requests.iter().map(ended);
     let news: Vec<_> = news.filter(|it| learn(node, it)).collect();
     // Told with the lives that ended before, for those that missed word of them.
@@ -81,6 +101,23 @@
     }
 }
 
+/// What the host has to hold of a request; nothing where it is not refused.
+pub(crate) fn kept(node: &Node, request: Fingerprint) -> Option<KeptRequest> {
+    let known = node.requests.known.borrow();
+    known.kept(request, node.clock.now(), unix_time())
+}
+
+/// Takes in what the host holds, and has deleted what is over.
+pub(crate) fn hear_kept(node: &Rc<Node>, requests: &[KeptRequest]) {
+    let now = unix_time();
+    for kept in requests {
+        learn(node, &kept.finding(now));
+        if kept.is_over(now, LIVES) {
+            node.requests.keep(kept.request);
+        }
+    }
+}
+
 /// A target answered a call. Where the request is refused somewhere, or soon might be,
 /// every daemon is told at once. In the first second of a fleet nothing was answered yet,
 /// and what most callers send may have run at three targets that ended; the regular
@@ -93,6 +130,7 @@
     let request = call.fingerprint();
     let is_suspected = known.lives(request) > 0;
     let is_near = known.is_near(request);
+    let is_held = known.holds(request, node.clock.now()).is_some();
     drop(known);
     if !is_suspected {
         return;
@@ -100,6 +138,9 @@
     let ago = Duration::ZERO;
     let finding = Finding::Answered { request, ago };
     learn(node, &finding);
+    if is_held {
+        node.requests.keep(request);
+    }
     if is_near {
         gossip::tell_fleet(node, &Ask::Findings(vec![finding]));
     }
@@ -125,6 +166,11 @@
         Learned::Nothing | Learned::Cleared { was_held: false } => {}
         Learned::Suspicion => node.journal.count("requests.suspected"),
         Learned::Held(left) => {
+            // By each of the daemons whose targets ended: any of them may be gone the next
+            // moment, and the row is the same.
+            if node.requests.own.borrow().contains(&finding.request()) {
+                node.requests.keep(finding.request());
+            }
             node.journal.count("requests.quarantined");
             slog::warn!(node.log, "request quarantined"; fields::CONTENT => %finding.request(),
                 fields::LIVES => lives, fields::FOR_MS => left.as_millis());
