Read anew where the platform's store came back from an older copy

Callers would meet an old configuration until the operator wrote another one: the store was away between two questions of a daemon, lost its newest writes and gave their versions out again, and what was written since stands below the version from which the daemon waits. Nothing read the era of its answers.

A cursor is now of an era, decoded at the adapter, and an answer of another era is lost history; one of an earlier era is dropped. The first wait after a pause is short: the answer to a wait is what tells the era, and a version has to be in force within two seconds. Ruled out: going back with the store (callers would see older versions; the operator writes them again), a question of its own for the era.

--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -28,6 +28,11 @@
 /// for how long a daemon may miss changes after the host is back.
 const WAIT: Duration = Duration::from_secs(3);
 
+/// The same for the first wait after a pause. Where the host was away during the pause and
+/// came back from an older copy, it may have given out the version again from which the
+/// wait goes on; only the end of the wait tells, and a version has to be in force in 2 s.
+const WAIT_AFTER_PAUSE: Duration = Duration::from_secs(1);
+
 /// Time for an answer beyond the wait.
 const ANSWER_BOUND: Duration = Duration::from_secs(1);
 
@@ -87,6 +92,7 @@
     let mut failures: u32 = 0;
     let mut last_failure = None;
     let mut last_answer = None;
+    let mut wait = WAIT;
     loop {
         let role = role(&node);
         if role == PollRole::Idle && node.fleet.in_force().is_some() {
@@ -100,7 +106,7 @@
         }
         let asked_at = node.clock.now();
         let asked = tokio::select! {
-            asked = ask(&*host, cursor) => asked,
+            asked = ask(&*host, cursor, wait) => asked,
             // Changes were missed, and the connection may be gone.
             () = node.fleet.woke.notified() => Err(HostError::HistoryLost),
         };
@@ -139,6 +145,11 @@
                 bound.min(LONGEST_PAUSE).mul_f64(share)
             }
         };
+        wait = if pause.is_zero() {
+            WAIT
+        } else {
+            WAIT_AFTER_PAUSE
+        };
         tokio::time::sleep(pause).await;
     }
 }
@@ -202,10 +213,14 @@
     PollRole::of(membership.me(), &zone, head_age, SILENCE)
 }
 
-async fn ask<H: Host>(host: &H, cursor: Option<Cursor>) -> Result<Update, HostError> {
+async fn ask<H: Host>(
+    host: &H,
+    cursor: Option<Cursor>,
+    wait: Duration,
+) -> Result<Update, HostError> {
     let asked = match cursor {
         None => timeout(ANSWER_BOUND, host.configuration()).await,
-        Some(cursor) => timeout(WAIT + ANSWER_BOUND, host.changed(cursor, WAIT)).await,
+        Some(cursor) => timeout(wait + ANSWER_BOUND, host.changed(cursor, wait)).await,
     };
     asked.unwrap_or_else(|_| Err(HostError::Unavailable("no answer in time".into())))
 }
--- a/crates/mesh/src/host.rs
+++ b/crates/mesh/src/host.rs
@@ -10,8 +10,19 @@
 use stoatstep_resource::{InstanceId, ServiceName, State};
 use stoatstep_rollout::{Order, OrderId, Software, Step, UnixTime};
 
-/// Position in the host's history of changes.
-pub type Cursor = u64;
+/// Counts how often the host came back from an older copy of what it held. It then has
+/// lost the newest writes, and gives their versions out again for others.
+pub type Era = u64;
+
+/// Position in the host's history of changes. Versions of two eras say nothing about each
+/// other: one that is higher may come before, and one that is the same be another write.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Cursor {
+    /// Era in which the version was given out.
+    pub era: Era,
+    /// Version of the newest change.
+    pub version: u64,
+}
 
 /// What a look at the host's configuration brought.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -110,7 +121,8 @@
 pub enum HostError {
     /// No answer, or one that says to come back. A write may have been done.
     Unavailable(SmolStr),
-    /// The changes after the cursor are no longer kept: read everything anew.
+    /// The changes after the cursor are no longer kept, or the cursor is of an earlier era:
+    /// read everything anew.
     HistoryLost,
     /// The answer is none that this build understands; the text says where.
     Malformed(SmolStr),
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -36,7 +36,7 @@
 pub use config::{Addresses, MeshConfig};
 pub use dialect::Dialect;
 pub use host::{
-    Cursor, HeldRollout, Host, HostError, Listed, RolloutNews, RolloutState, RolloutStatus,
+    Cursor, Era, HeldRollout, Host, HostError, Listed, RolloutNews, RolloutState, RolloutStatus,
     RowVersion, Update,
 };
 pub use mechanism::{Mechanism, UnknownMechanism};
--- a/crates/telemetry/src/fields.rs
+++ b/crates/telemetry/src/fields.rs
@@ -125,9 +125,13 @@
 pub const RUNS: &str = "runs";
 /// Lives of targets that ended while they ran a request.
 pub const LIVES: &str = "lives";
+/// How often the host came back from an older copy.
+pub const ERA: &str = "era";
+/// The same as known until then.
+pub const BEFORE_ERA: &str = "before_era";
 
 /// Every name above, in the order of this page.
-pub const ALL: [&str; 62] = [
+pub const ALL: [&str; 64] = [
     REQUEST,
     ATTEMPT,
     UPSTREAM,
@@ -190,4 +194,6 @@
     CONTENTS,
     RUNS,
     LIVES,
+    ERA,
+    BEFORE_ERA,
 ];
