Write the list of instances again where the platform's store lost it

A daemon that starts found nobody, and its callers nobody who serves them: the rows by which it would meet the others were among what the store had lost when it came back from an older copy, and those others know each other and never look at the list again. Requests that are refused stand in the same list.

Daemons that follow the store notice the era (two of a zone) and write their own row and the refused requests again; that is enough to be met by. Ruled out: every daemon writes, which at 295 the store would turn away in part.

--- a/crates/calls/src/quarantine.rs
+++ b/crates/calls/src/quarantine.rs
@@ -225,6 +225,12 @@
         }
     }
 
+    /// Every request that is refused.
+    pub fn held(&self, now: Time) -> impl Iterator<Item = Fingerprint> {
+        let requests = self.records.keys().copied();
+        requests.filter(move |it| self.holds(*it, now).is_some())
+    }
+
     /// Lives of targets that are known to have ended under a request.
     #[must_use]
     pub fn lives(&self, request: Fingerprint) -> usize {
--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -113,6 +113,7 @@
         let pause = match asked {
             Ok(update) => {
                 cursor = (role == PollRole::Poller).then_some(update.cursor);
+                node.fleet.hear_era(update.cursor.era);
                 failures = 0;
                 last_failure = None;
                 if !node.fleet.reaches_host.replace(true) {
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::clock::unix_time;
 use crate::config::MeshConfig;
+use crate::host::Era;
 use crate::in_force::InForce;
 use crate::node::Node;
 use crate::rollout::{self, Newcomers};
@@ -56,6 +57,10 @@
     is_pulling: Cell<bool>,
     /// The host answered the last question.
     reaches_host: Cell<bool>,
+    /// Era of the host's last answer.
+    era: Cell<Option<Era>>,
+    /// The host came back from an older copy, and what this daemon wrote may be gone.
+    has_returned: Cell<bool>,
     /// The instance was suspended: what waits for the host should ask anew.
     woke: Notify,
     /// Members that are gone for good, whose roster rows are to be deleted.
@@ -78,6 +83,8 @@
             looks_again: Cell::new(false),
             is_pulling: Cell::new(false),
             reaches_host: Cell::new(false),
+            era: Cell::new(None),
+            has_returned: Cell::new(false),
             woke: Notify::new(),
             forgotten: RefCell::default(),
         }
@@ -110,6 +117,14 @@
         }
     }
 
+    /// Takes in the era of an answer of the host.
+    fn hear_era(&self, era: Era) {
+        let before = self.era.replace(Some(era));
+        if before.is_some_and(|it| it < era) {
+            self.has_returned.set(true);
+        }
+    }
+
     /// Daemons that take part, this one included.
     pub(crate) fn size(&self) -> usize {
         self.membership.borrow().table().present().count()
--- a/crates/mesh/src/fleet/roster.rs
+++ b/crates/mesh/src/fleet/roster.rs
@@ -47,6 +47,9 @@
         keeps_from: Cell::default(),
     };
     while !node.is_leaving() {
+        if node.fleet.has_returned.take() {
+            roster.write_again();
+        }
         if node.clock.now() >= roster.due {
             let pause = roster.step().await;
             let share = rand::rng().random_range(0.75..1.25);
@@ -72,6 +75,16 @@
 }
 
 impl<H: Host> Roster<H> {
+    /// Has this daemon's own row written anew, and what is kept of requests: the host has
+    /// come back from an older copy. Those that follow the host notice, a few of each zone,
+    /// which is enough for whoever starts to be met. If all of 295 daemons wrote at once,
+    /// the host would turn most of them away.
+    fn write_again(&mut self) {
+        self.is_announced = false;
+        self.due = self.node.clock.now();
+        self.node.requests.keep_all(self.due);
+    }
+
     /// Does what is due and returns the time until the next step.
     async fn step(&mut self) -> Duration {
         if self.node.cfg.is_first_start && !self.is_announced {
--- a/crates/mesh/src/quarantine.rs
+++ b/crates/mesh/src/quarantine.rs
@@ -47,6 +47,12 @@
         self.to_keep.borrow_mut().insert(request);
     }
 
+    /// The same for all that are refused.
+    pub(crate) fn keep_all(&self, now: Time) {
+        let held = self.known.borrow();
+        self.to_keep.borrow_mut().extend(held.held(now));
+    }
+
     /// The next request of which the host has to be told.
     pub(crate) fn next_to_keep(&self) -> Option<Fingerprint> {
         self.to_keep.borrow_mut().pop_first()
