Let the pause of a refused request end at the same time for a young daemon

Callers of a daemon that has just started were refused longer than others: when the targets ended before its process began, its clock has no reading for that moment, and the pause began with the process (595 s in place of 300 s in the test, red before). A record now keeps the age at its last change. Records and findings have modules of their own.

--- a/crates/calls/src/quarantine.rs
+++ b/crates/calls/src/quarantine.rs
@@ -9,18 +9,21 @@
 //!
 //! How the ways were weighed is in `docs/design/quarantine.md`.
 
+mod finding;
 mod kept;
 mod recent;
+mod record;
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fingerprint::Fingerprint;
 use crate::ids::Time;
+use record::{Record, Suspected};
 
+pub use finding::{Finding, Learned};
 pub use kept::KeptRequest;
 pub use recent::RecentAnswers;
 
@@ -68,124 +71,6 @@
 /// Requests of which a peer is told at a time.
 const MAX_TOLD: usize = 64;
 
-/// What daemons tell each other about a request. Times are given as ages, as clocks of two
-/// instances differ.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Finding {
-    /// Targets ended while they ran it.
-    #[serde(rename = "e")]
-    Ended {
-        /// The request.
-        request: Fingerprint,
-        /// Every life of a target that is known to have ended so.
-        lives: Vec<LifeMark>,
-        /// Time since the last of them did.
-        ago: Duration,
-    },
-    /// A target answered it.
-    #[serde(rename = "a")]
-    Answered {
-        /// The request.
-        request: Fingerprint,
-        /// Time since then.
-        ago: Duration,
-    },
-}
-
-impl Finding {
-    /// The request that it is about.
-    #[must_use]
-    pub fn request(&self) -> Fingerprint {
-        match self {
-            Self::Ended { request, .. } | Self::Answered { request, .. } => *request,
-        }
-    }
-}
-
-/// What a finding changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Learned {
-    /// Nothing.
-    Nothing,
-    /// A request is suspected for one more reason.
-    Suspicion,
-    /// A request is refused from now on, for this long.
-    Held(Duration),
-    /// A request is no longer suspected; it was refused until now if that is said.
-    Cleared {
-        /// It was refused.
-        was_held: bool,
-    },
-}
-
-#[derive(Clone, Debug)]
-enum Record {
-    Suspected(Suspected),
-    Answered(Time),
-}
-
-#[derive(Clone, Debug)]
-struct Suspected {
-    lives: Vec<LifeMark>,
-    /// When the last of them ended.
-    ended: Time,
-    /// When this record last changed.
-    changed: Time,
-}
-
-impl Suspected {
-    /// Adds lives, and says whether one of them is news.
-    fn add(&mut self, lives: &[LifeMark], ended: Time, now: Time) -> bool {
-        let before = self.lives.len();
-        for life in lives {
-            if self.lives.len() < MAX_LIVES && !self.lives.contains(life) {
-                self.lives.push(*life);
-            }
-        }
-        let is_news = self.lives.len() > before;
-        if is_news {
-            // Only then: between two daemons that tell each other, an age that is taken
-            // over each time would creep by the time on the way.
-            self.ended = self.ended.max(ended);
-            self.changed = now;
-        }
-        is_news
-    }
-
-    fn hold(&self, needed: usize) -> Option<Duration> {
-        hold(self.lives.len(), needed)
-    }
-
-    fn left(&self, needed: usize, now: Time) -> Option<Duration> {
-        let left = (self.ended + self.hold(needed)?).saturating_sub(now);
-        (!left.is_zero()).then_some(left)
-    }
-
-    /// After a hold the lives are remembered for as long again: if the request ends one
-    /// more target then, that is enough.
-    fn is_over(&self, needed: usize, now: Time) -> bool {
-        let kept = self.hold(needed).map_or(SUSPECTED_FOR, |it| it * 2);
-        now > self.ended + kept
-    }
-}
-
-impl Record {
-    fn is_over(&self, needed: usize, now: Time) -> bool {
-        match self {
-            Self::Suspected(it) => it.is_over(needed, now),
-            Self::Answered(at) => now > *at + ANSWERED_FOR,
-        }
-    }
-
-    /// What goes first where too much is remembered.
-    fn weight(&self) -> (usize, Time) {
-        match self {
-            Self::Suspected(it) => (it.lives.len(), it.changed),
-            Self::Answered(at) => (0, *at),
-        }
-    }
-}
-
 /// What one daemon knows of requests under which targets ended.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
@@ -253,7 +138,7 @@
                 request,
                 lives,
                 ago,
-            } => self.ended(*request, lives, now.saturating_sub(*ago), now),
+            } => self.ended(*request, lives, *ago, now),
             Finding::Answered { request, ago } => self.answered(*request, *ago, now),
         }
     }
@@ -262,7 +147,7 @@
     #[must_use]
     pub fn finding(&self, request: Fingerprint, now: Time) -> Option<Finding> {
         let record = self.records.get(&request)?;
-        Some(finding(request, record, now))
+        Some(record.finding(request, now))
     }
 
     /// What peers are told in the regular exchanges: what changed lately, and whatever is
@@ -279,7 +164,7 @@
         told.sort_by_key(|(_, it)| std::cmp::Reverse(it.weight()));
         told.truncate(MAX_TOLD);
         let findings = told.into_iter();
-        findings.map(|(key, it)| finding(*key, it, now)).collect()
+        findings.map(|(key, it)| it.finding(*key, now)).collect()
     }
 
     /// Forgets what is over.
@@ -292,7 +177,7 @@
         &mut self,
         request: Fingerprint,
         lives: &[LifeMark],
-        ended: Time,
+        ago: Duration,
         now: Time,
     ) -> Learned {
         if let Some(Record::Answered(at)) = self.records.get(&request)
@@ -306,14 +191,14 @@
         let record = record
             .and_modify(|it| {
                 if matches!(it, Record::Answered(_)) {
-                    *it = Record::Suspected(Suspected::new(ended, now));
+                    *it = Record::Suspected(Suspected::new(ago, now));
                 }
             })
-            .or_insert_with(|| Record::Suspected(Suspected::new(ended, now)));
+            .or_insert_with(|| Record::Suspected(Suspected::new(ago, now)));
         let Record::Suspected(suspected) = record else {
             return Learned::Nothing;
         };
-        if !suspected.add(lives, ended, now) {
+        if !suspected.add(lives, ago, now) {
             return Learned::Nothing;
         }
         match suspected.left(self.needed, now) {
@@ -354,33 +239,9 @@
     }
 }
 
-impl Suspected {
-    fn new(ended: Time, now: Time) -> Self {
-        Self {
-            lives: Vec::new(),
-            ended,
-            changed: now,
-        }
-    }
-}
-
 /// For how long a request is refused from the end of the last of so many lives on.
 fn hold(lives: usize, needed: usize) -> Option<Duration> {
     let later = lives.checked_sub(needed)?;
     let doublings = u32::try_from(later.min(MAX_DOUBLINGS)).unwrap_or_default();
     Some(HOLD * 2_u32.pow(doublings))
 }
-
-fn finding(request: Fingerprint, record: &Record, now: Time) -> Finding {
-    match record {
-        Record::Suspected(it) => Finding::Ended {
-            request,
-            lives: it.lives.clone(),
-            ago: now.saturating_sub(it.ended),
-        },
-        Record::Answered(at) => Finding::Answered {
-            request,
-            ago: now.saturating_sub(*at),
-        },
-    }
-}
--- a/crates/calls/src/quarantine/kept.rs
+++ b/crates/calls/src/quarantine/kept.rs
@@ -52,7 +52,7 @@
         Some(KeptRequest {
             request,
             lives: known.lives.clone(),
-            ended: wall.saturating_sub(now.saturating_sub(known.ended)),
+            ended: wall.saturating_sub(known.since(now)),
         })
     }
 }
--- a/crates/calls/tests/all/quarantine.rs
+++ b/crates/calls/tests/all/quarantine.rs
@@ -122,6 +122,19 @@
     assert_eq!(started.holds(LETHAL, s(350)), Some(s(300)));
 }
 
+/// The targets may have ended before the daemon began that hears of them. Its callers are
+/// refused for no longer than those of the others.
+#[test]
+fn the_pause_of_a_young_daemon_ends_with_that_of_the_others() {
+    let known = after(LIVES, s(1000));
+    let mut young = Quarantine::default();
+    for finding in &known.news(s(1300)) {
+        young.hear(finding, s(5));
+    }
+    assert_eq!(young.holds(LETHAL, s(5)), Some(s(300)));
+    assert_eq!(young.holds(LETHAL, s(306)), None);
+}
+
 /// Two daemons tell each other of a request each second. The pause must not grow by it.
 #[test]
 fn telling_each_other_does_not_prolong_the_pause() {
