Tell the caller of a lost answer after 10 ms at the latest

Whether the target still listens is asked before the answer goes back, and a target that neither takes nor refuses connections held that answer for up to 250 ms. The first look is now bounded; the later ones are beside the answer. Found by reading; a hang of that kind has no test.

--- a/crates/mesh/src/executor/ended.rs
+++ b/crates/mesh/src/executor/ended.rs
@@ -6,7 +6,7 @@
 use stoatstep_calls::Fingerprint;
 use stoatstep_resource::UpstreamName;
 use stoatstep_telemetry::fields;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::node::Node;
 use crate::quarantine;
@@ -14,6 +14,10 @@
 /// Fingerprints that a line names at most; more than most targets have slots.
 const MAX_NAMED: usize = 32;
 
+/// Time for the first look, for which the caller's answer waits. On its own instance a
+/// refused connection takes well under a millisecond; one that hangs says nothing.
+const FIRST_LOOK: Duration = Duration::from_millis(10);
+
 /// Pauses after which it is looked again whether a target that still took a connection
 /// does so. A process that ends closes its sockets one after the other, in any order.
 const LOOKS_AGAIN: [Duration; 2] = [Duration::from_millis(5), Duration::from_millis(50)];
@@ -26,7 +30,8 @@
         return;
     }
     let contents = running(node, upstream);
-    if !node.executor.target.listens().await {
+    let listens = timeout(FIRST_LOOK, node.executor.target.listens()).await;
+    if listens == Ok(false) {
         note(node, upstream, &contents);
         return;
     }
