Let word of a known request push out no other one

Found in reading the change again: room was made before it was looked whether the request is known, so with 1,024 requests remembered each further end of a known one forgot another. Callers could be hurt only where that one was soon to be refused. Taking in an end is one look and one insertion now, and what an answer is worth is asked in one place. The new test was red before; tests of the crate and clippy pass.

--- a/crates/calls/src/quarantine.rs
+++ b/crates/calls/src/quarantine.rs
@@ -180,22 +180,17 @@
         ago: Duration,
         now: Time,
     ) -> Learned {
-        if let Some(Record::Answered(at)) = self.records.get(&request)
-            && now <= *at + ANSWERED_FOR
-        {
-            return Learned::Nothing;
-        }
         let was_held = self.holds(request, now).is_some();
-        self.make_room();
-        let record = self.records.entry(request);
-        let record = record
-            .and_modify(|it| {
-                if matches!(it, Record::Answered(_)) {
-                    *it = Record::Suspected(Suspected::new(ago, now));
-                }
-            })
-            .or_insert_with(|| Record::Suspected(Suspected::new(ago, now)));
-        let Record::Suspected(suspected) = record else {
+        match self.records.get(&request) {
+            Some(Record::Suspected(_)) => {}
+            Some(answered) if !answered.is_over(self.needed, now) => return Learned::Nothing,
+            _ => {
+                self.make_room();
+                let suspected = Suspected::new(ago, now);
+                self.records.insert(request, Record::Suspected(suspected));
+            }
+        }
+        let Some(Record::Suspected(suspected)) = self.records.get_mut(&request) else {
             return Learned::Nothing;
         };
         if !suspected.add(lives, ago, now) {
--- a/crates/calls/tests/all/quarantine.rs
+++ b/crates/calls/tests/all/quarantine.rs
@@ -164,6 +164,19 @@
     assert!(known.news(s(3)).len() <= 64);
 }
 
+/// The memory is full. More word of a request that is known takes no other one's place.
+#[test]
+fn more_word_of_a_known_request_pushes_out_no_other() {
+    let mut known = Quarantine::default();
+    let requests = 10..10 + 1024;
+    for request in requests.clone() {
+        known.hear(&ended(Fingerprint(request), "i-0"), s(1));
+    }
+    known.hear(&ended(Fingerprint(10), "i-1"), s(2));
+    let forgotten = requests.filter(|it| known.lives(Fingerprint(*it)) == 0);
+    assert_eq!(forgotten.count(), 0);
+}
+
 /// A rack of targets ends at once, and the request that most callers send ran at each of
 /// them. Each of those targets had just answered it, so its end tells nothing about it.
 #[test]
