Read anew at once after lost history

After the host said that the history is gone, the daemon paused 0.2 to 0.6 s as after any failure before it read all anew. With the wait of 1 s after a pause and the gap of 0.5 s after a change, a version written behind a return of the platform's store took up to 2.1 s where 2 s are allowed. A host that says so can be read at once; only where it says so twice in a row is the pause kept.

--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -133,17 +133,17 @@
                 }
             }
             Err(err) => {
-                if last_failure.as_ref() != Some(&err) {
+                let is_new = last_failure.as_ref() != Some(&err);
+                if is_new {
                     note_failure(&node, &err);
                 }
                 node.journal.count("host.failures");
-                last_failure = Some(err);
                 // Read anew, which is answered at once or not at all.
                 cursor = None;
                 failures += 1;
-                let bound = FIRST_PAUSE * (1 << failures.min(8));
-                let share = rand::rng().random_range(0.5..1.5);
-                bound.min(LONGEST_PAUSE).mul_f64(share)
+                let pause = pause_after(&err, is_new, failures);
+                last_failure = Some(err);
+                pause
             }
         };
         wait = if pause.is_zero() {
@@ -155,6 +155,20 @@
     }
 }
 
+/// Time until the host is asked again after a failure.
+///
+/// A host that answers that the history is gone can be read at once: a pause would only
+/// keep an old version in force. Not twice in a row, or a host that always says so would
+/// be asked without end.
+fn pause_after(err: &HostError, is_new: bool, failures: u32) -> Duration {
+    if is_new && *err == HostError::HistoryLost {
+        return Duration::ZERO;
+    }
+    let bound = FIRST_PAUSE * (1 << failures.min(8));
+    let share = rand::rng().random_range(0.5..1.5);
+    bound.min(LONGEST_PAUSE).mul_f64(share)
+}
+
 /// Longest time for which a row that an answer brought may have been there before. A wait
 /// that took some time ended when the row was written; where it ended at once, the row was
 /// written after the answer before.
