--- a/crates/calls/src/admission/active.rs
+++ b/crates/calls/src/admission/active.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use stoatstep_resource::TenantName;
+use stoatstep_resource::CustomerName;
 
 use crate::ids::Time;
 
@@ -26,14 +26,14 @@
 /// Table of the tenants seen lately.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Active {
-    seen: BTreeMap<TenantName, Seen>,
+    seen: BTreeMap<CustomerName, Seen>,
     total: u64,
     recount_at: Time,
 }
 
 impl Active {
     /// Counts a call of a tenant.
-    pub(super) fn see(&mut self, tenant: &TenantName, weight: u32, now: Time) {
+    pub(super) fn see(&mut self, tenant: &CustomerName, weight: u32, now: Time) {
         let seen = Seen { at: now, weight };
         if let Some(known) = self.seen.get_mut(tenant) {
             *known = seen;
--- a/crates/calls/src/admission/mod.rs
+++ b/crates/calls/src/admission/mod.rs
@@ -13,7 +13,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use stoatstep_resource::TenantName;
+use stoatstep_resource::CustomerName;
 
 use crate::class::Class;
 use crate::estimate::Estimate;
@@ -29,7 +29,7 @@
 
 #[derive(Clone, Debug)]
 struct Running {
-    tenant: TenantName,
+    tenant: CustomerName,
     class: Class,
     started: Time,
 }
@@ -223,7 +223,7 @@
     }
 
     fn active_weight(&self, ask: &Ask) -> usize {
-        let mut weights: BTreeMap<&TenantName, u32> = BTreeMap::new();
+        let mut weights: BTreeMap<&CustomerName, u32> = BTreeMap::new();
         for it in &self.waiting {
             weights.insert(&it.tenant, it.weight);
         }
--- a/crates/calls/src/admission/shares.rs
+++ b/crates/calls/src/admission/shares.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use stoatstep_resource::TenantName;
+use stoatstep_resource::CustomerName;
 
 use crate::class::Class;
 
@@ -19,13 +19,13 @@
     clock: u64,
     classes: BTreeMap<Class, u64>,
     class_clocks: BTreeMap<Class, u64>,
-    tenants: BTreeMap<(Class, TenantName), u64>,
+    tenants: BTreeMap<(Class, CustomerName), u64>,
 }
 
 impl Shares {
     /// Where a class and a tenant in it stand. Never before the virtual clock:
     /// a tenant that was idle for an hour must not be owed that hour.
-    pub(super) fn position(&self, class: Class, tenant: &TenantName) -> (u64, u64) {
+    pub(super) fn position(&self, class: Class, tenant: &CustomerName) -> (u64, u64) {
         let at = self.classes.get(&class).copied().unwrap_or_default();
         let clock = self.class_clock(class);
         let key = (class, tenant.clone());
@@ -34,7 +34,7 @@
     }
 
     /// Counts a start.
-    pub(super) fn charge(&mut self, class: Class, tenant: &TenantName, weight: u32) {
+    pub(super) fn charge(&mut self, class: Class, tenant: &CustomerName, weight: u32) {
         let (class_at, tenant_at) = self.position(class, tenant);
         self.clock = class_at;
         self.class_clocks.insert(class, tenant_at);
--- a/crates/calls/src/admission/types.rs
+++ b/crates/calls/src/admission/types.rs
@@ -1,7 +1,7 @@
 //! What goes into an [`Admission`](super::Admission) and what comes out.
 
 use serde::{Deserialize, Serialize};
-use stoatstep_resource::TenantName;
+use stoatstep_resource::CustomerName;
 
 use crate::class::Class;
 use crate::ids::{AttemptId, Time};
@@ -32,7 +32,7 @@
     /// The attempt.
     pub attempt: AttemptId,
     /// Whose call it is.
-    pub tenant: TenantName,
+    pub tenant: CustomerName,
     /// The call's class.
     pub class: Class,
     /// The tenant's share relative to the others'.
--- a/crates/calls/src/intent/key.rs
+++ b/crates/calls/src/intent/key.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, ToSmolStr};
-use stoatstep_resource::{ServiceName, TenantName};
+use stoatstep_resource::{CustomerName, ServiceName};
 use uuid::Uuid;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -119,7 +119,7 @@
     /// The service that the call is for.
     pub service: ServiceName,
     /// The tenant that sends it.
-    pub tenant: TenantName,
+    pub tenant: CustomerName,
     /// The key.
     pub key: KeyText,
 }
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -10,7 +10,7 @@
 //! The two sides of a call are the *entry* (the daemon that took it from the
 //! caller) and the *executor* (the daemon on the target's own instance):
 //!
-//! * the entry uses [`RouteTable`], [`Router`] or [`Placement`], [`RetryBudget`], [`Backoff`], [`Deadline`] and
+//! * the entry uses [`RouteTable`], [`KeyRing`], [`Purse`], [`Router`] or [`Placement`], [`RetryBudget`], [`Backoff`], [`Deadline`] and
 //!   [`Silence`];
 //! * both use [`Quarantine`];
 //! * the executor uses [`Admission`] or [`Queue`], [`Ledger`], [`IntentTable`], [`Drain`] and [`Departure`].
@@ -27,12 +27,14 @@
 mod drain;
 mod estimate;
 mod fingerprint;
+mod identity;
 mod ids;
 mod intent;
 mod ledger;
 mod placement;
 mod quarantine;
 mod queue;
+mod quota;
 mod refusal;
 mod retry;
 mod router;
@@ -51,6 +53,7 @@
 pub use drain::{Drain, DrainStep};
 pub use estimate::Estimate;
 pub use fingerprint::Fingerprint;
+pub use identity::{CREDENTIAL, CredentialError, KeyRing, bearer_key};
 pub use ids::{AttemptId, Incarnation, SetId, Time, Wall};
 pub use intent::{
     Begin, Handover, Home, HomeAnswer, HomeSets, IntentConfig, IntentKey, IntentMemory,
@@ -63,6 +66,7 @@
     life_mark,
 };
 pub use queue::{Occupancy, Queue, QueueAsk};
+pub use quota::{Bucket, Grant, Purse, Share, Taken};
 pub use refusal::{Outcome, Reason, Refusal};
 pub use retry::{Attempts, Backoff, RetryBudget, Settlement, may_retry};
 pub use router::{Report, Router};
--- a/crates/calls/src/refusal.rs
+++ b/crates/calls/src/refusal.rs
@@ -82,6 +82,14 @@
     Quarantined => "quarantined", NotRun;
     /// The daemon has just started and may not serve by any version yet.
     NotReady => "not-ready", NotRun;
+    /// No customer holds the caller's key, or there is none.
+    Unauthenticated => "unauthenticated", NotRun;
+    /// The daemon has been cut off, and the key may have been taken away meanwhile.
+    Unconfirmed => "unconfirmed", NotRun;
+    /// The customer's quota is used up.
+    OverQuota => "over-quota", NotRun;
+    /// Nobody can tell what is left of the customer's quota.
+    QuotaUnknown => "quota-unknown", NotRun;
     /// No route matches the path.
     NoRoute => "no-route", NotRun;
     /// No upstream of the service can be reached.
@@ -136,6 +144,7 @@
                 | Self::BadRequest
                 | Self::TooLarge
                 | Self::Quarantined
+                | Self::Unauthenticated
                 | Self::KeyReused
                 | Self::KeyFromFuture
                 | Self::KeyExpired
--- a/crates/calls/tests/all/routes.rs
+++ b/crates/calls/tests/all/routes.rs
@@ -13,6 +13,7 @@
         split: Vec::new(),
         policy: None,
         idempotent: false,
+        public: false,
     }
 }
 
--- a/crates/ctl/src/commands/get.rs
+++ b/crates/ctl/src/commands/get.rs
@@ -104,7 +104,9 @@
             "SERVICE",
             "POLICY",
             "IDEMPOTENT",
+            "PUBLIC",
         ],
+        Kind::Customer => &["CUSTOMER", "REVISION", "KEYS", "QUOTA", "PRIORITY"],
     }
 }
 
@@ -136,12 +138,27 @@
             route.prefix.to_string(),
             route.service.to_string(),
             or_dash(&route.policy),
-            if route.idempotent { "yes" } else { "no" }.to_owned(),
+            yes_or_no(route.idempotent),
+            yes_or_no(route.public),
+        ]),
+        ResourceWire::Customer(customer) => cells.extend([
+            customer.keys.len().to_string(),
+            customer.quota.map_or_else(
+                || "-".to_owned(),
+                |it| format!("{}/min, burst {}", it.per_minute, it.burst),
+            ),
+            customer
+                .priority
+                .map_or_else(|| "-".to_owned(), |it| it.to_string()),
         ]),
     }
     cells
 }
 
+fn yes_or_no(is_true: bool) -> String {
+    if is_true { "yes" } else { "no" }.to_owned()
+}
+
 fn limit(limit: &stoatstep_resource::wire::TenantLimitWire) -> String {
     match limit.concurrency {
         Some(most) => format!("{}:{}(max {most})", limit.tenant, limit.weight),
--- a/crates/daemon/src/call/request.rs
+++ b/crates/daemon/src/call/request.rs
@@ -10,9 +10,10 @@
 use rand::RngExt;
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 use stoatstep_calls::{
-    Class, Deadline, Header, IntentKey, KeyText, Reason, Refusal, ResolvedRoute, set_id,
+    CREDENTIAL, Class, Deadline, Header, IntentKey, KeyText, Reason, Refusal, ResolvedRoute,
+    bearer_key, set_id,
 };
-use stoatstep_resource::{ServiceName, TenantLimit};
+use stoatstep_resource::{CustomerName, ServiceName, TenantLimit};
 
 use super::headers;
 use super::wire::WireCall;
@@ -27,6 +28,9 @@
 /// Longest name of a tenant.
 const LONGEST_TENANT: usize = 64;
 
+/// Who a caller is that says nothing of itself.
+const NO_TENANT: CustomerName = SmolStr::new_static("default");
+
 /// Longest request id that is passed on.
 const LONGEST_REQUEST_ID: usize = 64;
 
@@ -84,7 +88,11 @@
         let Some(route) = route.cloned() else {
             return Err(Rejected::bare(Reason::NoRoute));
         };
-        let head = Head::read(req.headers())?;
+        let customer = customer(&in_force, &route, req.headers())?;
+        let mut head = Head::read(req.headers())?;
+        if !in_force.keys.is_empty() {
+            head.tenant = customer.unwrap_or(NO_TENANT);
+        }
         let body = read_body(req.take_payload(), MAX_BODY).await;
         let body = body.map_err(|err| match err {
             BodyError::TooLarge => Rejected::bare(Reason::TooLarge),
@@ -130,7 +138,7 @@
     WireCall {
         method: req.method().as_str().to_smolstr(),
         path: path.map_or_else(|| "/".into(), |it| it.as_str().to_smolstr()),
-        headers: passed(req.headers()),
+        headers: passed(req.headers(), in_force.keys.is_empty()),
         body,
         class: head.class,
         depth: head.depth,
@@ -151,6 +159,22 @@
     named.unwrap_or_default()
 }
 
+/// The customer that holds the caller's key; none where the route needs no key and the
+/// caller shows none that opens anything.
+fn customer(
+    in_force: &InForce,
+    route: &ResolvedRoute,
+    map: &HeaderMap,
+) -> Result<Option<CustomerName>, Rejected> {
+    let credentials = map.get_all(CREDENTIAL).map(|it| it.as_bytes());
+    let key = bearer_key(credentials).ok();
+    let holder = key.and_then(|it| in_force.keys.holder(&it));
+    if holder.is_none() && !route.route.public && !in_force.keys.is_empty() {
+        return Err(Rejected::bare(Reason::Unauthenticated));
+    }
+    Ok(holder.map(|it| it.name.clone()))
+}
+
 fn is_idempotent(method: &Method) -> bool {
     matches!(
         *method,
@@ -158,9 +182,12 @@
     )
 }
 
-fn passed(map: &HeaderMap) -> Vec<Header> {
+/// The headers that go through. Keys are none of them where there are customers: no target
+/// is to get one.
+fn passed(map: &HeaderMap, passes_credential: bool) -> Vec<Header> {
     let all = map.iter();
-    let passed = all.filter(|(name, _)| headers::passes(name.as_str()));
+    let passes = |name: &str| headers::passes(name) && (passes_credential || name != CREDENTIAL);
+    let passed = all.filter(|(name, _)| passes(name.as_str()));
     let header = passed.map(|(name, value)| Header {
         name: name.as_str().to_smolstr(),
         value: value.as_bytes().to_vec(),
@@ -242,5 +269,5 @@
         }
         Ok(text.into())
     });
-    tenant.unwrap_or_else(|| SmolStr::new_static("default"))
+    tenant.unwrap_or(NO_TENANT)
 }
--- a/crates/daemon/src/call/respond.rs
+++ b/crates/daemon/src/call/respond.rs
@@ -52,6 +52,7 @@
 fn status(refusal: &Refusal) -> StatusCode {
     match refusal.reason {
         Reason::NoRoute => StatusCode::NOT_FOUND,
+        Reason::Unauthenticated => StatusCode::UNAUTHORIZED,
         Reason::BadRequest | Reason::KeyFromFuture => StatusCode::BAD_REQUEST,
         Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         Reason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
--- a/crates/daemon/src/call/wire.rs
+++ b/crates/daemon/src/call/wire.rs
@@ -15,7 +15,7 @@
     Answer, AttemptId, Class, Header, HomeAnswer, IntentKey, KeyText, Load, Refusal, SetId,
     Settled, Ticket,
 };
-use stoatstep_resource::{ServiceName, TenantName, UpstreamName, Version};
+use stoatstep_resource::{CustomerName, ServiceName, UpstreamName, Version};
 
 /// What every attempt of one call has in common.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -26,7 +26,7 @@
     pub(super) path: SmolStr,
     pub(super) headers: Vec<Header>,
     pub(super) body: Bytes,
-    pub(super) tenant: TenantName,
+    pub(super) tenant: CustomerName,
     pub(super) class: Class,
     pub(super) depth: u32,
     pub(super) idempotent: bool,
--- a/crates/daemon/src/in_force.rs
+++ b/crates/daemon/src/in_force.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use stoatstep_calls::{ResolvedRoute, RouteTable};
+use stoatstep_calls::{KeyRing, ResolvedRoute, RouteTable};
 use stoatstep_resource::{Digest, Resource, ServiceName, State, Upstream, UpstreamName};
 
 /// One version, compiled for routing. It is immutable: a call keeps the one
@@ -12,6 +12,8 @@
 pub(crate) struct InForce {
     pub(crate) state: Arc<State>,
     pub(crate) digest: Digest,
+    /// The customers, by their keys.
+    pub(crate) keys: KeyRing,
     routes: RouteTable,
     services: BTreeMap<ServiceName, Vec<UpstreamName>>,
     upstreams: BTreeMap<UpstreamName, Arc<Upstream>>,
@@ -22,6 +24,7 @@
     pub(crate) fn new(state: &Arc<State>) -> Self {
         let mut in_force = Self {
             digest: state.digest(),
+            keys: KeyRing::new(state),
             routes: RouteTable::new(state),
             services: BTreeMap::new(),
             upstreams: BTreeMap::new(),
@@ -29,7 +32,7 @@
         };
         for (_, held) in state.iter() {
             match held.resource.as_ref() {
-                Resource::Policy(_) | Resource::Route(_) => {}
+                Resource::Policy(_) | Resource::Route(_) | Resource::Customer(_) => {}
                 Resource::Service(service) => {
                     in_force.services.entry(service.name.clone()).or_default();
                 }
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod cold_start;
 mod collect;
+mod confirmation;
 mod jitter;
 mod poller;
 mod quarantine;
@@ -27,6 +28,7 @@
 
 pub use cold_start::{ColdStart, Standing, Step};
 pub use collect::{Hold, Holdings, Refusal};
+pub use confirmation::{Confirmation, HostClock};
 pub use poller::{PollOutcome, PollRole, Poller};
 pub use quarantine::{Quarantined, Reason};
 pub use repair::{Pull, Repair, Source};
@@ -34,7 +36,7 @@
 pub use roster_looks::RosterLooks;
 pub use serving::Serving;
 pub use spread::Spread;
-pub use tree::{Tree, View, rendezvous};
+pub use tree::{Tree, View, first_of, rendezvous, seed_of};
 pub use wire::{CollectReply, CollectRequest, LogReply, LogRequest, LogTail, PushRequest};
 
 /// Which version a daemon holds, as peers tell each other.
--- a/crates/distribution/src/tree.rs
+++ b/crates/distribution/src/tree.rs
@@ -4,7 +4,7 @@
 
 use stoatstep_membership::MemberKey;
 use stoatstep_resource::ZoneName;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Members that take part, by zone, the daemon itself included.
 pub type View = BTreeMap<ZoneName, Vec<MemberKey>>;
@@ -21,6 +21,19 @@
     xxh3_64_with_seed(&key.to_le_bytes(), seed)
 }
 
+/// Seed for a purpose that has a name.
+#[must_use]
+pub fn seed_of(purpose: &str) -> u64 {
+    xxh3_64(purpose.as_bytes())
+}
+
+/// The member with the least weight for a purpose.
+#[must_use]
+pub fn first_of(seed: u64, members: impl IntoIterator<Item = MemberKey>) -> Option<MemberKey> {
+    let members = members.into_iter();
+    members.min_by_key(|key| (rendezvous(seed, *key), *key))
+}
+
 /// A zone's members in the order of their weights, read as a forest with two
 /// roots in which each member has up to `fan_out` children.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/distribution/tests/all/main.rs
+++ b/crates/distribution/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod cold_start;
 mod collect;
+mod confirmation;
 mod poller;
 mod repair;
 mod replica;
--- a/crates/distribution/tests/all/support.rs
+++ b/crates/distribution/tests/all/support.rs
@@ -26,6 +26,7 @@
         host: None,
         split: Vec::new(),
         idempotent: false,
+        public: false,
     })
 }
 
--- a/crates/load/src/fleet/shape.rs
+++ b/crates/load/src/fleet/shape.rs
@@ -175,5 +175,6 @@
         host: None,
         split: Vec::new(),
         idempotent: false,
+        public: false,
     }
 }
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -79,6 +79,14 @@
             .filter(move |(_, entry)| entry.member.zone == zone)
     }
 
+    /// Members of one zone that died at `since` or later.
+    #[must_use]
+    pub fn died_since(&self, zone: &str, since: Time) -> usize {
+        let of_zone = self.iter().filter(|(_, it)| it.member.zone == zone);
+        let died = of_zone.filter(|(_, it)| it.dead_since.is_some_and(|at| at >= since));
+        died.count()
+    }
+
     pub(crate) fn forget(&mut self, mut gone: impl FnMut(&Entry) -> bool) {
         self.entries.retain(|_, entry| !gone(entry));
     }
--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -48,6 +48,8 @@
     pub(crate) without: BTreeSet<Mechanism>,
     pub(crate) is_first_start: bool,
     pub(crate) exposure: f64,
+    pub(crate) key_lifetime: Option<Duration>,
+    pub(crate) zones: usize,
 }
 
 /// What all daemons together may add to a service's load by retries.
@@ -88,6 +90,8 @@
             without: BTreeSet::new(),
             is_first_start: false,
             exposure: EXPOSURE,
+            key_lifetime: None,
+            zones: 1,
         }
     }
 
@@ -157,6 +161,23 @@
         self
     }
 
+    /// Longest time for which a key may open something after it was taken away, also at a
+    /// daemon that the host cannot reach. Default: no bound, and a daemon that is cut off
+    /// goes by what it holds.
+    #[must_use]
+    pub fn key_lifetime(mut self, bound: Duration) -> Self {
+        self.key_lifetime = Some(bound);
+        self
+    }
+
+    /// Availability zones of the whole fleet, among which quotas are divided. Default 1. It
+    /// has to be the same at all daemons, and must not be too low.
+    #[must_use]
+    pub fn zones(mut self, zones: usize) -> Self {
+        self.zones = zones.max(1);
+        self
+    }
+
     /// What all daemons together may add to a service's load by retries: this
     /// many for each hundred requests, and `slack` on top. Default 20 and 10.
     #[must_use]
--- a/crates/mesh/src/dialect.rs
+++ b/crates/mesh/src/dialect.rs
@@ -13,6 +13,8 @@
     pub timeout_ms: SmolStr,
     /// Service of the instance on which the request began.
     pub caller_service: SmolStr,
+    /// Customer that holds the caller's key; absent where the call needs none.
+    pub customer: SmolStr,
     /// The life of the target for which a request is meant. Any other refuses
     /// it without running it.
     pub expected_upstream: SmolStr,
--- a/crates/mesh/src/entry/call.rs
+++ b/crates/mesh/src/entry/call.rs
@@ -9,10 +9,13 @@
 use ntex::http::header::HeaderMap;
 use rand::RngExt;
 use smol_str::{SmolStr, ToSmolStr};
-use stoatstep_calls::{Deadline, Header, Reason, Refusal, ResolvedRoute, Time, is_of_connection};
+use stoatstep_calls::{
+    CREDENTIAL, Deadline, Header, Reason, Refusal, ResolvedRoute, Time, is_of_connection,
+};
 use stoatstep_http::{BodyError, read_body};
-use stoatstep_resource::Version;
+use stoatstep_resource::{Quota, Version};
 
+use crate::identity;
 use crate::node::Node;
 use crate::wire::CallParts;
 
@@ -38,6 +41,8 @@
     pub(super) deadline: Deadline,
     /// Until when an answer is worth its full price.
     pub(super) objective: Time,
+    /// Quota that it is charged to.
+    pub(super) quota: Option<Quota>,
     pub(super) parts: Rc<CallParts>,
 }
 
@@ -59,6 +64,7 @@
         if !node.departure.get().takes(deadline.expires(), now) {
             return Err(Refusal::retry(Reason::Draining, DRAINING_RETRY));
         }
+        let caller = identity::identify(node, &in_force, &route, req.headers())?;
         let body = read_body(req.take_payload(), MAX_BODY).await;
         let body = body.map_err(|err| match err {
             BodyError::TooLarge => Refusal::permanent(Reason::TooLarge),
@@ -72,19 +78,24 @@
             method: req.method().as_str().to_smolstr(),
             path: path.map_or_else(|| "/".into(), |it| it.as_str().to_smolstr()),
             host,
-            headers: passed(node, req.headers()),
+            headers: passed(node, req.headers(), in_force.keys.is_empty()),
             body: Bytes::copy_from_slice(&body),
             idempotent: route.route.idempotent,
             route: route.route.name.clone(),
-            priority: route.policy.priority.unwrap_or(LEAST_PRIORITY),
+            priority: caller
+                .priority
+                .or(route.policy.priority)
+                .unwrap_or(LEAST_PRIORITY),
             caller_service: node
                 .executor
                 .service()
                 .unwrap_or_else(|| node.cfg.service.clone()),
+            identity: caller.identity,
         };
         Ok(Self {
             version: in_force.version(),
             objective: objective(&route, deadline, now),
+            quota: caller.quota,
             route,
             deadline,
             parts: Rc::new(parts),
@@ -114,8 +125,9 @@
 }
 
 /// The headers that go through. Those that this daemon writes itself are left
-/// out, so that no caller can forge them.
-fn passed(node: &Node, map: &HeaderMap) -> Vec<Header> {
+/// out, so that no caller can forge them. So are keys where there are customers: no
+/// target is to get one.
+fn passed(node: &Node, map: &HeaderMap, passes_credential: bool) -> Vec<Header> {
     let named = text(map, "connection").unwrap_or_default();
     let named = named.to_ascii_lowercase();
     let of_connection =
@@ -126,8 +138,10 @@
         &dialect.timeout_ms,
         &dialect.caller_service,
         &dialect.expected_upstream,
+        &dialect.customer,
     ];
-    let is_own = |name: &str| own.iter().any(|it| *it == name);
+    let is_own =
+        |name: &str| own.iter().any(|it| *it == name) || name == CREDENTIAL && !passes_credential;
     let all = map.iter().map(|(name, value)| (name.as_str(), value));
     let passed = all.filter(|(name, _)| !of_connection(name) && !is_own(name));
     let header = passed.map(|(name, value)| Header {
--- a/crates/mesh/src/entry/carry.rs
+++ b/crates/mesh/src/entry/carry.rs
@@ -13,6 +13,7 @@
 use super::divided::Divided;
 use super::probes;
 use crate::fleet::Place;
+use crate::identity;
 use crate::journal::Times;
 use crate::mechanism::Mechanism;
 use crate::node::Node;
@@ -55,7 +56,8 @@
     earn(node, call);
     loop {
         // Word may have come since the last attempt, or because of it.
-        if let Some(refusal) = quarantine::refusal(node, &call.parts) {
+        let refusal = quarantine::refusal(node, &call.parts);
+        if let Some(refusal) = refusal.or_else(|| identity::refusal(node, &call.parts)) {
             made.note(Ended::refused(refusal, false));
             return made.finish();
         }
@@ -88,6 +90,18 @@
     best: Option<End>,
 }
 
+impl Carried {
+    /// A call that was refused before any attempt.
+    pub(super) fn refused(refusal: Refusal) -> Self {
+        Self {
+            end: End::Refused(refusal),
+            times: Times::default(),
+            attempts: 0,
+            placed: None,
+        }
+    }
+}
+
 impl Made {
     /// Keeps the ending that tells the caller most.
     fn note(&mut self, ended: Ended) {
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod carry;
 mod divided;
 mod probes;
+mod quota;
 mod respond;
 mod throttle;
 
@@ -18,7 +19,7 @@
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use stoatstep_calls::{
-    Answers, Candidate, Placement, Refusal, RetryBudget, Throttle, Ticket, Time,
+    Answers, Candidate, Outcome, Placement, Refusal, RetryBudget, Throttle, Ticket, Time,
 };
 use stoatstep_http::drop_body;
 use stoatstep_resource::{RouteName, ServiceName};
@@ -97,7 +98,7 @@
     };
     let carried = if throttle::admits(node, &call) {
         let mut awaited = Awaited::new(node, &call, begun);
-        let carried = carry::carry(node, &call).await;
+        let carried = charged(node, &call).await;
         awaited.has_ended = true;
         throttle::note(node, &call, &carried.end);
         carried
@@ -108,6 +109,21 @@
     respond::ended(&carried.end, node.is_leaving())
 }
 
+/// Carries a call that its customer's quota has room for.
+async fn charged(node: &Rc<Node>, call: &Call) -> Carried {
+    let charge = match quota::admit(node, call).await {
+        Ok(charge) => charge,
+        Err(refusal) => return Carried::refused(refusal),
+    };
+    let carried = carry::carry(node, call).await;
+    if let End::Refused(refusal) = &carried.end
+        && refusal.outcome() == Outcome::NotRun
+    {
+        charge.give_back(node);
+    }
+    carried
+}
+
 /// A call that is let through and whose caller waits. Dropped before the call has
 /// ended, it says that the caller left.
 struct Awaited<'a> {
--- a/crates/mesh/src/entry/respond.rs
+++ b/crates/mesh/src/entry/respond.rs
@@ -37,6 +37,9 @@
         let seconds = pause.max(LEAST_PAUSE).as_secs_f64();
         res.header("retry-after", format!("{seconds:.3}"));
     }
+    if refusal.reason == Reason::Unauthenticated {
+        res.header("www-authenticate", "Bearer");
+    }
     res.finish()
 }
 
@@ -52,6 +55,8 @@
     match refusal.reason {
         Reason::NoRoute => StatusCode::NOT_FOUND,
         Reason::BadRequest => StatusCode::BAD_REQUEST,
+        Reason::Unauthenticated => StatusCode::UNAUTHORIZED,
+        Reason::OverQuota => StatusCode::TOO_MANY_REQUESTS,
         Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         Reason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         _ => match refusal.outcome() {
--- a/crates/mesh/src/entry/throttle.rs
+++ b/crates/mesh/src/entry/throttle.rs
@@ -7,7 +7,6 @@
 use super::MAX_ROUTES;
 use super::call::Call;
 use super::carry::Carried;
-use crate::journal::Times;
 use crate::mechanism::Mechanism;
 use crate::node::Node;
 use crate::wire::End;
@@ -52,12 +51,7 @@
 pub(super) fn refused(node: &Node, call: &Call) -> Carried {
     let left = call.objective.saturating_sub(node.clock.now());
     let pause = left.mul_f64(PAUSE_SHARE);
-    Carried {
-        end: End::Refused(Refusal::retry(Reason::Throttled, pause)),
-        times: Times::default(),
-        attempts: 0,
-        placed: None,
-    }
+    Carried::refused(Refusal::retry(Reason::Throttled, pause))
 }
 
 /// The caller of a call that was let through left before its end.
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -10,6 +10,7 @@
 use super::target::TargetEnd;
 use super::{QUEUE_RETRY, Run, Tables, answers, ended, judged, slot};
 use crate::drain::InFlight;
+use crate::identity;
 use crate::journal::{RunFailed, Times};
 use crate::node::Node;
 use crate::quarantine;
@@ -128,7 +129,8 @@
         let refusal = Refusal::retry(Reason::Deadline, QUEUE_RETRY);
         return Report::not_started(refusal);
     };
-    if let Some(refusal) = quarantine::refusal(node, &attempt.call) {
+    let refusal = quarantine::refusal(node, &attempt.call);
+    if let Some(refusal) = refusal.or_else(|| identity::refusal(node, &attempt.call)) {
         return Report::not_started(refusal);
     }
     if !may_start(node, attempt) {
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -85,6 +85,7 @@
     request_id: HeaderName,
     timeout_ms: HeaderName,
     caller_service: HeaderName,
+    customer: HeaderName,
     expected_upstream: HeaderName,
     upstream: HeaderName,
     not_run: HeaderName,
@@ -103,6 +104,7 @@
             request_id: name(&dialect.request_id),
             timeout_ms: name(&dialect.timeout_ms),
             caller_service: name(&dialect.caller_service),
+            customer: name(&dialect.customer),
             expected_upstream: name(&dialect.expected_upstream),
             upstream: name(&dialect.upstream),
             not_run: name(&dialect.not_run),
@@ -217,7 +219,9 @@
             (&self.names.caller_service, call.caller_service.as_str()),
             (&self.names.expected_upstream, id_of_life(&attempt.upstream)),
         ];
-        for (name, value) in own {
+        let customer = call.identity.as_ref();
+        let customer = customer.map(|it| (&self.names.customer, it.customer.as_str()));
+        for (name, value) in own.into_iter().chain(customer) {
             let value = HeaderValue::from_str(value).ok()?;
             parts.headers.insert(name.clone(), value);
         }
--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -14,6 +14,7 @@
 use stoatstep_telemetry::fields;
 use tokio::time::timeout;
 
+use super::confirmation;
 use super::gossip;
 use super::packed::{self, Packed};
 use crate::executor;
@@ -113,7 +114,7 @@
         let pause = match asked {
             Ok(update) => {
                 cursor = (role == PollRole::Poller).then_some(update.cursor);
-                node.fleet.hear_era(update.cursor.era);
+                node.fleet.hear_era(update.cursor.era, node.clock.now());
                 failures = 0;
                 last_failure = None;
                 if !node.fleet.reaches_host.replace(true) {
@@ -123,9 +124,11 @@
                 let age = order_age(last_answer, asked_at, node.clock.now());
                 last_answer = Some(node.clock.now());
                 rollout::hear_host(&node, update.rollouts, age);
+                let read = update.state.as_ref().map(State::version);
                 let changed = update
                     .state
                     .is_some_and(|it| offer(&node, it, Source::Host));
+                confirmation::host_answered(&node, asked_at, update.host_time, read);
                 match (changed, role) {
                     (true, _) => GAP,
                     (false, PollRole::Poller) => Duration::ZERO,
@@ -151,6 +154,9 @@
         } else {
             WAIT_AFTER_PAUSE
         };
+        if let Some(longest) = confirmation::longest_wait(&node) {
+            wait = wait.min(longest);
+        }
         tokio::time::sleep(pause).await;
     }
 }
@@ -209,7 +215,7 @@
 }
 
 /// Whether this daemon most likely knows but a part of its zone.
-fn is_meeting_zone(node: &Node) -> bool {
+pub(crate) fn is_meeting_zone(node: &Node) -> bool {
     let is_young = node.clock.now() < MEETS_ZONE_WITHIN;
     let membership = node.fleet.membership.borrow();
     is_young && (node.cfg.is_first_start || membership.is_meeting_zone())
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -2,11 +2,12 @@
 //! announced, and the configuration in force.
 
 pub(crate) mod configuration;
+pub(crate) mod confirmation;
 pub(crate) mod gossip;
 mod packed;
 pub(crate) mod roster;
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,7 +26,9 @@
 use crate::host::Era;
 use crate::in_force::InForce;
 use crate::node::Node;
+use crate::quota;
 use crate::rollout::{self, Newcomers};
+use confirmation::Confirmed;
 use packed::Packed;
 
 /// Where attempts for a target go.
@@ -59,6 +62,7 @@
     reaches_host: Cell<bool>,
     /// Era of the host's last answer.
     era: Cell<Option<Era>>,
+    confirmed: RefCell<Confirmed>,
     /// The host came back from an older copy, and what this daemon wrote may be gone.
     has_returned: Cell<bool>,
     /// The instance was suspended: what waits for the host should ask anew.
@@ -84,6 +88,7 @@
             is_pulling: Cell::new(false),
             reaches_host: Cell::new(false),
             era: Cell::new(None),
+            confirmed: RefCell::default(),
             has_returned: Cell::new(false),
             woke: Notify::new(),
             forgotten: RefCell::default(),
@@ -109,6 +114,11 @@
         entry.is_some_and(|it| it.member.zone == *zone)
     }
 
+    /// What is known of the fleet's members.
+    pub(crate) fn membership(&self) -> Ref<'_, Membership> {
+        self.membership.borrow()
+    }
+
     /// Shows every member that takes part.
     pub(crate) fn members(&self, mut see: impl FnMut(MemberKey, &Entry)) {
         let membership = self.membership.borrow();
@@ -118,10 +128,11 @@
     }
 
     /// Takes in the era of an answer of the host.
-    fn hear_era(&self, era: Era) {
+    fn hear_era(&self, era: Era, now: Time) {
         let before = self.era.replace(Some(era));
         if before.is_some_and(|it| it < era) {
             self.has_returned.set(true);
+            self.confirmed.borrow_mut().host_returned(now);
         }
     }
 
@@ -233,6 +244,7 @@
     });
     drop((membership, newcomers));
     rollout::rebuild(node);
+    quota::members_changed(node);
     *node.fleet.places.borrow_mut() = places;
     node.entry.set_candidates(&services, now);
     if is_holding {
--- a/crates/mesh/src/host.rs
+++ b/crates/mesh/src/host.rs
@@ -29,6 +29,8 @@
 pub struct Update {
     /// From where to wait for the next change.
     pub cursor: Cursor,
+    /// What the host's steady clock showed when it answered, where it tells.
+    pub host_time: Option<Duration>,
     /// The newest configuration; absent where none was written since.
     pub state: Option<State>,
     /// Orders for roll-outs that were written or withdrawn since.
--- a/crates/mesh/src/in_force.rs
+++ b/crates/mesh/src/in_force.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use stoatstep_calls::RouteTable;
+use stoatstep_calls::{KeyRing, RouteTable};
 use stoatstep_membership::Mark;
 use stoatstep_resource::{Key, Kind, Resource, Service, State, Version};
 
@@ -13,6 +13,7 @@
     pub(crate) state: Arc<State>,
     pub(crate) mark: Mark,
     pub(crate) routes: RouteTable,
+    pub(crate) keys: KeyRing,
 }
 
 impl InForce {
@@ -20,6 +21,7 @@
         Self {
             mark: stoatstep_distribution::mark_of(&state),
             routes: RouteTable::new(&state),
+            keys: KeyRing::new(&state),
             state: Arc::new(state),
         }
     }
--- a/crates/mesh/src/journal.rs
+++ b/crates/mesh/src/journal.rs
@@ -146,6 +146,7 @@
         slog::info!(self.log, "call ended";
             fields::REQUEST => %ended.call.request_id, fields::ROUTE => %ended.call.route,
             fields::SERVICE => %ended.call.service, fields::VERSION => ended.version,
+            fields::CUSTOMER => ended.call.identity.as_ref().map_or("", |it| it.customer.as_str()),
             fields::OUTCOME => outcome, fields::STATUS => status, fields::REASON => reason, fields::LATE => is_late,
             fields::UPSTREAM => upstream, fields::OTHER_ZONE => spilled, fields::ATTEMPTS => ended.attempts,
             fields::TOTAL_US => micros(ended.times.total), fields::QUEUE_US => micros(ended.times.queue),
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -24,12 +24,14 @@
 mod executor;
 mod fleet;
 mod host;
+mod identity;
 mod in_force;
 mod journal;
 mod link;
 mod mechanism;
 mod node;
 mod quarantine;
+mod quota;
 mod rollout;
 mod wire;
 
--- a/crates/mesh/src/link/serve.rs
+++ b/crates/mesh/src/link/serve.rs
@@ -18,8 +18,9 @@
 use crate::fleet;
 use crate::node::Node;
 use crate::quarantine;
+use crate::quota;
 use crate::rollout::{self, Source};
-use crate::wire::{Ask, AskId, Attempt, Reply, ToClient, ToServer};
+use crate::wire::{Ask, AskId, Attempt, GrantWire, Reply, ToClient, ToServer};
 
 /// Pause after a failed accept, most often for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -136,6 +137,18 @@
             let occupancy = executor::occupancy(&node);
             connection.reply(id, Reply::Occupancy(occupancy));
         }
+        Ask::Confirmed => {
+            let confirmed = fleet::confirmation::own(&node);
+            connection.reply(id, Reply::Confirmed(confirmed));
+        }
+        Ask::Tokens(customer, wanted) => {
+            let grant = quota::grant(&node, &customer, wanted);
+            connection.reply(id, Reply::Tokens(grant.map(GrantWire::from)));
+        }
+        Ask::Borrow(customer, wanted) => {
+            let grant = quota::lend(&node, &customer, wanted);
+            connection.reply(id, Reply::Tokens(grant.map(GrantWire::from)));
+        }
         Ask::Ping => connection.reply(id, Reply::Pong),
     }
 }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -20,6 +20,7 @@
 use crate::link::{self, Links, SharedUplink};
 use crate::mechanism::Mechanism;
 use crate::quarantine::Requests;
+use crate::quota::{self, Quotas};
 use crate::rollout::{self, Rollouts};
 use crate::{drain, fleet::gossip};
 use stoatstep_calls::Departure;
@@ -45,6 +46,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) rollouts: Rollouts,
     pub(crate) requests: Requests,
+    pub(crate) quotas: Quotas,
     pub(crate) in_flight: Cell<u32>,
     pub(crate) departure: Cell<Departure>,
 }
@@ -88,6 +90,7 @@
             fleet: Fleet::new(&cfg),
             rollouts: Rollouts::default(),
             requests: Requests::default(),
+            quotas: Quotas::default(),
             in_flight: Cell::new(0),
             departure: Cell::new(Departure::new(cfg.grace)),
             cfg,
@@ -103,6 +106,7 @@
         ));
         ntex::rt::spawn(rollout::run(Rc::clone(&node), Rc::clone(&host)));
         ntex::rt::spawn(fleet::roster::run(Rc::clone(&node), host));
+        ntex::rt::spawn(fleet::confirmation::run(Rc::clone(&node)));
         ntex::rt::spawn(tick(Rc::clone(&node)));
         if let Some(metrics) = metrics {
             ntex::rt::spawn(serve_metrics(Rc::clone(&node), metrics));
@@ -126,11 +130,12 @@
         gossip::target_changed(&self.0);
     }
 
-    /// Whether callers should come here: a configuration is in force, and the
-    /// daemon is not about to stop.
+    /// Whether callers should come here: a configuration is in force and, where there are
+    /// customers, known to be recent enough, and the daemon is not about to stop.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.0.fleet.in_force().is_some() && !self.0.is_leaving()
+        let is_configured = self.0.fleet.in_force().is_some();
+        is_configured && !self.0.is_leaving() && fleet::confirmation::is_recent(&self.0)
     }
 
     /// Stops gracefully; the process may end when this does.
@@ -176,5 +181,6 @@
         gossip::target_changed(&node);
         executor::tick(&node);
         node.requests.tick(node.clock.now());
+        quota::tick(&node);
     }
 }
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -9,11 +9,11 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use stoatstep_calls::{
-    Answer, AttemptId, Finding, Fingerprint, Header, Occupancy, Refusal, Settled, Ticket,
+    Answer, AttemptId, Finding, Fingerprint, Grant, Header, Occupancy, Refusal, Settled, Ticket,
 };
 use stoatstep_membership::{GossipReply, GossipRequest, Mark, MemberKey};
 use stoatstep_resource::wire::{DifferenceWire, SnapshotWire};
-use stoatstep_resource::{RouteName, ServiceName, UpstreamName};
+use stoatstep_resource::{CustomerName, KeyId, RouteName, ServiceName, UpstreamName, Version};
 use stoatstep_rollout::{Evidence, OrderId, Progress};
 
 /// Names one question on one link.
@@ -65,6 +65,15 @@
     /// How occupied the receiver's target is.
     #[serde(rename = "u")]
     Occupancy,
+    /// Until when the receiver's configuration was the host's newest.
+    #[serde(rename = "f")]
+    Confirmed,
+    /// Tokens of a customer's quota, from its home.
+    #[serde(rename = "t")]
+    Tokens(CustomerName, u32),
+    /// The same for the home of another zone.
+    #[serde(rename = "b")]
+    Borrow(CustomerName, u32),
     /// Whether anybody listens.
     #[serde(rename = "p")]
     Ping,
@@ -91,6 +100,12 @@
     /// To [`Ask::Occupancy`].
     #[serde(rename = "u")]
     Occupancy(Occupancy),
+    /// To [`Ask::Confirmed`].
+    #[serde(rename = "f")]
+    Confirmed(Option<Confirmed>),
+    /// To [`Ask::Tokens`] and [`Ask::Borrow`]; nothing where the receiver is not the home.
+    #[serde(rename = "t")]
+    Tokens(Option<GrantWire>),
     /// To [`Ask::Ping`], [`Ask::Holds`], [`Ask::Rollout`] and [`Ask::Findings`].
     #[serde(rename = "p")]
     Pong,
@@ -106,6 +121,39 @@
     pub(crate) findings: Vec<Finding>,
 }
 
+/// That a configuration was the host's newest.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct Confirmed {
+    pub(crate) version: Version,
+    /// Time since then.
+    pub(crate) age: Duration,
+}
+
+/// See [`Grant`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct GrantWire {
+    tokens: u32,
+    retry_after: Option<Duration>,
+}
+
+impl From<Grant> for GrantWire {
+    fn from(grant: Grant) -> Self {
+        Self {
+            tokens: grant.tokens,
+            retry_after: grant.retry_after,
+        }
+    }
+}
+
+impl From<GrantWire> for Grant {
+    fn from(wire: GrantWire) -> Self {
+        Self {
+            tokens: wire.tokens,
+            retry_after: wire.retry_after,
+        }
+    }
+}
+
 /// A newer configuration.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum Newer {
@@ -143,6 +191,17 @@
     pub(crate) priority: u8,
     /// Service of the instance on which the call began.
     pub(crate) caller_service: ServiceName,
+    /// The customer whose key the caller showed.
+    pub(crate) identity: Option<Identity>,
+}
+
+/// Who a caller is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Identity {
+    pub(crate) customer: CustomerName,
+    pub(crate) key: KeyId,
+    /// Configuration by which the customer holds the key.
+    pub(crate) version: Version,
 }
 
 impl CallParts {
--- a/crates/resource/benches/state.rs
+++ b/crates/resource/benches/state.rs
@@ -68,6 +68,7 @@
             host: None,
             split: Vec::new(),
             idempotent: false,
+            public: false,
         }));
     }
     resources.extend((0..upstreams).map(|i| upstream(i, 13)));
--- a/crates/resource/src/files/kinds.rs
+++ b/crates/resource/src/files/kinds.rs
@@ -12,7 +12,10 @@
 use super::{FileSet, SourceFile};
 use crate::finding::{Finding, Place};
 use crate::key::{Key, Kind};
-use crate::types::{Policy, Resource, Retry, Route, Service, Share, TenantLimit, Upstream};
+use crate::key_digest::KeyDigest;
+use crate::types::{
+    Customer, Policy, Quota, Resource, Retry, Route, Service, Share, TenantLimit, Upstream,
+};
 use crate::wire::{RetryWire, default_weight, parse_duration};
 
 /// Longest piece of a file that a message repeats.
@@ -117,6 +120,7 @@
         Kind::Service => Resource::Service(read_service(&mut cx, reader)),
         Kind::Upstream => Resource::Upstream(read_upstream(&mut cx, reader)),
         Kind::Route => Resource::Route(read_route(&mut cx, reader)),
+        Kind::Customer => Resource::Customer(read_customer(&mut cx, reader)),
     };
     set.findings.append(&mut cx.findings);
     if key.is_some() {
@@ -161,11 +165,50 @@
         split: read_split(cx, &mut reader),
         policy: reader.optional_text(cx, "policy"),
         idempotent: reader.flag(cx, "idempotent").unwrap_or_default(),
+        public: reader.flag(cx, "public").unwrap_or_default(),
     };
     reader.finish(cx);
     route
 }
 
+fn read_customer(cx: &mut Record<'_>, mut reader: Reader<'_>) -> Customer {
+    let customer = Customer {
+        name: reader.text(cx, "name"),
+        keys: read_keys(cx, &mut reader),
+        quota: reader
+            .table(cx, "quota")
+            .map(|reader| read_quota(cx, reader)),
+        // Too large a number is a finding of validation, not a small one here.
+        priority: reader
+            .optional_number(cx, "priority")
+            .map(|it| u8::try_from(it).unwrap_or(u8::MAX)),
+    };
+    reader.finish(cx);
+    customer
+}
+
+/// The digests that could be read. What stands in the place of another one is not
+/// repeated in its finding: it may be a key.
+fn read_keys(cx: &mut Record<'_>, reader: &mut Reader<'_>) -> Vec<KeyDigest> {
+    let mut keys = Vec::new();
+    for (place, line, text) in reader.texts(cx, "keys") {
+        match text.parse() {
+            Ok(key) => keys.push(key),
+            Err(err) => cx.report(line, &place, format!("{err}")),
+        }
+    }
+    keys
+}
+
+fn read_quota(cx: &mut Record<'_>, mut reader: Reader<'_>) -> Quota {
+    let quota = Quota {
+        per_minute: reader.number(cx, "per_minute"),
+        burst: reader.number(cx, "burst"),
+    };
+    reader.finish(cx);
+    quota
+}
+
 fn read_policy(cx: &mut Record<'_>, mut reader: Reader<'_>) -> Policy {
     let name = reader.text(cx, "name");
     let timeout = reader.text(cx, "timeout");
--- a/crates/resource/src/files/mod.rs
+++ b/crates/resource/src/files/mod.rs
@@ -1,5 +1,5 @@
-//! Resource files: TOML with `[[service]]`, `[[upstream]]`, `[[route]]` and
-//! `[[policy]]` tables.
+//! Resource files: TOML with `[[service]]`, `[[upstream]]`, `[[route]]`,
+//! `[[policy]]` and `[[customer]]` tables.
 //!
 //! Several files make up one set. Everything that is wrong in any of them is
 //! collected with its file, line, resource and field, and reported together.
--- a/crates/resource/src/files/table.rs
+++ b/crates/resource/src/files/table.rs
@@ -154,6 +154,33 @@
             .collect()
     }
 
+    /// A list of texts within this table, each with its place and line.
+    pub(super) fn texts(
+        &mut self,
+        cx: &mut Record<'_>,
+        name: &'static str,
+    ) -> Vec<(SmolStr, u32, &'a str)> {
+        let Some(value) = self.take(cx, name) else {
+            return Vec::new();
+        };
+        let DeValue::Array(entries) = value.get_ref() else {
+            self.wrong_type(cx, name, value, "a list of texts");
+            return Vec::new();
+        };
+        let mut texts = Vec::new();
+        for (i, entry) in entries.iter().enumerate() {
+            let place = format_smolstr!("{}[{i}]", self.path_of(name));
+            let line = cx.source.line(&entry.span());
+            if let DeValue::String(text) = entry.get_ref() {
+                texts.push((place, line, text.as_ref()));
+            } else {
+                let found = entry.get_ref().type_str();
+                cx.report(line, &place, format!("must be text in quotes, not {found}"));
+            }
+        }
+        texts
+    }
+
     /// Reports every field that nobody took. A misspelt optional field would
     /// otherwise be silently without effect.
     pub(super) fn finish(self, cx: &mut Record<'_>) {
--- a/crates/resource/src/ids.rs
+++ b/crates/resource/src/ids.rs
@@ -20,8 +20,8 @@
 /// Name of a [`crate::Policy`].
 pub type PolicyName = SmolStr;
 
-/// Name of a tenant: one school, one charity.
-pub type TenantName = SmolStr;
+/// Name of a [`crate::Customer`]: one school, one charity.
+pub type CustomerName = SmolStr;
 
 /// Name of an availability zone, unique over all regions.
 pub type ZoneName = SmolStr;
--- a/crates/resource/src/key.rs
+++ b/crates/resource/src/key.rs
@@ -20,11 +20,19 @@
     Upstream,
     /// See [`crate::Route`].
     Route,
+    /// See [`crate::Customer`].
+    Customer,
 }
 
 impl Kind {
     /// Every kind, in the order in which references point backwards.
-    pub const ALL: [Self; 4] = [Self::Policy, Self::Service, Self::Upstream, Self::Route];
+    pub const ALL: [Self; 5] = [
+        Self::Policy,
+        Self::Service,
+        Self::Upstream,
+        Self::Route,
+        Self::Customer,
+    ];
 
     /// The kind's name in files, URLs and messages.
     #[must_use]
@@ -34,6 +42,7 @@
             Self::Service => "service",
             Self::Upstream => "upstream",
             Self::Route => "route",
+            Self::Customer => "customer",
         }
     }
 }
@@ -65,7 +74,7 @@
 
 impl fmt::Display for UnknownKind {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the kinds are policy, service, upstream and route")
+        f.write_str("the kinds are policy, service, upstream, route and customer")
     }
 }
 
--- a/crates/resource/src/lib.rs
+++ b/crates/resource/src/lib.rs
@@ -12,6 +12,7 @@
 mod finding;
 mod ids;
 mod key;
+mod key_digest;
 mod state;
 mod types;
 mod validate;
@@ -23,16 +24,18 @@
 pub use files::{FileSet, SourceFile};
 pub use finding::{Finding, Place};
 pub use ids::{
-    InstanceId, OperationId, PolicyName, Revision, RouteName, ServiceName, TenantName,
+    CustomerName, InstanceId, OperationId, PolicyName, Revision, RouteName, ServiceName,
     UpstreamName, Version, ZoneName,
 };
 pub use key::{Key, KeyError, Kind, UnknownKind};
+pub use key_digest::{KeyDigest, KeyId, NoKeyDigest};
 pub use state::{Held, SnapshotError, State};
 pub use types::{
-    HEALTH_PATH, Policy, Resource, Retry, Route, Service, Share, TenantLimit, Upstream,
+    Customer, HEALTH_PATH, Policy, Quota, Resource, Retry, Route, Service, Share, TenantLimit,
+    Upstream,
 };
 pub use validate::{
-    MAX_ATTEMPTS, MAX_BUDGET_PERCENT, MAX_CONNECTIONS, MAX_NAME_LEN, MAX_PREFIX_LEN, MAX_PRIORITY,
-    MAX_RESOURCES, MAX_SLOTS, MAX_TENANT_LIMITS, MAX_TIMEOUT, MAX_WEIGHT, MIN_TIMEOUT, check_name,
-    validate,
+    MAX_ATTEMPTS, MAX_BUDGET_PERCENT, MAX_CONNECTIONS, MAX_KEYS, MAX_NAME_LEN, MAX_PREFIX_LEN,
+    MAX_PRIORITY, MAX_RESOURCES, MAX_SLOTS, MAX_TENANT_LIMITS, MAX_TIMEOUT, MAX_WEIGHT,
+    MIN_TIMEOUT, check_name, validate,
 };
--- a/crates/resource/src/types.rs
+++ b/crates/resource/src/types.rs
@@ -1,12 +1,13 @@
-//! The four kinds of resource that operators write.
+//! The kinds of resource that operators write.
 
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::ids::{PolicyName, RouteName, ServiceName, TenantName, UpstreamName};
+use crate::ids::{CustomerName, PolicyName, RouteName, ServiceName, UpstreamName};
 use crate::key::{Key, Kind};
+use crate::key_digest::KeyDigest;
 
 /// Path at which a target says whether it takes calls, unless its service names
 /// another one.
@@ -64,6 +65,9 @@
     pub policy: Option<PolicyName>,
     /// Whether a POST here may run more than once without harm.
     pub idempotent: bool,
+    /// Whether callers need no key here. Where no customer is configured, nobody needs
+    /// one.
+    pub public: bool,
 }
 
 /// One service's part of a route's calls.
@@ -108,7 +112,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct TenantLimit {
     /// The tenant.
-    pub tenant: TenantName,
+    pub tenant: CustomerName,
     /// Share under overload, relative to the other tenants' weights.
     pub weight: u32,
     /// Calls of this tenant that one upstream runs at a time; no bound of its
@@ -116,6 +120,37 @@
     pub concurrency: Option<u32>,
 }
 
+/// A customer: who its callers are is known by their keys.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Customer {
+    /// Name of the customer, which targets are told.
+    pub name: CustomerName,
+    /// Digests of its keys. A customer without any can make no calls.
+    pub keys: Vec<KeyDigest>,
+    /// What it may use of the whole fleet; as much as it likes where absent.
+    pub quota: Option<Quota>,
+    /// Rank of its calls among others, in place of that of the route's policy.
+    pub priority: Option<u8>,
+}
+
+/// Bound of a customer's calls, over all daemons together. In any span of time there are
+/// at most as many as the rate allows in it, and a burst on top.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Quota {
+    /// Calls a minute.
+    pub per_minute: u32,
+    /// Calls that may come at once after a pause.
+    pub burst: u32,
+}
+
+impl Quota {
+    /// Calls a second.
+    #[must_use]
+    pub fn per_second(&self) -> f64 {
+        f64::from(self.per_minute) / 60.0
+    }
+}
+
 /// One resource of any kind.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -128,6 +163,8 @@
     Upstream(Upstream),
     /// A route.
     Route(Route),
+    /// A customer.
+    Customer(Customer),
 }
 
 impl Resource {
@@ -139,6 +176,7 @@
             Self::Service(_) => Kind::Service,
             Self::Upstream(_) => Kind::Upstream,
             Self::Route(_) => Kind::Route,
+            Self::Customer(_) => Kind::Customer,
         }
     }
 
@@ -150,6 +188,7 @@
             Self::Service(service) => &service.name,
             Self::Upstream(upstream) => &upstream.name,
             Self::Route(route) => &route.name,
+            Self::Customer(customer) => &customer.name,
         };
         Key {
             kind: self.kind(),
@@ -169,7 +208,7 @@
             name: name.clone(),
         };
         match self {
-            Self::Policy(_) => Vec::new(),
+            Self::Policy(_) | Self::Customer(_) => Vec::new(),
             Self::Service(it) => it.policy.iter().map(policy).collect(),
             Self::Upstream(it) => vec![service(&it.service)],
             Self::Route(it) => {
--- a/crates/resource/src/validate/limits.rs
+++ b/crates/resource/src/validate/limits.rs
@@ -13,6 +13,9 @@
 /// Characters in a route's prefix.
 pub const MAX_PREFIX_LEN: usize = 256;
 
+/// Keys of one customer.
+pub const MAX_KEYS: usize = 64;
+
 /// Calls that one target may run at a time.
 pub const MAX_SLOTS: u32 = 4_096;
 
--- a/crates/resource/src/validate/mod.rs
+++ b/crates/resource/src/validate/mod.rs
@@ -14,12 +14,14 @@
 
 use crate::finding::{Finding, Place};
 use crate::key::{Key, Kind};
+use crate::key_digest::KeyDigest;
 use crate::state::State;
 use crate::types::Resource;
 
 pub use limits::{
-    MAX_ATTEMPTS, MAX_BUDGET_PERCENT, MAX_CONNECTIONS, MAX_NAME_LEN, MAX_PREFIX_LEN, MAX_PRIORITY,
-    MAX_RESOURCES, MAX_SLOTS, MAX_TENANT_LIMITS, MAX_TIMEOUT, MAX_WEIGHT, MIN_TIMEOUT,
+    MAX_ATTEMPTS, MAX_BUDGET_PERCENT, MAX_CONNECTIONS, MAX_KEYS, MAX_NAME_LEN, MAX_PREFIX_LEN,
+    MAX_PRIORITY, MAX_RESOURCES, MAX_SLOTS, MAX_TENANT_LIMITS, MAX_TIMEOUT, MAX_WEIGHT,
+    MIN_TIMEOUT,
 };
 pub use names::check_name;
 
@@ -34,6 +36,7 @@
         check_references(state, &held.resource, &mut findings);
     }
     check_prefixes(state, &mut findings);
+    check_keys(state, &mut findings);
     findings.sort();
     findings
 }
@@ -82,3 +85,24 @@
         }
     }
 }
+
+/// A key that two customers hold would leave open whose call it is. The finding names the
+/// holders and not the key.
+fn check_keys(state: &State, findings: &mut Vec<Finding>) {
+    let mut holders: BTreeMap<KeyDigest, Key> = BTreeMap::new();
+    for held in state.of_kind(Kind::Customer) {
+        let Resource::Customer(customer) = &*held.resource else {
+            continue;
+        };
+        let key = held.resource.key();
+        for (i, digest) in customer.keys.iter().enumerate() {
+            if let Some(first) = holders.get(digest) {
+                let message = format!("belongs to {first} already");
+                let place = Place::field(key.clone(), format!("keys[{i}]"));
+                findings.push(Finding::new(place, message));
+            } else {
+                holders.insert(*digest, key.clone());
+            }
+        }
+    }
+}
--- a/crates/resource/src/validate/resources.rs
+++ b/crates/resource/src/validate/resources.rs
@@ -6,13 +6,14 @@
 use smol_str::SmolStr;
 
 use super::limits::{
-    MAX_ATTEMPTS, MAX_BUDGET_PERCENT, MAX_CONNECTIONS, MAX_PRIORITY, MAX_SLOTS, MAX_TENANT_LIMITS,
-    MAX_TIMEOUT, MAX_WEIGHT, MIN_TIMEOUT,
+    MAX_ATTEMPTS, MAX_BUDGET_PERCENT, MAX_CONNECTIONS, MAX_KEYS, MAX_PRIORITY, MAX_SLOTS,
+    MAX_TENANT_LIMITS, MAX_TIMEOUT, MAX_WEIGHT, MIN_TIMEOUT,
 };
 use super::names::{check_name, check_prefix};
 use crate::finding::{Finding, Place};
 use crate::key::Key;
-use crate::types::{Policy, Resource, Route, Service, TenantLimit, Upstream};
+use crate::key_digest::KeyDigest;
+use crate::types::{Customer, Policy, Resource, Route, Service, TenantLimit, Upstream};
 use crate::wire::duration_text;
 
 /// Adds every finding of one resource, seen by itself.
@@ -27,6 +28,7 @@
         Resource::Service(service) => check.service(service),
         Resource::Upstream(upstream) => check.upstream(upstream),
         Resource::Route(route) => check.route(route),
+        Resource::Customer(customer) => check.customer(customer),
     }
 }
 
@@ -89,6 +91,27 @@
         }
     }
 
+    fn customer(&mut self, customer: &Customer) {
+        let len = customer.keys.len();
+        if len > MAX_KEYS {
+            let message = format!("names {len} keys; at most {MAX_KEYS} are allowed");
+            self.add("keys", message);
+        }
+        let empty = KeyDigest::of(b"");
+        for (i, key) in customer.keys.iter().enumerate() {
+            if *key == empty {
+                self.add(format!("keys[{i}]"), "is the digest of an empty key");
+            }
+        }
+        if let Some(priority) = customer.priority {
+            self.within("priority", priority.into(), 0..=MAX_PRIORITY);
+        }
+        if let Some(quota) = customer.quota {
+            self.within("quota.per_minute", quota.per_minute, 1..=u32::MAX);
+            self.within("quota.burst", quota.burst, 1..=u32::MAX);
+        }
+    }
+
     fn policy(&mut self, policy: &Policy) {
         self.timeout(policy);
         self.latency_objective(policy);
--- a/crates/resource/src/wire/mod.rs
+++ b/crates/resource/src/wire/mod.rs
@@ -29,8 +29,8 @@
 pub use delta::{DeltaWire, DifferenceWire, SnapshotWire};
 pub use duration::{duration_text, parse_duration};
 pub use resource::{
-    PolicyWire, ResourceWire, RetryWire, RouteWire, ServiceWire, ShareWire, TenantLimitWire,
-    UpstreamWire,
+    CustomerWire, PolicyWire, QuotaWire, ResourceWire, RetryWire, RouteWire, ServiceWire,
+    ShareWire, TenantLimitWire, UpstreamWire,
 };
 pub use status::{
     HistogramStatus, MemberState, MemberStatus, QuarantineStatus, StatusAnswer, TrafficStatus,
--- a/crates/resource/src/wire/packed.rs
+++ b/crates/resource/src/wire/packed.rs
@@ -8,9 +8,12 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::ids::{PolicyName, RouteName, ServiceName, TenantName, UpstreamName};
+use crate::ids::{CustomerName, PolicyName, RouteName, ServiceName, UpstreamName};
 use crate::key::{Key, Kind};
-use crate::types::{Policy, Resource, Retry, Route, Service, Share, TenantLimit, Upstream};
+use crate::key_digest::KeyDigest;
+use crate::types::{
+    Customer, Policy, Quota, Resource, Retry, Route, Service, Share, TenantLimit, Upstream,
+};
 
 /// See [`Resource`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,13 +50,22 @@
         split: Vec<(ServiceName, u32)>,
         policy: Option<PolicyName>,
         idempotent: bool,
+        public: bool,
+    },
+    #[serde(rename = "c")]
+    Customer {
+        name: CustomerName,
+        keys: Vec<KeyDigest>,
+        /// Calls a minute, and the burst.
+        quota: Option<(u32, u32)>,
+        priority: Option<u8>,
     },
 }
 
 /// See [`TenantLimit`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct PackedLimit {
-    tenant: TenantName,
+    tenant: CustomerName,
     weight: u32,
     concurrency: Option<u32>,
 }
@@ -69,6 +81,8 @@
     Upstream(UpstreamName),
     #[serde(rename = "r")]
     Route(RouteName),
+    #[serde(rename = "c")]
+    Customer(CustomerName),
 }
 
 impl From<&Resource> for PackedResource {
@@ -106,6 +120,13 @@
                     .collect(),
                 policy: route.policy.clone(),
                 idempotent: route.idempotent,
+                public: route.public,
+            },
+            Resource::Customer(customer) => Self::Customer {
+                name: customer.name.clone(),
+                keys: customer.keys.clone(),
+                quota: customer.quota.map(|it| (it.per_minute, it.burst)),
+                priority: customer.priority,
             },
         }
     }
@@ -161,6 +182,7 @@
                 split,
                 policy,
                 idempotent,
+                public,
             } => Self::Route(Route {
                 name,
                 host,
@@ -172,6 +194,18 @@
                     .collect(),
                 policy,
                 idempotent,
+                public,
+            }),
+            PackedResource::Customer {
+                name,
+                keys,
+                quota,
+                priority,
+            } => Self::Customer(Customer {
+                name,
+                keys,
+                quota: quota.map(|(per_minute, burst)| Quota { per_minute, burst }),
+                priority,
             }),
         }
     }
@@ -205,6 +239,7 @@
             Kind::Service => Self::Service(name),
             Kind::Upstream => Self::Upstream(name),
             Kind::Route => Self::Route(name),
+            Kind::Customer => Self::Customer(name),
         }
     }
 }
@@ -216,6 +251,7 @@
             PackedKey::Service(name) => (Kind::Service, name),
             PackedKey::Upstream(name) => (Kind::Upstream, name),
             PackedKey::Route(name) => (Kind::Route, name),
+            PackedKey::Customer(name) => (Kind::Customer, name),
         };
         Self { kind, name }
     }
--- a/crates/resource/src/wire/resource.rs
+++ b/crates/resource/src/wire/resource.rs
@@ -5,9 +5,12 @@
 
 use super::duration::{duration_text, parse_duration};
 use crate::finding::{Finding, Place};
-use crate::ids::{PolicyName, RouteName, ServiceName, TenantName, UpstreamName};
+use crate::ids::{CustomerName, PolicyName, RouteName, ServiceName, UpstreamName};
 use crate::key::{Key, Kind};
-use crate::types::{Policy, Resource, Retry, Route, Service, Share, TenantLimit, Upstream};
+use crate::key_digest::KeyDigest;
+use crate::types::{
+    Customer, Policy, Quota, Resource, Retry, Route, Service, Share, TenantLimit, Upstream,
+};
 
 /// Any resource: `{"kind": "upstream", "name": ...}`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,6 +24,8 @@
     Upstream(UpstreamWire),
     /// A route.
     Route(RouteWire),
+    /// A customer.
+    Customer(CustomerWire),
 }
 
 /// See [`Service`].
@@ -74,6 +79,54 @@
     /// absent, since the wrong guess there costs a retry and here a duplicate.
     #[serde(default)]
     pub idempotent: bool,
+    /// Whether callers need no key here; `false` where absent.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
+}
+
+/// See [`Customer`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CustomerWire {
+    /// Name of the customer.
+    pub name: CustomerName,
+    /// BLAKE3 digests of its keys, in hexadecimal digits.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub keys: Vec<KeyDigest>,
+    /// What it may use; as much as it likes where absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub quota: Option<QuotaWire>,
+    /// Rank of its calls, 0 the most urgent; that of the route's policy where absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<u8>,
+}
+
+/// See [`Quota`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct QuotaWire {
+    /// Calls a minute.
+    pub per_minute: u32,
+    /// Calls that may come at once after a pause.
+    pub burst: u32,
+}
+
+impl From<QuotaWire> for Quota {
+    fn from(wire: QuotaWire) -> Self {
+        Self {
+            per_minute: wire.per_minute,
+            burst: wire.burst,
+        }
+    }
+}
+
+impl From<Quota> for QuotaWire {
+    fn from(quota: Quota) -> Self {
+        Self {
+            per_minute: quota.per_minute,
+            burst: quota.burst,
+        }
+    }
 }
 
 /// See [`Share`].
@@ -134,7 +187,7 @@
 #[serde(deny_unknown_fields)]
 pub struct TenantLimitWire {
     /// The tenant.
-    pub tenant: TenantName,
+    pub tenant: CustomerName,
     /// Share under overload; 1 where absent.
     #[serde(default = "default_weight")]
     pub weight: u32,
@@ -156,6 +209,7 @@
             Self::Service(service) => (Kind::Service, &service.name),
             Self::Upstream(upstream) => (Kind::Upstream, &upstream.name),
             Self::Route(route) => (Kind::Route, &route.name),
+            Self::Customer(customer) => (Kind::Customer, &customer.name),
         };
         Key {
             kind,
@@ -190,6 +244,13 @@
                 split: route.split.into_iter().map(Share::from).collect(),
                 policy: route.policy,
                 idempotent: route.idempotent,
+                public: route.public,
+            }),
+            ResourceWire::Customer(customer) => Self::Customer(Customer {
+                name: customer.name,
+                keys: customer.keys,
+                quota: customer.quota.map(Quota::from),
+                priority: customer.priority,
             }),
         })
     }
@@ -294,6 +355,13 @@
                 split: route.split.iter().map(ShareWire::from).collect(),
                 policy: route.policy.clone(),
                 idempotent: route.idempotent,
+                public: route.public,
+            }),
+            Resource::Customer(customer) => Self::Customer(CustomerWire {
+                name: customer.name.clone(),
+                keys: customer.keys.clone(),
+                quota: customer.quota.map(QuotaWire::from),
+                priority: customer.priority,
             }),
         }
     }
--- a/crates/resource/src/wire/status.rs
+++ b/crates/resource/src/wire/status.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::ids::{InstanceId, TenantName, UpstreamName, Version, ZoneName};
+use crate::ids::{CustomerName, InstanceId, UpstreamName, Version, ZoneName};
 
 /// A daemon's view of where each version holds and where it does not.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -117,7 +117,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HistogramStatus {
     /// The tenant.
-    pub tenant: TenantName,
+    pub tenant: CustomerName,
     /// The class: `urgent`, `standard` or `batch`.
     pub class: SmolStr,
     /// Where the time was spent: `daemon`, `queue` or `target`.
--- a/crates/resource/tests/all/support.rs
+++ b/crates/resource/tests/all/support.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use stoatstep_resource::{Policy, Resource, Retry, Route, Service, State, TenantLimit, Upstream};
+use stoatstep_resource::{
+    Customer, KeyDigest, Policy, Quota, Resource, Retry, Route, Service, State, TenantLimit,
+    Upstream,
+};
 
 pub(crate) fn service(name: &str) -> Resource {
     Resource::Service(Service {
@@ -48,8 +51,8 @@
             })
         },
     );
-    let route = (name(), name(), name(), reference(), any::<bool>()).prop_map(
-        |(name, prefix, service, policy, idempotent)| {
+    let route = (name(), name(), name(), reference(), any::<(bool, bool)>()).prop_map(
+        |(name, prefix, service, policy, (idempotent, public))| {
             Resource::Route(Route {
                 name,
                 prefix,
@@ -58,6 +61,7 @@
                 host: None,
                 split: Vec::new(),
                 idempotent,
+                public,
             })
         },
     );
@@ -85,5 +89,21 @@
             })
         },
     );
-    prop_oneof![service, upstream, route, policy]
+    let digest = any::<u64>().prop_map(|it| KeyDigest::of(&it.to_be_bytes()));
+    let keys = proptest::collection::vec(digest, 0..4);
+    let customer = (
+        name(),
+        keys,
+        any::<Option<(u32, u32)>>(),
+        any::<Option<u8>>(),
+    )
+        .prop_map(|(name, keys, quota, priority)| {
+            Resource::Customer(Customer {
+                name,
+                keys,
+                quota: quota.map(|(per_minute, burst)| Quota { per_minute, burst }),
+                priority,
+            })
+        });
+    prop_oneof![service, upstream, route, policy, customer]
 }
--- a/crates/scenario/src/daemon/entry.rs
+++ b/crates/scenario/src/daemon/entry.rs
@@ -9,7 +9,7 @@
     Refusal, Report, SetId, Settlement, Ticket, home_of, may_retry, set_id,
 };
 use stoatstep_membership::Time;
-use stoatstep_resource::{Kind, Resource, ServiceName, State, TenantName, UpstreamName};
+use stoatstep_resource::{CustomerName, Kind, Resource, ServiceName, State, UpstreamName};
 
 use super::calls::{End, InFlight, candidates, index_serving, set_of};
 use super::{Node, attempt};
@@ -35,7 +35,7 @@
     pub(crate) body: SmolStr,
     pub(crate) key: Option<KeyText>,
     pub(crate) idempotent: bool,
-    pub(crate) tenant: TenantName,
+    pub(crate) tenant: CustomerName,
     pub(crate) class: Class,
     pub(crate) left: Time,
 }
--- a/crates/scenario/src/run/operator.rs
+++ b/crates/scenario/src/run/operator.rs
@@ -66,6 +66,7 @@
         host: None,
         split: Vec::new(),
         idempotent: false,
+        public: false,
     }
 }
 
--- a/crates/scenario/src/script/deed.rs
+++ b/crates/scenario/src/script/deed.rs
@@ -72,6 +72,7 @@
                 host: None,
                 split: Vec::new(),
                 idempotent: false,
+                public: false,
             })
         }
         "upstream" => {
--- a/crates/spec/src/cases.rs
+++ b/crates/spec/src/cases.rs
@@ -3,6 +3,7 @@
 use crate::attempt::{AttemptBounds, AttemptSpec};
 use crate::intent::{Clocks, IntentBounds, IntentSpec, Removal};
 use crate::invariant::Invariant;
+use crate::keys::{KeyBounds, KeySpec};
 use crate::safeguard::{Safeguard, Safeguards};
 use crate::search::{Spec, search};
 use crate::spreading::{SpreadingBounds, SpreadingSpec};
@@ -56,6 +57,10 @@
     IntentStopped,
     /// The same with a planned restart in place of skipped versions.
     IntentPlanned,
+    /// A customer's key is taken away; answers are late, and a daemon restarts.
+    Keys,
+    /// The same with a daemon that sleeps.
+    KeysAsleep,
 }
 
 /// Every case, in the order of the page.
@@ -81,6 +86,8 @@
     Case::IntentBackSkip,
     Case::IntentStopped,
     Case::IntentPlanned,
+    Case::Keys,
+    Case::KeysAsleep,
 ];
 
 /// For each safeguard, a case in which its absence shows.
@@ -115,6 +122,10 @@
     (Safeguard::FutureKeyCheck, Case::IntentCallerWrong),
     (Safeguard::KeyExpiry, Case::Intent),
     (Safeguard::LostKeyKept, Case::Intent),
+    (Safeguard::AgeFromQuestion, Case::Keys),
+    (Safeguard::ConfirmsOnlyHeld, Case::Keys),
+    (Safeguard::CopyConfirmsNothing, Case::Keys),
+    (Safeguard::SleepCounts, Case::KeysAsleep),
 ];
 
 /// What a search found, with the steps as text.
@@ -151,6 +162,7 @@
             Self::Attempt | Self::AttemptElsewhere | Self::AttemptPair | Self::AttemptFull => {
                 run(&AttemptSpec::new(self.attempts(), safeguards), UNBOUNDED)
             }
+            Self::Keys | Self::KeysAsleep => run(&KeySpec::new(self.keys(), safeguards), UNBOUNDED),
             _ => run(&IntentSpec::new(self.intent(), safeguards), UNBOUNDED),
         }
     }
@@ -276,6 +288,23 @@
         }
     }
 
+    fn keys(self) -> KeyBounds {
+        let awake = KeyBounds {
+            ticks: 6,
+            in_flight: 2,
+            restarts: 1,
+            sleeps: 0,
+        };
+        match self {
+            Self::KeysAsleep => KeyBounds {
+                restarts: 0,
+                sleeps: 2,
+                ..awake
+            },
+            _ => awake,
+        }
+    }
+
     fn intent(self) -> IntentBounds {
         let moved = IntentBounds {
             tries: 2,
--- a/crates/spec/src/invariant.rs
+++ b/crates/spec/src/invariant.rs
@@ -36,6 +36,8 @@
     UnknownIsHonest,
     /// What starts can still end before its caller's deadline.
     StartsInTime,
+    /// A key that was taken away opens nothing after its time, at any daemon.
+    KeyEnds,
 }
 
 impl fmt::Display for Invariant {
@@ -55,6 +57,7 @@
             Self::RunsOnce => "an intent runs at most once",
             Self::OwnAnswer => "a caller gets the answer to its own request",
             Self::UnknownIsHonest => "unknown is said only where it can't be known",
+            Self::KeyEnds => "a key that was taken away opens nothing after its time",
             Self::StartsInTime => "nothing starts after its caller gave up",
         })
     }
--- /dev/null
+++ b/crates/spec/src/keys.rs
@@ -0,0 +1,250 @@
+//! A key that is taken away while daemons are cut off, asleep or restarted.
+//!
+//! One daemon asks the host, another one asks the first. Answers arrive late or never. The
+//! key may be used at a daemon that holds the version with it, for as long as that daemon
+//! takes its configuration for recent.
+
+use std::time::Duration;
+
+use stoatstep_distribution::Confirmation;
+
+use crate::invariant::Invariant;
+use crate::safeguard::{Safeguard, Safeguards};
+use crate::search::Spec;
+
+/// Daemons: the first one asks the host, the second one asks the first.
+const DAEMONS: usize = 2;
+
+/// The version with the key, and the one without it.
+const WITH_KEY: u8 = 1;
+const WITHOUT_KEY: u8 = 2;
+
+/// Ticks for which the key may be used after it was taken away.
+const BOUND: u8 = 3;
+
+/// What a case has of everything.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyBounds {
+    /// Ticks until the end.
+    pub ticks: u8,
+    /// Answers under way at a time.
+    pub in_flight: usize,
+    /// Processes that start anew.
+    pub restarts: u8,
+    /// Ticks for which a daemon is suspended.
+    pub sleeps: u8,
+}
+
+/// The specification, with its bounds.
+#[derive(Clone, Copy, Debug)]
+pub struct KeySpec {
+    bounds: KeyBounds,
+    safeguards: Safeguards,
+}
+
+/// One daemon.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct KeyDaemon {
+    /// Version held; 0 where there is none.
+    version: u8,
+    confirmation: Confirmation,
+    /// Ticks that its clock did not count.
+    slept: u8,
+}
+
+/// An answer that is under way.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct KeyAnswer {
+    to: usize,
+    /// Local time of the question.
+    asked_at: Duration,
+    version: u8,
+    age: Duration,
+}
+
+/// Everything that later steps depend on.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct KeyState {
+    now: u8,
+    /// When the host acknowledged that the key is gone.
+    removed_at: Option<u8>,
+    daemons: [KeyDaemon; DAEMONS],
+    answers: Vec<KeyAnswer>,
+    restarts: u8,
+    sleeps: u8,
+}
+
+/// One event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyStep {
+    /// Time passes.
+    Tick,
+    /// Time passes while this daemon is suspended.
+    Sleep(usize),
+    /// The host acknowledges the version without the key.
+    Remove,
+    /// This daemon asks, and is answered; the answer is under way.
+    Ask(usize),
+    /// The oldest answer that is under way arrives.
+    Deliver,
+    /// It is lost.
+    Lose,
+    /// This daemon starts anew and has the configuration from the other one.
+    Restart(usize),
+}
+
+impl KeySpec {
+    /// The specification with these bounds and safeguards.
+    #[must_use]
+    pub fn new(bounds: KeyBounds, safeguards: Safeguards) -> Self {
+        Self { bounds, safeguards }
+    }
+
+    /// What a daemon's own clock shows.
+    fn clock(&self, state: &KeyState, daemon: usize) -> Duration {
+        let slept = if self.safeguards.has(Safeguard::SleepCounts) {
+            0
+        } else {
+            state.daemons[daemon].slept
+        };
+        Duration::from_secs((state.now - slept).into())
+    }
+
+    fn ask(&self, state: &mut KeyState, asker: usize) {
+        let asked_at = self.clock(state, asker);
+        let (version, age) = if asker == 0 {
+            (host_version(state), Some(Duration::ZERO))
+        } else {
+            let asked = &state.daemons[0];
+            (asked.version, asked.confirmation.age(self.clock(state, 0)))
+        };
+        if let Some(age) = age {
+            state.answers.push(KeyAnswer {
+                to: asker,
+                asked_at,
+                version,
+                age,
+            });
+        }
+    }
+
+    fn deliver(&self, state: &mut KeyState, answer: &KeyAnswer) {
+        let now = self.clock(state, answer.to);
+        let daemon = &mut state.daemons[answer.to];
+        // The host's answer brings its version along; a peer's only names it.
+        if answer.to == 0 {
+            daemon.version = daemon.version.max(answer.version);
+        }
+        let is_held = daemon.version >= answer.version;
+        if !is_held && self.safeguards.has(Safeguard::ConfirmsOnlyHeld) {
+            return;
+        }
+        let from = if self.safeguards.has(Safeguard::AgeFromQuestion) {
+            answer.asked_at
+        } else {
+            now
+        };
+        daemon.confirmation.confirm_by_peer(from, answer.age);
+    }
+
+    fn restart(&self, state: &mut KeyState, daemon: usize) {
+        let now = self.clock(state, daemon);
+        let other = state.daemons[1 - daemon].version;
+        let slept = state.daemons[daemon].slept;
+        let mut confirmation = Confirmation::default();
+        if !self.safeguards.has(Safeguard::CopyConfirmsNothing) {
+            confirmation.confirm(now);
+        }
+        state.daemons[daemon] = KeyDaemon {
+            version: other,
+            confirmation,
+            slept,
+        };
+        state.answers.retain(|it| it.to != daemon);
+    }
+
+    fn opens(&self, state: &KeyState, daemon: usize) -> bool {
+        let held = &state.daemons[daemon];
+        let bound = Duration::from_secs(BOUND.into());
+        held.version == WITH_KEY
+            && held
+                .confirmation
+                .is_within(bound, self.clock(state, daemon))
+    }
+}
+
+fn host_version(state: &KeyState) -> u8 {
+    if state.removed_at.is_some() {
+        WITHOUT_KEY
+    } else {
+        WITH_KEY
+    }
+}
+
+impl Spec for KeySpec {
+    type State = KeyState;
+    type Step = KeyStep;
+
+    fn start(&self) -> KeyState {
+        KeyState {
+            now: 0,
+            removed_at: None,
+            daemons: std::array::from_fn(|_| KeyDaemon {
+                version: WITH_KEY,
+                ..KeyDaemon::default()
+            }),
+            answers: Vec::new(),
+            restarts: 0,
+            sleeps: 0,
+        }
+    }
+
+    fn steps(&self, state: &KeyState) -> Vec<(KeyStep, KeyState)> {
+        let mut steps = Vec::new();
+        let mut add = |step, change: &dyn Fn(&mut KeyState)| {
+            let mut next = state.clone();
+            change(&mut next);
+            steps.push((step, next));
+        };
+        let has_time = state.now < self.bounds.ticks;
+        if has_time {
+            add(KeyStep::Tick, &|it| it.now += 1);
+        }
+        if state.removed_at.is_none() {
+            add(KeyStep::Remove, &|it| it.removed_at = Some(it.now));
+        }
+        if let Some(answer) = state.answers.first() {
+            add(KeyStep::Deliver, &|it| {
+                it.answers.remove(0);
+                self.deliver(it, answer);
+            });
+            add(KeyStep::Lose, &|it| drop(it.answers.remove(0)));
+        }
+        for daemon in 0..DAEMONS {
+            if state.answers.len() < self.bounds.in_flight {
+                add(KeyStep::Ask(daemon), &|it| self.ask(it, daemon));
+            }
+            if has_time && state.sleeps < self.bounds.sleeps {
+                add(KeyStep::Sleep(daemon), &|it| {
+                    it.now += 1;
+                    it.sleeps += 1;
+                    it.daemons[daemon].slept += 1;
+                });
+            }
+            if state.restarts < self.bounds.restarts {
+                add(KeyStep::Restart(daemon), &|it| {
+                    it.restarts += 1;
+                    self.restart(it, daemon);
+                });
+            }
+        }
+        steps
+    }
+
+    fn violated(&self, state: &KeyState) -> Option<Invariant> {
+        let removed_at = state.removed_at?;
+        let is_over = state.now >= removed_at + BOUND;
+        let opens = (0..DAEMONS).any(|daemon| self.opens(state, daemon));
+        (is_over && opens).then_some(Invariant::KeyEnds)
+    }
+}
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -12,7 +12,8 @@
 //! * [`SpreadingSpec`]: versions that cross, come twice or damaged, and daemons
 //!   that restart with nothing;
 //! * [`AttemptSpec`]: calls whose messages, executors and targets get lost;
-//! * [`IntentSpec`]: a key that is sent again while its home moves.
+//! * [`IntentSpec`]: a key that is sent again while its home moves;
+//! * [`KeySpec`]: a customer's key that is taken away while daemons are cut off.
 //!
 //! Bounds, figures and what is not covered are in
 //! `docs/design/model-checking.md`.
@@ -21,6 +22,7 @@
 pub mod cases;
 mod intent;
 mod invariant;
+mod keys;
 mod resources;
 mod safeguard;
 mod search;
@@ -34,6 +36,7 @@
 pub use cases::Summary;
 pub use intent::{Clocks, IntentBounds, IntentSpec, IntentState, IntentStep, Removal};
 pub use invariant::Invariant;
+pub use keys::{KeyAnswer, KeyBounds, KeyDaemon, KeySpec, KeyState, KeyStep};
 pub use safeguard::{Safeguard, Safeguards};
 pub use search::{Counterexample, Report, Spec, search};
 pub use spreading::{
--- a/crates/spec/src/resources.rs
+++ b/crates/spec/src/resources.rs
@@ -20,6 +20,7 @@
         host: None,
         split: Vec::new(),
         idempotent: false,
+        public: false,
     })
 }
 
--- a/crates/spec/src/safeguard.rs
+++ b/crates/spec/src/safeguard.rs
@@ -67,6 +67,14 @@
     KeyExpiry,
     /// A key that may have run stays taken.
     LostKeyKept,
+    /// A confirmation counts from its question, however late it arrives.
+    AgeFromQuestion,
+    /// Only the newest configuration that is held is confirmed.
+    ConfirmsOnlyHeld,
+    /// A configuration that a peer hands over is not confirmed by that.
+    CopyConfirmsNothing,
+    /// The clock goes on while the instance is suspended.
+    SleepCounts,
 }
 
 /// Which safeguards a specification has.
--- a/crates/spec/tests/all/main.rs
+++ b/crates/spec/tests/all/main.rs
@@ -3,4 +3,5 @@
 mod calls;
 mod configuration;
 mod exhaustive;
+mod keys;
 mod support;
--- a/crates/telemetry/src/fields.rs
+++ b/crates/telemetry/src/fields.rs
@@ -129,9 +129,19 @@
 pub const ERA: &str = "era";
 /// The same as known until then.
 pub const BEFORE_ERA: &str = "before_era";
+/// Name of a customer.
+pub const CUSTOMER: &str = "customer";
+/// Tokens of a quota that were asked for.
+pub const WANTED: &str = "wanted";
+/// Tokens of a quota that were granted.
+pub const GRANTED: &str = "granted";
+/// Tokens that a home may grant a minute.
+pub const PER_MINUTE: &str = "per_minute";
+/// Age of what is known, in milliseconds; absent where nothing is.
+pub const AGE_MS: &str = "age_ms";
 
 /// Every name above, in the order of this page.
-pub const ALL: [&str; 64] = [
+pub const ALL: [&str; 69] = [
     REQUEST,
     ATTEMPT,
     UPSTREAM,
@@ -196,4 +206,9 @@
     LIVES,
     ERA,
     BEFORE_ERA,
+    CUSTOMER,
+    WANTED,
+    GRANTED,
+    PER_MINUTE,
+    AGE_MS,
 ];
--- a/crates/versionlog/tests/support/mod.rs
+++ b/crates/versionlog/tests/support/mod.rs
@@ -92,6 +92,7 @@
         host: None,
         split: Vec::new(),
         idempotent: false,
+        public: false,
     })
 }
 
--- a/tests/all/decoders.rs
+++ b/tests/all/decoders.rs
@@ -98,6 +98,7 @@
         host: None,
         split: Vec::new(),
         idempotent: false,
+        public: false,
     };
     let empty = State::default();
     let puts = vec![Resource::Service(service), Resource::Route(route)];
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -236,6 +236,7 @@
                 host: None,
                 split: Vec::new(),
                 idempotent: false,
+                public: false,
             };
             [
                 wire::ResourceWire::Service(service),
