--- a/crates/calls/src/quota/bucket.rs
+++ b/crates/calls/src/quota/bucket.rs
@@ -112,8 +112,8 @@
     pub fn lend(&mut self, wanted: u32, share: Share, now: Time) -> u32 {
         self.fill(share, now);
         let kept_back = share.burst * KEPT_BACK;
-        let spare = Share::whole(self.tokens - kept_back);
-        self.take(wanted.min(spare))
+        let free = Share::whole(self.tokens - kept_back);
+        self.take(wanted.min(free))
     }
 
     /// Takes in tokens that another home lent. For a moment they come on top of what the
--- a/crates/calls/tests/all/identity.rs
+++ b/crates/calls/tests/all/identity.rs
@@ -5,6 +5,9 @@
 use stoatstep_calls::{CredentialError, KeyRing, bearer_key};
 use stoatstep_resource::{Customer, Held, KeyDigest, Resource, State};
 
+/// Credentials of a request, and what they name.
+type Case<'a> = (&'a [&'a [u8]], Result<KeyDigest, CredentialError>);
+
 fn ring(customers: &[(&str, &[&str])]) -> KeyRing {
     let held = customers.iter().map(|(name, keys)| Held {
         revision: 1,
@@ -23,7 +26,7 @@
     let key = KeyDigest::of(b"jqnirth5");
     let overlong = [b"Bearer ".as_slice(), &[b'k'; 257]].concat();
     let longest = [b"Bearer ".as_slice(), &[b'k'; 256]].concat();
-    let cases: [(&[&[u8]], Result<KeyDigest, CredentialError>); 11] = [
+    let cases: [Case<'_>; 11] = [
         (&[], Err(CredentialError::Missing)),
         (&[b"Bearer jqnirth5"], Ok(key)),
         (&[b"bEARER   jqnirth5 "], Ok(key)),
--- a/crates/calls/tests/all/quota.rs
+++ b/crates/calls/tests/all/quota.rs
@@ -113,11 +113,10 @@
     fn entry(&mut self) -> usize {
         let entries = self.play.entries;
         match self.play.skew {
-            Skew::Even => self.rng.random_range(0..entries),
             Skew::OneZone if self.rng.random_bool(0.5) => {
                 self.rng.random_range(0..entries / ZONES) * ZONES
             }
-            Skew::OneZone => self.rng.random_range(0..entries),
+            Skew::Even | Skew::OneZone => self.rng.random_range(0..entries),
             Skew::FewEntries => self.rng.random_range(0..entries.div_ceil(10)),
         }
     }
@@ -231,7 +230,7 @@
     let allowed = QUOTA.per_second() * WINDOW.as_secs_f64() + f64::from(QUOTA.burst);
     let mut from = 0;
     for until in 0..world.grants.len() {
-        while world.grants[until] - world.grants[from] > WINDOW {
+        while world.grants[until].saturating_sub(world.grants[from]) > WINDOW {
             from += 1;
         }
         let part = count(until - from + 1) / allowed;
--- a/crates/daemon/src/call/request.rs
+++ b/crates/daemon/src/call/request.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ntex::http::header::HeaderMap;
+use ntex::http::header::{HeaderMap, HeaderValue};
 use ntex::http::{Method, Request};
 use ntex::util::Bytes;
 use rand::RngExt;
@@ -166,7 +166,7 @@
     route: &ResolvedRoute,
     map: &HeaderMap,
 ) -> Result<Option<CustomerName>, Rejected> {
-    let credentials = map.get_all(CREDENTIAL).map(|it| it.as_bytes());
+    let credentials = map.get_all(CREDENTIAL).map(HeaderValue::as_bytes);
     let key = bearer_key(credentials).ok();
     let holder = key.and_then(|it| in_force.keys.holder(&it));
     if holder.is_none() && !route.route.public && !in_force.keys.is_empty() {
@@ -186,8 +186,8 @@
 /// is to get one.
 fn passed(map: &HeaderMap, passes_credential: bool) -> Vec<Header> {
     let all = map.iter();
-    let passes = |name: &str| headers::passes(name) && (passes_credential || name != CREDENTIAL);
-    let passed = all.filter(|(name, _)| passes(name.as_str()));
+    let goes_on = |name: &str| headers::passes(name) && (passes_credential || name != CREDENTIAL);
+    let passed = all.filter(|(name, _)| goes_on(name.as_str()));
     let header = passed.map(|(name, value)| Header {
         name: name.as_str().to_smolstr(),
         value: value.as_bytes().to_vec(),
--- a/crates/distribution/src/confirmation.rs
+++ b/crates/distribution/src/confirmation.rs
@@ -92,6 +92,6 @@
     /// The earliest local time when the host's clock shows `host`; none where it went back.
     fn reads(&self, host: Duration) -> Option<Time> {
         let passed = host.checked_sub(self.host)?;
-        Some(self.local + passed - passed / DRIFT)
+        Some(self.local + passed.saturating_sub(passed / DRIFT))
     }
 }
--- a/crates/distribution/tests/all/confirmation.rs
+++ b/crates/distribution/tests/all/confirmation.rs
@@ -94,7 +94,7 @@
             let mut asker = Confirmation::default();
             asker.confirm_by_peer(asked_at, age);
             let known = asker.age(now);
-            prop_assert!(known.is_none_or(|it| it >= now - confirmed_at));
+            prop_assert!(known.is_none_or(|it| it >= now.saturating_sub(confirmed_at)));
             prop_assert!(!asker.is_within(BOUND, confirmed_at + BOUND));
             if known.is_some() {
                 asked = asker;
--- a/crates/mesh/src/quota.rs
+++ b/crates/mesh/src/quota.rs
@@ -91,6 +91,15 @@
         desk.or_insert_with(|| Desk::new(now)).purse.take(now)
     }
 
+    /// Has a call wait for a token, and says whether the home is being asked already.
+    fn queue(&self, customer: &CustomerName, call: oneshot::Sender<Verdict>, now: Time) -> bool {
+        let mut desks = self.desks.borrow_mut();
+        let desk = desks.entry(customer.clone());
+        let desk = desk.or_insert_with(|| Desk::new(now));
+        desk.waiting.push_back(call);
+        std::mem::replace(&mut desk.is_asking, true)
+    }
+
     /// Takes back a token that a call did not use.
     pub(crate) fn give_back(&self, customer: &CustomerName, now: Time) {
         if let Some(desk) = self.desks.borrow_mut().get_mut(customer) {
@@ -102,12 +111,7 @@
 /// Waits for a token from the customer's home.
 pub(crate) async fn wait(node: &Rc<Node>, customer: &CustomerName) -> Verdict {
     let (tx, rx) = oneshot::channel();
-    let mut desks = node.quotas.desks.borrow_mut();
-    let desk = desks.entry(customer.clone());
-    let desk = desk.or_insert_with(|| Desk::new(node.clock.now()));
-    desk.waiting.push_back(tx);
-    let is_asking = std::mem::replace(&mut desk.is_asking, true);
-    drop(desks);
+    let is_asking = node.quotas.queue(customer, tx, node.clock.now());
     if !is_asking {
         ntex::rt::spawn(ask_home(Rc::clone(node), customer.clone()));
     }
--- a/crates/spec/src/keys.rs
+++ b/crates/spec/src/keys.rs
@@ -110,17 +110,17 @@
         Duration::from_secs((state.now - slept).into())
     }
 
-    fn ask(&self, state: &mut KeyState, asker: usize) {
-        let asked_at = self.clock(state, asker);
-        let (version, age) = if asker == 0 {
+    fn ask(&self, state: &mut KeyState, daemon: usize) {
+        let asked_at = self.clock(state, daemon);
+        let (version, age) = if daemon == 0 {
             (host_version(state), Some(Duration::ZERO))
         } else {
-            let asked = &state.daemons[0];
-            (asked.version, asked.confirmation.age(self.clock(state, 0)))
+            let peer = &state.daemons[0];
+            (peer.version, peer.confirmation.age(self.clock(state, 0)))
         };
         if let Some(age) = age {
             state.answers.push(KeyAnswer {
-                to: asker,
+                to: daemon,
                 asked_at,
                 version,
                 age,
@@ -218,7 +218,9 @@
                 it.answers.remove(0);
                 self.deliver(it, answer);
             });
-            add(KeyStep::Lose, &|it| drop(it.answers.remove(0)));
+            add(KeyStep::Lose, &|it| {
+                it.answers.remove(0);
+            });
         }
         for daemon in 0..DAEMONS {
             if state.answers.len() < self.bounds.in_flight {
