Write the last answer to its end before a daemon stops

Cause: a daemon that is told to stop ends once no call is unanswered, and an answer counted as given when it was handed to the HTTP library. What a slow link or caller had not taken by then was lost with the process; the library also closed a connection one second after its last answer.

Change: the server tells what it has still to write, and the stop waits for it within the grace; a connection that is being closed has 30 s for its last answer.

Test, red before: downloads::a_stopping_daemon_writes_the_last_answer_to_its_end.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,5 +1,6 @@
 //! HTTP servers on the daemon's own thread.
 
+use std::cell::RefCell;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -7,6 +8,7 @@
 
 use ntex::SharedCfg;
 use ntex::http::{HttpService, HttpServiceConfig, Request, Response};
+use ntex::io::{IoConfig, IoRef};
 use ntex::service::{Pipeline, ServiceFactory, fn_service};
 use ntex::time::Seconds;
 use tokio::net::TcpListener;
@@ -26,9 +28,38 @@
 /// Pause after a failed accept, most often for lack of descriptors.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
 
+/// Time for the last answer on a connection to be written. Callers on slow links, or that
+/// read slowly, would otherwise get half of it.
+const LAST_WRITE_TIMEOUT: Seconds = Seconds(30);
+
 /// A server that answers every request by one async function.
 pub struct Server {
     listener: TcpListener,
+    unwritten: Unwritten,
+}
+
+/// Answers of a server that have not been written to their ends.
+#[derive(Clone, Default)]
+pub struct Unwritten(Rc<RefCell<Vec<IoRef>>>);
+
+impl Unwritten {
+    /// Whether every answer has been written.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        // A connection that is being closed takes no look at its buffer.
+        let is_written = |io: &IoRef| io.with_write_buf(|buf| buf.is_empty()).unwrap_or(false);
+        self.forget_closed();
+        self.0.borrow().iter().all(is_written)
+    }
+
+    fn add(&self, io: IoRef) {
+        self.forget_closed();
+        self.0.borrow_mut().push(io);
+    }
+
+    fn forget_closed(&self) {
+        self.0.borrow_mut().retain(|io| !io.is_closed());
+    }
 }
 
 impl Server {
@@ -39,7 +70,16 @@
     /// Whatever binding the address fails with.
     pub async fn bind(addr: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(addr).await?;
-        Ok(Self { listener })
+        Ok(Self {
+            listener,
+            unwritten: Unwritten::default(),
+        })
+    }
+
+    /// What this server has still to write, also while it serves.
+    #[must_use]
+    pub fn unwritten(&self) -> Unwritten {
+        self.unwritten.clone()
     }
 
     /// Accepts connections until the process ends. A connection whose caller
@@ -69,6 +109,7 @@
             };
             let service = service.clone();
             let io = ntex::rt::from_tcp_stream(stream.into_std()?, cfg.clone())?;
+            self.unwritten.add(io.get_ref());
             ntex::rt::spawn(async move {
                 // A caller that breaks its connection is no fault of ours.
                 let _ = service.call(io).await;
@@ -85,5 +126,6 @@
                 .set_keepalive(KEEP_ALIVE)
                 .set_headers_read_rate(HEADER_TIMEOUT, HEADER_TIMEOUT, 256),
         )
+        .add(IoConfig::new().set_disconnect_timeout(LAST_WRITE_TIMEOUT))
         .into()
 }
--- a/crates/mesh/src/drain.rs
+++ b/crates/mesh/src/drain.rs
@@ -44,7 +44,9 @@
 pub(crate) async fn finished(node: &Node) {
     let may_end = || {
         let departure = node.departure.get();
-        departure.may_end(node.in_flight.get(), node.clock.now())
+        // An answer that waits to be written counts like a call that is not answered.
+        let unwritten = u32::from(!node.unwritten.is_empty());
+        departure.may_end(node.in_flight.get() + unwritten, node.clock.now())
     };
     while !may_end() {
         tokio::time::sleep(POLL).await;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -24,7 +24,7 @@
 use crate::rollout::{self, Rollouts};
 use crate::{drain, fleet::gossip};
 use stoatstep_calls::Departure;
-use stoatstep_http::Server;
+use stoatstep_http::{Server, Unwritten};
 use stoatstep_membership::{Birth, Heard, Heartbeat};
 use stoatstep_telemetry::fields;
 
@@ -48,6 +48,8 @@
     pub(crate) requests: Requests,
     pub(crate) quotas: Quotas,
     pub(crate) in_flight: Cell<u32>,
+    /// Answers to callers that have not been written to their ends.
+    pub(crate) unwritten: Unwritten,
     pub(crate) departure: Cell<Departure>,
 }
 
@@ -92,6 +94,7 @@
             requests: Requests::default(),
             quotas: Quotas::default(),
             in_flight: Cell::new(0),
+            unwritten: callers.unwritten(),
             departure: Cell::new(Departure::new(cfg.grace)),
             cfg,
             log,
