Keep only a few instances of each zone on the host's list

Change: a daemon looks at the list once, spread over 2 s, and puts itself on it only where fewer than three instances of its zone are there; those that follow the host keep it up. Those on the list ask for the configuration at once, the others have it from them. A forgotten member is deleted by those that follow the host, not by its whole zone.

Ruled out: one daemon of a zone reads and the rest learn from it (nobody knows the others before it has read). Test, red before: starts::a_daemon_more_costs_a_first_start_one_call (32 calls at 16 daemons, 91 at 48 before).

--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -54,12 +54,18 @@
 /// it goes on from the first read.
 const MEETS_ZONE_WITHIN: Duration = Duration::from_secs(2);
 
+/// The same in a first start, where daemons meet only after they have looked at the list.
+const MEETS_ZONE_AT_FIRST: Duration = Duration::from_secs(4);
+
 /// How often a daemon looks whether it has met its zone, or whether its turn has come.
 const START_STEP: Duration = Duration::from_millis(100);
 
-/// Time over which the first questions of a fleet that starts for the first time are
-/// spread. Nobody calls yet, and most daemons have the configuration from a peer before.
-const FIRST_START_SPREAD: Duration = Duration::from_millis(2500);
+/// Time after a look at the list of instances in which a daemon of a fleet that starts for
+/// the first time has the configuration from a peer. Nobody calls yet.
+const PEER_FIRST: Duration = Duration::from_millis(1500);
+
+/// Longest time for which it does not ask the host for it, whatever the list says.
+const LONGEST_FIRST_TURN: Duration = Duration::from_millis(4500);
 
 /// Pause after a change. Changes in quick succession are then fetched a few at a
 /// time, and still come into force well within two seconds.
@@ -186,13 +192,16 @@
     }
 }
 
-/// Waits for this daemon's turn in a first start, or for a peer to be faster.
+/// Waits for this daemon's turn in a first start, or for a peer to be faster. Those that
+/// others meet first, since they are on the list, ask at once.
 async fn first_turn(node: &Node) {
-    if !node.cfg.is_first_start {
-        return;
-    }
-    let turn = FIRST_START_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
-    while node.clock.now() < turn && node.fleet.in_force().is_none() {
+    let is_due = || {
+        let now = node.clock.now();
+        let looked_at = node.fleet.looked_at.get();
+        let is_peer_late = looked_at.is_some_and(|at| now >= at + PEER_FIRST);
+        node.fleet.is_listed.get() || is_peer_late || now >= LONGEST_FIRST_TURN
+    };
+    while node.cfg.is_first_start && node.fleet.in_force().is_none() && !is_due() {
         tokio::time::sleep(START_STEP).await;
     }
 }
@@ -216,9 +225,12 @@
 
 /// Whether this daemon most likely knows but a part of its zone.
 pub(crate) fn is_meeting_zone(node: &Node) -> bool {
-    let is_young = node.clock.now() < MEETS_ZONE_WITHIN;
+    let age = node.clock.now();
+    if node.cfg.is_first_start {
+        return age < MEETS_ZONE_AT_FIRST;
+    }
     let membership = node.fleet.membership.borrow();
-    is_young && (node.cfg.is_first_start || membership.is_meeting_zone())
+    age < MEETS_ZONE_WITHIN && membership.is_meeting_zone()
 }
 
 /// Whether this daemon follows the host on behalf of its zone.
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -67,6 +67,10 @@
     has_returned: Cell<bool>,
     /// The instance was suspended: what waits for the host should ask anew.
     woke: Notify,
+    /// When the host's list of instances was last looked at.
+    looked_at: Cell<Option<Time>>,
+    /// This instance is on it.
+    is_listed: Cell<bool>,
     /// Members that are gone for good, whose roster rows are to be deleted.
     forgotten: RefCell<Vec<InstanceId>>,
 }
@@ -91,6 +95,8 @@
             confirmed: RefCell::default(),
             has_returned: Cell::new(false),
             woke: Notify::new(),
+            looked_at: Cell::new(None),
+            is_listed: Cell::new(false),
             forgotten: RefCell::default(),
         }
     }
--- a/crates/mesh/src/fleet/roster.rs
+++ b/crates/mesh/src/fleet/roster.rs
@@ -9,7 +9,7 @@
 use stoatstep_telemetry::fields;
 use tokio::time::timeout;
 
-use super::gossip;
+use super::{configuration, gossip};
 use crate::host::{Host, HostError};
 use crate::node::Node;
 use crate::quarantine;
@@ -29,21 +29,29 @@
 /// Longest pause between two looks of a daemon that knows nobody.
 const LONGEST_ALONE: Duration = Duration::from_secs(30);
 
+/// How often a daemon that is not on the list looks whether it has to be.
+const KEPT_UP_EVERY: Duration = Duration::from_secs(5);
+
 /// Doublings of the pause, at most; by then it is the longest one.
 const MAX_DOUBLINGS: u32 = 8;
 
+/// Rows of a zone that are enough for whoever starts to meet it: the death of some of them
+/// at once goes unnoticed. All others stay off the list, so that a start of all writes as
+/// little in a large fleet as in a small one.
+const LISTED_PER_ZONE: usize = 3;
+
 /// Time over which the first looks of a fleet that starts for the first time are spread.
-/// Nobody calls yet, and whoever was found by one that looked earlier need not look.
+/// Nobody calls yet, and those that look first put themselves on the list.
 const FIRST_START_SPREAD: Duration = Duration::from_secs(2);
 
-/// Keeps this instance on the list, and looks at it while no peer is known.
+/// Looks at the list while no peer is known, and keeps enough instances on it.
 pub(crate) async fn run<H: Host>(node: Rc<Node>, host: Rc<H>) {
     let mut roster = Roster {
         node: Rc::clone(&node),
         host,
         is_announced: false,
         looks: 0,
-        due: node.clock.now(),
+        due: node.clock.now() + first_look(&node),
         keeps_from: Cell::default(),
     };
     while !node.is_leaving() {
@@ -59,8 +67,19 @@
         roster.keep_requests().await;
         tokio::time::sleep(STEP).await;
     }
-    let own = node.cfg.instance.clone();
-    roster.say("withdrawn", roster.host.withdraw(&own)).await;
+    if roster.is_announced {
+        let own = node.cfg.instance.clone();
+        roster.say("withdrawn", roster.host.withdraw(&own)).await;
+    }
+}
+
+/// When the list is first looked at.
+fn first_look(node: &Node) -> Duration {
+    if node.cfg.is_first_start {
+        FIRST_START_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))
+    } else {
+        Duration::ZERO
+    }
 }
 
 struct Roster<H> {
@@ -76,9 +95,8 @@
 
 impl<H: Host> Roster<H> {
     /// Has this daemon's own row written anew, and what is kept of requests: the host has
-    /// come back from an older copy. Those that follow the host notice, a few of each zone,
-    /// which is enough for whoever starts to be met. If all of 295 daemons wrote at once,
-    /// the host would turn most of them away.
+    /// come back from an older copy. Those that follow the host notice, and they are the
+    /// ones that have to be on the list.
     fn write_again(&mut self) {
         self.is_announced = false;
         self.due = self.node.clock.now();
@@ -87,58 +105,67 @@
 
     /// Does what is due and returns the time until the next step.
     async fn step(&mut self) -> Duration {
-        if self.node.cfg.is_first_start && !self.is_announced {
-            if !self.announce().await {
+        let is_alone = self.node.fleet.size() == 1;
+        if is_alone || self.looks == 0 {
+            let Some(listed) = self.look().await else {
+                return RETRY;
+            };
+            if self.is_needed(listed) && !self.announce().await {
                 return RETRY;
             }
-            return FIRST_START_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+            let doublings = self.looks.min(MAX_DOUBLINGS) - 1;
+            return (SECOND_LOOK * (1 << doublings)).min(LONGEST_ALONE);
         }
-        let is_alone = self.node.fleet.size() == 1;
-        let wants_look = is_alone || self.looks == 0 && !self.node.cfg.is_first_start;
-        if !wants_look {
-            // An instance that met the fleet has to be found by those that start later.
-            let is_announced = self.is_announced || self.announce().await;
-            return if is_announced { LONGEST_ALONE } else { RETRY };
-        }
-        if !self.look().await {
-            return RETRY;
-        }
-        if !self.is_announced && !self.announce().await {
+        // Those that follow the host are there for as long as their zone is, and who they
+        // are changes with its members.
+        let is_missing = !self.is_announced && configuration::follows_host(&self.node);
+        if is_missing && !self.announce().await {
             return RETRY;
         }
-        let doublings = self.looks.min(MAX_DOUBLINGS) - 1;
-        (SECOND_LOOK * (1 << doublings)).min(LONGEST_ALONE)
+        KEPT_UP_EVERY
     }
 
-    /// Looks at the list; `false` where there was no answer.
+    /// Whether this instance has to be on the list, of which `listed` rows are of its zone.
+    /// Nobody was met after a look where those rows are of instances that are gone.
+    fn is_needed(&self, listed: usize) -> bool {
+        !self.is_announced && (listed < LISTED_PER_ZONE || self.looks > 1)
+    }
+
+    /// Looks at the list, and returns how many instances of the own zone are on it; nothing
+    /// where there was no answer.
     ///
     /// A row that a former process of this instance left says where to knock as well as a
     /// new one would, so it stays as it is: where 295 instances lose power at once, that
     /// saves a write of each. Two that look before either is on the list miss each other,
     /// but are then alone, and look again.
-    async fn look(&mut self) -> bool {
-        let Some(listed) = self.say("read", self.host.roster()).await else {
-            return false;
-        };
+    async fn look(&mut self) -> Option<usize> {
+        let listed = self.say("read", self.host.roster()).await?;
         quarantine::hear_kept(&self.node, &listed.requests);
         let rows: Vec<_> = listed.members.into_iter().map(|it| it.row).collect();
         let cfg = &self.node.cfg;
         let is_own = |it: &Row| it.instance == cfg.instance && it.peer == cfg.addresses.peers;
         self.is_announced |= rows.iter().any(is_own);
+        let of_zone = rows.iter().filter(|it| it.zone == cfg.zone).count();
         gossip::input(&self.node, Input::Announced { rows });
         self.looks += 1;
-        true
+        self.node.fleet.looked_at.set(Some(self.node.clock.now()));
+        Some(of_zone)
     }
 
     async fn announce(&mut self) -> bool {
         let announcement = self.node.fleet.membership.borrow().announcement();
         let written = self.say("announced", self.host.announce(&announcement));
         self.is_announced = written.await.is_some();
+        self.node.fleet.is_listed.set(self.is_announced);
         self.is_announced
     }
 
     async fn delete_forgotten(&self) {
         let forgotten = std::mem::take(&mut *self.node.fleet.forgotten.borrow_mut());
+        // Every daemon of the zone forgets it, and one deletion is enough.
+        if !configuration::follows_host(&self.node) {
+            return;
+        }
         for instance in forgotten {
             self.say("cleaned up", self.host.withdraw(&instance)).await;
         }
