Look at the host's list to the millisecond, and wait to be told in a first start

Cause: looks fell into steps of 250 ms, so that all of one step found the list empty and wrote their rows; and daemons without a configuration asked the host once a second although those that follow it for their zone had nothing either.

The table of routes has a column more (stoatctl get), which its test now expects.

--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -164,8 +164,12 @@
             } else {
                 ""
             };
+            let customer = match line.text(fields::CUSTOMER) {
+                name if name.is_empty() => String::new(),
+                name => format!(" for customer {name}"),
+            };
             format!(
-                "entry: {} by route {} of version {}, {} attempts, last at {upstream}{zone}; \
+                "entry: {}{customer} by route {} of version {}, {} attempts, last at {upstream}{zone}; \
                  {} ms in all, {} in queues, {} at targets; given {} ms, objective {} ms",
                 outcome(line),
                 line.text(fields::ROUTE),
@@ -194,7 +198,8 @@
         ),
         "caller left" => format!("entry: its caller left after {} ms", ms(fields::TOTAL_US)),
         "request refused" => format!(
-            "entry: refused when it came: {}",
+            "entry: refused when it came, by version {}: {}",
+            line.text(fields::VERSION),
             meaning(&line.text(fields::REASON))
         ),
         "target ejected" => format!(
@@ -220,6 +225,10 @@
         "throttled" => "most calls of its route fail for want of something that they need",
         "draining" => "the target or its daemon was leaving",
         "not-ready" => "the daemon had no configuration yet",
+        "unauthenticated" => "no customer holds its key, or it showed none that is understood",
+        "unconfirmed" => "the daemon could not tell whether its key was taken away",
+        "over-quota" => "its customer's quota was used up",
+        "quota-unknown" => "the daemon that holds its customer's quota did not answer",
         "no-route" => "no route matched its host and path",
         "no-upstream" => "no target of its service could be reached",
         "deadline" => "it could not finish before its deadline",
--- a/crates/ctl/tests/all/reading.rs
+++ b/crates/ctl/tests/all/reading.rs
@@ -28,8 +28,8 @@
 UPSTREAM     REVISION  SERVICE    SLOTS  CONNECTIONS
 floatdesk-1  2         floatdesk  13     120
 
-ROUTE   REVISION  PREFIX   SERVICE    POLICY  IDEMPOTENT
-claims  4         /claims  floatdesk  -       no
+ROUTE   REVISION  PREFIX   SERVICE    POLICY  IDEMPOTENT  PUBLIC
+claims  4         /claims  floatdesk  -       no          no
 
 version 5
 ";
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -204,6 +204,7 @@
     };
     let id = req.headers().get(node.cfg.dialect.request_id.as_str());
     let id = id.and_then(|it| it.to_str().ok()).unwrap_or_default();
+    let version = node.fleet.in_force().map_or(0, |it| it.version());
     slog::info!(node.log, "request refused";
-        fields::REQUEST => id, fields::REASON => kind, fields::PATH => req.path(), fields::LEFT_OUT => left_out);
+        fields::REQUEST => id, fields::VERSION => version, fields::REASON => kind, fields::PATH => req.path(), fields::LEFT_OUT => left_out);
 }
--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -102,7 +102,10 @@
     let mut wait = WAIT;
     loop {
         let role = role(&node);
-        if role == PollRole::Idle && node.fleet.in_force().is_some() {
+        // In a first start the configuration may not be written yet, and those that follow
+        // the host tell of it. Later, callers wait for whoever has none.
+        let is_told = node.fleet.in_force().is_some() || node.cfg.is_first_start;
+        if role == PollRole::Idle && is_told {
             cursor = None;
             tokio::time::sleep(IDLE_PAUSE).await;
             continue;
--- a/crates/mesh/src/fleet/roster.rs
+++ b/crates/mesh/src/fleet/roster.rs
@@ -46,12 +46,14 @@
 
 /// Looks at the list while no peer is known, and keeps enough instances on it.
 pub(crate) async fn run<H: Host>(node: Rc<Node>, host: Rc<H>) {
+    // To the millisecond: those that look in one step would all find the list empty.
+    tokio::time::sleep(first_look(&node)).await;
     let mut roster = Roster {
         node: Rc::clone(&node),
         host,
         is_announced: false,
         looks: 0,
-        due: node.clock.now() + first_look(&node),
+        due: node.clock.now(),
         keeps_from: Cell::default(),
     };
     while !node.is_leaving() {
@@ -73,7 +75,7 @@
     }
 }
 
-/// When the list is first looked at.
+/// Time until the list is first looked at.
 fn first_look(node: &Node) -> Duration {
     if node.cfg.is_first_start {
         FIRST_START_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))
