--- a/crates/spec/tests/all/keys.rs
+++ b/crates/spec/tests/all/keys.rs
@@ -10,7 +10,7 @@
     breaks(
         Safeguard::AgeFromQuestion,
         Invariant::KeyEnds,
-        0,
+        6,
         &["Tick", "Deliver"],
     );
 }
@@ -21,7 +21,7 @@
     breaks(
         Safeguard::ConfirmsOnlyHeld,
         Invariant::KeyEnds,
-        0,
+        8,
         &["Ask(1)", "Deliver"],
     );
 }
@@ -32,7 +32,7 @@
     breaks(
         Safeguard::CopyConfirmsNothing,
         Invariant::KeyEnds,
-        0,
+        5,
         &["Tick", "Restart(0)"],
     );
 }
