--- a/crates/mesh/src/fleet/gossip.rs
+++ b/crates/mesh/src/fleet/gossip.rs
@@ -12,7 +12,7 @@
 use stoatstep_rollout::Progress;
 use stoatstep_telemetry::fields;
 
-use super::{configuration, refresh_soon};
+use super::{configuration, refresh_soon, versions};
 use crate::node::Node;
 use crate::rollout::{self, Source};
 use crate::wire::{Ask, News, Reply};
@@ -155,7 +155,7 @@
     };
     // One that is not known yet is asked in the exchange that makes it known.
     if let Some(addr) = addr {
-        configuration::peer_holds(node, peer, addr, mark);
+        versions::peer_holds(node, peer, addr, mark);
     }
 }
 
@@ -196,7 +196,7 @@
             }
             Action::PeerHolds {
                 peer, addr, mark, ..
-            } => configuration::peer_holds(node, peer, addr, mark),
+            } => versions::peer_holds(node, peer, addr, mark),
             Action::Changed(key) => {
                 is_changed = true;
                 note_member(node, key);
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod gossip;
 mod packed;
 pub(crate) mod roster;
+pub(crate) mod versions;
 
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::{HashMap, VecDeque};
--- a/crates/mesh/src/link/serve.rs
+++ b/crates/mesh/src/link/serve.rs
@@ -108,7 +108,7 @@
             Reply::Gossip(reply, fleet::gossip::news(&node))
         }),
         Ask::Newer(held) => {
-            let newer = fleet::configuration::newer_than(&node, held);
+            let newer = fleet::versions::newer_than(&node, held);
             let is_new = held.version == 0;
             let rollouts = if is_new {
                 node.rollouts.all()
