Log how a daemon learns of versions, and pulls of the configuration that fail

The logs could not tell whether a daemon that is cut off from its peers asks the host. A line for each change of its role, a counter of its questions and a line for each failed pull tell it.

--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -83,8 +83,10 @@
     let mut last_failure = None;
     let mut last_answer = None;
     let mut wait = WAIT;
+    let mut last_role = None;
     loop {
         let role = role(&node);
+        note_role(&node, &mut last_role, role);
         // In a first start the configuration may not be written yet, and those that follow
         // the host tell of it. Later, callers wait for whoever has none.
         let is_told = node.fleet.in_force().is_some() || node.cfg.is_first_start;
@@ -98,6 +100,7 @@
             continue;
         }
         let asked_at = node.clock.now();
+        node.journal.count("host.asked");
         let asked = tokio::select! {
             asked = ask(&*host, cursor, wait) => asked,
             // Changes were missed, and the connection may be gone.
@@ -192,6 +195,20 @@
     }
 }
 
+/// One line where this daemon begins to learn of versions in another way.
+fn note_role(node: &Node, last: &mut Option<PollRole>, role: PollRole) {
+    if last.replace(role) == Some(role) {
+        return;
+    }
+    let now = node.clock.now();
+    let Some(left_out) = node.journal.admits("role", now) else {
+        return;
+    };
+    let age = node.fleet.membership.borrow().head_age(now);
+    slog::info!(node.log, "way to versions changed"; fields::STATE => ?role,
+        fields::AGE_MS => age.map(|it| it.as_millis()), fields::LEFT_OUT => left_out);
+}
+
 /// One line where the host is lost, and one for each answer that makes no sense. A
 /// document that makes none stays until the operator writes another, and is read
 /// about three times a second until then.
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -163,6 +163,8 @@
     node.journal.gauge("queue.waiting", occupancy.queued.into());
     let takes_calls = node.executor.takes_calls(node.clock.now());
     node.journal.gauge("target.takes_calls", takes_calls.into());
+    let follows_host = configuration::follows_host(node);
+    node.journal.gauge("host.followed", follows_host.into());
     node.journal
         .gauge("host.reached", node.fleet.reaches_host.get().into());
 }
--- a/crates/mesh/src/fleet/versions.rs
+++ b/crates/mesh/src/fleet/versions.rs
@@ -15,6 +15,7 @@
 use super::{configuration, gossip};
 use crate::executor;
 use crate::in_force::InForce;
+use crate::link::LinkError;
 use crate::node::Node;
 use crate::wire::{Ask, Newer, Reply};
 
@@ -158,8 +159,12 @@
     let asked_with = held(node);
     let ask = Ask::Newer(asked_with);
     let reply = node.links.ask_within(addr, ask, PULL_BOUND).await;
-    let Ok(Reply::Newer(newer, rollouts)) = reply else {
-        return;
+    let (newer, rollouts) = match reply {
+        Ok(Reply::Newer(newer, rollouts)) => (newer, rollouts),
+        other => {
+            note_failed_pull(node, addr, other.err());
+            return;
+        }
     };
     gossip::hear_rollouts(node, rollouts);
     // The host or another peer was faster. A difference from what was held before
@@ -178,6 +183,15 @@
     }
 }
 
+fn note_failed_pull(node: &Node, addr: SocketAddr, err: Option<LinkError>) {
+    node.journal.count("configuration.pulls_failed");
+    if let Some(left_out) = node.journal.admits("pull", node.clock.now()) {
+        slog::warn!(node.log, "configuration not pulled"; fields::PEER => %addr,
+            fields::HELD => held(node).version, fields::ERROR => ?err,
+            fields::LEFT_OUT => left_out);
+    }
+}
+
 fn decode(node: &Node, newer: Newer) -> Result<Option<State>, String> {
     let newer = match newer {
         Newer::Packed(bytes) => packed::unpack(&bytes).map_err(|err| err.to_string())?,
