Run a request under which a target ended once at a time

What callers saw: other calls lost, since repeats of one request ended targets again and again.

Change: from the first end on, and until some target has answered it, an executor starts the request only where its target does not run it already; the other repeats hear at once that they did not run, and to come back after 250 ms.

Test: endings::a_suspected_request_runs_once_at_a_time, red without the change (4 runs where 1 may).

--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -14,7 +14,7 @@
 use crate::journal::{RunFailed, Times};
 use crate::node::Node;
 use crate::quarantine;
-use crate::wire::{Attempt, End, Ran};
+use crate::wire::{Attempt, CallParts, End, Ran};
 
 /// Largest answer that is kept for an entry whose link broke.
 const MAX_KEPT: usize = 256 << 10;
@@ -133,6 +133,10 @@
     if let Some(refusal) = refusal.or_else(|| identity::refusal(node, &attempt.call)) {
         return Report::not_started(refusal);
     }
+    if quarantine::is_suspected(node, &attempt.call) && runs_already(node, &attempt.call) {
+        node.journal.count("requests.kept_apart");
+        return Report::not_started(quarantine::refusal_beside_itself());
+    }
     if !may_start(node, attempt) {
         return Report::not_started(Refusal::permanent(Reason::Revoked));
     }
@@ -151,6 +155,14 @@
     }
 }
 
+/// Whether the target runs another attempt of the same content.
+fn runs_already(node: &Node, call: &CallParts) -> bool {
+    let tables = node.executor.tables.borrow();
+    let content = call.fingerprint();
+    let mut runs = tables.runs.values().filter(|it| it.at.is_some());
+    runs.any(|it| it.call.fingerprint() == content)
+}
+
 /// `false` where the attempt was revoked meanwhile: its entry was told that it did
 /// not run.
 fn may_start(node: &Node, attempt: &Attempt) -> bool {
--- a/crates/mesh/src/quarantine.rs
+++ b/crates/mesh/src/quarantine.rs
@@ -17,6 +17,9 @@
 use crate::node::Node;
 use crate::wire::{Ask, CallParts};
 
+/// Pause after which a suspected request that runs has most likely ended.
+const RUNS_RETRY: Duration = Duration::from_millis(250);
+
 /// How a peer's finding came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Way {
@@ -80,6 +83,19 @@
     Some(Refusal::retry(Reason::Quarantined, left))
 }
 
+/// Whether a target ended under this request and none has answered it since. It may run,
+/// but not beside itself: where it is to blame, its target ends with all its repeats.
+pub(crate) fn is_suspected(node: &Node, call: &CallParts) -> bool {
+    let known = node.requests.known.borrow();
+    let is_on = !known.is_empty() && node.cfg.has(Mechanism::Quarantine);
+    is_on && known.lives(call.fingerprint()) > 0
+}
+
+/// A refusal for a suspected request that runs already.
+pub(crate) fn refusal_beside_itself() -> Refusal {
+    Refusal::retry(Reason::Quarantined, RUNS_RETRY)
+}
+
 /// The life `upstream` of the target beside this daemon ended while it ran these requests.
 ///
 /// Every daemon is told at once. By the regular exchanges alone it takes seconds, in which
