Read what is refused from the host while other daemons are out of reach

What callers saw: a daemon that a cut had separated from all others ran a request that the others refused, and its target ended with all that it ran. Cause, the same as with versions: what is known through others was not asked for anywhere else when those others were lost. Refused requests are kept with the host's list of instances, which a daemon read only when it started.

Change: who follows the host in place of a silent one or of a zone that does not reach every other one, and who asks for itself, reads the list every 1.5 s, as long as the host answers, and tells its zone what is news.

--- a/crates/distribution/src/contact.rs
+++ b/crates/distribution/src/contact.rs
@@ -40,6 +40,12 @@
         until.is_some_and(|until| *until > now)
     }
 
+    /// Whether anybody did not answer lately.
+    #[must_use]
+    pub fn misses_any(&self, now: Time) -> bool {
+        self.silent_until.values().any(|until| *until > now)
+    }
+
     /// These in the order in which they are asked. Each time another one is the first, so
     /// that all of them are asked as often.
     pub fn in_turn<T>(&mut self, mut followers: Vec<T>) -> Vec<T> {
--- a/crates/distribution/tests/all/contact.rs
+++ b/crates/distribution/tests/all/contact.rs
@@ -22,6 +22,8 @@
     contact.missed(7, AT);
     contact.missed(8, AT);
     contact.answered(7);
+    assert!(contact.misses_any(AT));
+    assert!(!contact.misses_any(AT + Duration::from_secs(6)));
     assert!(!contact.is_silent(7, AT));
     assert!(contact.is_silent(8, AT));
 }
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -209,6 +209,13 @@
         self.guard.reachable(zone)
     }
 
+    /// The same for all zones that have members.
+    #[must_use]
+    pub fn reaches_every_zone(&self) -> bool {
+        let mut present = self.table.present();
+        present.all(|(_, entry)| self.guard.reachable(&entry.member.zone))
+    }
+
     /// Whether this daemon seems to be cut off from everyone.
     #[must_use]
     pub fn is_cut_off(&self) -> bool {
--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -84,6 +84,7 @@
     loop {
         let role = present_role(&node).await;
         note_role(&node, &mut last_role, role);
+        node.fleet.role.set(role);
         node.fleet.follows.set(role == PollRole::Poller);
         if role == PollRole::Idle {
             cursor = None;
@@ -238,6 +239,23 @@
     role(node) == PollRole::Poller
 }
 
+/// Whether other daemons are out of reach, and it is on this one to ask the host for what
+/// they found: it follows the host for a zone that is apart from another one, or in
+/// place of one that is silent, or is alone.
+pub(super) fn hears_for_others(node: &Node) -> bool {
+    if !node.fleet.reaches_host.get() {
+        return false;
+    }
+    match node.fleet.role.get() {
+        PollRole::OnOwnBehalf => node.fleet.in_force().is_some(),
+        PollRole::Poller => {
+            let misses_follower = node.fleet.contact.borrow().misses_any(node.clock.now());
+            misses_follower || !node.fleet.membership.borrow().reaches_every_zone()
+        }
+        PollRole::Idle => false,
+    }
+}
+
 fn role(node: &Node) -> PollRole {
     let zone = contact::heard_zone(node).into_iter();
     let zone: Vec<_> = zone.map(|(key, _)| key).collect();
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use stoatstep_calls::{Candidate, CandidateState, Time};
-use stoatstep_distribution::Contact;
+use stoatstep_distribution::{Contact, PollRole};
 use stoatstep_membership::{
     Config, Entry, Mark, Member, MemberKey, MemberState, Membership, starting_incarnation,
 };
@@ -63,6 +63,8 @@
     is_pulling: Cell<bool>,
     /// The host answered the last question.
     reaches_host: Cell<bool>,
+    /// How this daemon learns of versions.
+    role: Cell<PollRole>,
     /// This daemon waits for changes of the host on behalf of its zone.
     follows: Cell<bool>,
     /// Who of the own zone does not answer.
@@ -98,6 +100,7 @@
             looks_again: Cell::new(false),
             is_pulling: Cell::new(false),
             reaches_host: Cell::new(false),
+            role: Cell::new(PollRole::Idle),
             follows: Cell::new(false),
             contact: RefCell::default(),
             era: Cell::new(None),
--- a/crates/mesh/src/fleet/roster.rs
+++ b/crates/mesh/src/fleet/roster.rs
@@ -35,6 +35,9 @@
 /// Doublings of the pause, at most; by then it is the longest one.
 const MAX_DOUBLINGS: u32 = 8;
 
+/// How often the list is read while others are out of reach.
+const CATCH_UP_EVERY: Duration = Duration::from_millis(1500);
+
 /// Rows of a zone that are enough for whoever starts to meet it: the death of some of them
 /// at once goes unnoticed. All others stay off the list, so that a start of all writes as
 /// little in a large fleet as in a small one.
@@ -54,6 +57,7 @@
         is_announced: false,
         looks: 0,
         due: node.clock.now(),
+        caught_up: Duration::ZERO,
         keeps_from: Cell::default(),
     };
     while !node.is_leaving() {
@@ -67,6 +71,7 @@
         }
         roster.delete_forgotten().await;
         roster.keep_requests().await;
+        roster.catch_up().await;
         tokio::time::sleep(STEP).await;
     }
     if roster.is_announced {
@@ -91,6 +96,8 @@
     /// Looks at the list that were answered.
     looks: u32,
     due: Duration,
+    /// When what is kept of requests was last read because others were out of reach.
+    caught_up: Duration,
     /// Requests are not kept before that, since the host did not take the last one.
     keeps_from: Cell<Duration>,
 }
@@ -154,6 +161,20 @@
         Some(of_zone)
     }
 
+    /// Reads what is kept of requests while other daemons are out of reach: what they find
+    /// is told to those that they reach, and nobody else would hear of it here.
+    async fn catch_up(&mut self) {
+        let now = self.node.clock.now();
+        let is_due = now >= self.caught_up + CATCH_UP_EVERY;
+        if !is_due || !configuration::hears_for_others(&self.node) {
+            return;
+        }
+        self.caught_up = now;
+        if let Some(listed) = self.say("read", self.host.roster()).await {
+            quarantine::hear_kept(&self.node, &listed.requests);
+        }
+    }
+
     async fn announce(&mut self) -> bool {
         let announcement = self.node.fleet.membership.borrow().announcement();
         let written = self.say("announced", self.host.announce(&announcement));
--- a/crates/mesh/src/quarantine.rs
+++ b/crates/mesh/src/quarantine.rs
@@ -132,12 +132,14 @@
 /// Takes in what the host holds, and has deleted what is over.
 pub(crate) fn hear_kept(node: &Rc<Node>, requests: &[KeptRequest]) {
     let now = unix_time();
+    let mut findings = Vec::new();
     for kept in requests {
-        learn(node, &kept.finding(now));
+        findings.push(kept.finding(now));
         if kept.is_over(now, LIVES) {
             node.requests.keep(kept.request);
         }
     }
+    hear(node, &findings, Way::Direct);
 }
 
 /// A target answered a call. Where the request is refused somewhere, or soon might be,
