Let only a success speak for a request under which targets end

What callers saw: a request goes on ending targets although three have ended. Cause: any answer of a target cleared a suspected request, a failure too; a target that fails it, for a call of its own that failed, may do so before the step that would have ended it. Change: only a success clears it.

--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -158,7 +158,7 @@
 
 fn ended(node: &Rc<Node>, call: &Call, carried: &Carried, begun: Time) {
     let now = node.clock.now();
-    if matches!(carried.end, End::Answered(_)) {
+    if carried.end.is_success() {
         quarantine::answered(node, &call.parts);
     }
     let ended = CallEnded {
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -224,7 +224,9 @@
 fn finish(node: &Rc<Node>, attempt: &Attempt, report: &Report) {
     let now = node.clock.now();
     node.uplink.ended(attempt.id);
-    if matches!(report.end, End::Answered(_)) {
+    // A target that fails a request may do so before the step under which it ends.
+    let speaks_for_it = report.end.is_success();
+    if speaks_for_it {
         quarantine::answered(node, &attempt.call);
     }
     let mut tables = node.executor.tables.borrow_mut();
@@ -236,7 +238,7 @@
     if node.rollouts.is_judged(&attempt.call.service) {
         judged::count(&mut tables, attempt, report, now);
     }
-    if matches!(report.end, End::Answered(_)) {
+    if speaks_for_it {
         tables.recent.note(attempt.call.fingerprint(), now);
     }
     record(&mut tables, attempt, &report.end);
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -279,6 +279,13 @@
     Refused(Refusal),
 }
 
+impl End {
+    /// Whether the target answered, and not with a failure of its own.
+    pub(crate) fn is_success(&self) -> bool {
+        matches!(self, Self::Answered(answer) if !answer.is_failure())
+    }
+}
+
 /// See [`Settled`]. States that the executor does not give are left out: it
 /// waits until the attempt has ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
