--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -85,14 +85,12 @@
         let role = present_role(&node).await;
         note_role(&node, &mut last_role, role);
         node.fleet.role.set(role);
-        node.fleet.follows.set(role == PollRole::Poller);
         if role == PollRole::Idle {
             cursor = None;
             tokio::time::sleep(contact::pause(&node)).await;
             continue;
         }
         if cursor.is_some() && is_meeting_zone(&node) {
-            node.fleet.follows.set(false);
             tokio::time::sleep(START_STEP).await;
             continue;
         }
@@ -234,7 +232,13 @@
     has_strangers && node.clock.now() < meets_zone_until(node)
 }
 
-/// Whether this daemon follows the host on behalf of its zone.
+/// Whether this daemon waits for changes of the host on behalf of its zone: one that has
+/// just started does not yet.
+pub(super) fn waits_for_zone(node: &Node) -> bool {
+    node.fleet.role.get() == PollRole::Poller && !is_meeting_zone(node)
+}
+
+/// Whether it is on this daemon to follow the host on behalf of its zone.
 pub(crate) fn follows_host(node: &Node) -> bool {
     role(node) == PollRole::Poller
 }
--- a/crates/mesh/src/fleet/contact.rs
+++ b/crates/mesh/src/fleet/contact.rs
@@ -85,10 +85,12 @@
 
 /// What this daemon answers to others of its zone.
 pub(crate) fn own(node: &Node) -> Reply {
-    let following = match (node.fleet.follows.get(), node.fleet.reaches_host.get()) {
-        (false, _) => Following::No,
-        (true, false) => Following::HostLost,
-        (true, true) => Following::Yes,
+    let following = if !configuration::waits_for_zone(node) {
+        Following::No
+    } else if node.fleet.reaches_host.get() {
+        Following::Yes
+    } else {
+        Following::HostLost
     };
     Reply::Following(following, node.fleet.membership.borrow().mark())
 }
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -65,8 +65,6 @@
     reaches_host: Cell<bool>,
     /// How this daemon learns of versions.
     role: Cell<PollRole>,
-    /// This daemon waits for changes of the host on behalf of its zone.
-    follows: Cell<bool>,
     /// Who of the own zone does not answer.
     contact: RefCell<Contact>,
     /// Era of the host's last answer.
@@ -101,7 +99,6 @@
             is_pulling: Cell::new(false),
             reaches_host: Cell::new(false),
             role: Cell::new(PollRole::Idle),
-            follows: Cell::new(false),
             contact: RefCell::default(),
             era: Cell::new(None),
             confirmed: RefCell::default(),
