Name who follows the host for a zone in one place

Three modules filtered a zone's daemons by the same rule. Names that a newcomer would have to look up: answers_as_follower, answer, catches_up_by_host.

--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -246,7 +246,7 @@
 /// Whether other daemons are out of reach, and it is on this one to ask the host for what
 /// they found: it follows the host for a zone that is apart from another one, or in
 /// place of one that is silent, or is alone.
-pub(super) fn hears_for_others(node: &Node) -> bool {
+pub(super) fn catches_up_by_host(node: &Node) -> bool {
     if !node.fleet.reaches_host.get() {
         return false;
     }
--- a/crates/mesh/src/fleet/confirmation.rs
+++ b/crates/mesh/src/fleet/confirmation.rs
@@ -8,7 +8,7 @@
 
 use rand::RngExt;
 use stoatstep_calls::Time;
-use stoatstep_distribution::{Confirmation, HostClock, PollRole};
+use stoatstep_distribution::{Confirmation, HostClock};
 use stoatstep_resource::Version;
 use stoatstep_telemetry::fields;
 use tokio::time::sleep;
@@ -149,12 +149,8 @@
 
 /// Those that follow the host: for the own zone first, then for the others.
 fn followers(node: &Node) -> Vec<Addressed> {
-    let zone = gossip::own_zone(node);
-    let keys: Vec<_> = zone.iter().map(|(key, _)| *key).collect();
     let me = node.fleet.membership.borrow().me();
-    let own = zone
-        .into_iter()
-        .filter(|(key, _)| PollRole::polls(*key, &keys));
+    let own = gossip::followers_of(gossip::own_zone(node));
     let all = own.chain(gossip::followers_elsewhere(node));
     all.filter(|(key, _)| *key != me).collect()
 }
--- a/crates/mesh/src/fleet/contact.rs
+++ b/crates/mesh/src/fleet/contact.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use stoatstep_distribution::PollRole;
 use stoatstep_membership::MemberKey;
 
 use super::gossip::{self, Addressed};
@@ -57,7 +56,7 @@
         return true;
     }
     for (key, addr) in followers(node) {
-        if is_followed_by(node, key, addr).await {
+        if answers_as_follower(node, key, addr).await {
             return true;
         }
     }
@@ -65,16 +64,11 @@
 }
 
 fn followers(node: &Node) -> Vec<Addressed> {
-    let zone = heard_zone(node);
-    let keys: Vec<_> = zone.iter().map(|(key, _)| *key).collect();
-    let followers = zone
-        .into_iter()
-        .filter(|(key, _)| PollRole::polls(*key, &keys));
-    let followers = followers.collect();
+    let followers = gossip::followers_of(heard_zone(node)).collect();
     node.fleet.contact.borrow_mut().in_turn(followers)
 }
 
-async fn is_followed_by(node: &Rc<Node>, key: MemberKey, addr: SocketAddr) -> bool {
+async fn answers_as_follower(node: &Rc<Node>, key: MemberKey, addr: SocketAddr) -> bool {
     let bound = node.cfg.apply_within.mul_f64(ANSWER_BOUND);
     let reply = node.links.ask_within(addr, Ask::Following, bound).await;
     let Ok(Reply::Following(following, mark)) = reply else {
@@ -90,7 +84,7 @@
 }
 
 /// What this daemon answers to others of its zone.
-pub(crate) fn own(node: &Node) -> Reply {
+pub(crate) fn answer(node: &Node) -> Reply {
     let following = if !configuration::waits_for_zone(node) {
         Following::No
     } else if node.fleet.reaches_host.get() {
--- a/crates/mesh/src/fleet/gossip.rs
+++ b/crates/mesh/src/fleet/gossip.rs
@@ -84,12 +84,14 @@
         zone.push((key, entry.member.peer));
     }
     zones.remove(node.cfg.zone.as_str());
-    let followers = zones.into_values().flat_map(|zone| {
-        let keys: Vec<_> = zone.iter().map(|(key, _)| *key).collect();
-        let follows = move |(key, _): &Addressed| PollRole::polls(*key, &keys);
-        zone.into_iter().filter(follows).collect::<Vec<_>>()
-    });
-    followers.collect()
+    zones.into_values().flat_map(followers_of).collect()
+}
+
+/// Those of one zone's daemons that follow the host for it.
+pub(crate) fn followers_of(zone: Vec<Addressed>) -> impl Iterator<Item = Addressed> {
+    let keys: Vec<_> = zone.iter().map(|(key, _)| *key).collect();
+    let follows = move |(key, _): &Addressed| PollRole::polls(*key, &keys);
+    zone.into_iter().filter(follows)
 }
 
 /// What this daemon holds, for others.
--- a/crates/mesh/src/fleet/roster.rs
+++ b/crates/mesh/src/fleet/roster.rs
@@ -166,7 +166,7 @@
     async fn catch_up(&mut self) {
         let now = self.node.clock.now();
         let is_due = now >= self.caught_up + CATCH_UP_EVERY;
-        if !is_due || !configuration::hears_for_others(&self.node) {
+        if !is_due || !configuration::catches_up_by_host(&self.node) {
             return;
         }
         self.caught_up = now;
--- a/crates/mesh/src/link/serve.rs
+++ b/crates/mesh/src/link/serve.rs
@@ -137,7 +137,7 @@
             let occupancy = executor::occupancy(&node);
             connection.reply(id, Reply::Occupancy(occupancy));
         }
-        Ask::Following => connection.reply(id, fleet::contact::own(&node)),
+        Ask::Following => connection.reply(id, fleet::contact::answer(&node)),
         Ask::Confirmed => {
             let confirmed = fleet::confirmation::own(&node);
             connection.reply(id, Reply::Confirmed(confirmed));
