--- a/crates/mesh/src/executor/ended.rs
+++ b/crates/mesh/src/executor/ended.rs
@@ -64,7 +64,7 @@
 }
 
 /// What this life ran; those whose answers were just lost are still among the runs.
-fn running(node: &Node, upstream: &str) -> Vec<Fingerprint> {
+pub(super) fn running(node: &Node, upstream: &str) -> Vec<Fingerprint> {
     let tables = node.executor.tables.borrow();
     let runs = tables.runs.values();
     let here = runs.filter(|it| it.at.as_ref().is_some_and(|at| at == upstream));
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -14,7 +14,7 @@
 use crate::journal::{RunFailed, Times};
 use crate::node::Node;
 use crate::quarantine;
-use crate::wire::{Attempt, CallParts, End, Ran};
+use crate::wire::{Attempt, End, Ran};
 
 /// Largest answer that is kept for an entry whose link broke.
 const MAX_KEPT: usize = 256 << 10;
@@ -133,7 +133,8 @@
     if let Some(refusal) = refusal.or_else(|| identity::refusal(node, &attempt.call)) {
         return Report::not_started(refusal);
     }
-    if quarantine::is_suspected(node, &attempt.call) && runs_already(node, &attempt.call) {
+    let suspected = quarantine::suspected(node, &attempt.call);
+    if suspected.is_some_and(|it| ended::running(node, &attempt.upstream).contains(&it)) {
         node.journal.count("requests.kept_apart");
         return Report::not_started(quarantine::refusal_beside_itself());
     }
@@ -155,14 +156,6 @@
     }
 }
 
-/// Whether the target runs another attempt of the same content.
-fn runs_already(node: &Node, call: &CallParts) -> bool {
-    let tables = node.executor.tables.borrow();
-    let content = call.fingerprint();
-    let mut runs = tables.runs.values().filter(|it| it.at.is_some());
-    runs.any(|it| it.call.fingerprint() == content)
-}
-
 /// `false` where the attempt was revoked meanwhile: its entry was told that it did
 /// not run.
 fn may_start(node: &Node, attempt: &Attempt) -> bool {
--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -80,11 +80,9 @@
     let mut last_failure = None;
     let mut last_answer = None;
     let mut wait = WAIT;
-    let mut last_role = None;
     loop {
         let role = present_role(&node).await;
-        note_role(&node, &mut last_role, role);
-        node.fleet.role.set(role);
+        take_role(&node, role);
         if role == PollRole::Idle {
             cursor = None;
             tokio::time::sleep(contact::pause(&node)).await;
@@ -185,9 +183,9 @@
     }
 }
 
-/// One line where this daemon begins to learn of versions in another way.
-fn note_role(node: &Node, last: &mut Option<PollRole>, role: PollRole) {
-    if last.replace(role) == Some(role) {
+/// Notes the role, with one line where this daemon begins to learn of versions in another way.
+fn take_role(node: &Node, role: PollRole) {
+    if node.fleet.role.replace(Some(role)) == Some(role) {
         return;
     }
     let now = node.clock.now();
@@ -235,7 +233,7 @@
 /// Whether this daemon waits for changes of the host on behalf of its zone: one that has
 /// just started does not yet.
 pub(super) fn waits_for_zone(node: &Node) -> bool {
-    node.fleet.role.get() == PollRole::Poller && !is_meeting_zone(node)
+    node.fleet.role.get() == Some(PollRole::Poller) && !is_meeting_zone(node)
 }
 
 /// Whether it is on this daemon to follow the host on behalf of its zone.
@@ -251,12 +249,12 @@
         return false;
     }
     match node.fleet.role.get() {
-        PollRole::OnOwnBehalf => node.fleet.in_force().is_some(),
-        PollRole::Poller => {
+        Some(PollRole::OnOwnBehalf) => node.fleet.in_force().is_some(),
+        Some(PollRole::Poller) => {
             let misses_follower = node.fleet.contact.borrow().misses_any(node.clock.now());
             misses_follower || !node.fleet.membership.borrow().reaches_every_zone()
         }
-        PollRole::Idle => false,
+        Some(PollRole::Idle) | None => false,
     }
 }
 
--- a/crates/mesh/src/fleet/contact.rs
+++ b/crates/mesh/src/fleet/contact.rs
@@ -15,7 +15,7 @@
 use super::gossip::{self, Addressed};
 use super::{configuration, versions};
 use crate::node::Node;
-use crate::wire::{Ask, Following, Reply};
+use crate::wire::{Ask, Reply};
 
 /// Time between two questions, and for an answer, as parts of the time in which a version
 /// has to be in force. Two answers that never come fit into it after the longest pause, and
@@ -71,7 +71,7 @@
 async fn answers_as_follower(node: &Rc<Node>, key: MemberKey, addr: SocketAddr) -> bool {
     let bound = node.cfg.apply_within.mul_f64(ANSWER_BOUND);
     let reply = node.links.ask_within(addr, Ask::Following, bound).await;
-    let Ok(Reply::Following(following, mark)) = reply else {
+    let Ok(Reply::Following(follows, mark)) = reply else {
         let now = node.clock.now();
         node.fleet.contact.borrow_mut().missed(key, now);
         node.journal.count("host.followers_missed");
@@ -79,18 +79,12 @@
     };
     node.fleet.contact.borrow_mut().answered(key);
     versions::peer_holds(node, key, addr, mark);
-    // Where the host turns a follower away, those of other zones tell it of versions.
-    following != Following::No
+    follows
 }
 
-/// What this daemon answers to others of its zone.
+/// What this daemon answers to others of its zone. Where the host turns it away, followers
+/// of other zones tell it of versions, so that makes no difference here.
 pub(crate) fn answer(node: &Node) -> Reply {
-    let following = if !configuration::waits_for_zone(node) {
-        Following::No
-    } else if node.fleet.reaches_host.get() {
-        Following::Yes
-    } else {
-        Following::HostLost
-    };
-    Reply::Following(following, node.fleet.membership.borrow().mark())
+    let mark = node.fleet.membership.borrow().mark();
+    Reply::Following(configuration::waits_for_zone(node), mark)
 }
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -63,8 +63,8 @@
     is_pulling: Cell<bool>,
     /// The host answered the last question.
     reaches_host: Cell<bool>,
-    /// How this daemon learns of versions.
-    role: Cell<PollRole>,
+    /// How this daemon learns of versions; none before its first look.
+    role: Cell<Option<PollRole>>,
     /// Who of the own zone does not answer.
     contact: RefCell<Contact>,
     /// Era of the host's last answer.
@@ -98,7 +98,7 @@
             looks_again: Cell::new(false),
             is_pulling: Cell::new(false),
             reaches_host: Cell::new(false),
-            role: Cell::new(PollRole::Idle),
+            role: Cell::new(None),
             contact: RefCell::default(),
             era: Cell::new(None),
             confirmed: RefCell::default(),
--- a/crates/mesh/src/fleet/roster.rs
+++ b/crates/mesh/src/fleet/roster.rs
@@ -10,9 +10,9 @@
 use tokio::time::timeout;
 
 use super::{configuration, gossip};
-use crate::host::{Host, HostError};
+use crate::host::{Host, HostError, Listed};
 use crate::node::Node;
-use crate::quarantine;
+use crate::quarantine::{self, Way};
 
 /// Time for an answer of the host.
 const ANSWER_BOUND: Duration = Duration::from_secs(2);
@@ -148,8 +148,7 @@
     /// saves a write of each. Two that look before either is on the list miss each other,
     /// but are then alone, and look again.
     async fn look(&mut self) -> Option<usize> {
-        let listed = self.say("read", self.host.roster()).await?;
-        quarantine::hear_kept(&self.node, &listed.requests);
+        let listed = self.read(Way::Exchange).await?;
         let rows: Vec<_> = listed.members.into_iter().map(|it| it.row).collect();
         let cfg = &self.node.cfg;
         let is_own = |it: &Row| it.instance == cfg.instance && it.peer == cfg.addresses.peers;
@@ -170,9 +169,14 @@
             return;
         }
         self.caught_up = now;
-        if let Some(listed) = self.say("read", self.host.roster()).await {
-            quarantine::hear_kept(&self.node, &listed.requests);
-        }
+        self.read(Way::Direct).await;
+    }
+
+    /// Reads the list and takes in its requests, as if they had come in this way from a peer.
+    async fn read(&self, way: Way) -> Option<Listed> {
+        let listed = self.say("read", self.host.roster()).await?;
+        quarantine::hear_kept(&self.node, &listed.requests, way);
+        Some(listed)
     }
 
     async fn announce(&mut self) -> bool {
--- a/crates/mesh/src/quarantine.rs
+++ b/crates/mesh/src/quarantine.rs
@@ -75,20 +75,26 @@
 /// entry that has just started knows nothing yet, and since word may have come while the
 /// call waited in the queue.
 pub(crate) fn refusal(node: &Node, call: &CallParts) -> Option<Refusal> {
+    let content = watched(node, call)?;
     let known = node.requests.known.borrow();
-    if known.is_empty() || !node.cfg.has(Mechanism::Quarantine) {
-        return None;
-    }
-    let left = known.holds(call.fingerprint(), node.clock.now())?;
+    let left = known.holds(content, node.clock.now())?;
     Some(Refusal::retry(Reason::Quarantined, left))
 }
 
-/// Whether a target ended under this request and none has answered it since. It may run,
-/// but not beside itself: where it is to blame, its target ends with all its repeats.
-pub(crate) fn is_suspected(node: &Node, call: &CallParts) -> bool {
-    let known = node.requests.known.borrow();
-    let is_on = !known.is_empty() && node.cfg.has(Mechanism::Quarantine);
-    is_on && known.lives(call.fingerprint()) > 0
+/// Names what a call asks for, where any request is known that may have to be refused.
+fn watched(node: &Node, call: &CallParts) -> Option<Fingerprint> {
+    let is_any_known = !node.requests.known.borrow().is_empty();
+    let is_watched = is_any_known && node.cfg.has(Mechanism::Quarantine);
+    is_watched.then(|| call.fingerprint())
+}
+
+/// Names what a call asks for, where a target ended under it and none has answered it
+/// since. It may run, but not beside itself: where it is to blame, its target ends with all
+/// its repeats.
+pub(crate) fn suspected(node: &Node, call: &CallParts) -> Option<Fingerprint> {
+    let content = watched(node, call)?;
+    let lives = node.requests.known.borrow().lives(content);
+    (lives > 0).then_some(content)
 }
 
 /// A refusal for a suspected request that runs already.
@@ -129,8 +135,9 @@
     known.kept(request, node.clock.now(), unix_time())
 }
 
-/// Takes in what the host holds, and has deleted what is over.
-pub(crate) fn hear_kept(node: &Rc<Node>, requests: &[KeptRequest]) {
+/// Takes in what the host holds, as if it had come in this way from a peer, and has deleted
+/// what is over.
+pub(crate) fn hear_kept(node: &Rc<Node>, requests: &[KeptRequest], way: Way) {
     let now = unix_time();
     let mut findings = Vec::new();
     for kept in requests {
@@ -139,7 +146,7 @@
             node.requests.keep(kept.request);
         }
     }
-    hear(node, &findings, Way::Direct);
+    hear(node, &findings, way);
 }
 
 /// A target answered a call. Where the request is refused somewhere, or soon might be,
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -106,9 +106,9 @@
     /// To [`Ask::Confirmed`].
     #[serde(rename = "f")]
     Confirmed(Option<Confirmed>),
-    /// To [`Ask::Following`].
+    /// To [`Ask::Following`]; it follows the host also while that does not answer it.
     #[serde(rename = "w")]
-    Following(Following, Mark),
+    Following(bool, Mark),
     /// To [`Ask::Tokens`] and [`Ask::Borrow`]; nothing where the receiver is not the home.
     #[serde(rename = "t")]
     Tokens(Option<GrantWire>),
@@ -117,20 +117,6 @@
     Pong,
 }
 
-/// Whether a daemon follows the host for its zone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum Following {
-    /// It waits for changes.
-    #[serde(rename = "y")]
-    Yes,
-    /// It would, and the host does not answer it.
-    #[serde(rename = "l")]
-    HostLost,
-    /// It does not: others do, or it has just started.
-    #[serde(rename = "n")]
-    No,
-}
-
 /// What goes along with the regular exchanges, so that whoever missed a word of its own
 /// about it hears of it within seconds.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
