Tell what happens beside a run by its state in tests of the target stand-in

Cause: the test took 50 ms of sleep for the order of two events. A run of 150 ms was over when the second call came, since the test's process had not run for a while.

Change: a run of the stand-in can be held until the test lets it end, and the four tests that slept for the order of events wait for the counts that they need. What they assert is the same; a run that is not cancelled now never ends, where it ended by itself before. A read that a stop interrupts goes on.

--- a/crates/standin-target/src/behaviour.rs
+++ b/crates/standin-target/src/behaviour.rs
@@ -41,6 +41,9 @@
     /// After every so many-th run the connection is dropped instead of
     /// answered; 0 for none.
     pub drop_every: u64,
+    /// Whether runs don't end until this is taken back, so that a test can tell what
+    /// happens beside a run without measuring time.
+    pub holds_runs: bool,
 }
 
 impl Default for Behaviour {
@@ -53,6 +56,7 @@
             health: Health::Honest,
             truncate_every: 0,
             drop_every: 0,
+            holds_runs: false,
         }
     }
 }
@@ -79,6 +83,7 @@
         self.health = change.health.unwrap_or(self.health);
         self.truncate_every = change.truncate_every.unwrap_or(self.truncate_every);
         self.drop_every = change.drop_every.unwrap_or(self.drop_every);
+        self.holds_runs = change.holds_runs.unwrap_or(self.holds_runs);
     }
 
     fn cold_factor(&self, age: Duration) -> f64 {
@@ -106,6 +111,8 @@
     pub truncate_every: Option<u64>,
     /// After every so many-th run the connection is dropped.
     pub drop_every: Option<u64>,
+    /// Whether runs don't end until this is taken back.
+    pub holds_runs: Option<bool>,
     /// Silences, for good, every connection that is open now.
     pub silence_connections: bool,
 }
--- a/crates/standin-target/src/server.rs
+++ b/crates/standin-target/src/server.rs
@@ -39,6 +39,9 @@
 /// that a connection ends by the daemon's decision.
 const KEEP_ALIVE: Seconds = Seconds(75);
 
+/// How often a run that is held looks whether it may end.
+const HOLD_STEP: Duration = Duration::from_millis(5);
+
 /// What a target needs to start.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -110,6 +113,9 @@
         Some(limit) if limit < run.time => return cut_at_deadline(run, limit).await,
         _ => {
             spend(run.time).await;
+            while target.holds_runs() {
+                Delay::new(HOLD_STEP).await;
+            }
             run.finish()
         }
     };
--- a/crates/standin-target/src/target.rs
+++ b/crates/standin-target/src/target.rs
@@ -127,6 +127,10 @@
             .unwrap_or(false)
     }
 
+    pub(crate) fn holds_runs(&self) -> bool {
+        self.tables().behaviour.holds_runs
+    }
+
     pub(crate) fn health(&self) -> HealthReport {
         let mut tables = self.tables();
         let slots = f64::from(tables.behaviour.slots.max(1));
--- a/crates/standin-target/tests/target.rs
+++ b/crates/standin-target/tests/target.rs
@@ -1,6 +1,6 @@
 //! The target stand-in over real sockets.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -14,6 +14,9 @@
 /// Long enough to tell silence from a slow run.
 const PATIENCE: Duration = Duration::from_millis(400);
 
+/// Time for what has to come.
+const BOUND: Duration = Duration::from_secs(10);
+
 /// A loopback address that no other server of these tests uses, so that a port
 /// which one gives up is not taken by the next.
 fn own_address() -> Ipv4Addr {
@@ -54,9 +57,18 @@
     }
 }
 
+/// A target with one slot, whose runs don't end until they are let go.
+fn held() -> Behaviour {
+    Behaviour {
+        slots: 1,
+        holds_runs: true,
+        ..Behaviour::default()
+    }
+}
+
 fn connect(addr: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(addr).unwrap();
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.set_read_timeout(Some(BOUND)).unwrap();
     stream
 }
 
@@ -70,7 +82,7 @@
 }
 
 /// Reads the head and as much of the body as comes: status and body, or
-/// `None` where nothing came in time.
+/// `None` where nothing came within the stream's read timeout.
 fn receive(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
     let mut data = Vec::new();
     let mut buf = [0; 4096];
@@ -98,6 +110,7 @@
                 return Some((text, body));
             }
             Ok(count) => data.extend_from_slice(&buf[..count]),
+            Err(err) if err.kind() == ErrorKind::Interrupted => {}
             Err(_) => return None,
         }
     }
@@ -148,12 +161,35 @@
     assert!(Answer::check(changed.as_bytes(), "m", 20).is_err());
 }
 
+/// Waits until the target's counts are as a test needs them.
+fn until(addr: SocketAddr, is_so: impl Fn(&Counts) -> bool) {
+    let begin = Instant::now();
+    loop {
+        let counts: Counts = fetch(addr, "/admin/counts");
+        if is_so(&counts) {
+            return;
+        }
+        assert!(begin.elapsed() < BOUND, "{counts:?}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Sends a call on a connection of its own, and returns once it runs.
+fn running(addr: SocketAddr, method: &str, path: &str, body: &str) -> TcpStream {
+    let mut stream = connect(addr);
+    send(&mut stream, method, path, "", body);
+    until(addr, |it| it.running == 1);
+    stream
+}
+
+fn let_runs_end(addr: SocketAddr) {
+    change(addr, r#"{"holds_runs": false}"#);
+}
+
 #[test]
 fn a_call_over_the_slots_is_shed_and_did_not_run() {
-    let addr = start(slow());
-    let mut first = connect(addr);
-    send(&mut first, "GET", "/one", "", "");
-    thread::sleep(Duration::from_millis(50));
+    let addr = start(held());
+    let mut first = running(addr, "GET", "/one", "");
     let mut second = connect(addr);
     send(&mut second, "GET", "/two", "", "");
     let (head, _) = receive(&mut second).unwrap();
@@ -161,6 +197,7 @@
         head.contains("503") && head.contains("stoatstep-shed: 1"),
         "{head}"
     );
+    let_runs_end(addr);
     assert!(receive(&mut first).unwrap().0.contains("200"));
     let entries: Vec<Entry> = fetch(addr, "/admin/ledger");
     assert_eq!(entries.len(), 1);
@@ -173,12 +210,9 @@
 /// waits for would fill the target.
 #[test]
 fn closing_the_connection_cancels_the_run() {
-    let addr = start(slow());
-    let mut stream = connect(addr);
-    send(&mut stream, "POST", "/one", "", "body");
-    thread::sleep(Duration::from_millis(50));
-    drop(stream);
-    thread::sleep(Duration::from_millis(50));
+    let addr = start(held());
+    drop(running(addr, "POST", "/one", "body"));
+    until(addr, |it| it.running == 0);
     let counts: Counts = fetch(addr, "/admin/counts");
     assert_eq!(
         (counts.started, counts.cancelled, counts.running),
@@ -215,11 +249,12 @@
 /// lost. A connection opened later works.
 #[test]
 fn a_silenced_connection_never_answers_while_new_ones_do() {
-    let addr = start(slow());
-    let mut old = connect(addr);
-    send(&mut old, "GET", "/one", "", "");
-    thread::sleep(Duration::from_millis(50));
+    let addr = start(held());
+    let mut old = running(addr, "GET", "/one", "");
     change(addr, r#"{"silence_connections": true}"#);
+    let_runs_end(addr);
+    until(addr, |it| it.finished == 1);
+    old.set_read_timeout(Some(PATIENCE)).unwrap();
     assert!(receive(&mut old).is_none());
     send(&mut old, "GET", "/two", "", "");
     assert!(receive(&mut old).is_none());
@@ -250,10 +285,8 @@
 
 #[test]
 fn health_can_lie() {
-    let addr = start(slow());
-    let mut busy = connect(addr);
-    send(&mut busy, "GET", "/one", "", "");
-    thread::sleep(Duration::from_millis(50));
+    let addr = start(held());
+    let _busy = running(addr, "GET", "/one", "");
     let load = |addr| fetch::<serde_json::Value>(addr, "/healthz")["load"].clone();
     assert_eq!(load(addr), 1.0);
     change(addr, r#"{"health": "always_idle"}"#);
