Pass over followers that have lost the store, and tell of the loss at once

Cause: the two daemons that follow the store for a zone had lost it, and went on saying that they follow it. Whoever is told by them left it to them until the last word of the store was 8 s old.

Change: a follower that the store does not answer says so, to all at once; the others of its zone pass over it for 5 s as over a silent one, so that the next take its place, and followers that wait for the store ask it anew. Where all of a zone that answer have lost it, the first two go on as before and the others don't join. An answer to a wait is due 0.6 s after its end, where it was 1 s.

Why it works: after a change a follower waits for 1 s, so it has lost the store after 1.6 s, and whoever takes its place asks 0.02 s later. With no change lately a wait is 3 s; the first of all followers to notice has the others ask anew.

--- a/crates/distribution/src/contact.rs
+++ b/crates/distribution/src/contact.rs
@@ -1,5 +1,5 @@
-//! Which daemons of the own zone have fallen silent, from the questions of those that learn
-//! of versions from them.
+//! Which daemons of the own zone can't tell this one of versions, from the questions of those
+//! that learn of versions from them.
 //!
 //! Membership takes seconds to say that a daemon is gone, since a wrong word about it
 //! would reach everyone. A version has to be in force sooner than that. What a daemon
@@ -10,40 +10,73 @@
 
 use stoatstep_membership::{MemberKey, Time};
 
-/// Time for which one that did not answer is passed over. By then membership has found out
-/// whether it is gone.
+/// Time for which a member is passed over. By then membership has found out whether one that
+/// did not answer is gone, and one that the platform did not answer asks it again.
 const PASSED_OVER: Time = Time::from_secs(5);
 
-/// Members that did not answer lately.
+/// Why a member can't tell of versions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    /// It does not answer.
+    Silent,
+    /// It answers, and the platform does not answer it.
+    Platform,
+}
+
+/// Members that can't tell of versions, this daemon itself among them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Contact {
-    silent_until: BTreeMap<MemberKey, Time>,
+    losses: BTreeMap<MemberKey, (Loss, Time)>,
     turn: usize,
 }
 
 impl Contact {
     /// This member did not answer.
     pub fn missed(&mut self, member: MemberKey, now: Time) {
-        self.silent_until.retain(|_, until| *until > now);
-        self.silent_until.insert(member, now + PASSED_OVER);
+        self.lose(member, Loss::Silent, now);
+    }
+
+    /// The platform did not answer this member.
+    pub fn lost_platform(&mut self, member: MemberKey, now: Time) {
+        self.lose(member, Loss::Platform, now);
     }
 
-    /// This member answered.
-    pub fn answered(&mut self, member: MemberKey) {
-        self.silent_until.remove(&member);
+    /// This member follows the platform, which answers it.
+    pub fn follows(&mut self, member: MemberKey) {
+        self.losses.remove(&member);
     }
 
     /// Whether this member did not answer lately.
     #[must_use]
     pub fn is_silent(&self, member: MemberKey, now: Time) -> bool {
-        let until = self.silent_until.get(&member);
-        until.is_some_and(|until| *until > now)
+        self.loss(member, now) == Some(Loss::Silent)
+    }
+
+    /// Whether the platform did not answer this member lately.
+    #[must_use]
+    pub fn has_lost_platform(&self, member: MemberKey, now: Time) -> bool {
+        self.loss(member, now) == Some(Loss::Platform)
     }
 
     /// Whether anybody did not answer lately.
     #[must_use]
     pub fn misses_any(&self, now: Time) -> bool {
-        self.silent_until.values().any(|until| *until > now)
+        let mut members = self.losses.keys();
+        members.any(|it| self.is_silent(*it, now))
+    }
+
+    /// Of these members of a zone, those from among whom the ones are chosen that follow the
+    /// platform for it. Where it answers none of those that answer, that is any of them: they
+    /// go on asking it, and the others don't join them.
+    #[must_use]
+    pub fn eligible(&self, zone: &[MemberKey], now: Time) -> Vec<MemberKey> {
+        let answering = zone.iter().filter(|it| !self.is_silent(**it, now));
+        let answering: Vec<_> = answering.copied().collect();
+        let able = answering.iter().copied();
+        let able: Vec<_> = able
+            .filter(|it| !self.has_lost_platform(*it, now))
+            .collect();
+        if able.is_empty() { answering } else { able }
     }
 
     /// These in the order in which they are asked. Each time another one is the first, so
@@ -55,4 +88,14 @@
         }
         followers
     }
+
+    fn lose(&mut self, member: MemberKey, loss: Loss, now: Time) {
+        self.losses.retain(|_, (_, until)| *until > now);
+        self.losses.insert(member, (loss, now + PASSED_OVER));
+    }
+
+    fn loss(&self, member: MemberKey, now: Time) -> Option<Loss> {
+        let (loss, until) = self.losses.get(&member)?;
+        (*until > now).then_some(*loss)
+    }
 }
--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -30,9 +30,13 @@
 /// the end of the wait tells, and a version has to be in force in 2 s.
 const SHORT_WAIT: Duration = Duration::from_secs(1);
 
-/// Time for an answer beyond the wait.
+/// Time for an answer that waits for nothing.
 const ANSWER_BOUND: Duration = Duration::from_secs(1);
 
+/// Time for an answer beyond the wait. A host that takes longer is taken for lost, which
+/// costs a question of another daemon.
+const WAIT_MARGIN: Duration = Duration::from_millis(600);
+
 /// Time without word of the host's newest version from which a daemon asks for
 /// itself. Two failed waits of the daemons that ask for the zone; word of them
 /// takes some exchanges to come round.
@@ -85,7 +89,7 @@
         take_role(&node, role);
         if role == PollRole::Idle {
             cursor = None;
-            tokio::time::sleep(contact::pause(&node)).await;
+            contact::pause(&node).await;
             continue;
         }
         if cursor.is_some() && is_meeting_zone(&node) {
@@ -94,10 +98,15 @@
         }
         let asked_at = node.clock.now();
         node.journal.count("host.asked");
+        let is_waiting = cursor.is_some() && !wait.is_zero();
         let asked = tokio::select! {
             asked = ask(&*host, cursor, wait) => asked,
             // Changes were missed, and the connection may be gone.
             () = node.fleet.woke.notified() => Err(HostError::HistoryLost),
+            () = node.fleet.host_doubted.notified(), if is_waiting => {
+                wait = Duration::ZERO;
+                continue;
+            }
         };
         let pause = match asked {
             Ok(update) => {
@@ -105,9 +114,10 @@
                 node.fleet.hear_era(update.cursor.era, node.clock.now());
                 failures = 0;
                 last_failure = None;
-                if !node.fleet.reaches_host.replace(true) {
+                if node.fleet.reaches_host.replace(Some(true)) != Some(true) {
                     slog::info!(node.log, "host reached");
                 }
+                contact::host_answered(&node);
                 gossip::input(&node, Input::HeadRead);
                 let age = order_age(last_answer, asked_at, node.clock.now());
                 last_answer = Some(node.clock.now());
@@ -125,6 +135,9 @@
                     note_failure(&node, &err);
                 }
                 node.journal.count("host.failures");
+                if matches!(err, HostError::Unavailable(_)) {
+                    contact::lost_host(&node);
+                }
                 // Read anew, which is answered at once or not at all.
                 cursor = None;
                 failures += 1;
@@ -207,7 +220,7 @@
             slog::error!(node.log, "configuration not understood"; fields::ERROR => %err);
         }
         HostError::Unavailable(_) => {
-            if node.fleet.reaches_host.replace(false) {
+            if node.fleet.reaches_host.replace(Some(false)) != Some(false) {
                 slog::warn!(node.log, "host lost"; fields::ERROR => %err);
             }
         }
@@ -245,7 +258,7 @@
 /// they found: it follows the host for a zone that is apart from another one, or in
 /// place of one that is silent, or is alone.
 pub(super) fn catches_up_by_host(node: &Node) -> bool {
-    if !node.fleet.reaches_host.get() {
+    if node.fleet.reaches_host.get() != Some(true) {
         return false;
     }
     match node.fleet.role.get() {
@@ -259,11 +272,25 @@
 }
 
 fn role(node: &Node) -> PollRole {
-    let zone = contact::heard_zone(node).into_iter();
-    let zone: Vec<_> = zone.map(|(key, _)| key).collect();
+    let zone = contact::eligible(node);
     let membership = node.fleet.membership.borrow();
     let head_age = membership.head_age(node.clock.now());
-    PollRole::of(membership.me(), &zone, head_age, SILENCE)
+    let role = PollRole::of(membership.me(), &zone, head_age, SILENCE);
+    // The host does not answer this daemon, and others follow it for the zone.
+    let leaves_it_to_others = !zone.contains(&membership.me());
+    match role {
+        PollRole::Poller if leaves_it_to_others => PollRole::Idle,
+        role => role,
+    }
+}
+
+/// Whether others tell this daemon what its zone has to know: it is one of those that follow
+/// the host for it, whether that answers them or not.
+pub(crate) fn hears_for_zone(node: &Node) -> bool {
+    let zone = gossip::own_zone(node).into_iter();
+    let zone: Vec<_> = zone.map(|(key, _)| key).collect();
+    let me = node.fleet.membership.borrow().me();
+    PollRole::polls(me, &zone) || follows_host(node)
 }
 
 /// The role that this daemon acts in: one that others should tell asks for itself where
@@ -286,7 +313,7 @@
 ) -> Result<Update, HostError> {
     let asked = match cursor {
         None => timeout(ANSWER_BOUND, host.configuration()).await,
-        Some(cursor) => timeout(wait + ANSWER_BOUND, host.changed(cursor, wait)).await,
+        Some(cursor) => timeout(wait + WAIT_MARGIN, host.changed(cursor, wait)).await,
     };
     asked.unwrap_or_else(|_| Err(HostError::Unavailable("no answer in time".into())))
 }
--- a/crates/mesh/src/fleet/contact.rs
+++ b/crates/mesh/src/fleet/contact.rs
@@ -3,7 +3,8 @@
 //! Word of a version comes unasked, and a daemon that hears nothing can't tell whether
 //! there is nothing to hear. So it asks them from time to time, more often than a version
 //! has to be in force, and [asks the host for itself](super::configuration) as soon as none
-//! of them answers.
+//! of them answers. One that the host does not answer says so to all at once: others of its
+//! zone take its place, and those that follow the host ask it anew.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,7 +16,7 @@
 use super::gossip::{self, Addressed};
 use super::{configuration, versions};
 use crate::node::Node;
-use crate::wire::{Ask, Reply};
+use crate::wire::{Ask, Following, Reply};
 
 /// Time between two questions, and for an answer, as parts of the time in which a version
 /// has to be in force. Two answers that never come fit into it after the longest pause, and
@@ -29,23 +30,29 @@
 const STARTS_TO_FOLLOW: Duration = Duration::from_secs(1);
 const STARTS_AT_FIRST: Duration = Duration::from_secs(3);
 
-/// Pause until the next question.
-pub(super) fn pause(node: &Node) -> Duration {
+/// Waits until the next question is due, or sooner if somebody has lost the host.
+pub(super) async fn pause(node: &Node) {
     let share = rand::rng().random_range(0.75..1.25);
-    node.cfg.apply_within.mul_f64(ASKS_EVERY * share)
+    let pause = node.cfg.apply_within.mul_f64(ASKS_EVERY * share);
+    tokio::select! {
+        () = tokio::time::sleep(pause) => {}
+        () = node.fleet.host_doubted.notified() => {}
+    }
 }
 
-/// Members of the own zone, this daemon included, but for those that are silent to it.
-pub(super) fn heard_zone(node: &Node) -> Vec<Addressed> {
-    let now = node.clock.now();
+/// Members of the own zone from among whom those are chosen that follow the host for it.
+pub(super) fn eligible(node: &Node) -> Vec<MemberKey> {
+    let zone: Vec<_> = gossip::own_zone(node).iter().map(|(key, _)| *key).collect();
     let contact = node.fleet.contact.borrow();
-    let zone = gossip::own_zone(node).into_iter();
-    zone.filter(|(key, _)| !contact.is_silent(*key, now))
-        .collect()
+    contact.eligible(&zone, node.clock.now())
 }
 
 /// Whether one of those that follow the host for the zone answers. While the zone starts,
 /// nobody follows the host yet, and the daemon takes it that someone will.
+///
+/// One that has lost the host is passed over, and whoever takes its place is asked. Where
+/// all that answer have lost it, it is away from the zone, and one daemon more would not
+/// find it.
 pub(super) async fn reaches_follower(node: &Rc<Node>) -> bool {
     let starts = if node.cfg.is_first_start {
         STARTS_AT_FIRST
@@ -55,36 +62,90 @@
     if node.clock.now() < configuration::meets_zone_until(node) + starts {
         return true;
     }
-    for (key, addr) in followers(node) {
-        if answers_as_follower(node, key, addr).await {
-            return true;
+    let mut asked = Vec::new();
+    let mut all_lost_host = true;
+    while let Some((key, addr)) = next_follower(node, &asked) {
+        asked.push(key);
+        match ask(node, key, addr).await {
+            Some(Following::Follows) => return true,
+            Some(Following::LostHost) => {}
+            Some(Following::No) | None => all_lost_host = false,
         }
     }
-    false
+    all_lost_host && !asked.is_empty()
 }
 
-fn followers(node: &Node) -> Vec<Addressed> {
-    let followers = gossip::followers_of(heard_zone(node)).collect();
-    node.fleet.contact.borrow_mut().in_turn(followers)
+fn next_follower(node: &Node, asked: &[MemberKey]) -> Option<Addressed> {
+    let me = node.fleet.membership.borrow().me();
+    let eligible = eligible(node);
+    let mut zone = gossip::own_zone(node);
+    zone.retain(|(key, _)| eligible.contains(key));
+    let others = gossip::followers_of(zone);
+    let others = others.filter(|(key, _)| *key != me && !asked.contains(key));
+    let followers = others.collect();
+    let in_turn = node.fleet.contact.borrow_mut().in_turn(followers);
+    in_turn.into_iter().next()
 }
 
-async fn answers_as_follower(node: &Rc<Node>, key: MemberKey, addr: SocketAddr) -> bool {
+async fn ask(node: &Rc<Node>, key: MemberKey, addr: SocketAddr) -> Option<Following> {
     let bound = node.cfg.apply_within.mul_f64(ANSWER_BOUND);
     let reply = node.links.ask_within(addr, Ask::Following, bound).await;
-    let Ok(Reply::Following(follows, mark)) = reply else {
-        let now = node.clock.now();
-        node.fleet.contact.borrow_mut().missed(key, now);
+    let now = node.clock.now();
+    let mut contact = node.fleet.contact.borrow_mut();
+    let Ok(Reply::Following(following, mark)) = reply else {
+        contact.missed(key, now);
         node.journal.count("host.followers_missed");
-        return false;
+        return None;
     };
-    node.fleet.contact.borrow_mut().answered(key);
+    match following {
+        Following::Follows => contact.follows(key),
+        Following::LostHost => contact.lost_platform(key, now),
+        Following::No => {}
+    }
+    drop(contact);
     versions::peer_holds(node, key, addr, mark);
-    follows
+    Some(following)
 }
 
-/// What this daemon answers to others of its zone. Where the host turns it away, followers
-/// of other zones tell it of versions, so that makes no difference here.
+/// What this daemon answers to others of its zone.
 pub(crate) fn answer(node: &Node) -> Reply {
     let mark = node.fleet.membership.borrow().mark();
-    Reply::Following(configuration::waits_for_zone(node), mark)
+    let following = if node.fleet.reaches_host.get() == Some(false) {
+        Following::LostHost
+    } else if configuration::waits_for_zone(node) {
+        Following::Follows
+    } else {
+        Following::No
+    };
+    Reply::Following(following, mark)
+}
+
+/// The host answers this daemon.
+pub(super) fn host_answered(node: &Node) {
+    let me = node.fleet.membership.borrow().me();
+    node.fleet.contact.borrow_mut().follows(me);
+}
+
+/// The host does not answer this daemon. Those that it would tell of versions hear so at
+/// once, since they have less time than it takes until they ask.
+pub(super) fn lost_host(node: &Rc<Node>) {
+    let me = node.fleet.membership.borrow().me();
+    let now = node.clock.now();
+    let mut contact = node.fleet.contact.borrow_mut();
+    let is_news = !contact.has_lost_platform(me, now);
+    contact.lost_platform(me, now);
+    drop(contact);
+    if is_news && configuration::waits_for_zone(node) {
+        gossip::tell_fleet(node, &Ask::LostHost(me));
+    }
+}
+
+/// The host does not answer this member. It may not answer this daemon either, which would
+/// notice only at the end of its wait.
+pub(crate) fn peer_lost_host(node: &Node, peer: MemberKey) {
+    if node.fleet.is_in_own_zone(peer) {
+        let now = node.clock.now();
+        node.fleet.contact.borrow_mut().lost_platform(peer, now);
+    }
+    node.fleet.host_doubted.notify_waiters();
 }
--- a/crates/mesh/src/fleet/gossip.rs
+++ b/crates/mesh/src/fleet/gossip.rs
@@ -122,7 +122,7 @@
 /// Passes on to the own zone what came from another one, where this daemon is one of those
 /// that are told for it.
 pub(crate) fn relay(node: &Rc<Node>, word: &Ask) {
-    if configuration::follows_host(node) {
+    if configuration::hears_for_zone(node) {
         tell(node, own_zone(node), word);
     }
 }
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -61,11 +61,11 @@
     looks_again: Cell<bool>,
     /// A pull of the configuration from a peer goes on.
     is_pulling: Cell<bool>,
-    /// The host answered the last question.
-    reaches_host: Cell<bool>,
+    /// Whether the host answered the last question; nothing before the first one.
+    reaches_host: Cell<Option<bool>>,
     /// How this daemon learns of versions; none before its first look.
     role: Cell<Option<PollRole>>,
-    /// Who of the own zone does not answer.
+    /// Who of the own zone can't tell of versions.
     contact: RefCell<Contact>,
     /// Era of the host's last answer.
     era: Cell<Option<Era>>,
@@ -74,6 +74,8 @@
     has_returned: Cell<bool>,
     /// The instance was suspended: what waits for the host should ask anew.
     woke: Notify,
+    /// Somebody has lost the host, and this daemon may have lost it too, or what tells it.
+    host_doubted: Notify,
     /// When the host's list of instances was last looked at.
     looked_at: Cell<Option<Time>>,
     /// This instance is on it.
@@ -97,13 +99,14 @@
             newcomers: RefCell::default(),
             looks_again: Cell::new(false),
             is_pulling: Cell::new(false),
-            reaches_host: Cell::new(false),
+            reaches_host: Cell::new(None),
             role: Cell::new(None),
             contact: RefCell::default(),
             era: Cell::new(None),
             confirmed: RefCell::default(),
             has_returned: Cell::new(false),
             woke: Notify::new(),
+            host_doubted: Notify::new(),
             looked_at: Cell::new(None),
             is_listed: Cell::new(false),
             forgotten: RefCell::default(),
@@ -173,8 +176,8 @@
     node.journal.gauge("target.takes_calls", takes_calls.into());
     let follows_host = configuration::follows_host(node);
     node.journal.gauge("host.followed", follows_host.into());
-    node.journal
-        .gauge("host.reached", node.fleet.reaches_host.get().into());
+    let reaches_host = node.fleet.reaches_host.get() == Some(true);
+    node.journal.gauge("host.reached", reaches_host.into());
 }
 
 fn myself(cfg: &MeshConfig) -> Member {
--- a/crates/mesh/src/fleet/versions.rs
+++ b/crates/mesh/src/fleet/versions.rs
@@ -68,7 +68,7 @@
             gossip::tell_zone(node);
             gossip::tell_other_zones(node);
         }
-        Source::Peer if configuration::follows_host(node) => gossip::tell_zone(node),
+        Source::Peer if configuration::hears_for_zone(node) => gossip::tell_zone(node),
         Source::Peer => {}
     }
 }
--- a/crates/mesh/src/link/serve.rs
+++ b/crates/mesh/src/link/serve.rs
@@ -138,6 +138,10 @@
             connection.reply(id, Reply::Occupancy(occupancy));
         }
         Ask::Following => connection.reply(id, fleet::contact::answer(&node)),
+        Ask::LostHost(peer) => {
+            fleet::contact::peer_lost_host(&node, peer);
+            connection.reply(id, Reply::Pong);
+        }
         Ask::Confirmed => {
             let confirmed = fleet::confirmation::own(&node);
             connection.reply(id, Reply::Confirmed(confirmed));
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -71,6 +71,10 @@
     /// Whether the receiver follows the host for its zone, and what it holds.
     #[serde(rename = "w")]
     Following,
+    /// The host does not answer the sender, which follows it for its zone; answered like a
+    /// ping.
+    #[serde(rename = "l")]
+    LostHost(MemberKey),
     /// Tokens of a customer's quota, from its home.
     #[serde(rename = "t")]
     Tokens(CustomerName, u32),
@@ -106,17 +110,32 @@
     /// To [`Ask::Confirmed`].
     #[serde(rename = "f")]
     Confirmed(Option<Confirmed>),
-    /// To [`Ask::Following`]; it follows the host also while that does not answer it.
+    /// To [`Ask::Following`].
     #[serde(rename = "w")]
-    Following(bool, Mark),
+    Following(Following, Mark),
     /// To [`Ask::Tokens`] and [`Ask::Borrow`]; nothing where the receiver is not the home.
     #[serde(rename = "t")]
     Tokens(Option<GrantWire>),
-    /// To [`Ask::Ping`], [`Ask::Holds`], [`Ask::Rollout`] and [`Ask::Findings`].
+    /// To [`Ask::Ping`], [`Ask::Holds`], [`Ask::Rollout`], [`Ask::Findings`] and
+    /// [`Ask::LostHost`].
     #[serde(rename = "p")]
     Pong,
 }
 
+/// Whether a daemon follows the host for its zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Following {
+    /// It does, and tells the others.
+    #[serde(rename = "f")]
+    Follows,
+    /// It would, and the host does not answer it.
+    #[serde(rename = "l")]
+    LostHost,
+    /// It leaves that to others.
+    #[serde(rename = "n")]
+    No,
+}
+
 /// What goes along with the regular exchanges, so that whoever missed a word of its own
 /// about it hears of it within seconds.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
