Ask those that follow the store now how recent keys are

What callers saw in the test: 503 for every request with a key, from two bounds of revoke_s on, at daemons whose zone has others that the store answers. Change: those that follow the store for a zone are found in one place, which leaves out followers that have lost it.

Test: customers::a_zone_whose_followers_lose_the_store_goes_on_acting_on_keys, red before (503 where 200 is due).

--- a/crates/mesh/src/fleet/confirmation.rs
+++ b/crates/mesh/src/fleet/confirmation.rs
@@ -13,6 +13,7 @@
 use stoatstep_telemetry::fields;
 use tokio::time::sleep;
 
+use super::contact;
 use super::gossip::{self, Addressed};
 use crate::node::Node;
 use crate::wire::{Ask, Confirmed as ConfirmedWire, Reply};
@@ -150,8 +151,7 @@
 /// Those that follow the host: for the own zone first, then for the others.
 fn followers(node: &Node) -> Vec<Addressed> {
     let me = node.fleet.membership.borrow().me();
-    let own = gossip::followers_of(gossip::own_zone(node));
-    let all = own.chain(gossip::followers_elsewhere(node));
+    let all = contact::followers(node).chain(gossip::followers_elsewhere(node));
     all.filter(|(key, _)| *key != me).collect()
 }
 
--- a/crates/mesh/src/fleet/contact.rs
+++ b/crates/mesh/src/fleet/contact.rs
@@ -75,13 +75,17 @@
     all_lost_host && !asked.is_empty()
 }
 
-fn next_follower(node: &Node, asked: &[MemberKey]) -> Option<Addressed> {
-    let me = node.fleet.membership.borrow().me();
+/// Those that follow the host for the own zone, as far as this daemon knows.
+pub(super) fn followers(node: &Node) -> impl Iterator<Item = Addressed> {
     let eligible = eligible(node);
     let mut zone = gossip::own_zone(node);
     zone.retain(|(key, _)| eligible.contains(key));
-    let others = gossip::followers_of(zone);
-    let others = others.filter(|(key, _)| *key != me && !asked.contains(key));
+    gossip::followers_of(zone)
+}
+
+fn next_follower(node: &Node, asked: &[MemberKey]) -> Option<Addressed> {
+    let me = node.fleet.membership.borrow().me();
+    let others = followers(node).filter(|(key, _)| *key != me && !asked.contains(key));
     let followers = others.collect();
     let in_turn = node.fleet.contact.borrow_mut().in_turn(followers);
     in_turn.into_iter().next()
