Move how a daemon learns of versions into a module of its own

Renamed: leaves_host_to_others (it also says yes where all that answer have lost the host), Contact::regained (it changes something). Three comments of these files lose figures that belong elsewhere.

--- a/crates/distribution/src/contact.rs
+++ b/crates/distribution/src/contact.rs
@@ -42,7 +42,7 @@
     }
 
     /// This member follows the platform, which answers it.
-    pub fn follows(&mut self, member: MemberKey) {
+    pub fn regained(&mut self, member: MemberKey) {
         self.losses.remove(&member);
     }
 
--- a/crates/distribution/tests/all/contact.rs
+++ b/crates/distribution/tests/all/contact.rs
@@ -21,7 +21,7 @@
     let mut contact = Contact::default();
     contact.missed(7, AT);
     contact.missed(8, AT);
-    contact.follows(7);
+    contact.regained(7);
     assert!(contact.misses_any(AT));
     assert!(!contact.misses_any(AT + Duration::from_secs(6)));
     assert!(!contact.is_silent(7, AT));
@@ -50,7 +50,7 @@
     contact.missed(2, AT);
     assert_eq!(contact.eligible(&ZONE, AT), [3, 4]);
     assert!(!contact.is_silent(1, AT));
-    contact.follows(1);
+    contact.regained(1);
     assert_eq!(contact.eligible(&ZONE, AT), [1, 3, 4]);
     assert_eq!(contact.eligible(&ZONE, AT + Duration::from_secs(6)), ZONE);
 }
@@ -65,7 +65,7 @@
     assert_eq!(contact.eligible(&ZONE, AT), ZONE);
     contact.missed(1, AT);
     assert_eq!(contact.eligible(&ZONE, AT), [2, 3, 4]);
-    contact.follows(3);
+    contact.regained(3);
     assert_eq!(contact.eligible(&ZONE, AT), [3]);
 }
 
--- a/crates/mesh/src/fleet/configuration.rs
+++ b/crates/mesh/src/fleet/configuration.rs
@@ -14,6 +14,7 @@
 use super::confirmation;
 use super::contact;
 use super::gossip;
+use super::role;
 use super::versions::{self, Source};
 use crate::host::{Cursor, Host, HostError, Update};
 use crate::node::Node;
@@ -37,21 +38,6 @@
 /// costs a question of another daemon.
 const WAIT_MARGIN: Duration = Duration::from_millis(600);
 
-/// Time without word of the host's newest version from which a daemon asks for
-/// itself. Two failed waits of the daemons that ask for the zone; word of them
-/// takes some exchanges to come round.
-const SILENCE: Duration = Duration::from_secs(8);
-
-/// Age of the process from which it waits for changes on behalf of its zone although it
-/// may not have met its zone. Until it has, it takes itself for one of the two that do,
-/// and in a start of all every daemon would open a wait that lasts for seconds: 295 calls
-/// to the host for nothing. What is written meanwhile is seen when the wait begins, since
-/// it goes on from the first read.
-const MEETS_ZONE_WITHIN: Duration = Duration::from_secs(2);
-
-/// The same in a first start, where daemons meet only after they have looked at the list.
-const MEETS_ZONE_AT_FIRST: Duration = Duration::from_secs(4);
-
 /// How often a daemon looks whether it has met its zone, or whether its turn has come.
 const START_STEP: Duration = Duration::from_millis(100);
 
@@ -85,14 +71,14 @@
     let mut last_answer = None;
     let mut wait = WAIT;
     loop {
-        let role = present_role(&node).await;
-        take_role(&node, role);
+        let role = role::present(&node).await;
+        role::take(&node, role);
         if role == PollRole::Idle {
             cursor = None;
             contact::pause(&node).await;
             continue;
         }
-        if cursor.is_some() && is_meeting_zone(&node) {
+        if cursor.is_some() && role::is_meeting_zone(&node) {
             tokio::time::sleep(START_STEP).await;
             continue;
         }
@@ -196,20 +182,6 @@
     }
 }
 
-/// Notes the role, with one line where this daemon begins to learn of versions in another way.
-fn take_role(node: &Node, role: PollRole) {
-    if node.fleet.role.replace(Some(role)) == Some(role) {
-        return;
-    }
-    let now = node.clock.now();
-    let Some(left_out) = node.journal.admits("role", now) else {
-        return;
-    };
-    let age = node.fleet.membership.borrow().head_age(now);
-    slog::info!(node.log, "way to versions changed"; fields::STATE => ?role,
-        fields::AGE_MS => age.map(|it| it.as_millis()), fields::LEFT_OUT => left_out);
-}
-
 /// One line where the host is lost, and one for each answer that makes no sense. A
 /// document that makes none stays until the operator writes another, and is read
 /// about three times a second until then.
@@ -227,85 +199,6 @@
     }
 }
 
-/// Age of the process from which it has met its zone, whoever is missing.
-pub(super) fn meets_zone_until(node: &Node) -> Time {
-    if node.cfg.is_first_start {
-        MEETS_ZONE_AT_FIRST
-    } else {
-        MEETS_ZONE_WITHIN
-    }
-}
-
-/// Whether this daemon most likely knows but a part of its zone.
-pub(crate) fn is_meeting_zone(node: &Node) -> bool {
-    let membership = node.fleet.membership.borrow();
-    let has_strangers = node.cfg.is_first_start || membership.is_meeting_zone();
-    has_strangers && node.clock.now() < meets_zone_until(node)
-}
-
-/// Whether this daemon waits for changes of the host on behalf of its zone: one that has
-/// just started does not yet.
-pub(super) fn waits_for_zone(node: &Node) -> bool {
-    node.fleet.role.get() == Some(PollRole::Poller) && !is_meeting_zone(node)
-}
-
-/// Whether it is on this daemon to follow the host on behalf of its zone.
-pub(crate) fn follows_host(node: &Node) -> bool {
-    role(node) == PollRole::Poller
-}
-
-/// Whether other daemons are out of reach, and it is on this one to ask the host for what
-/// they found: it follows the host for a zone that is apart from another one, or in
-/// place of one that is silent, or is alone.
-pub(super) fn catches_up_by_host(node: &Node) -> bool {
-    if node.fleet.reaches_host.get() != Some(true) {
-        return false;
-    }
-    match node.fleet.role.get() {
-        Some(PollRole::OnOwnBehalf) => node.fleet.in_force().is_some(),
-        Some(PollRole::Poller) => {
-            let misses_follower = node.fleet.contact.borrow().misses_any(node.clock.now());
-            misses_follower || !node.fleet.membership.borrow().reaches_every_zone()
-        }
-        Some(PollRole::Idle) | None => false,
-    }
-}
-
-fn role(node: &Node) -> PollRole {
-    let zone = contact::eligible(node);
-    let membership = node.fleet.membership.borrow();
-    let head_age = membership.head_age(node.clock.now());
-    let role = PollRole::of(membership.me(), &zone, head_age, SILENCE);
-    // The host does not answer this daemon, and others follow it for the zone.
-    let leaves_it_to_others = !zone.contains(&membership.me());
-    match role {
-        PollRole::Poller if leaves_it_to_others => PollRole::Idle,
-        role => role,
-    }
-}
-
-/// Whether others tell this daemon what its zone has to know: it is one of those that follow
-/// the host for it, whether that answers them or not.
-pub(crate) fn hears_for_zone(node: &Node) -> bool {
-    let zone = gossip::own_zone(node).into_iter();
-    let zone: Vec<_> = zone.map(|(key, _)| key).collect();
-    let me = node.fleet.membership.borrow().me();
-    PollRole::polls(me, &zone) || follows_host(node)
-}
-
-/// The role that this daemon acts in: one that others should tell asks for itself where
-/// none of them answers, or where it has nothing yet.
-async fn present_role(node: &Rc<Node>) -> PollRole {
-    let role = role(node);
-    // In a first start the configuration may not be written yet, and those that follow
-    // the host tell of it. Later, callers wait for whoever has none.
-    let can_wait = node.fleet.in_force().is_some() || node.cfg.is_first_start;
-    if role != PollRole::Idle || (can_wait && contact::reaches_follower(node).await) {
-        return role;
-    }
-    PollRole::OnOwnBehalf
-}
-
 async fn ask<H: Host>(
     host: &H,
     cursor: Option<Cursor>,
--- a/crates/mesh/src/fleet/contact.rs
+++ b/crates/mesh/src/fleet/contact.rs
@@ -14,7 +14,7 @@
 use stoatstep_membership::MemberKey;
 
 use super::gossip::{self, Addressed};
-use super::{configuration, versions};
+use super::{role, versions};
 use crate::node::Node;
 use crate::wire::{Ask, Following, Reply};
 
@@ -47,19 +47,20 @@
     contact.eligible(&zone, node.clock.now())
 }
 
-/// Whether one of those that follow the host for the zone answers. While the zone starts,
-/// nobody follows the host yet, and the daemon takes it that someone will.
+/// Whether this daemon leaves the host to others: one of those that follow it for the zone
+/// answers. While the zone starts, nobody follows the host yet, and the daemon takes it that
+/// someone will.
 ///
 /// One that has lost the host is passed over, and whoever takes its place is asked. Where
 /// all that answer have lost it, it is away from the zone, and one daemon more would not
 /// find it.
-pub(super) async fn reaches_follower(node: &Rc<Node>) -> bool {
+pub(super) async fn leaves_host_to_others(node: &Rc<Node>) -> bool {
     let starts = if node.cfg.is_first_start {
         STARTS_AT_FIRST
     } else {
         STARTS_TO_FOLLOW
     };
-    if node.clock.now() < configuration::meets_zone_until(node) + starts {
+    if node.clock.now() < role::meets_zone_until(node) + starts {
         return true;
     }
     let mut asked = Vec::new();
@@ -102,7 +103,7 @@
         return None;
     };
     match following {
-        Following::Follows => contact.follows(key),
+        Following::Follows => contact.regained(key),
         Following::LostHost => contact.lost_platform(key, now),
         Following::No => {}
     }
@@ -116,7 +117,7 @@
     let mark = node.fleet.membership.borrow().mark();
     let following = if node.fleet.reaches_host.get() == Some(false) {
         Following::LostHost
-    } else if configuration::waits_for_zone(node) {
+    } else if role::waits_for_zone(node) {
         Following::Follows
     } else {
         Following::No
@@ -127,7 +128,7 @@
 /// The host answers this daemon.
 pub(super) fn host_answered(node: &Node) {
     let me = node.fleet.membership.borrow().me();
-    node.fleet.contact.borrow_mut().follows(me);
+    node.fleet.contact.borrow_mut().regained(me);
 }
 
 /// The host does not answer this daemon. Those that it would tell of versions hear so at
@@ -139,7 +140,7 @@
     let is_news = !contact.has_lost_platform(me, now);
     contact.lost_platform(me, now);
     drop(contact);
-    if is_news && configuration::waits_for_zone(node) {
+    if is_news && role::waits_for_zone(node) {
         gossip::tell_fleet(node, &Ask::LostHost(me));
     }
 }
--- a/crates/mesh/src/fleet/gossip.rs
+++ b/crates/mesh/src/fleet/gossip.rs
@@ -12,7 +12,7 @@
 use stoatstep_rollout::Progress;
 use stoatstep_telemetry::fields;
 
-use super::{configuration, refresh_soon, versions};
+use super::{refresh_soon, role, versions};
 use crate::node::Node;
 use crate::rollout::{self, Source};
 use crate::wire::{Ask, News, Reply};
@@ -69,8 +69,8 @@
 
 /// Tells the daemons of other zones that follow the host for them. The host may turn away
 /// all that follow it for a zone: callers there would meet an old version until the regular
-/// exchanges bring the new one, 2.9 s later where 2 s are allowed. Telling everyone there
-/// would take twelve messages to each of 295 daemons for every version.
+/// exchanges bring the new one, which is too late. Telling everyone there would cost a
+/// message to each daemon of the fleet for every version.
 pub(crate) fn tell_other_zones(node: &Rc<Node>) {
     tell(node, followers_elsewhere(node), &holds(node));
 }
@@ -122,7 +122,7 @@
 /// Passes on to the own zone what came from another one, where this daemon is one of those
 /// that are told for it.
 pub(crate) fn relay(node: &Rc<Node>, word: &Ask) {
-    if configuration::hears_for_zone(node) {
+    if role::hears_for_zone(node) {
         tell(node, own_zone(node), word);
     }
 }
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod contact;
 pub(crate) mod gossip;
 mod packed;
+pub(crate) mod role;
 pub(crate) mod roster;
 pub(crate) mod versions;
 
@@ -174,7 +175,7 @@
     node.journal.gauge("queue.waiting", occupancy.queued.into());
     let takes_calls = node.executor.takes_calls(node.clock.now());
     node.journal.gauge("target.takes_calls", takes_calls.into());
-    let follows_host = configuration::follows_host(node);
+    let follows_host = role::follows_host(node);
     node.journal.gauge("host.followed", follows_host.into());
     let reaches_host = node.fleet.reaches_host.get() == Some(true);
     node.journal.gauge("host.reached", reaches_host.into());
@@ -198,8 +199,7 @@
 }
 
 /// Shortest time between two rebuilds of the candidates. A rebuild walks all members, and
-/// a start of all, a roll or a cut bring changes by the hundred: 528 for each of 300
-/// daemons in a start. The first change of a series is seen at once, and the others as
+/// a start of all, a roll or a cut bring changes by the hundred. The first change of a series is seen at once, and the others as
 /// soon as calls could notice: a call to a target that left is refused by its daemon.
 const REFRESH_GAP: Duration = Duration::from_millis(100);
 
--- a/crates/mesh/src/fleet/roster.rs
+++ b/crates/mesh/src/fleet/roster.rs
@@ -9,7 +9,7 @@
 use stoatstep_telemetry::fields;
 use tokio::time::timeout;
 
-use super::{configuration, gossip};
+use super::{gossip, role};
 use crate::host::{Host, HostError, Listed};
 use crate::node::Node;
 use crate::quarantine::{self, Way};
@@ -127,7 +127,7 @@
         }
         // Those that follow the host are there for as long as their zone is, and who they
         // are changes with its members.
-        let is_missing = !self.is_announced && configuration::follows_host(&self.node);
+        let is_missing = !self.is_announced && role::follows_host(&self.node);
         if is_missing && !self.announce().await {
             return RETRY;
         }
@@ -165,7 +165,7 @@
     async fn catch_up(&mut self) {
         let now = self.node.clock.now();
         let is_due = now >= self.caught_up + CATCH_UP_EVERY;
-        if !is_due || !configuration::catches_up_by_host(&self.node) {
+        if !is_due || !role::catches_up_by_host(&self.node) {
             return;
         }
         self.caught_up = now;
@@ -190,7 +190,7 @@
     async fn delete_forgotten(&self) {
         let forgotten = std::mem::take(&mut *self.node.fleet.forgotten.borrow_mut());
         // Every daemon of the zone forgets it, and one deletion is enough.
-        if !configuration::follows_host(&self.node) {
+        if !role::follows_host(&self.node) {
             return;
         }
         for instance in forgotten {
--- a/crates/mesh/src/fleet/versions.rs
+++ b/crates/mesh/src/fleet/versions.rs
@@ -12,7 +12,7 @@
 use stoatstep_telemetry::fields;
 
 use super::packed::{self, Packed};
-use super::{configuration, gossip};
+use super::{gossip, role};
 use crate::executor;
 use crate::in_force::InForce;
 use crate::link::LinkError;
@@ -68,7 +68,7 @@
             gossip::tell_zone(node);
             gossip::tell_other_zones(node);
         }
-        Source::Peer if configuration::hears_for_zone(node) => gossip::tell_zone(node),
+        Source::Peer if role::hears_for_zone(node) => gossip::tell_zone(node),
         Source::Peer => {}
     }
 }
--- a/crates/mesh/src/quota/home.rs
+++ b/crates/mesh/src/quota/home.rs
@@ -17,7 +17,7 @@
 use stoatstep_telemetry::fields;
 
 use super::{ask, count};
-use crate::fleet::configuration;
+use crate::fleet::role;
 use crate::node::Node;
 use crate::wire::Ask;
 
@@ -94,7 +94,7 @@
 /// Where the home of this customer is; nothing for as long as this daemon has not met its
 /// zone.
 pub(super) fn place_of(node: &Node, customer: &str) -> Option<Place> {
-    if configuration::is_meeting_zone(node) {
+    if role::is_meeting_zone(node) {
         return None;
     }
     let home = node.quotas.homes.home_of(customer)?;
