Ask the store after two followers that never answer, whatever the zone's size

What callers would see: an old version for 3 s and more at a daemon that a cut has separated from a large zone. Cause: since followers that have lost the store are passed over within one round of questions, silent ones were too, each for 0.3 s, and all of the zone came before the store.

--- a/crates/mesh/src/fleet/contact.rs
+++ b/crates/mesh/src/fleet/contact.rs
@@ -24,6 +24,10 @@
 const ASKS_EVERY: f64 = 0.3;
 const ANSWER_BOUND: f64 = 0.15;
 
+/// Answers that never come after which the others are not asked: there is no time for more,
+/// and the zone may be out of reach.
+const MOST_SILENT: u32 = 2;
+
 /// Time until a daemon of a zone that starts as a whole has begun to follow the host,
 /// beyond the time for which it meets its zone. In a first start nobody calls yet, and
 /// the last daemons may start seconds after the first ones.
@@ -64,13 +68,20 @@
         return true;
     }
     let mut asked = Vec::new();
+    let mut silent = 0;
     let mut all_lost_host = true;
-    while let Some((key, addr)) = next_follower(node, &asked) {
+    while silent < MOST_SILENT
+        && let Some((key, addr)) = next_follower(node, &asked)
+    {
         asked.push(key);
         match ask(node, key, addr).await {
             Some(Following::Follows) => return true,
             Some(Following::LostHost) => {}
-            Some(Following::No) | None => all_lost_host = false,
+            Some(Following::No) => all_lost_host = false,
+            None => {
+                silent += 1;
+                all_lost_host = false;
+            }
         }
     }
     all_lost_host && !asked.is_empty()
