Log what targets state about themselves and count what is sent to them

The daemons' output could not tell whether a target's limit is read and not acted on, or not read: no line held what an answer states, and no metric the number of requests sent to the target.

Each change of the stated limit, and that a target leaves, has a line now (`target states`), and `stoatstep_target_requests` counts what is sent. Statements are read from the head of each answer, health answers included, before the body, since that may be cut short. Nothing acts on them yet.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -42,6 +42,7 @@
 mod routes;
 mod shutdown;
 mod silence;
+mod statement;
 mod throttle;
 mod uplink;
 
@@ -77,5 +78,6 @@
 pub use routes::{ResolvedRoute, RouteTable};
 pub use shutdown::Shutdown;
 pub use silence::{SilenceAction, SilenceConfig, SilenceDetector};
+pub use statement::{InvalidRateLimit, LimitStatement, RateLimit, TargetStatement};
 pub use throttle::Throttle;
 pub use uplink::Uplink;
--- a/crates/calls/tests/all/main.rs
+++ b/crates/calls/tests/all/main.rs
@@ -15,5 +15,6 @@
 mod routes;
 mod shutdown;
 mod silence;
+mod statement;
 mod throttle;
 mod uplink;
--- a/crates/mesh/src/executor/confirm.rs
+++ b/crates/mesh/src/executor/confirm.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 use super::target::Health;
-use super::update_target;
+use super::{statements, update_target};
 use crate::fleet::gossip;
 use crate::node::Node;
 
@@ -61,6 +61,11 @@
     let asked = &beat.upstream;
     let actual = health.as_ref().and_then(|it| it.upstream.clone());
     let status = health.as_ref().map(|it| it.status.as_u16());
+    if let Some(health) = &health
+        && actual.as_deref() == Some(target_id_of(asked))
+    {
+        statements::record(node, asked, health.statement);
+    }
     if let Some(actual) = &actual {
         update_target(node, |target, _| target.record_answer(asked, actual));
     }
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -11,6 +11,7 @@
 mod rollout_tally;
 mod run;
 mod slot;
+mod statements;
 mod target;
 
 use std::cell::{Cell, RefCell};
@@ -22,7 +23,7 @@
 use slog::Logger;
 use stoatstep_calls::{
     AnswerStats, Arrival, AttemptId, AttemptStatus, Deadline, Incarnation, Ledger, LedgerConfig,
-    Occupancy, Queue, Reason, RecentAnswers, Refusal, Ticket, Uplink,
+    Occupancy, Queue, Reason, RecentAnswers, Refusal, TargetStatement, Ticket, Uplink,
 };
 use stoatstep_membership::{AnnouncedTarget, LocalTarget};
 use stoatstep_resource::{RouteName, ServiceName, UpstreamName};
@@ -86,6 +87,8 @@
     ended: Option<UpstreamName>,
     /// Requests that the target answered recently.
     recent: RecentAnswers,
+    /// What the last answer of the target stated about it, and its generation.
+    stated: Option<(UpstreamName, TargetStatement)>,
 }
 
 /// An attempt that waits for a slot or runs.
@@ -115,6 +118,7 @@
             tally: Tally::default(),
             ended: None,
             recent: RecentAnswers::default(),
+            stated: None,
         };
         Self {
             tables: RefCell::new(tables),
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -8,7 +8,9 @@
 use tokio::time::timeout;
 
 use super::target::TargetOutcome;
-use super::{QUEUE_RETRY, Run, Tables, answer_stats, process_exit, rollout_tally, slot};
+use super::{
+    QUEUE_RETRY, Run, Tables, answer_stats, process_exit, rollout_tally, slot, statements,
+};
 use crate::drain::InFlight;
 use crate::identity;
 use crate::journal::{RunFailed, Times};
@@ -149,7 +151,10 @@
     if !may_start(node, attempt) {
         return RunOutcome::not_started(Refusal::permanent(Reason::Revoked));
     }
-    let end = timeout(left, node.executor.target.call(attempt, left)).await;
+    node.journal.count("target.requests");
+    let on_statement = |it| statements::record(node, &attempt.upstream, it);
+    let call = node.executor.target.call(attempt, left, on_statement);
+    let end = timeout(left, call).await;
     let end = end.unwrap_or(TargetOutcome::Unknown(Reason::TimedOut));
     if matches!(end, TargetOutcome::Unknown(Reason::LostAnswer)) {
         process_exit::check(node, &attempt.upstream).await;
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -15,7 +15,7 @@
 use hyper::{Request, Response, StatusCode, Uri};
 use slog::Logger;
 use smol_str::{SmolStr, ToSmolStr};
-use stoatstep_calls::{Answer, Header, Reason, Refusal, is_hop_by_hop};
+use stoatstep_calls::{Answer, Header, Reason, Refusal, TargetStatement, is_hop_by_hop};
 use stoatstep_membership::target_id_of;
 use stoatstep_resource::UpstreamName;
 use stoatstep_telemetry::fields;
@@ -69,6 +69,8 @@
     pub(super) status: StatusCode,
     /// The generation that answered.
     pub(super) upstream: Option<UpstreamName>,
+    /// What the answer states about that generation.
+    pub(super) statement: TargetStatement,
 }
 
 /// Client for one target: its address, a connection pool and the names of its headers.
@@ -89,6 +91,8 @@
     upstream: HeaderName,
     not_run: HeaderName,
     signature: HeaderName,
+    limit: HeaderName,
+    leaving: HeaderName,
 }
 
 impl ParsedHeaderNames {
@@ -108,6 +112,8 @@
             upstream: name(&header_names.upstream),
             not_run: name(&header_names.not_run),
             signature: name(&header_names.signature),
+            limit: name(&header_names.limit),
+            leaving: name(&header_names.leaving),
         }
     }
 }
@@ -129,7 +135,15 @@
 
     /// Sends the attempt's request and waits for the answer. Dropping the future closes the
     /// connection, which tells the target that nobody waits any more.
-    pub(super) async fn call(&self, attempt: &Attempt, left: Duration) -> TargetOutcome {
+    ///
+    /// `on_statement` gets what the head of an answer states about this generation of the
+    /// target, before the body is read: a body can be cut short or last longer than the call.
+    pub(super) async fn call(
+        &self,
+        attempt: &Attempt,
+        left: Duration,
+        on_statement: impl Fn(TargetStatement),
+    ) -> TargetOutcome {
         let Some(mut req) = self.request(attempt, left) else {
             return TargetOutcome::NotRun {
                 refusal: Refusal::permanent(Reason::BadRequest),
@@ -142,7 +156,13 @@
                 return TargetOutcome::unreachable();
             };
             match connection.send(req).await {
-                Ok(res) => return self.read(attempt, connection, res).await,
+                Ok(res) => {
+                    // A misdirected request was answered by another generation.
+                    if res.status() != StatusCode::MISDIRECTED_REQUEST {
+                        on_statement(self.statement(res.headers()));
+                    }
+                    return self.read(attempt, connection, res).await;
+                }
                 // The target closed an idle connection just before it was used, and no
                 // byte of the request was sent.
                 Err(Some(unsent)) => req = unsent,
@@ -154,6 +174,11 @@
         }
     }
 
+    fn statement(&self, headers: &HeaderMap) -> TargetStatement {
+        let values = |name| headers.get_all(name).into_iter().map(HeaderValue::as_bytes);
+        TargetStatement::decode(values(&self.names.limit), values(&self.names.leaving))
+    }
+
     fn report_failed(&self, connection: &Connection) {
         if let Some(limit) = self.pool.failed(connection) {
             slog::info!(self.log, "target drops idle connections";
@@ -173,6 +198,7 @@
         Some(Health {
             status: head.status,
             upstream: header_text(&head.headers, &self.names.upstream),
+            statement: self.statement(&head.headers),
         })
     }
 
--- a/crates/mesh/src/header_names.rs
+++ b/crates/mesh/src/header_names.rs
@@ -25,4 +25,8 @@
     /// In an answer: the target's signature of the body. A successful answer without it does not
     /// come from the target.
     pub signature: SmolStr,
+    /// In an answer: requests per second that the target accepts from all daemons together.
+    pub limit: SmolStr,
+    /// In an answer: the target leaves and must get no new calls.
+    pub leaving: SmolStr,
 }
--- a/crates/telemetry/src/fields.rs
+++ b/crates/telemetry/src/fields.rs
@@ -139,9 +139,15 @@
 pub const PER_MINUTE: &str = "per_minute";
 /// Age of what is known, in milliseconds; absent if nothing is known.
 pub const AGE_MS: &str = "age_ms";
+/// Requests per second that a target states as its limit; empty if it states none.
+pub const LIMIT: &str = "limit";
+/// Limit that the target stated until then; empty if it stated none.
+pub const BEFORE_LIMIT: &str = "before_limit";
+/// Whether a target states that it leaves.
+pub const LEAVING: &str = "leaving";
 
 /// All keys, in the order in which this module defines them.
-pub const ALL: [&str; 69] = [
+pub const ALL: [&str; 72] = [
     REQUEST,
     ATTEMPT,
     UPSTREAM,
@@ -211,4 +217,7 @@
     GRANTED,
     PER_MINUTE,
     AGE_MS,
+    LIMIT,
+    BEFORE_LIMIT,
+    LEAVING,
 ];
