Keep the requests to a target within the limit that it states

What callers saw: nothing directly. A target in need stated a limit of 48 per second and went on getting 140, twice what the rule allows, so it was kept in need. Test before: 125 and 114 requests in 4 s where 32 are allowed.

Cause: an executor bounds its target by slots only, and a short run lets 13 slots pass hundreds of requests per second. Nothing read the statement: no daemon's belief changed at 8.0 s, all entries of the zone sent as before, and the target turned nothing away, so nothing pushed back. Class of the fault: a limit that is stated in band and that no part of the design owns.

Change: TargetLimiter (crates/calls), a rate limiter at the executor, the only daemon that sends requests to the target. It counts calls and health requests of all entries, and its wait is part of the queue's, so calls that the limit leaves no room for are refused at once (`limited`, not run, with the time until there is room) and those that wait are ordered by priority as before. Entries learn from answers when one more call may start and place calls elsewhere before. A restarted executor learns the limit from the entries that were told. The limit ends a second after the last answer that named it, and the rate then doubles each second.

Ruled out: a share of the limit at each entry.

A property test holds the bound of the rule over restarts, freezes and lost statements.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -13,8 +13,8 @@
 //! * the entry uses [`RouteTable`], [`KeyRing`], [`TokenCache`], [`Router`] or
 //!   [`Placement`], [`RetryBudget`], [`Backoff`], [`Deadline`] and [`SilenceDetector`];
 //! * both use [`Quarantine`];
-//! * the executor uses [`Admission`] or [`Queue`], [`Ledger`], [`IdempotencyTable`],
-//!   [`Drain`] and [`Shutdown`].
+//! * the executor uses [`Admission`] or [`Queue`], [`TargetLimiter`], [`Ledger`],
+//!   [`IdempotencyTable`], [`Drain`] and [`Shutdown`].
 //!
 //! The design is explained in `docs/design/calls.md` and
 //! `docs/design/at-most-once.md`.
@@ -43,6 +43,7 @@
 mod shutdown;
 mod silence;
 mod statement;
+mod target_limiter;
 mod throttle;
 mod uplink;
 
@@ -79,5 +80,6 @@
 pub use shutdown::Shutdown;
 pub use silence::{SilenceAction, SilenceConfig, SilenceDetector};
 pub use statement::{InvalidRateLimit, LimitStatement, RateLimit, TargetStatement};
+pub use target_limiter::{KnownLimit, LimitReport, TargetLimiter};
 pub use throttle::Throttle;
 pub use uplink::Uplink;
--- a/crates/calls/src/placement/stats.rs
+++ b/crates/calls/src/placement/stats.rs
@@ -46,6 +46,9 @@
 /// seconds.
 const LINK_MAX_AGE: Duration = Duration::from_secs(3);
 
+/// Age at which a reported wait for the target's limit expires.
+const LIMIT_MAX_AGE: Duration = Duration::from_secs(3);
+
 /// Time for which a target that refused a call as full counts as full, whatever occupancy
 /// it reported.
 const FULL_TIME: Duration = Duration::from_millis(50);
@@ -138,6 +141,21 @@
         reported.link_backlog.saturating_sub(age) + sent_since + own
     }
 
+    /// Estimated time until the target's limit lets one more call start. The executor refuses
+    /// calls beyond the limit; calls that are placed by it go elsewhere without the refusal.
+    fn wait_for_limit(&self, now: Time) -> Duration {
+        let Some((reported, at)) = self.reported else {
+            return Duration::ZERO;
+        };
+        let age = now.saturating_sub(at);
+        if age >= LIMIT_MAX_AGE {
+            return Duration::ZERO;
+        }
+        let limit = reported.limit;
+        let sent_since = limit.interval.saturating_mul(self.sent_since);
+        (limit.wait + sent_since).saturating_sub(age)
+    }
+
     /// Calls that run or wait at it: those of all entries according to its last report,
     /// and those of this entry that were sent since.
     fn occupied(&self, now: Time) -> u32 {
@@ -175,7 +193,8 @@
     }
 }
 
-/// Estimated time to an answer: the wait for a slot, the run, and the time on the link.
+/// Estimated time to an answer: the wait for a slot or for the target's limit, the run, and the
+/// time on the link.
 pub(super) fn time_to_answer(row: &Row, inputs: EstimateInputs, now: Time) -> Duration {
     let service = row.stats.service(inputs.max_age, now);
     let service = service.unwrap_or(inputs.service);
@@ -184,7 +203,8 @@
     let waiting = (occupied + 1).saturating_sub(slots);
     let wait = service * waiting / slots;
     let full = row.stats.full_until.saturating_sub(now);
-    wait.max(full) + inputs.run_at(service) + row.stats.time_on_link(inputs.bytes, now)
+    let limit = row.stats.wait_for_limit(now);
+    wait.max(full).max(limit) + inputs.run_at(service) + row.stats.time_on_link(inputs.bytes, now)
 }
 
 /// Records how an attempt ended. If this ejects the target, returns the duration of the
--- a/crates/calls/src/queue.rs
+++ b/crates/calls/src/queue.rs
@@ -11,6 +11,9 @@
 //!   share of its recent calls, then the earlier deadline.
 //! * Run times are estimated for each kind of call, which is its route, because the kinds
 //!   of calls to one target differ several times in their run times.
+//! * Calls start no faster than the limit that the target states allows. The time until
+//!   they may start counts as waiting time, so those that the limit leaves no room for are
+//!   refused like those for which no slot will be free.
 //!
 //! See `docs/design/platform.md`.
 
@@ -25,6 +28,7 @@
 use crate::admission::{AdmissionDecision, Dispatch};
 use crate::ids::{AttemptId, Time};
 use crate::refusal::{Reason, Refusal};
+use crate::target_limiter::{LimitReport, TargetLimiter};
 use kinds::Kinds;
 
 /// Share of the time to its objective that a call may spend waiting. Run times
@@ -67,6 +71,8 @@
     pub link_backlog: Duration,
     /// Rate of its link in bytes per second; zero if the link does not limit answers.
     pub link_bytes_per_s: u32,
+    /// The limit that the target states, and when one more call may start by it.
+    pub limit: LimitReport,
 }
 
 #[derive(Clone, Debug)]
@@ -82,6 +88,20 @@
     running: BTreeMap<AttemptId, Running>,
     waiting: Vec<QueueRequest>,
     kinds: Kinds,
+    limiter: TargetLimiter,
+}
+
+/// Estimated time until a call starts, and what it waits for.
+#[derive(Clone, Copy, Debug)]
+struct Wait {
+    time: Duration,
+    reason: Reason,
+}
+
+impl Wait {
+    fn refusal(self) -> Refusal {
+        Refusal::retry(self.reason, self.time.max(MIN_RETRY_AFTER))
+    }
 }
 
 impl Queue {
@@ -93,6 +113,7 @@
             running: BTreeMap::new(),
             waiting: Vec::new(),
             kinds: Kinds::default(),
+            limiter: TargetLimiter::default(),
         }
     }
 
@@ -101,9 +122,21 @@
         self.slots = slots;
     }
 
+    /// The limiter of the requests to the target.
+    #[must_use]
+    pub fn limiter(&self) -> &TargetLimiter {
+        &self.limiter
+    }
+
+    /// The limiter of the requests to the target, for what the target states. If that changes
+    /// the limit, [`next`](Self::next) must be called.
+    pub fn limiter_mut(&mut self) -> &mut TargetLimiter {
+        &mut self.limiter
+    }
+
     /// Returns the current load. The fields about the link are zero.
     #[must_use]
-    pub fn occupancy(&self) -> Occupancy {
+    pub fn occupancy(&self, now: Time) -> Occupancy {
         Occupancy {
             running: to_u32(self.running.len()),
             queued: to_u32(self.waiting.len()),
@@ -111,6 +144,7 @@
             service: self.kinds.mean(),
             link_backlog: Duration::ZERO,
             link_bytes_per_s: 0,
+            limit: self.limiter.report(self.waiting.len(), now),
         }
     }
 
@@ -127,7 +161,7 @@
             let refusal = Refusal::retry(Reason::Deadline, MIN_RETRY_AFTER);
             return (AdmissionDecision::Refused(refusal), Vec::new());
         }
-        if self.waiting.is_empty() && self.has_free_slot() {
+        if self.waiting.is_empty() && self.can_start(now) {
             self.start(&request, now);
             return (AdmissionDecision::Run, Vec::new());
         }
@@ -135,9 +169,9 @@
             .waiting
             .iter()
             .filter(|it| self.precedes(it, &request, now));
-        let wait = self.queue_wait(ahead);
-        if !self.is_worth_queueing(&request, wait, now) {
-            return (AdmissionDecision::Refused(overload(wait)), Vec::new());
+        let wait = self.queue_wait(ahead, now);
+        if !self.is_worth_queueing(&request, wait.time, now) {
+            return (AdmissionDecision::Refused(wait.refusal()), Vec::new());
         }
         self.waiting.push(request);
         (AdmissionDecision::Wait, self.refuse_displaced(now))
@@ -160,10 +194,15 @@
     }
 
     /// Fills free slots and refuses calls that can no longer finish before their
-    /// deadline. Must be called after each release and on each tick.
+    /// deadline. Must be called after each release, on each tick and after the time of
+    /// [`next_start`](Self::next_start).
     pub fn next(&mut self, now: Time) -> Vec<Dispatch> {
         let mut out = self.refuse_expired(now);
-        while self.has_free_slot()
+        if self.limiter.is_active(now) {
+            // The limit may have fallen since these calls were queued.
+            out.extend(self.refuse_displaced(now));
+        }
+        while self.can_start(now)
             && let Some(index) = self.next_index(now)
         {
             let request = self.waiting.swap_remove(index);
@@ -173,6 +212,14 @@
         out
     }
 
+    /// Time until the target's limit allows the next waiting call to start. `None` if no call
+    /// waits for that alone.
+    #[must_use]
+    pub fn next_start(&self, now: Time) -> Option<Duration> {
+        let waits = !self.waiting.is_empty() && self.has_free_slot();
+        waits.then(|| self.limiter.wait(0, now))
+    }
+
     /// Refuses all waiting calls with `reason`.
     pub fn flush(&mut self, reason: Reason) -> Vec<Dispatch> {
         let refusal = Refusal::retry(reason, MIN_RETRY_AFTER);
@@ -199,7 +246,12 @@
         self.running.len() < self.slots as usize
     }
 
+    fn can_start(&self, now: Time) -> bool {
+        self.has_free_slot() && self.limiter.wait(0, now).is_zero()
+    }
+
     fn start(&mut self, request: &QueueRequest, now: Time) {
+        self.limiter.record_sent(now);
         self.kinds.record_start(&request.kind);
         let run = Running {
             kind: request.kind.clone(),
@@ -224,11 +276,36 @@
         first.map(|(index, _)| index)
     }
 
-    /// Estimated time until a slot is free for a call that goes after `ahead`.
-    fn queue_wait<'a>(&self, ahead: impl Iterator<Item = &'a QueueRequest>) -> Duration {
-        let ahead: Duration = ahead.map(|it| self.service(&it.kind)).sum();
-        let first = self.kinds.mean();
-        (ahead + first) / self.slots.max(1)
+    /// Estimated time until a call starts that goes after `ahead`.
+    fn queue_wait<'a>(&self, ahead: impl Iterator<Item = &'a QueueRequest>, now: Time) -> Wait {
+        let (mut count, mut service) = (0, Duration::ZERO);
+        for request in ahead {
+            count += 1;
+            service += self.service(&request.kind);
+        }
+        self.wait_after(count, service, now)
+    }
+
+    /// Estimated time until a call starts that goes after `count` calls with a total run time
+    /// of `service`: until a slot is free and the target's limit allows it.
+    fn wait_after(&self, count: usize, service: Duration, now: Time) -> Wait {
+        let for_slot = if self.running.len() + count < self.slots as usize {
+            Duration::ZERO
+        } else {
+            (service + self.kinds.mean()) / self.slots.max(1)
+        };
+        let for_limit = self.limiter.wait(count, now);
+        if for_limit > for_slot {
+            Wait {
+                time: for_limit,
+                reason: Reason::Limited,
+            }
+        } else {
+            Wait {
+                time: for_slot,
+                reason: Reason::Overload,
+            }
+        }
     }
 
     /// Whether a call should be queued if it has to wait for `wait`. A call whose
@@ -251,14 +328,14 @@
     fn refuse_displaced(&mut self, now: Time) -> Vec<Dispatch> {
         let mut order: Vec<usize> = (0..self.waiting.len()).collect();
         order.sort_by_key(|index| self.position(&self.waiting[*index], now));
-        let mut ahead = Duration::ZERO;
-        let first = self.kinds.mean();
+        let (mut count, mut ahead) = (0, Duration::ZERO);
         let mut out = Vec::new();
         for index in order {
             let request = &self.waiting[index];
             let service = self.service(&request.kind);
-            let wait = (ahead + first) / self.slots.max(1);
-            if now + wait + service < request.expires {
+            let wait = self.wait_after(count, ahead, now);
+            if now + wait.time + service < request.expires {
+                count += 1;
                 ahead += service;
             } else {
                 out.push((request.attempt, wait));
@@ -266,7 +343,7 @@
         }
         let displaced = |request: &QueueRequest| out.iter().any(|it| it.0 == request.attempt);
         self.waiting.retain(|request| !displaced(request));
-        let refused = |(attempt, wait)| Dispatch::Refused(attempt, overload(wait));
+        let refused = |(attempt, wait): (_, Wait)| Dispatch::Refused(attempt, wait.refusal());
         out.into_iter().map(refused).collect()
     }
 
@@ -285,10 +362,6 @@
     }
 }
 
-fn overload(wait: Duration) -> Refusal {
-    Refusal::retry(Reason::Overload, wait.max(MIN_RETRY_AFTER))
-}
-
 fn to_u32(len: usize) -> u32 {
     u32::try_from(len).unwrap_or(u32::MAX)
 }
--- a/crates/calls/src/refusal.rs
+++ b/crates/calls/src/refusal.rs
@@ -72,6 +72,8 @@
 reasons! {
     /// Slots and queue are full, or the tenant has used its share of them.
     Overload => "overload", NotRun;
+    /// The target accepts no more requests in this time, by the limit that it states.
+    Limited => "limited", NotRun;
     /// Most recent calls of its route failed.
     Throttled => "throttled", NotRun;
     /// The instance is leaving.
--- a/crates/calls/src/retry.rs
+++ b/crates/calls/src/retry.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng, RngExt};
 
-use crate::refusal::{Outcome, Refusal};
+use crate::refusal::{Outcome, Reason, Refusal};
 
 /// Retries that a service may use before it has earned any, and the most that it can save
 /// up. Without them, a service with few calls could hardly be retried.
@@ -107,6 +107,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct RefusedAttempts {
     may_have_run: Option<Refusal>,
+    /// Shortest retry delay of the attempts that a limit refused.
+    limited: Option<Duration>,
 }
 
 impl RefusedAttempts {
@@ -116,6 +118,7 @@
         if refusal.outcome() != Outcome::NotRun {
             self.may_have_run = Some(refusal);
         }
+        let refusal = self.soonest(refusal);
         let Some(earlier) = self.may_have_run else {
             return refusal;
         };
@@ -124,6 +127,17 @@
             retry_after: refusal.retry_after.or(earlier.retry_after),
         }
     }
+
+    /// The refusal with the shortest delay of all attempts that a limit refused. The delays
+    /// of targets with different limits differ by seconds, and the soonest one serves the call.
+    fn soonest(&mut self, refusal: Refusal) -> Refusal {
+        let (Reason::Limited, Some(delay)) = (refusal.reason, refusal.retry_after) else {
+            return refusal;
+        };
+        let delay = self.limited.map_or(delay, |it| it.min(delay));
+        self.limited = Some(delay);
+        Refusal::retry(Reason::Limited, delay)
+    }
 }
 
 /// Exponential backoff with full jitter, bounded by the deadline.
--- a/crates/calls/src/statement.rs
+++ b/crates/calls/src/statement.rs
@@ -120,4 +120,10 @@
             is_leaving: leaving.any(|it| it.trim_ascii() == LEAVING),
         }
     }
+
+    /// Whether nothing is stated.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
 }
--- a/crates/calls/tests/all/main.rs
+++ b/crates/calls/tests/all/main.rs
@@ -16,5 +16,6 @@
 mod shutdown;
 mod silence;
 mod statement;
+mod target_limiter;
 mod throttle;
 mod uplink;
--- a/crates/calls/tests/all/placement.rs
+++ b/crates/calls/tests/all/placement.rs
@@ -4,8 +4,8 @@
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use stoatstep_calls::{
-    AttemptFeedback, Candidate, CandidateState, Occupancy, Placement, PlacementRequest,
-    TargetFilter,
+    AttemptFeedback, Candidate, CandidateState, LimitReport, Occupancy, Placement,
+    PlacementRequest, TargetFilter,
 };
 use stoatstep_resource::{ServiceName, UpstreamName};
 
@@ -98,6 +98,7 @@
         service: MS * service_ms,
         link_backlog: Duration::ZERO,
         link_bytes_per_s: 0,
+        limit: LimitReport::default(),
     }
 }
 
@@ -374,3 +375,26 @@
     let shares = entry.shares(NOW);
     assert!(shares.values().all(|it| *it > 300), "{shares:?}");
 }
+
+/// One of two targets states a limit that is used up for 150 ms. Its slots are free, so by its
+/// occupancy alone it would get half of the calls, and its executor would refuse them.
+#[test]
+fn calls_go_to_others_while_the_limit_of_a_target_is_used_up() {
+    let mut entry = Entry::new(&[candidate("limited", "a"), candidate("other", "a")]);
+    let idle = occupied(0, 0, 50);
+    let limited = Occupancy {
+        limit: LimitReport {
+            interval: MS * 150,
+            wait: MS * 150,
+            ..LimitReport::default()
+        },
+        ..idle
+    };
+    entry.finish_attempt("limited", AttemptFeedback::Answered, limited, NOW);
+    entry.finish_attempt("other", AttemptFeedback::Answered, idle, NOW);
+    assert_eq!(entry.shares(NOW).get("limited"), None);
+    // A target that is slower by less than the wait gets none of its calls then.
+    entry.finish_attempt("other", AttemptFeedback::Answered, occupied(0, 0, 80), NOW);
+    let later = NOW + MS * 160;
+    assert!(entry.shares(later).contains_key("limited"));
+}
--- a/crates/calls/tests/all/queue.rs
+++ b/crates/calls/tests/all/queue.rs
@@ -2,7 +2,9 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
-use stoatstep_calls::{AdmissionDecision, AttemptId, Dispatch, Queue, QueueRequest, Reason};
+use stoatstep_calls::{
+    AdmissionDecision, AttemptId, Dispatch, LimitStatement, Queue, QueueRequest, Reason,
+};
 
 const MS: Duration = Duration::from_millis(1);
 const SERVICE: Duration = Duration::from_millis(100);
@@ -159,8 +161,85 @@
     queue.offer(request(1, 0), Duration::ZERO);
     let refused = queue.flush(Reason::Draining);
     assert!(matches!(refused[..], [Dispatch::Refused(1, _)]));
-    assert_eq!(queue.occupancy().running, 2);
-    assert_eq!(queue.occupancy().queued, 0);
+    let occupancy = queue.occupancy(Duration::ZERO);
+    assert_eq!(occupancy.running, 2);
+    assert_eq!(occupancy.queued, 0);
+}
+
+/// An idle queue whose target states this limit, at the moment when no request is saved up.
+fn limited(limit: &str) -> Queue {
+    let mut queue = Queue::new(8);
+    let limit = LimitStatement::Limit(limit.parse().expect("a rate"));
+    queue.limiter_mut().record(limit, Duration::ZERO);
+    queue
+}
+
+fn state_limit(queue: &mut Queue, limit: &str, now: Duration) {
+    let limit = LimitStatement::Limit(limit.parse().expect("a rate"));
+    queue.limiter_mut().record(limit, now);
+}
+
+/// All slots are free, and the target gets no more than its limit.
+#[test]
+fn calls_start_at_the_rate_of_the_targets_limit() {
+    let mut queue = limited("25");
+    for attempt in 1..=2 {
+        let (decision, _) = queue.offer(request(attempt, 0), Duration::ZERO);
+        assert_eq!(decision, AdmissionDecision::Wait);
+    }
+    assert_eq!(queue.next_start(Duration::ZERO), Some(ms(40)));
+    assert_eq!(queue.next(ms(39)), []);
+    assert_eq!(queue.next(ms(40)), [Dispatch::Run(1)]);
+    assert_eq!(queue.next(ms(79)), []);
+    assert_eq!(queue.next(ms(80)), [Dispatch::Run(2)]);
+    assert_eq!(queue.next_start(ms(80)), None);
+}
+
+/// The wait for the limit takes more than the part of the objective that a call may wait. Held
+/// back until its deadline, it would be lost to the other targets.
+#[test]
+fn a_call_without_room_in_the_limit_is_refused_at_once() {
+    let mut queue = limited("2");
+    let (decision, _) = queue.offer(request(1, 0), Duration::ZERO);
+    let AdmissionDecision::Refused(refusal) = decision else {
+        panic!("{decision:?}");
+    };
+    assert_eq!(refusal.reason, Reason::Limited);
+    assert_eq!(refusal.retry_after, Some(ms(500)));
+    let back = QueueRequest {
+        objective: ms(800),
+        expires: ms(1_500),
+        ..request(2, 0)
+    };
+    let (decision, _) = queue.offer(back, ms(500));
+    assert_eq!(decision, AdmissionDecision::Run);
+}
+
+#[test]
+fn the_more_urgent_call_gets_the_room_in_the_limit() {
+    let mut queue = limited("50");
+    for (attempt, rank) in [(1, 2), (2, 2), (3, 0)] {
+        let (decision, _) = queue.offer(request(attempt, rank), Duration::ZERO);
+        assert_eq!(decision, AdmissionDecision::Wait);
+    }
+    assert_eq!(queue.next(ms(20)), [Dispatch::Run(3)]);
+}
+
+/// The limit falls while calls wait. Those that it leaves no time for are refused then, and
+/// not when their deadline has passed.
+#[test]
+fn calls_that_a_lower_limit_leaves_no_time_for_are_refused() {
+    let mut queue = limited("50");
+    for attempt in 1..=3 {
+        let (decision, _) = queue.offer(request(attempt, 0), Duration::ZERO);
+        assert_eq!(decision, AdmissionDecision::Wait);
+    }
+    state_limit(&mut queue, "0.8", ms(5));
+    let dispatches = queue.next(ms(20));
+    let refused = |it: &Dispatch| matches!(it, Dispatch::Refused(..));
+    assert_eq!(dispatches.iter().filter(|it| refused(it)).count(), 2);
+    assert_eq!(queue.occupancy(ms(20)).queued, 0);
+    assert_eq!(queue.occupancy(ms(20)).running, 1);
 }
 
 /// Results of calls during 20 s of 1.6 times the target's capacity, with uneven run times:
--- a/crates/calls/tests/all/retry.rs
+++ b/crates/calls/tests/all/retry.rs
@@ -127,3 +127,13 @@
     let taken = (0..100).filter(|_| budget.take()).count();
     assert_eq!(taken, 2);
 }
+
+/// The last of several limited targets that are tried is the one with the longest wait.
+#[test]
+fn callers_come_back_for_the_soonest_of_several_limited_targets() {
+    let mut attempts = RefusedAttempts::default();
+    let limited = |ms| Refusal::retry(Reason::Limited, Duration::from_millis(ms));
+    assert_eq!(attempts.refused(limited(90)), limited(90));
+    assert_eq!(attempts.refused(limited(2_000)), limited(90));
+    assert_eq!(attempts.refused(limited(40)), limited(40));
+}
--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use stoatstep_calls::{AttemptFeedback, AttemptId, Occupancy, Reason, Refusal, Ticket, Time};
+use stoatstep_calls::{
+    AttemptFeedback, AttemptId, KnownLimit, Occupancy, Reason, Refusal, Ticket, Time,
+};
 use stoatstep_resource::UpstreamName;
 use stoatstep_telemetry::fields;
 use tokio::time::{sleep, timeout};
@@ -79,9 +81,27 @@
         feedback => feedback,
     };
     guard.occupancy = occupancy;
+    if let Some(occupancy) = occupancy {
+        record_limit(node, upstream, occupancy.limit.known);
+    }
     outcome
 }
 
+/// Keeps the limit that the target's executor reports, for the executor's next process. One
+/// that has just started knows none and changes nothing.
+fn record_limit(node: &Node, upstream: &UpstreamName, known: KnownLimit) {
+    let limits = &mut node.entry.tables.borrow_mut().limits;
+    match known {
+        KnownLimit::Unknown => {}
+        KnownLimit::Unlimited => {
+            limits.remove(upstream);
+        }
+        KnownLimit::Limited(limit) => {
+            limits.insert(upstream.clone(), limit);
+        }
+    }
+}
+
 async fn attempt(
     node: &Rc<Node>,
     call: &Call,
@@ -101,6 +121,7 @@
             upstream: upstream.clone(),
             left,
             objective: call.objective.saturating_sub(node.clock.now()),
+            limit: node.entry.tables.borrow().limits.get(upstream).copied(),
             call: Rc::clone(&call.parts),
         };
         let (outcome, occupancy) = match place {
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -19,10 +19,11 @@
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use stoatstep_calls::{
-    AnswerStats, Candidate, Outcome, Placement, Refusal, RetryBudget, Throttle, Ticket, Time,
+    AnswerStats, Candidate, Outcome, Placement, RateLimit, Refusal, RetryBudget, Throttle, Ticket,
+    Time,
 };
 use stoatstep_http::drop_body;
-use stoatstep_resource::{RouteName, ServiceName};
+use stoatstep_resource::{RouteName, ServiceName, UpstreamName};
 use stoatstep_telemetry::fields;
 
 use crate::config::MeshConfig;
@@ -52,6 +53,8 @@
     throttles: HashMap<RouteName, Throttle>,
     /// The newest ticket that each executor issued.
     tickets: HashMap<SocketAddr, Ticket>,
+    /// The limits that targets stated to their executors.
+    limits: HashMap<UpstreamName, RateLimit>,
     rng: Xoshiro256PlusPlus,
 }
 
@@ -63,6 +66,7 @@
             answers: HashMap::new(),
             throttles: HashMap::new(),
             tickets: HashMap::new(),
+            limits: HashMap::new(),
             rng: Xoshiro256PlusPlus::from_rng(&mut rand::rng()),
         };
         Self {
@@ -76,11 +80,19 @@
         services: &HashMap<ServiceName, Vec<Candidate>>,
         now: Time,
     ) {
-        let placement = &mut self.tables.borrow_mut().placement;
+        let mut tables = self.tables.borrow_mut();
+        let Tables {
+            placement, limits, ..
+        } = &mut *tables;
         placement.retain_services(|name| services.contains_key(name));
         for (service, candidates) in services {
             placement.set_candidates(service, candidates, now);
         }
+        let is_candidate = |name: &UpstreamName| {
+            let mut candidates = services.values().flatten();
+            candidates.any(|it| it.upstream == *name)
+        };
+        limits.retain(|name, _| is_candidate(name));
     }
 }
 
--- a/crates/mesh/src/entry/probes.rs
+++ b/crates/mesh/src/entry/probes.rs
@@ -40,7 +40,7 @@
 async fn probe(node: &Rc<Node>, service: &ServiceName, target: &UpstreamName) {
     let occupancy = match node.fleet.target_location(target) {
         // Answers of the local target are not sent over the uplink, so its load is left out.
-        Some(TargetLocation::Local) => node.executor.occupancy(),
+        Some(TargetLocation::Local) => node.executor.occupancy(node.clock.now()),
         Some(TargetLocation::Remote(addr)) => {
             let asked = node.links.ask_within(addr, Ask::Occupancy, REPLY_TIMEOUT);
             match asked.await {
--- a/crates/mesh/src/executor/confirm.rs
+++ b/crates/mesh/src/executor/confirm.rs
@@ -39,6 +39,9 @@
         return;
     };
     node.executor.is_confirming.set(true);
+    let mut tables = node.executor.tables.borrow_mut();
+    tables.queue.limiter_mut().record_sent(now);
+    drop(tables);
     let node = Rc::clone(node);
     ntex::rt::spawn(async move {
         let health = timeout(HEALTH_TIMEOUT, node.executor.target.health(&path)).await;
@@ -57,12 +60,13 @@
 }
 
 /// Confirms the generation if it answered the health request itself and with a success.
-fn apply_health(node: &Node, beat: &Heartbeat, health: Option<Health>) {
+fn apply_health(node: &Rc<Node>, beat: &Heartbeat, health: Option<Health>) {
     let asked = &beat.upstream;
     let actual = health.as_ref().and_then(|it| it.upstream.clone());
     let status = health.as_ref().map(|it| it.status.as_u16());
     if let Some(health) = &health
         && actual.as_deref() == Some(target_id_of(asked))
+        && !health.statement.is_empty()
     {
         statements::record(node, asked, health.statement);
     }
--- a/crates/mesh/src/executor/heartbeat.rs
+++ b/crates/mesh/src/executor/heartbeat.rs
@@ -65,8 +65,12 @@
     let now = node.clock.now();
     let mut tables = node.executor.tables.borrow_mut();
     let before = tables.local_target.accepting_heartbeat(now).cloned();
+    let generation = tables.local_target.generation().cloned();
     let result = change(&mut tables.local_target, now);
     let after = tables.local_target.accepting_heartbeat(now).cloned();
+    if tables.local_target.generation() != generation.as_ref() {
+        tables.queue.limiter_mut().reset();
+    }
     drop(tables);
     if let Some(change) = changed_target(before, after) {
         // Idle connections belong to the previous generation, if they are open at all.
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -68,6 +68,8 @@
     target: Target,
     /// Whether a health request to the target is in progress.
     is_confirming: Cell<bool>,
+    /// Whether a task waits until the target's limit lets the next call start.
+    is_start_scheduled: Cell<bool>,
 }
 
 struct Tables {
@@ -124,6 +126,7 @@
             tables: RefCell::new(tables),
             target: Target::new(cfg.addresses.target, &cfg.header_names, clock, log),
             is_confirming: Cell::new(false),
+            is_start_scheduled: Cell::new(false),
         }
     }
 
@@ -138,8 +141,8 @@
     }
 
     /// The occupancy of the target.
-    pub(crate) fn occupancy(&self) -> Occupancy {
-        self.tables.borrow().queue.occupancy()
+    pub(crate) fn occupancy(&self, now: stoatstep_calls::Time) -> Occupancy {
+        self.tables.borrow().queue.occupancy(now)
     }
 
     /// Whether the target accepts calls now.
@@ -177,7 +180,7 @@
     ) -> Evidence {
         self.begin_tally(service, order);
         let tables = self.tables.borrow();
-        let occupancy = tables.queue.occupancy();
+        let occupancy = tables.queue.occupancy(now);
         tables
             .tally
             .evidence(occupancy.running + occupancy.queued, now)
@@ -194,7 +197,7 @@
     Occupancy {
         link_backlog: node.uplink.read(Uplink::backlog),
         link_bytes_per_s: node.uplink.read(Uplink::bytes_per_s),
-        ..node.executor.occupancy()
+        ..node.executor.occupancy(node.clock.now())
     }
 }
 
@@ -263,6 +266,9 @@
         let refusal = Refusal::retry(Reason::Held, HELD_RETRY);
         return Err(End::Refused(refusal));
     }
+    if let Some(limit) = attempt.limit {
+        tables.queue.limiter_mut().adopt(limit, now);
+    }
     if origin == Origin::Link {
         answer_stats::check_uplink(node, &tables, attempt)?;
     }
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stoatstep_calls::{AttemptStatus, Deadline, Outcome, Reason, Refusal};
+use stoatstep_calls::{AttemptStatus, Deadline, KnownLimit, Outcome, Reason, Refusal};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -195,7 +195,7 @@
                     target.record_answer(&attempt.upstream, &actual);
                 });
             }
-            (End::Refused(refusal), arrived)
+            (End::Refused(by_limit(node, refusal)), arrived)
         }
     };
     RunOutcome {
@@ -206,11 +206,24 @@
     }
 }
 
+/// The reason for which the target refused: its limit, if it states one. Without a limit a
+/// target that refuses although it has a free slot is failing.
+fn by_limit(node: &Node, refusal: Refusal) -> Refusal {
+    let known = node.executor.tables.borrow().queue.limiter().known();
+    match (refusal.reason, known) {
+        (Reason::Shed, KnownLimit::Limited(_)) => Refusal {
+            reason: Reason::Limited,
+            ..refusal
+        },
+        _ => refusal,
+    }
+}
+
 fn log_failure(node: &Node, attempt: &Attempt, outcome: &RunOutcome) {
     let End::Refused(refusal) = &outcome.end else {
         return;
     };
-    let occupancy = node.executor.tables.borrow().queue.occupancy();
+    let occupancy = node.executor.occupancy(node.clock.now());
     let failed = RunFailed {
         call: &attempt.call,
         attempt: attempt.id,
--- a/crates/mesh/src/executor/slot.rs
+++ b/crates/mesh/src/executor/slot.rs
@@ -6,6 +6,7 @@
     AdmissionDecision, AttemptId, Deadline, Dispatch, QueueRequest, Reason, Refusal, Time,
 };
 use tokio::sync::oneshot;
+use tokio::time::sleep;
 
 use super::QUEUE_RETRY;
 use crate::mechanism::Mechanism;
@@ -64,6 +65,7 @@
     };
     let (verdict, evicted) = offer(node, ask, now);
     deliver(node, evicted);
+    schedule_start(node);
     if let AdmissionDecision::Refused(refusal) = verdict {
         return Err(refusal);
     }
@@ -94,10 +96,29 @@
 }
 
 /// Starts or refuses waiting attempts, as the queue decides now.
-pub(super) fn dispatch_waiting(node: &Node) {
+pub(super) fn dispatch_waiting(node: &Rc<Node>) {
     let now = node.clock.now();
     let dispatches = node.executor.tables.borrow_mut().queue.next(now);
     deliver(node, dispatches);
+    schedule_start(node);
+}
+
+/// Dispatches again when the target's limit lets the next waiting attempt start.
+fn schedule_start(node: &Rc<Node>) {
+    let now = node.clock.now();
+    let next_start = node.executor.tables.borrow().queue.next_start(now);
+    let Some(delay) = next_start else {
+        return;
+    };
+    if node.executor.is_start_scheduled.replace(true) {
+        return;
+    }
+    let node = Rc::clone(node);
+    ntex::rt::spawn(async move {
+        sleep(delay).await;
+        node.executor.is_start_scheduled.set(false);
+        dispatch_waiting(&node);
+    });
 }
 
 /// Refuses all waiting attempts.
--- a/crates/mesh/src/executor/statements.rs
+++ b/crates/mesh/src/executor/statements.rs
@@ -1,15 +1,25 @@
 //! What the target states about itself in its answers.
 
+use std::rc::Rc;
+
 use stoatstep_calls::{LimitStatement, TargetStatement};
 use stoatstep_resource::UpstreamName;
 use stoatstep_telemetry::fields;
 
+use super::slot;
 use crate::node::Node;
 
 /// Records what an answer of this generation of the target states, and logs it if the answer
 /// before stated something else.
-pub(super) fn record(node: &Node, upstream: &UpstreamName, statement: TargetStatement) {
+pub(super) fn record(node: &Rc<Node>, upstream: &UpstreamName, statement: TargetStatement) {
+    let now = node.clock.now();
     let mut tables = node.executor.tables.borrow_mut();
+    if tables.local_target.generation() != Some(upstream) {
+        return;
+    }
+    let was_known = tables.queue.limiter().known();
+    tables.queue.limiter_mut().record(statement.limit, now);
+    let is_changed = tables.queue.limiter().known() != was_known;
     let before = tables.stated.replace((upstream.clone(), statement));
     drop(tables);
     let before = before.filter(|(generation, _)| generation == upstream);
@@ -17,6 +27,9 @@
     if before != statement {
         log_change(node, upstream, before, statement);
     }
+    if is_changed {
+        slot::dispatch_waiting(node);
+    }
 }
 
 fn log_change(node: &Node, upstream: &str, before: TargetStatement, statement: TargetStatement) {
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -138,6 +138,7 @@
     ///
     /// `on_statement` gets what the head of an answer states about this generation of the
     /// target, before the body is read: a body can be cut short or last longer than the call.
+    /// It is not called if the request did not run and its answer states nothing.
     pub(super) async fn call(
         &self,
         attempt: &Attempt,
@@ -157,9 +158,8 @@
             };
             match connection.send(req).await {
                 Ok(res) => {
-                    // A misdirected request was answered by another generation.
-                    if res.status() != StatusCode::MISDIRECTED_REQUEST {
-                        on_statement(self.statement(res.headers()));
+                    if let Some(statement) = self.statement(res.status(), res.headers()) {
+                        on_statement(statement);
                     }
                     return self.read(attempt, connection, res).await;
                 }
@@ -174,7 +174,18 @@
         }
     }
 
-    fn statement(&self, headers: &HeaderMap) -> TargetStatement {
+    /// What an answer to a call states about the generation that the call was meant for. A
+    /// misdirected request was answered by another one.
+    fn statement(&self, status: StatusCode, headers: &HeaderMap) -> Option<TargetStatement> {
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return None;
+        }
+        let statement = self.decode_statement(headers);
+        let did_run = !headers.contains_key(&self.names.not_run);
+        (did_run || !statement.is_empty()).then_some(statement)
+    }
+
+    fn decode_statement(&self, headers: &HeaderMap) -> TargetStatement {
         let values = |name| headers.get_all(name).into_iter().map(HeaderValue::as_bytes);
         TargetStatement::decode(values(&self.names.limit), values(&self.names.leaving))
     }
@@ -198,7 +209,7 @@
         Some(Health {
             status: head.status,
             upstream: header_text(&head.headers, &self.names.upstream),
-            statement: self.statement(&head.headers),
+            statement: self.decode_statement(&head.headers),
         })
     }
 
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -172,10 +172,12 @@
     node.journal.gauge("members", members);
     node.journal
         .gauge("calls.in_flight", node.in_flight.get().into());
-    let occupancy = node.executor.occupancy();
+    let occupancy = node.executor.occupancy(node.clock.now());
     node.journal
         .gauge("queue.running", occupancy.running.into());
     node.journal.gauge("queue.waiting", occupancy.queued.into());
+    let is_limited = !occupancy.limit.interval.is_zero();
+    node.journal.gauge("target.limited", is_limited.into());
     let takes_calls = node.executor.accepts_calls(node.clock.now());
     node.journal.gauge("target.takes_calls", takes_calls.into());
     let follows_store = role::follows_store(node);
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -9,8 +9,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use stoatstep_calls::{
-    Answer, AttemptId, AttemptStatus, Fingerprint, Header, Occupancy, QuarantineFinding, Refusal,
-    Ticket, TokenGrant,
+    Answer, AttemptId, AttemptStatus, Fingerprint, Header, Occupancy, QuarantineFinding, RateLimit,
+    Refusal, Ticket, TokenGrant,
 };
 use stoatstep_membership::{ConfigId, GossipReply, GossipRequest, MemberKey};
 use stoatstep_resource::wire::{DifferenceWire, SnapshotWire};
@@ -255,6 +255,8 @@
     pub(crate) left: Duration,
     /// Time until an answer loses its full value; zero if that has passed.
     pub(crate) objective: Duration,
+    /// Limit that the target stated to the entry. The executor may have been restarted since.
+    pub(crate) limit: Option<RateLimit>,
     pub(crate) call: Rc<CallParts>,
 }
 
