Refuse calls that wait for a target's limit once they would be late

Cause: a waiting call that more urgent ones overtake was refused only when it could no longer meet its deadline. Slots make that rare, since the queue in front of them is short; a limit far below the slots makes it the rule.

Two tests fail without it.

--- a/crates/calls/src/queue.rs
+++ b/crates/calls/src/queue.rs
@@ -75,6 +75,14 @@
     pub limit: LimitReport,
 }
 
+#[derive(Clone, Debug)]
+struct Waiting {
+    request: QueueRequest,
+    /// Time by which it is to be answered if it waits for the target's limit: its objective, or
+    /// its deadline if its objective had passed when it came.
+    answer_by: Time,
+}
+
 #[derive(Clone, Debug)]
 struct Running {
     kind: SmolStr,
@@ -86,7 +94,7 @@
 pub struct Queue {
     slots: u32,
     running: BTreeMap<AttemptId, Running>,
-    waiting: Vec<QueueRequest>,
+    waiting: Vec<Waiting>,
     kinds: Kinds,
     limiter: TargetLimiter,
 }
@@ -168,13 +176,26 @@
         let ahead = self
             .waiting
             .iter()
+            .map(|it| &it.request)
             .filter(|it| self.precedes(it, &request, now));
         let wait = self.queue_wait(ahead, now);
         if !self.is_worth_queueing(&request, wait.time, now) {
             return (AdmissionDecision::Refused(wait.refusal()), Vec::new());
         }
-        self.waiting.push(request);
-        (AdmissionDecision::Wait, self.refuse_displaced(now))
+        let answer_by = if now < request.objective {
+            request.objective
+        } else {
+            request.expires
+        };
+        let attempt = request.attempt;
+        self.waiting.push(Waiting { request, answer_by });
+        let mut displaced = self.refuse_displaced(now);
+        let own = |it: &mut Dispatch| matches!(it, Dispatch::Refused(id, _) if *id == attempt);
+        let decision = match displaced.extract_if(.., own).next() {
+            Some(Dispatch::Refused(_, refusal)) => AdmissionDecision::Refused(refusal),
+            Some(Dispatch::Run(_)) | None => AdmissionDecision::Wait,
+        };
+        (decision, displaced)
     }
 
     /// The attempt's run ended by itself. Records its run time and frees its slot.
@@ -205,7 +226,7 @@
         while self.can_start(now)
             && let Some(index) = self.next_index(now)
         {
-            let request = self.waiting.swap_remove(index);
+            let Waiting { request, .. } = self.waiting.swap_remove(index);
             out.push(Dispatch::Run(request.attempt));
             self.start(&request, now);
         }
@@ -223,12 +244,12 @@
     /// Refuses all waiting calls with `reason`.
     pub fn flush(&mut self, reason: Reason) -> Vec<Dispatch> {
         let refusal = Refusal::retry(reason, MIN_RETRY_AFTER);
-        let refused = |request: QueueRequest| Dispatch::Refused(request.attempt, refusal);
+        let refused = |it: Waiting| Dispatch::Refused(it.request.attempt, refusal);
         self.waiting.drain(..).map(refused).collect()
     }
 
     fn cancel(&mut self, attempt: AttemptId) {
-        self.waiting.retain(|it| it.attempt != attempt);
+        self.waiting.retain(|it| it.request.attempt != attempt);
     }
 
     fn service(&self, kind: &str) -> Duration {
@@ -272,7 +293,7 @@
 
     fn next_index(&self, now: Time) -> Option<usize> {
         let indexed = self.waiting.iter().enumerate();
-        let first = indexed.min_by_key(|(_, request)| self.position(request, now));
+        let first = indexed.min_by_key(|(_, it)| self.position(&it.request, now));
         first.map(|(index, _)| index)
     }
 
@@ -324,25 +345,31 @@
 
     /// Refuses the calls that can no longer meet their deadline after a more urgent call
     /// was queued. They are refused now rather than when their deadline has passed, so
-    /// that their callers can still retry elsewhere.
+    /// that their callers can still retry elsewhere. Calls that wait for the target's limit are
+    /// refused if they can no longer meet their objective: the limit allows a number of calls
+    /// and not of runs, so a late answer would take the place of one in time.
     fn refuse_displaced(&mut self, now: Time) -> Vec<Dispatch> {
         let mut order: Vec<usize> = (0..self.waiting.len()).collect();
-        order.sort_by_key(|index| self.position(&self.waiting[*index], now));
+        order.sort_by_key(|index| self.position(&self.waiting[*index].request, now));
         let (mut count, mut ahead) = (0, Duration::ZERO);
         let mut out = Vec::new();
         for index in order {
-            let request = &self.waiting[index];
+            let Waiting { request, answer_by } = &self.waiting[index];
             let service = self.service(&request.kind);
             let wait = self.wait_after(count, ahead, now);
-            if now + wait.time + service < request.expires {
+            let bound = match wait.reason {
+                Reason::Limited => *answer_by,
+                _ => request.expires,
+            };
+            if now + wait.time + service < bound {
                 count += 1;
                 ahead += service;
             } else {
                 out.push((request.attempt, wait));
             }
         }
-        let displaced = |request: &QueueRequest| out.iter().any(|it| it.0 == request.attempt);
-        self.waiting.retain(|request| !displaced(request));
+        let displaced = |it: &Waiting| out.iter().any(|(id, _)| *id == it.request.attempt);
+        self.waiting.retain(|it| !displaced(it));
         let refused = |(attempt, wait): (_, Wait)| Dispatch::Refused(attempt, wait.refusal());
         out.into_iter().map(refused).collect()
     }
@@ -351,11 +378,12 @@
         let late: Vec<_> = self
             .waiting
             .iter()
+            .map(|it| &it.request)
             .filter(|request| now + self.service(&request.kind) >= request.expires)
             .map(|request| request.attempt)
             .collect();
         self.waiting
-            .retain(|request| !late.contains(&request.attempt));
+            .retain(|it| !late.contains(&it.request.attempt));
         let refusal = Refusal::retry(Reason::Deadline, MIN_RETRY_AFTER);
         let refused = |attempt| Dispatch::Refused(attempt, refusal);
         late.into_iter().map(refused).collect()
--- a/crates/calls/tests/all/queue.rs
+++ b/crates/calls/tests/all/queue.rs
@@ -421,3 +421,48 @@
     }
     assert!(started[&0] > 60 && started[&1] > 60, "{started:?}");
 }
+
+/// The answer would come after the objective although the wait is short. The refusal must be the
+/// decision itself: the attempt does not wait for a dispatch yet.
+#[test]
+fn a_call_that_would_be_late_by_the_limit_is_refused_by_the_decision() {
+    let mut queue = limited("25");
+    queue.offer(request(1, 0), Duration::ZERO);
+    assert_eq!(queue.next(ms(40)), [Dispatch::Run(1)]);
+    queue.release(1, ms(290));
+    for _ in 0..5 {
+        queue.limiter_mut().record_sent(ms(290));
+    }
+    assert_eq!(queue.limiter().wait(0, ms(290)), ms(40));
+    let late = QueueRequest {
+        objective: ms(540),
+        expires: ms(1_290),
+        ..request(2, 0)
+    };
+    let (decision, displaced) = queue.offer(late, ms(290));
+    assert_eq!(reason(decision), Some(Reason::Limited));
+    assert!(displaced.is_empty(), "{displaced:?}");
+}
+
+/// More urgent calls use up the limit. A call behind them used to be held until its deadline.
+#[test]
+fn a_call_that_more_urgent_ones_make_late_by_the_limit_is_refused_then() {
+    let mut queue = limited("25");
+    assert_eq!(
+        queue.offer(request(1, 2), Duration::ZERO).0,
+        AdmissionDecision::Wait
+    );
+    let mut now = Duration::ZERO;
+    for attempt in 2..40 {
+        now += ms(20);
+        let (_, mut dispatches) = queue.offer(request(attempt, 0), now);
+        dispatches.extend(queue.next(now));
+        let refused = |it: &&Dispatch| matches!(it, Dispatch::Refused(1, _));
+        if let Some(Dispatch::Refused(_, refusal)) = dispatches.iter().find(refused) {
+            assert_eq!(refusal.reason, Reason::Limited);
+            assert!(now <= ms(300), "{now:?}");
+            return;
+        }
+    }
+    panic!("the call still waits");
+}
