Send no calls to a target after it stated that it leaves

A target that leaves says so in its answers, before or beside its heartbeats, and a call sent later than the drain time after such an answer may not reach it from a daemon that passed the answer on.

Cause: a departure was learned from heartbeats and deregistrations only. The executor now handles the statement as a departure of that generation, which its peers learn from it. The entry that got the answer excludes the target by name and for good, since the executor may be replaced by a process that knows of nothing, and membership may lose and find the target again.

--- a/crates/calls/src/candidates.rs
+++ b/crates/calls/src/candidates.rs
@@ -3,6 +3,7 @@
 //!
 //! The router and the placement keep their statistics of an upstream in [`Row::stats`].
 
+mod departed;
 mod ejection;
 
 use std::collections::BTreeMap;
@@ -13,6 +14,7 @@
 use stoatstep_resource::{ServiceName, UpstreamName, ZoneName};
 
 use crate::ids::{Incarnation, Time};
+use departed::Departed;
 pub(crate) use ejection::{Ejection, EjectionDurations};
 
 /// Time for which an upstream counts as leaving after it refused an attempt for that
@@ -96,6 +98,8 @@
     incarnation: Incarnation,
     state: CandidateState,
     leaving_until: Time,
+    /// Whether the target has stated that it leaves.
+    has_departed: bool,
 }
 
 impl<S: Default> Row<S> {
@@ -112,15 +116,18 @@
             incarnation: candidate.incarnation,
             state: candidate.state,
             leaving_until: Time::ZERO,
+            has_departed: false,
         }
     }
 
     fn update(&mut self, candidate: &Candidate, now: Time) {
         if self.incarnation != candidate.incarnation {
             // Failures, load and retry delays belong to the previous process.
-            let in_flight = self.in_flight;
-            *self = Self::new(candidate, now);
-            self.in_flight = in_flight;
+            *self = Self {
+                in_flight: self.in_flight,
+                has_departed: self.has_departed,
+                ..Self::new(candidate, now)
+            };
             return;
         }
         self.zone = candidate.zone.clone();
@@ -135,7 +142,7 @@
     }
 
     fn is_leaving(&self, now: Time) -> bool {
-        self.state == CandidateState::Leaving || now < self.leaving_until
+        self.has_departed || self.state == CandidateState::Leaving || now < self.leaving_until
     }
 
     fn is_healthy(&self, now: Time) -> bool {
@@ -148,6 +155,7 @@
 pub(crate) struct Candidates<S> {
     zone: ZoneName,
     services: BTreeMap<ServiceName, BTreeMap<UpstreamName, Row<S>>>,
+    departed: Departed,
 }
 
 /// The upstreams that an attempt may be sent to.
@@ -160,8 +168,11 @@
 
 impl<S: Default> Candidates<S> {
     pub(crate) fn new(zone: ZoneName) -> Self {
-        let services = BTreeMap::new();
-        Self { zone, services }
+        Self {
+            zone,
+            services: BTreeMap::new(),
+            departed: Departed::default(),
+        }
     }
 
     /// Replaces the candidates of a service. The statistics of those that remain are kept.
@@ -170,11 +181,23 @@
         rows.retain(|name, _| list.iter().any(|it| it.upstream == *name));
         for candidate in list {
             rows.entry(candidate.upstream.clone())
-                .or_insert_with(|| Row::new(candidate, now))
+                .or_insert_with(|| Row {
+                    has_departed: self.departed.contains(&candidate.upstream),
+                    ..Row::new(candidate, now)
+                })
                 .update(candidate, now);
         }
     }
 
+    /// The upstream has stated that it leaves, so it must get no calls again. Returns whether
+    /// that was unknown.
+    pub(crate) fn depart(&mut self, service: &ServiceName, upstream: &UpstreamName) -> bool {
+        if let Some(row) = self.row(service, upstream) {
+            row.has_departed = true;
+        }
+        self.departed.insert(upstream)
+    }
+
     /// Removes the services for which `keep` returns false.
     pub(crate) fn retain_services(&mut self, keep: impl Fn(&ServiceName) -> bool) {
         self.services.retain(|name, _| keep(name));
--- a/crates/calls/src/placement.rs
+++ b/crates/calls/src/placement.rs
@@ -200,6 +200,12 @@
         stats::finished(row, feedback, occupancy, may_eject, now)
     }
 
+    /// A target has stated that it leaves. It is never selected again, whatever its daemon or
+    /// membership say of it. Returns whether that was unknown.
+    pub fn depart(&mut self, service: &ServiceName, upstream: &UpstreamName) -> bool {
+        self.candidates.depart(service, upstream)
+    }
+
     /// Targets of a service that are currently ejected.
     #[must_use]
     pub fn ejected(&self, service: &ServiceName, now: Time) -> Vec<UpstreamName> {
--- a/crates/calls/tests/all/placement.rs
+++ b/crates/calls/tests/all/placement.rs
@@ -398,3 +398,29 @@
     let later = NOW + MS * 160;
     assert!(entry.shares(later).contains_key("limited"));
 }
+
+/// The target has stated in an answer that it leaves. Then its daemon restarts and reports it as
+/// ready again, or membership loses it for a while.
+#[test]
+fn a_target_that_stated_that_it_leaves_gets_no_calls_again() {
+    let list = [candidate("leaves", "a"), candidate("stays", "b")];
+    let mut entry = Entry::new(&list);
+    let leaves: UpstreamName = "leaves".into();
+    assert!(entry.placement.depart(&service(), &leaves));
+    assert!(!entry.placement.depart(&service(), &leaves));
+    assert!(!entry.shares(NOW).contains_key("leaves"));
+    let restarted = Candidate {
+        incarnation: 2,
+        ..list[0].clone()
+    };
+    let with_restarted = [restarted, list[1].clone()];
+    entry
+        .placement
+        .set_candidates(&service(), &with_restarted, NOW);
+    assert!(!entry.shares(NOW).contains_key("leaves"));
+    entry.placement.set_candidates(&service(), &list[1..], NOW);
+    entry
+        .placement
+        .set_candidates(&service(), &with_restarted, NOW);
+    assert!(!entry.shares(NOW).contains_key("leaves"));
+}
--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -6,7 +6,8 @@
 
 use rand::RngExt;
 use stoatstep_calls::{
-    AttemptFeedback, AttemptId, KnownLimit, Occupancy, Reason, Refusal, Ticket, Time,
+    Answer, AttemptFeedback, AttemptId, KnownLimit, Occupancy, Reason, Refusal, TargetStatement,
+    Ticket, Time,
 };
 use stoatstep_resource::UpstreamName;
 use stoatstep_telemetry::fields;
@@ -81,12 +82,38 @@
         feedback => feedback,
     };
     guard.occupancy = occupancy;
+    if let End::Answered(answer) = &outcome.end
+        && states_departure(node, answer)
+    {
+        record_departure(node, call, upstream);
+    }
     if let Some(occupancy) = occupancy {
         record_limit(node, upstream, occupancy.limit.known);
     }
     outcome
 }
 
+fn states_departure(node: &Node, answer: &Answer) -> bool {
+    let name = &node.cfg.header_names.leaving;
+    let named = answer.headers.iter().filter(|it| it.name == *name);
+    let values = named.map(|it| it.value.as_slice());
+    TargetStatement::decode([], values).is_leaving
+}
+
+/// Excludes a target that has stated to this entry that it leaves. Its executor refuses calls
+/// from then on as well, but may be replaced by a process that does not know.
+fn record_departure(node: &Node, call: &Call, upstream: &UpstreamName) {
+    let service = &call.parts.service;
+    let mut tables = node.entry.tables.borrow_mut();
+    let is_new = tables.placement.depart(service, upstream);
+    drop(tables);
+    if is_new {
+        slog::info!(node.log, "target has stated that it leaves";
+            fields::UPSTREAM => %upstream, fields::SERVICE => %service,
+            fields::REQUEST => %call.parts.request_id);
+    }
+}
+
 /// Keeps the limit that the target's executor reports, for the executor's next process. One
 /// that has just started knows none and changes nothing.
 fn record_limit(node: &Node, upstream: &UpstreamName, known: KnownLimit) {
--- a/crates/mesh/src/executor/statements.rs
+++ b/crates/mesh/src/executor/statements.rs
@@ -6,7 +6,8 @@
 use stoatstep_resource::UpstreamName;
 use stoatstep_telemetry::fields;
 
-use super::slot;
+use super::{heartbeat, slot};
+use crate::fleet::gossip;
 use crate::node::Node;
 
 /// Records what an answer of this generation of the target states, and logs it if the answer
@@ -30,6 +31,10 @@
     if is_changed {
         slot::dispatch_waiting(node);
     }
+    if statement.is_leaving {
+        heartbeat::mark_leaving(node, upstream);
+        gossip::target_changed(node);
+    }
 }
 
 fn log_change(node: &Node, upstream: &str, before: TargetStatement, statement: TargetStatement) {
