Keep stoatstepd's targets within the limits that they state as well

They have two headers now, `stoatstep-limit` and `stoatstep-leaving`, with the same decision type (TargetLimiter) in Admission. Entries keep the limits that executors report and send them along, so a restarted daemon knows the limit before its target has answered. A target that states that it leaves gets no calls until a health answer of the process that follows it does not say so.

The stand-in target has both (`limit` and `leaves` in POST /admin/behaviour).

--- a/crates/calls/src/admission/mod.rs
+++ b/crates/calls/src/admission/mod.rs
@@ -5,6 +5,9 @@
 //! nearly all work would end like that under overload. A call that cannot finish before
 //! its deadline is therefore refused on arrival, when another executor may still have
 //! time for it. See `docs/design/calls.md`.
+//!
+//! Calls start no faster than the limit that the target states allows, and the time until
+//! they may start counts as waiting time.
 
 mod active_tenants;
 mod shares;
@@ -19,6 +22,7 @@
 use crate::estimate::Estimate;
 use crate::ids::{AttemptId, Time};
 use crate::refusal::{Reason, Refusal};
+use crate::target_limiter::TargetLimiter;
 use active_tenants::ActiveTenants;
 use shares::Shares;
 
@@ -43,6 +47,7 @@
     shares: Shares,
     active_tenants: ActiveTenants,
     service: BTreeMap<Class, Estimate>,
+    limiter: TargetLimiter,
 }
 
 impl Admission {
@@ -56,6 +61,7 @@
             shares: Shares::default(),
             active_tenants: ActiveTenants::default(),
             service: BTreeMap::new(),
+            limiter: TargetLimiter::default(),
         }
     }
 
@@ -64,13 +70,26 @@
         self.cfg = cfg;
     }
 
+    /// The limiter of the requests to the target.
+    #[must_use]
+    pub fn limiter(&self) -> &TargetLimiter {
+        &self.limiter
+    }
+
+    /// The limiter of the requests to the target, for what the target states. If that changes
+    /// the limit, [`next`](Self::next) must be called.
+    pub fn limiter_mut(&mut self) -> &mut TargetLimiter {
+        &mut self.limiter
+    }
+
     /// Returns the current load.
     #[must_use]
-    pub fn load(&self) -> Load {
+    pub fn load(&self, now: Time) -> Load {
         Load {
             running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
             queued: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
             slots: self.cfg.slots,
+            limit: self.limiter.report(self.waiting.len(), now),
         }
     }
 
@@ -88,16 +107,17 @@
             let refusal = Refusal::retry(Reason::Deadline, MIN_RETRY_AFTER);
             return (AdmissionDecision::Refused(refusal), Vec::new());
         }
-        if self.waiting.is_empty() && self.may_run(&request) {
+        if self.waiting.is_empty() && self.may_run(&request, now) {
             self.start(request, now);
             return (AdmissionDecision::Run, Vec::new());
         }
-        let wait = self.expected_wait(&request);
+        let turns = self.turns_until(&request);
+        let refusal = self.refusal(&request, turns, now);
+        let wait = self.expected_wait(&request, turns, now);
         if now + wait + service >= request.expires || self.has_used_queue_share(&request) {
-            let refusal = overload(wait);
             return (AdmissionDecision::Refused(refusal), Vec::new());
         }
-        self.enqueue(request, wait)
+        self.enqueue(request, refusal)
     }
 
     /// The attempt ended. If it had a slot, records its run time and frees the slot;
@@ -126,7 +146,8 @@
     /// deadline. Must be called after each release and on each tick.
     pub fn next(&mut self, now: Time) -> Vec<Dispatch> {
         let mut out = self.refuse_expired(now);
-        while let Some(index) = self.next_index() {
+        out.extend(self.refuse_limited(now));
+        while let Some(index) = self.next_index(now) {
             let request = self.waiting.swap_remove(index);
             out.push(Dispatch::Run(request.attempt));
             self.start(request, now);
@@ -157,9 +178,14 @@
         self.running.is_empty() && self.waiting.is_empty() && now < request.expires
     }
 
-    fn may_run(&self, request: &AdmissionRequest) -> bool {
-        let free = self.running.len() < self.cfg.slots as usize;
-        free && self.is_below_concurrency(request)
+    fn may_run(&self, request: &AdmissionRequest, now: Time) -> bool {
+        self.can_start(now) && self.is_below_concurrency(request)
+    }
+
+    /// Whether a slot is free and the target's limit lets a call start.
+    fn can_start(&self, now: Time) -> bool {
+        let is_free = self.running.len() < self.cfg.slots as usize;
+        is_free && self.limiter.wait(0, now).is_zero()
     }
 
     fn is_below_concurrency(&self, request: &AdmissionRequest) -> bool {
@@ -171,6 +197,7 @@
     }
 
     fn start(&mut self, request: AdmissionRequest, now: Time) {
+        self.limiter.record_sent(now);
         self.shares
             .charge(request.class, &request.tenant, request.weight);
         let run = Running {
@@ -184,8 +211,8 @@
     /// The waiting attempt to start next: from the class that is furthest behind its
     /// share, in it the tenant that is furthest behind its own, and of that tenant the
     /// attempt with the earliest deadline.
-    fn next_index(&self) -> Option<usize> {
-        if self.running.len() >= self.cfg.slots as usize {
+    fn next_index(&self, now: Time) -> Option<usize> {
+        if !self.can_start(now) {
             return None;
         }
         let indexed = self.waiting.iter().enumerate();
@@ -214,18 +241,60 @@
         self.waiting.extract_if(.., late).map(refused).collect()
     }
 
-    /// Estimated time until `request` starts. It goes after all that waits in its class and in
-    /// more urgent ones, unless its tenant's share lets it start earlier.
-    fn expected_wait(&self, request: &AdmissionRequest) -> Duration {
+    /// Refuses the waiting attempts that the target's limit leaves no time for. The limit may
+    /// have fallen since they were queued.
+    fn refuse_limited(&mut self, now: Time) -> Vec<Dispatch> {
+        if !self.limiter.is_active(now) {
+            return Vec::new();
+        }
+        let is_late = |(index, request): &(usize, &AdmissionRequest)| {
+            let earlier = self.waiting[..*index].iter();
+            let more_urgent = self.waiting.iter().filter(|it| it.class < request.class);
+            let ahead = earlier.filter(|it| it.class == request.class).count();
+            let wait = self.limiter.wait(ahead + more_urgent.count(), now);
+            now + wait + self.service_time(request.class) >= request.expires
+        };
+        let late: Vec<_> = self.waiting.iter().enumerate().filter(is_late).collect();
+        let late: Vec<_> = late.into_iter().map(|(_, it)| it.attempt).collect();
+        let refusal = limited(self.limiter.wait(self.waiting.len(), now));
+        self.waiting.retain(|it| !late.contains(&it.attempt));
+        let refused = |attempt| Dispatch::Refused(attempt, refusal);
+        late.into_iter().map(refused).collect()
+    }
+
+    /// Calls after which `request` starts, itself included. It goes after all that waits in its
+    /// class and in more urgent ones, unless its tenant's share lets it start earlier.
+    fn turns_until(&self, request: &AdmissionRequest) -> usize {
         let ahead = self.waiting.iter().filter(|it| it.class <= request.class);
         let all = ahead.count();
         let own = self.waiting.iter().filter(|it| it.tenant == request.tenant);
         let own = own.count() + 1;
         let fair = own * self.queued_weight(request) / request.weight.max(1) as usize;
-        let turns = u32::try_from((all + 1).min(fair)).unwrap_or(u32::MAX);
+        (all + 1).min(fair)
+    }
+
+    /// Estimated time until `request` starts after this number of turns.
+    fn expected_wait(&self, request: &AdmissionRequest, turns: usize, now: Time) -> Duration {
+        let for_limit = self.limiter.wait(turns.saturating_sub(1), now);
+        self.wait_for_slot(request, turns).max(for_limit)
+    }
+
+    fn wait_for_slot(&self, request: &AdmissionRequest, turns: usize) -> Duration {
+        let turns = u32::try_from(turns).unwrap_or(u32::MAX);
         self.service_time(request.class) * turns / self.cfg.slots.max(1)
     }
 
+    /// The refusal of `request` if it would wait for this number of turns.
+    fn refusal(&self, request: &AdmissionRequest, turns: usize, now: Time) -> Refusal {
+        let for_slot = self.wait_for_slot(request, turns);
+        let for_limit = self.limiter.wait(turns.saturating_sub(1), now);
+        if for_limit > for_slot {
+            limited(for_limit)
+        } else {
+            overload(for_slot)
+        }
+    }
+
     /// Whether the tenant already uses its whole share of the queue, among the recently
     /// active tenants. A call beyond the share would be evicted as soon as the other
     /// tenants send calls again; it is better refused on arrival than after a wait.
@@ -249,13 +318,12 @@
     fn enqueue(
         &mut self,
         request: AdmissionRequest,
-        wait: Duration,
+        refusal: Refusal,
     ) -> (AdmissionDecision, Vec<Dispatch>) {
         if self.waiting.len() < self.cfg.queue {
             self.waiting.push(request);
             return (AdmissionDecision::Wait, Vec::new());
         }
-        let refusal = overload(wait);
         // Without eviction, a tenant that floods the queue would cause every call of the
         // others to be refused on arrival, whatever their shares are.
         let Some(index) = self.eviction_candidate(&request) else {
@@ -287,6 +355,10 @@
     }
 }
 
+fn limited(wait: Duration) -> Refusal {
+    Refusal::retry(Reason::Limited, wait.max(MIN_RETRY_AFTER))
+}
+
 fn overload(wait: Duration) -> Refusal {
     Refusal::retry(Reason::Overload, wait.max(MIN_RETRY_AFTER))
 }
--- a/crates/calls/src/admission/types.rs
+++ b/crates/calls/src/admission/types.rs
@@ -6,6 +6,7 @@
 use crate::class::Class;
 use crate::ids::{AttemptId, Time};
 use crate::refusal::Refusal;
+use crate::target_limiter::LimitReport;
 
 /// Limits of an [`Admission`](super::Admission).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -73,4 +74,6 @@
     pub queued: u32,
     /// Calls that the target can run at a time.
     pub slots: u32,
+    /// The limit that the target states, and when one more call may start by it.
+    pub limit: LimitReport,
 }
--- a/crates/calls/src/router/stats.rs
+++ b/crates/calls/src/router/stats.rs
@@ -20,7 +20,11 @@
 /// Upper bound on the delay after a refusal, whatever the upstream requested.
 const MAX_DELAY: Duration = Duration::from_secs(1);
 
-/// Score added during the delay that an upstream requested.
+/// Age at which a reported wait for the target's limit expires.
+const LIMIT_MAX_AGE: Duration = Duration::from_secs(3);
+
+/// Score added during the delay that an upstream requested, and while the limit of its target
+/// leaves no room.
 const REFUSED_SCORE: f64 = 1.0;
 
 /// Failures in a row after which an upstream is ejected.
@@ -52,7 +56,9 @@
     let reported = f64::from(stats.reported.running + stats.reported.queued) * fresh;
     let own = f64::from(row.in_flight);
     let slots = f64::from(row.slots.max(1)) * share(row, now);
-    let delay_score = if now < stats.delayed_until {
+    let limit = &stats.reported.limit;
+    let is_limited = age < LIMIT_MAX_AGE && age < limit.wait;
+    let delay_score = if now < stats.delayed_until || is_limited {
         REFUSED_SCORE
     } else {
         0.0
--- a/crates/calls/tests/all/admission.rs
+++ b/crates/calls/tests/all/admission.rs
@@ -3,7 +3,7 @@
 
 use stoatstep_calls::{
     Admission, AdmissionConfig, AdmissionDecision, AdmissionRequest, AttemptId, Class, Dispatch,
-    Reason,
+    LimitStatement, Reason,
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -155,7 +155,7 @@
     for attempt in 1..50 {
         admission.offer(patient(attempt, "flood"), late);
     }
-    assert_eq!(admission.load().queued, 8);
+    assert_eq!(admission.load(Duration::ZERO).queued, 8);
     let (decision, out) = admission.offer(patient(100, "small"), late);
     assert_eq!(decision, AdmissionDecision::Wait);
     assert_eq!(out.len(), 1, "one of the flood makes room");
@@ -178,7 +178,7 @@
     }
     assert_eq!(evicted, 0);
     // The tenant of the warm-up was recently active too, so each may use a third.
-    assert_eq!(admission.load().queued, 8);
+    assert_eq!(admission.load(Duration::ZERO).queued, 8);
 }
 
 #[test]
@@ -245,7 +245,7 @@
     }
     let flushed = admission.flush(Reason::Woke);
     assert_eq!(flushed.len(), 3);
-    assert_eq!(admission.load().queued, 0);
+    assert_eq!(admission.load(Duration::ZERO).queued, 0);
 }
 
 // At twice the capacity, with deadlines of ten run times, nearly all the time of the slots
@@ -294,3 +294,51 @@
         "least tenant got {least} of {total}"
     );
 }
+
+fn state_limit(admission: &mut Admission, limit: &str, now: Duration) {
+    let limit = LimitStatement::Limit(limit.parse().expect("a rate"));
+    admission.limiter_mut().record(limit, now);
+}
+
+/// All slots are free, and the target states a limit below what they can run.
+#[test]
+fn calls_start_at_the_rate_of_the_targets_limit() {
+    let mut admission = measured(8, 32);
+    state_limit(&mut admission, "25", Duration::ZERO);
+    for attempt in 1..=2 {
+        let (decision, _) = admission.offer(request(attempt, "school"), Duration::ZERO);
+        assert_eq!(decision, AdmissionDecision::Wait);
+    }
+    assert_eq!(admission.next(MS * 39), []);
+    assert_eq!(admission.next(MS * 40), [Dispatch::Run(1)]);
+    assert_eq!(admission.next(MS * 79), []);
+    let hurried = AdmissionRequest {
+        expires: MS * 100,
+        ..request(3, "school")
+    };
+    let (decision, _) = admission.offer(hurried, MS * 79);
+    assert_eq!(refusal(decision), Some(Reason::Limited));
+    assert_eq!(admission.next(MS * 80), [Dispatch::Run(2)]);
+}
+
+/// The limit falls while calls wait. Those that it leaves no time for are refused then, and not
+/// when their deadline has passed.
+#[test]
+fn calls_that_a_lower_limit_leaves_no_time_for_are_refused() {
+    let mut admission = measured(8, 32);
+    state_limit(&mut admission, "25", Duration::ZERO);
+    for attempt in 1..=3 {
+        let hurried = AdmissionRequest {
+            expires: MS * 500,
+            ..request(attempt, "school")
+        };
+        let (decision, _) = admission.offer(hurried, Duration::ZERO);
+        assert_eq!(decision, AdmissionDecision::Wait);
+    }
+    state_limit(&mut admission, "0.5", MS * 5);
+    let dispatches = admission.next(MS * 40);
+    let refused =
+        |it: &&Dispatch| matches!(it, Dispatch::Refused(_, it) if it.reason == Reason::Limited);
+    assert_eq!(dispatches.iter().filter(refused).count(), 2);
+    assert_eq!(admission.load(MS * 40).queued, 0);
+}
--- a/crates/calls/tests/all/router.rs
+++ b/crates/calls/tests/all/router.rs
@@ -4,7 +4,7 @@
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use smol_str::{SmolStr, format_smolstr};
-use stoatstep_calls::{Candidate, CandidateState, Load, Report, Router};
+use stoatstep_calls::{Candidate, CandidateState, LimitReport, Load, Report, Router};
 
 const MS: Duration = Duration::from_millis(1);
 const WARM: Duration = Duration::from_mins(1);
@@ -78,6 +78,7 @@
         running: 10,
         queued: 10,
         slots: 10,
+        limit: LimitReport::default(),
     };
     router.started(&SERVICE, &"a0".into());
     router.finished(&SERVICE, &"a0".into(), Report::Answered(Some(busy)), WARM);
--- a/crates/daemon/src/call/attempt.rs
+++ b/crates/daemon/src/call/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ntex::util::{Either, select};
-use stoatstep_calls::{Deadline, Load, Outcome, Reason, Refusal, Report};
+use stoatstep_calls::{Deadline, KnownLimit, Load, Outcome, Reason, Refusal, Report};
 
 use super::executor;
 use super::peers::PeerError;
@@ -78,10 +78,12 @@
     } else {
         node.calls.peers.ticket(addr)
     };
+    let limit = node.calls.entry.borrow().limits.get(&addr).copied();
     let wire = WireAttempt {
         attempt: node.calls.entry.borrow_mut().attempt_id(),
         ticket,
         left_us: executor::micros(left),
+        limit,
         call: Rc::clone(&call.parts),
     };
     if own {
@@ -142,6 +144,7 @@
     match select(sent, watch).await {
         Either::Left(Ok(reply)) => {
             peers.set_ticket(remote.addr, reply.ticket);
+            record_limit(node, remote.addr, reply.load.limit.known);
             outcome_of(reply)
         }
         Either::Left(Err(PeerError::NotSent)) => {
@@ -168,6 +171,21 @@
     }
 }
 
+/// Keeps the limit that a daemon's target states, for the daemon's next process. One that has
+/// just started knows none and changes nothing.
+fn record_limit(node: &Node, addr: SocketAddr, known: KnownLimit) {
+    let limits = &mut node.calls.entry.borrow_mut().limits;
+    match known {
+        KnownLimit::Unknown => {}
+        KnownLimit::Unlimited => {
+            limits.remove(&addr);
+        }
+        KnownLimit::Limited(limit) => {
+            limits.insert(addr, limit);
+        }
+    }
+}
+
 fn outcome_of(reply: WireReply) -> AttemptOutcome {
     let load = Some(reply.load);
     let end = match reply.end {
@@ -191,9 +209,10 @@
         (Reason::Draining, _) => Report::Leaving,
         // The daemon is reachable, but its target is not, or the target's answers break off.
         (Reason::NoUpstream | Reason::LostAnswer, _) => Report::Failed,
-        (Reason::Overload | Reason::Shed | Reason::Woke | Reason::Deadline, _) => {
-            Report::Refused(load, refusal.retry_after.unwrap_or_default())
-        }
+        (
+            Reason::Overload | Reason::Limited | Reason::Shed | Reason::Woke | Reason::Deadline,
+            _,
+        ) => Report::Refused(load, refusal.retry_after.unwrap_or_default()),
         (_, Outcome::Answered | Outcome::NotRun | Outcome::Unknown) => Report::Cancelled,
     }
 }
--- a/crates/daemon/src/call/executor.rs
+++ b/crates/daemon/src/call/executor.rs
@@ -60,12 +60,15 @@
 }
 
 fn accept(node: &Rc<Node>, attempt: &Attempt) -> Result<(), RunEnd> {
-    if !node.calls.drain.borrow().admits() {
+    if !node.calls.drain.borrow().admits() || node.calls.target_leaves.get() {
         let refusal = Refusal::retry(Reason::Draining, DRAINING_RETRY);
         return Err(RunEnd::Refused(refusal));
     }
     let now = node.calls.clock.now();
     let mut tables = node.calls.executor.borrow_mut();
+    if let Some(limit) = attempt.limit {
+        tables.admission.limiter_mut().adopt(limit, now);
+    }
     match tables.ledger.arrive(attempt.id, attempt.ticket, now) {
         Arrival::New => Ok(()),
         Arrival::Refused(refusal) => Err(RunEnd::Refused(refusal)),
@@ -94,7 +97,7 @@
     let tables = node.calls.executor.borrow();
     WireReply {
         ticket: tables.ledger.ticket(now),
-        load: tables.admission.load(),
+        load: tables.admission.load(now),
         queue_us: micros(outcome.queue),
         target_us: micros(outcome.target),
         end: match outcome.end {
--- a/crates/daemon/src/call/headers.rs
+++ b/crates/daemon/src/call/headers.rs
@@ -16,6 +16,12 @@
 pub(super) const VERSION: &str = "stoatstep-version";
 pub(super) const SHED: &str = "stoatstep-shed";
 
+/// In an answer of the target: requests per second that it accepts from all daemons together.
+pub(super) const LIMIT: &str = "stoatstep-limit";
+
+/// In an answer of the target: it leaves and must get no new calls.
+pub(super) const LEAVING: &str = "stoatstep-leaving";
+
 /// Holds a short message between daemons, which is then sent without a body.
 pub(super) const MESSAGE: &str = "stoatstep-message";
 
--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -21,6 +21,7 @@
 mod run;
 mod settle;
 mod slot;
+mod statements;
 mod sync;
 mod tables;
 mod target;
@@ -66,6 +67,10 @@
     has_home: Cell<bool>,
     /// Set once the drain has ended and the keys are being handed over.
     leaving: Cell<bool>,
+    /// Whether the target states that it leaves.
+    target_leaves: Cell<bool>,
+    /// Whether a health request to a target that leaves is in progress.
+    is_checking_target: Cell<bool>,
     pub(crate) histograms: RefCell<Histograms>,
 }
 
@@ -82,6 +87,8 @@
             home_row: Cell::new(None),
             has_home: Cell::new(false),
             leaving: Cell::new(false),
+            target_leaves: Cell::new(false),
+            is_checking_target: Cell::new(false),
             timers: Timers::default(),
             histograms: RefCell::new(Histograms::new(MAX_TENANTS)),
             clock,
--- a/crates/daemon/src/call/run.rs
+++ b/crates/daemon/src/call/run.rs
@@ -12,7 +12,7 @@
 use super::keyed::{self, KeyResolution};
 use super::target::RunEnd;
 use super::wire::Attempt;
-use super::{slot, tables};
+use super::{slot, statements, tables};
 use crate::node::Node;
 
 /// Largest answer that the ledger and the table of idempotency keys keep.
@@ -138,10 +138,11 @@
     };
     let target = node.calls.target.borrow().clone();
     let due = started + timeout;
+    let on_statement = |it| statements::record(node, it);
     let end = node
         .calls
         .timers
-        .run_until(due, target.call(attempt, left))
+        .run_until(due, target.call(attempt, left, on_statement))
         .await;
     let end = end.unwrap_or(RunEnd::refused(Reason::TimedOut));
     if matches!(end, RunEnd::Done(_)) {
--- a/crates/daemon/src/call/sync.rs
+++ b/crates/daemon/src/call/sync.rs
@@ -79,9 +79,10 @@
     let is_known = |name: &ServiceName| sets.iter().any(|(it, _)| it == name);
     tables.router.retain_services(is_known);
     tables.budgets.retain(|name, _| is_known(name));
-    drop(tables);
     let members = node.control.members();
     let is_member = |addr| members.iter().any(|it| it.peer_addr == addr);
+    tables.limits.retain(|addr, _| is_member(*addr));
+    drop(tables);
     node.calls.peers.retain(is_member);
 }
 
--- a/crates/daemon/src/call/tables.rs
+++ b/crates/daemon/src/call/tables.rs
@@ -1,13 +1,14 @@
 //! Tables of the entry and of the executor.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use ntex::channel::oneshot;
 use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use stoatstep_calls::{
     Admission, AdmissionConfig, AttemptId, HomeHistory, IdempotencyConfig, IdempotencyTable,
-    Incarnation, Ledger, LedgerConfig, Refusal, RetryBudget, Router,
+    Incarnation, Ledger, LedgerConfig, RateLimit, Refusal, RetryBudget, Router,
 };
 use stoatstep_resource::{ServiceName, Version};
 
@@ -22,6 +23,8 @@
 pub(super) struct EntryTables {
     pub(super) router: Router,
     pub(super) budgets: BTreeMap<ServiceName, RetryBudget>,
+    /// The limits that the targets beside these daemons stated.
+    pub(super) limits: BTreeMap<SocketAddr, RateLimit>,
     pub(super) rng: Xoshiro256PlusPlus,
 }
 
@@ -30,6 +33,7 @@
         Self {
             router: Router::new(cfg.zone.clone()),
             budgets: BTreeMap::new(),
+            limits: BTreeMap::new(),
             rng: Xoshiro256PlusPlus::from_rng(&mut rand::rng()),
         }
     }
--- a/crates/daemon/src/call/target.rs
+++ b/crates/daemon/src/call/target.rs
@@ -7,10 +7,12 @@
 use ntex::client::{Client, ClientRequest, ClientResponse, Connector};
 use ntex::http::StatusCode;
 use ntex::http::body::Body;
+use ntex::http::header::HeaderValue;
 use ntex::io::IoConfig;
 use ntex::time::{Millis, Seconds};
 use smol_str::ToSmolStr;
-use stoatstep_calls::{Answer, Header, Reason, Refusal};
+use stoatstep_calls::{Answer, Header, Reason, Refusal, TargetStatement};
+use stoatstep_resource::HEALTH_PATH;
 
 use super::headers;
 use super::peers::{TrackedBody, never_connected};
@@ -91,7 +93,15 @@
 
     /// Runs an attempt. Dropping the future closes the connection, by which the target sees that
     /// the attempt was cancelled.
-    pub(super) async fn call(&self, attempt: &Attempt, left: Duration) -> RunEnd {
+    ///
+    /// `on_statement` gets what the head of an answer states about the target. It is not called
+    /// if the target refused the request and states nothing.
+    pub(super) async fn call(
+        &self,
+        attempt: &Attempt,
+        left: Duration,
+        on_statement: impl Fn(TargetStatement),
+    ) -> RunEnd {
         let req = self.request(attempt, left);
         let (body, sent) = TrackedBody::new(attempt.call.body.clone());
         let empty = attempt.call.body.is_empty();
@@ -101,7 +111,13 @@
             req.send_body(Body::from_message(body)).await
         };
         match answer {
-            Ok(answer) => read_answer(answer).await,
+            Ok(answer) => {
+                let statement = statement(&answer);
+                if !is_shed(&answer) || !statement.is_empty() {
+                    on_statement(statement);
+                }
+                read_answer(answer).await
+            }
             Err(err) if never_connected(&err) || !(empty || sent.get()) => {
                 RunEnd::Refused(Refusal::retry(Reason::NoUpstream, SHED_RETRY))
             }
@@ -109,6 +125,14 @@
         }
     }
 
+    /// What the target states in answer to a health request; `None` if it does not answer, or
+    /// is not healthy.
+    pub(super) async fn health(&self) -> Option<TargetStatement> {
+        let url = format!("http://{}{HEALTH_PATH}", self.addr);
+        let answer = self.client.get(url).send().await.ok()?;
+        answer.status().is_success().then(|| statement(&answer))
+    }
+
     fn request(&self, attempt: &Attempt, left: Duration) -> ClientRequest {
         let call = &attempt.call;
         let url = format!("http://{}{}", self.addr, call.path);
@@ -128,9 +152,18 @@
     }
 }
 
+fn is_shed(answer: &ClientResponse) -> bool {
+    let is_stated = answer.header(headers::SHED).is_some();
+    is_stated && answer.status() == StatusCode::SERVICE_UNAVAILABLE
+}
+
+fn statement(answer: &ClientResponse) -> TargetStatement {
+    let values = |name| answer.headers().get_all(name).map(HeaderValue::as_bytes);
+    TargetStatement::decode(values(headers::LIMIT), values(headers::LEAVING))
+}
+
 async fn read_answer(answer: ClientResponse) -> RunEnd {
-    let shed = answer.header(headers::SHED).is_some();
-    if shed && answer.status() == StatusCode::SERVICE_UNAVAILABLE {
+    if is_shed(&answer) {
         return RunEnd::Refused(Refusal::retry(Reason::Shed, SHED_RETRY));
     }
     let status = answer.status().as_u16();
--- a/crates/daemon/src/call/tick.rs
+++ b/crates/daemon/src/call/tick.rs
@@ -6,7 +6,7 @@
 use ntex::time::{Millis, sleep};
 use stoatstep_calls::Reason;
 
-use super::{drain, slot, sync};
+use super::{drain, slot, statements, sync};
 use crate::node::Node;
 
 /// Time between two ticks. Timeouts of calls are rounded up to a multiple of it.
@@ -38,6 +38,7 @@
             sync::apply_config(&node);
             sync::update_candidates(&node);
             limit_target_connections(&node).await;
+            statements::check_departure(&node);
         }
         if count.is_multiple_of(CLEAN_EVERY) {
             remove_expired(&node);
--- a/crates/daemon/src/call/wire.rs
+++ b/crates/daemon/src/call/wire.rs
@@ -12,7 +12,7 @@
 use smol_str::SmolStr;
 use stoatstep_calls::{
     Answer, AttemptId, AttemptStatus, Class, Header, HomeAnswer, IdempotencyKey, KeyText, Load,
-    Refusal, Ticket, UpstreamSetId,
+    RateLimit, Refusal, Ticket, UpstreamSetId,
 };
 use stoatstep_resource::{CustomerName, ServiceName, UpstreamName, Version};
 
@@ -45,6 +45,8 @@
     pub(super) ticket: Ticket,
     /// Time left, in microseconds.
     pub(super) left_us: u64,
+    /// Limit that the target stated to the entry. The executor may have been restarted since.
+    pub(super) limit: Option<RateLimit>,
     pub(super) call: Rc<WireCall>,
 }
 
@@ -54,6 +56,7 @@
     pub(super) id: AttemptId,
     pub(super) ticket: Ticket,
     pub(super) left: Duration,
+    pub(super) limit: Option<RateLimit>,
     pub(super) method: Method,
     pub(super) key: Option<IdempotencyKey>,
     /// Whether the claim row of its key may have been written.
@@ -104,6 +107,7 @@
             id: wire.attempt,
             ticket: wire.ticket,
             left: Duration::from_micros(wire.left_us),
+            limit: wire.limit,
             method,
             key,
             claimed: Cell::new(false),
--- a/crates/scenario/src/daemon/attempt.rs
+++ b/crates/scenario/src/daemon/attempt.rs
@@ -102,7 +102,7 @@
         Err(refusal) => match refusal.reason {
             Reason::Draining => Report::Leaving,
             Reason::NoUpstream | Reason::LostAnswer => Report::Failed,
-            Reason::Overload | Reason::Shed | Reason::Woke => {
+            Reason::Overload | Reason::Limited | Reason::Shed | Reason::Woke => {
                 Report::Refused(load, refusal.retry_after.unwrap_or_default())
             }
             _ => Report::Cancelled,
--- a/crates/scenario/src/daemon/executor.rs
+++ b/crates/scenario/src/daemon/executor.rs
@@ -28,7 +28,7 @@
     let calls = node.calls.borrow();
     Reply {
         ticket: calls.ledger.ticket(now),
-        load: calls.admission.load(),
+        load: calls.admission.load(now),
         end,
     }
 }
--- a/crates/standin-target/src/behaviour.rs
+++ b/crates/standin-target/src/behaviour.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Factor by which a run takes longer right after the start.
@@ -44,6 +45,10 @@
     /// Whether runs don't end until this is reset, so that a test can check what happens during a
     /// run without depending on time.
     pub holds_runs: bool,
+    /// Text that all answers name as the limit of requests per second; none if empty.
+    pub limit: SmolStr,
+    /// Whether all answers state that the target leaves.
+    pub leaves: bool,
 }
 
 impl Default for Behaviour {
@@ -57,6 +62,8 @@
             truncate_every: 0,
             drop_every: 0,
             holds_runs: false,
+            limit: SmolStr::default(),
+            leaves: false,
         }
     }
 }
@@ -84,6 +91,10 @@
         self.truncate_every = change.truncate_every.unwrap_or(self.truncate_every);
         self.drop_every = change.drop_every.unwrap_or(self.drop_every);
         self.holds_runs = change.holds_runs.unwrap_or(self.holds_runs);
+        if let Some(limit) = &change.limit {
+            self.limit = limit.clone();
+        }
+        self.leaves = change.leaves.unwrap_or(self.leaves);
     }
 
     fn cold_factor(&self, age: Duration) -> f64 {
@@ -113,6 +124,10 @@
     pub drop_every: Option<u64>,
     /// Whether runs don't end until this is reset.
     pub holds_runs: Option<bool>,
+    /// Text that all answers name as the limit of requests per second.
+    pub limit: Option<SmolStr>,
+    /// Whether all answers state that the target leaves.
+    pub leaves: Option<bool>,
     /// Whether to silence all currently open connections for good.
     pub silence_connections: bool,
 }
--- a/crates/standin-target/src/server.rs
+++ b/crates/standin-target/src/server.rs
@@ -16,6 +16,7 @@
 use futures_timer::Delay;
 use ntex::SharedCfg;
 use ntex::http::body::SizedStream;
+use ntex::http::header::{HeaderName, HeaderValue};
 use ntex::http::{HttpServiceConfig, KeepAlive, StatusCode};
 use ntex::server::Server;
 use ntex::time::Seconds;
@@ -90,24 +91,43 @@
 }
 
 async fn call(req: HttpRequest, body: Bytes, target: State<Target>) -> HttpResponse {
-    let connection = ConnectionWatch::watch(&req, &target);
+    let res = answer_call(&req, &body, &target).await;
+    with_statements(res, &target)
+}
+
+/// Adds what the target states about itself.
+fn with_statements(mut res: HttpResponse, target: &Target) -> HttpResponse {
+    let (limit, leaves) = target.statements();
+    let headers = res.headers_mut();
+    if let Some(limit) = limit.and_then(|it| HeaderValue::from_str(&it).ok()) {
+        headers.insert(HeaderName::from_static("stoatstep-limit"), limit);
+    }
+    if leaves {
+        let name = HeaderName::from_static("stoatstep-leaving");
+        headers.insert(name, HeaderValue::from_static("1"));
+    }
+    res
+}
+
+async fn answer_call(req: &HttpRequest, body: &Bytes, target: &Target) -> HttpResponse {
+    let connection = ConnectionWatch::watch(req, target);
     connection.block_if_silent().await;
-    let deadline = deadline(&req);
+    let deadline = deadline(req);
     if deadline == Some(Duration::ZERO) {
         target.shed();
         return shed();
     }
-    let marker = marker(&req, &body);
+    let marker = marker(req, body);
     let entry_key = EntryKey {
-        key: header(&req, "idempotency-key"),
-        attempt: header(&req, "stoatstep-attempt"),
+        key: header(req, "idempotency-key"),
+        attempt: header(req, "stoatstep-attempt"),
         marker: marker.clone(),
         method: req.method().as_str().into(),
     };
     let Some(run) = target.begin(entry_key) else {
         return shed();
     };
-    let answer = Answer::new(marker, target.name(), run.number, requested_padding(&req));
+    let answer = Answer::new(marker, target.name(), run.number, requested_padding(req));
     let delivery = match deadline {
         Some(limit) if limit < run.time => return cancel_at_deadline(run, limit).await,
         _ => {
@@ -119,7 +139,7 @@
         }
     };
     connection.block_if_silent().await;
-    deliver(&req, &answer, delivery).await
+    deliver(req, &answer, delivery).await
 }
 
 /// Waits for the time of a run. No timer is started for a time of zero, since its detour over the
@@ -193,7 +213,7 @@
     } else {
         StatusCode::SERVICE_UNAVAILABLE
     };
-    HttpResponse::build(status).json(&report)
+    with_statements(HttpResponse::build(status).json(&report), &target)
 }
 
 async fn entries(target: State<Target>) -> HttpResponse {
--- a/crates/standin-target/src/target.rs
+++ b/crates/standin-target/src/target.rs
@@ -131,6 +131,13 @@
         self.tables().behaviour.holds_runs
     }
 
+    /// The limit that answers name, if any, and whether they state that the target leaves.
+    pub(crate) fn statements(&self) -> (Option<SmolStr>, bool) {
+        let behaviour = &self.tables().behaviour;
+        let limit = Some(behaviour.limit.clone()).filter(|it| !it.is_empty());
+        (limit, behaviour.leaves)
+    }
+
     pub(crate) fn health(&self) -> HealthReport {
         let mut tables = self.tables();
         let slots = f64::from(tables.behaviour.slots.max(1));
--- a/tests/all/calls.rs
+++ b/tests/all/calls.rs
@@ -1,5 +1,6 @@
 //! Calls that meet faults: what the caller hears, and what truly ran.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use ntex::time::{Millis, sleep, timeout};
@@ -48,6 +49,20 @@
     answer.expect("counts").json()
 }
 
+/// The `index`th instance whose target belongs to this service.
+fn instance_of(fleet: &Fleet, service: &str, index: usize) -> usize {
+    let all = fleet.instances.iter().enumerate();
+    let mut of_service = all.filter(|(_, it)| it.service == service);
+    of_service.nth(index).expect("enough targets").0
+}
+
+/// Changes how a target behaves.
+async fn behave(target: SocketAddr, change: &str) {
+    let req = Request::post(target, "/admin/behaviour", change);
+    let req = req.header("content-type", "application/json").send();
+    assert_eq!(req.await.expect("an answer").status, 204);
+}
+
 /// The instance whose target runs something.
 async fn running(fleet: &Fleet) -> usize {
     let end = Instant::now() + READY;
@@ -179,3 +194,64 @@
         fleet.instances[2].daemon.thaw();
     });
 }
+
+/// Most runs that a target with a limit of five per second may start in four seconds: one and a
+/// half times what the limit allows, and five more.
+const LIMITED_RUNS: u64 = 35;
+
+/// Callers that each send one call after the other: more than a target has slots.
+const CALLERS: usize = 24;
+
+/// A target states a limit while its slots could run far more, and its daemon is restarted on
+/// the way. Other daemons have been told of the limit, so it holds for the new process as well.
+#[test]
+fn a_target_runs_no_more_calls_than_its_limit_over_a_restart() {
+    run(async {
+        let mut fleet = started(4, Duration::from_millis(50)).await;
+        let limited = instance_of(&fleet, "floatdesk", 1);
+        behave(fleet.instances[limited].target_addr, r#"{"limit": "5"}"#).await;
+        let entries = [(limited + 1) % 4, (limited + 2) % 4];
+        let entries = entries.map(|it| fleet.instances[it].caller_addr);
+        let end = Instant::now() + Duration::from_secs(8);
+        for caller in 0..CALLERS {
+            ntex::rt::spawn(async move {
+                while Instant::now() < end {
+                    let read = Request::get(entries[caller % 2], "/floatdesk/reads").send();
+                    read.await.expect("an answer");
+                }
+            });
+        }
+        sleep(Duration::from_secs(1)).await;
+        fleet.restart_daemon(limited);
+        sleep(Duration::from_secs(2)).await;
+        let before = counts(&fleet, limited).await.started;
+        sleep(Duration::from_secs(4)).await;
+        let runs = counts(&fleet, limited).await.started - before;
+        assert!(runs <= LIMITED_RUNS, "{runs} runs in 4 s");
+        assert!(runs > 0, "the restarted daemon serves");
+    });
+}
+
+/// A target states that it leaves. The calls that it would get must go to the others.
+#[test]
+fn calls_go_elsewhere_once_a_target_states_that_it_leaves() {
+    run(async {
+        let fleet = started(4, Duration::from_millis(1)).await;
+        let leaves = instance_of(&fleet, "floatdesk", 1);
+        behave(fleet.instances[leaves].target_addr, r#"{"leaves": true}"#).await;
+        let end = Instant::now() + READY;
+        let before = counts(&fleet, leaves).await.started;
+        while counts(&fleet, leaves).await.started == before {
+            assert!(Instant::now() < end, "no call reaches the target");
+            let read = Request::get(fleet.instances[leaves].caller_addr, "/floatdesk/reads");
+            read.send().await.expect("an answer").assert_answered();
+        }
+        let told = counts(&fleet, leaves).await.started;
+        for call in 0..40 {
+            let entry = &fleet.instances[call % 4];
+            let read = Request::get(entry.caller_addr, "/floatdesk/reads").send();
+            read.await.expect("an answer").assert_answered();
+        }
+        assert_eq!(counts(&fleet, leaves).await.started, told);
+    });
+}
