Let targets of the scenarios state limits, and check them

The emulator of stoatstepd wires the limiter as the daemon does, entries send along what executors reported, and the rule `over-limit` is checked at each run: no more than one and a half times the limit and five in 4 s, from 3 s after it was stated.

--- a/crates/scenario/src/daemon/entry.rs
+++ b/crates/scenario/src/daemon/entry.rs
@@ -5,8 +5,8 @@
 
 use smol_str::SmolStr;
 use stoatstep_calls::{
-    AttemptId, Backoff, Class, Deadline, IdempotencyKey, KeyText, Load, Outcome, Reason, Refusal,
-    RefusedAttempts, Report, Ticket, UnansweredOutcome, UpstreamSetId, home_of, may_retry,
+    AttemptId, Backoff, Class, Deadline, IdempotencyKey, KeyText, Load, Outcome, RateLimit, Reason,
+    Refusal, RefusedAttempts, Report, Ticket, UnansweredOutcome, UpstreamSetId, home_of, may_retry,
     upstream_set_id,
 };
 use stoatstep_membership::Time;
@@ -57,6 +57,8 @@
     pub(super) id: AttemptId,
     pub(super) ticket: Ticket,
     pub(super) left: Time,
+    /// Limit that the target stated to the entry.
+    pub(super) limit: Option<RateLimit>,
     pub(super) carried: Rc<Carried>,
 }
 
--- a/crates/scenario/src/daemon/executor.rs
+++ b/crates/scenario/src/daemon/executor.rs
@@ -39,8 +39,11 @@
         return Err(Err(refusal));
     }
     let now = node.now();
-    let ledger = &mut node.calls.borrow_mut().ledger;
-    match ledger.arrive(attempt.id, attempt.ticket, now) {
+    let calls = &mut *node.calls.borrow_mut();
+    if let Some(limit) = attempt.limit {
+        calls.admission.limiter_mut().adopt(limit, now);
+    }
+    match calls.ledger.arrive(attempt.id, attempt.ticket, now) {
         Arrival::New => Ok(()),
         Arrival::Refused(refusal) => Err(Err(refusal)),
         Arrival::Seen(AttemptStatus::Done(answer)) => Err(Ok(answer)),
@@ -119,6 +122,12 @@
     let run = node.world.run_began(node, call);
     node.sleep(node.world.target_time).await;
     node.world.run_ended(run);
+    if !node.world.is_without(Safeguard::TargetLimit) {
+        let stated = node.world.stated_limit(node.index);
+        let now = node.now();
+        let calls = &mut *node.calls.borrow_mut();
+        calls.admission.limiter_mut().record(stated, now);
+    }
     Ok(Arc::new(Answer {
         status: 200,
         headers: Vec::new(),
--- a/crates/scenario/src/run.rs
+++ b/crates/scenario/src/run.rs
@@ -124,6 +124,10 @@
             fault,
             time,
         } => world.net.set_link(*from, *to, *fault, now + *time),
+        Deed::Limit(index, limit) => {
+            world.set_limit(*index, *limit);
+            world.audit.borrow_mut().limited(*index, *limit, now);
+        }
         Deed::Call(spec) => {
             let call = make_call(world, spec);
             world
--- a/crates/scenario/src/script/deed.rs
+++ b/crates/scenario/src/script/deed.rs
@@ -37,6 +37,7 @@
             duration(words).map(Deed::DamagePushes)
         }
         "churn" => churn(words),
+        "limit" => limit(words),
         "late" => link(words, true),
         "silent" => link(words, false),
         "call" => {
@@ -186,6 +187,20 @@
     })
 }
 
+/// `limit iN to R per second` or `limit iN to none`.
+fn limit(words: &mut Words<'_>) -> Result<Deed, Finding> {
+    let instance = words.instance()?;
+    words.keyword("to")?;
+    let word = words.next("a rate or `none`")?;
+    if word == "none" {
+        return Ok(Deed::Limit(instance, None));
+    }
+    let limit = words.parse_number(word)?;
+    words.keyword("per")?;
+    words.keyword("second")?;
+    Ok(Deed::Limit(instance, Some(limit)))
+}
+
 fn call_kind(words: &mut Words<'_>) -> Result<CallKind, Finding> {
     Ok(match words.next("a kind of call")? {
         "read" => CallKind::Read,
--- a/crates/scenario/src/script/mod.rs
+++ b/crates/scenario/src/script/mod.rs
@@ -9,6 +9,7 @@
 use std::fmt;
 
 use smol_str::SmolStr;
+use stoatstep_calls::RateLimit;
 use stoatstep_membership::Time;
 use stoatstep_platform::FaultKind;
 use stoatstep_resource::{Key, Resource};
@@ -98,6 +99,8 @@
         WakeFlush => "wake-flush",
         /// Shares of tenants under overload.
         TenantShares => "tenant-shares",
+        /// The limiter of the requests to a target that states a limit.
+        TargetLimit => "target-limit",
     }
 }
 
@@ -122,6 +125,8 @@
         LateWork => "late-work",
         /// An instance left while its target ran something.
         CutInFlight => "cut-in-flight",
+        /// A target got more work than the limit that it states allows.
+        OverLimit => "over-limit",
         /// An `expect` line does not hold.
         Unmet => "unmet",
     }
@@ -249,6 +254,8 @@
         fault: LinkFault,
         time: Time,
     },
+    /// The target of an instance states this limit from then on, or none.
+    Limit(Index, Option<RateLimit>),
     Call(CallSpec),
     Load {
         call: CallSpec,
--- a/crates/scenario/src/world/audit.rs
+++ b/crates/scenario/src/world/audit.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use smol_str::SmolStr;
-use stoatstep_calls::{Outcome, Reason};
+use stoatstep_calls::{Outcome, RateLimit, Reason};
 use stoatstep_membership::Time;
 use stoatstep_platform::ReadAnswer;
 use stoatstep_resource::{Digest, State, Version};
@@ -19,6 +19,12 @@
 use crate::daemon::{Call, End, Node};
 use crate::script::{CallEnd, ChangeEnd, Rule};
 
+/// Time after a target first states a limit from which on it binds.
+const LIMIT_GRACE: Time = Time::from_secs(3);
+
+/// Span in which runs are counted against a limit.
+const LIMIT_SPAN: Time = Time::from_secs(4);
+
 /// Time after the start of a drain from which new work is a fault.
 const DRAIN_GRACE: Time = Time::from_secs(2);
 
@@ -36,6 +42,7 @@
     call: u64,
     name: SmolStr,
     index: Index,
+    began: Time,
     is_over: bool,
 }
 
@@ -59,6 +66,7 @@
     newest_accepted: Version,
     table_revision: u64,
     draining_since: BTreeMap<Index, Time>,
+    limited_since: BTreeMap<Index, (RateLimit, Time)>,
 }
 
 impl Audit {
@@ -106,11 +114,37 @@
             call: call.id,
             name,
             index,
+            began: now,
             is_over: false,
         });
+        self.check_limit(index, now);
         self.runs.len() - 1
     }
 
+    /// A target states a limit, or none any more.
+    pub(crate) fn limited(&mut self, index: Index, limit: Option<RateLimit>, now: Time) {
+        match limit {
+            Some(limit) => self.limited_since.insert(index, (limit, now)),
+            None => self.limited_since.remove(&index),
+        };
+    }
+
+    /// Counts the runs of the last [`LIMIT_SPAN`]: one and a half times what the limit allows,
+    /// and five more, may begin in it.
+    fn check_limit(&mut self, index: Index, now: Time) {
+        let Some((limit, since)) = self.limited_since.get(&index).copied() else {
+            return;
+        };
+        let from = (since + LIMIT_GRACE).max(now.saturating_sub(LIMIT_SPAN));
+        let recent = |run: &&Run| run.index == index && run.began > from;
+        let runs = self.runs.iter().rev().filter(recent).count();
+        let allowed = 1.5 * limit.per_second() * LIMIT_SPAN.as_secs_f64() + 5.0;
+        if f64::from(u32::try_from(runs).unwrap_or(u32::MAX)) > allowed {
+            let detail = format!("i{} ran {runs} calls in 4 s by its limit", index + 1);
+            self.broken(Rule::OverLimit, now, detail);
+        }
+    }
+
     pub(super) fn run_ended(&mut self, run: RunId) {
         self.runs[run].is_over = true;
     }
--- a/crates/scenario/src/world/mod.rs
+++ b/crates/scenario/src/world/mod.rs
@@ -13,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use smol_str::{SmolStr, format_smolstr};
-use stoatstep_calls::KeyText;
+use stoatstep_calls::{KeyText, LimitStatement, RateLimit};
 use stoatstep_membership::Time;
 use stoatstep_versionlog::Environment;
 
@@ -55,6 +55,8 @@
     nodes: RefCell<Vec<Option<Rc<Node>>>>,
     last_life: Cell<Life>,
     keys: RefCell<BTreeMap<SmolStr, KeyText>>,
+    /// The limits that targets state.
+    limits: RefCell<BTreeMap<Index, RateLimit>>,
 }
 
 impl World {
@@ -72,6 +74,7 @@
             nodes: RefCell::new(vec![None; fleet.instances()]),
             last_life: Cell::new(OUTSIDE),
             keys: RefCell::default(),
+            limits: RefCell::default(),
         })
     }
 
@@ -146,6 +149,20 @@
         });
     }
 
+    pub(crate) fn set_limit(&self, index: Index, limit: Option<RateLimit>) {
+        let mut limits = self.limits.borrow_mut();
+        match limit {
+            Some(limit) => limits.insert(index, limit),
+            None => limits.remove(&index),
+        };
+    }
+
+    /// What an answer of this instance's target states.
+    pub(crate) fn stated_limit(&self, index: Index) -> LimitStatement {
+        let limit = self.limits.borrow().get(&index).copied();
+        limit.map_or(LimitStatement::Absent, LimitStatement::Limit)
+    }
+
     pub(crate) fn run_began(&self, node: &Node, call: &Call) -> RunId {
         let now = self.exec.now();
         self.audit.borrow_mut().run_began(node.index, call, now)
