Tell apart in the logs why the answer of a run was lost

`run failed` with `lost-answer` has a `cause`: no answer, an answer cut short, one that belongs to another request, one without a signature, or a run that this daemon cancelled. A run that no entry claimed after its link was lost has a line of its own. No logic changed: the hypotheses about the known LOST predict different causes.

--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -28,6 +28,7 @@
 use stoatstep_membership::{AnnouncedTarget, LocalTarget};
 use stoatstep_resource::{RouteName, ServiceName, UpstreamName};
 use stoatstep_rollout::{Evidence, OrderId, Tally};
+use stoatstep_telemetry::fields;
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
@@ -311,12 +312,27 @@
             let is_claimed = run.is_some_and(|it| !it.waiters.is_empty());
             drop(tables);
             if !is_claimed {
+                log_unclaimed(&node, attempt);
                 cancel(&node, attempt);
             }
         }
     });
 }
 
+fn log_unclaimed(node: &Node, attempt: AttemptId) {
+    node.journal.count("runs.unclaimed");
+    let Some(suppressed) = node.journal.admits("unclaimed", node.clock.now()) else {
+        return;
+    };
+    let tables = node.executor.tables.borrow();
+    let Some(run) = tables.runs.get(&attempt) else {
+        return;
+    };
+    slog::info!(node.log, "run not claimed after its link was lost";
+        fields::REQUEST => %run.call.request_id, fields::ATTEMPT => format!("{attempt:032x}"),
+        fields::LEFT_OUT => suppressed);
+}
+
 /// Determines the outcome of an attempt whose link was lost. If it has not started, it is
 /// revoked; if it runs, its end is waited for.
 pub(crate) async fn settle(node: &Rc<Node>, attempt: AttemptId, ticket: Ticket) -> WireSettled {
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -7,7 +7,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use super::target::TargetOutcome;
+use super::target::{LostCause, TargetOutcome};
 use super::{
     QUEUE_RETRY, Run, Tables, answer_stats, process_exit, rollout_tally, slot, statements,
 };
@@ -30,6 +30,8 @@
     in_queue: Duration,
     /// Time at the target.
     pub(super) at_target: Duration,
+    /// Why there is no usable answer, if the request may have run.
+    lost: Option<LostCause>,
 }
 
 impl RunOutcome {
@@ -39,6 +41,7 @@
             arrived: false,
             in_queue: Duration::ZERO,
             at_target: Duration::ZERO,
+            lost: None,
         }
     }
 }
@@ -76,6 +79,7 @@
         arrived: false,
         in_queue: Duration::ZERO,
         at_target: Duration::ZERO,
+        lost: None,
     };
     ran(node, outcome)
 }
@@ -119,6 +123,7 @@
     };
     RunOutcome {
         arrived,
+        lost: arrived.then_some(LostCause::Cancelled),
         ..RunOutcome::not_started(Refusal::permanent(reason))
     }
 }
@@ -155,8 +160,8 @@
     let on_statement = |it| statements::record(node, &attempt.upstream, it);
     let call = node.executor.target.call(attempt, left, on_statement);
     let end = timeout(left, call).await;
-    let end = end.unwrap_or(TargetOutcome::Unknown(Reason::TimedOut));
-    if matches!(end, TargetOutcome::Unknown(Reason::LostAnswer)) {
+    let end = end.unwrap_or(TargetOutcome::TimedOut);
+    if matches!(end, TargetOutcome::Lost(_)) {
         process_exit::check(node, &attempt.upstream).await;
     }
     if matches!(end, TargetOutcome::Answered(_)) {
@@ -182,9 +187,15 @@
 
 /// The outcome of a run by what the target answered.
 fn outcome_of_target(node: &Node, attempt: &Attempt, end: TargetOutcome) -> RunOutcome {
+    let lost = match &end {
+        TargetOutcome::Lost(cause) => Some(*cause),
+        _ => None,
+    };
+    let unknown = |reason| End::Refused(Refusal::permanent(reason));
     let (end, arrived) = match end {
         TargetOutcome::Answered(answer) => (End::Answered(answer), true),
-        TargetOutcome::Unknown(reason) => (End::Refused(Refusal::permanent(reason)), true),
+        TargetOutcome::Lost(_) => (unknown(Reason::LostAnswer), true),
+        TargetOutcome::TimedOut => (unknown(Reason::TimedOut), true),
         TargetOutcome::NotRun {
             refusal,
             arrived,
@@ -203,6 +214,7 @@
         arrived,
         in_queue: Duration::ZERO,
         at_target: Duration::ZERO,
+        lost,
     }
 }
 
@@ -229,6 +241,7 @@
         attempt: attempt.id,
         upstream: &attempt.upstream,
         reason: refusal.reason,
+        cause: outcome.lost.map_or("", LostCause::as_str),
         arrived: outcome.arrived,
         times: Times {
             queue: outcome.in_queue,
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -48,8 +48,38 @@
         /// The generation of the target that answered, if it is not the one meant.
         actual: Option<UpstreamName>,
     },
-    /// It may have run.
-    Unknown(Reason),
+    /// It may have run, and there is no usable answer.
+    Lost(LostCause),
+    /// It may have run, and there was no answer until its deadline.
+    TimedOut,
+}
+
+/// Why a run has no usable answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LostCause {
+    /// The connection ended before the head of an answer.
+    NoAnswer,
+    /// The connection ended in the body of the answer.
+    CutShort,
+    /// The answer belongs to another request.
+    OtherRequest,
+    /// A successful answer that does not come from the target.
+    Unsigned,
+    /// This daemon cancelled the run.
+    Cancelled,
+}
+
+impl LostCause {
+    /// The cause in log lines.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::NoAnswer => "no-answer",
+            Self::CutShort => "cut-short",
+            Self::OtherRequest => "other-request",
+            Self::Unsigned => "unsigned",
+            Self::Cancelled => "cancelled",
+        }
+    }
 }
 
 impl TargetOutcome {
@@ -168,7 +198,7 @@
                 Err(Some(unsent)) => req = unsent,
                 Err(None) => {
                     self.report_failed(&connection);
-                    return TargetOutcome::Unknown(Reason::LostAnswer);
+                    return TargetOutcome::Lost(LostCause::NoAnswer);
                 }
             }
         }
@@ -288,13 +318,13 @@
         let body = Limited::new(body, MAX_ANSWER).collect().await;
         // A truncated body is an error here, never a shorter body.
         let Ok(body) = body else {
-            return TargetOutcome::Unknown(Reason::LostAnswer);
+            return TargetOutcome::Lost(LostCause::CutShort);
         };
         let headers = &head.headers;
         if !self.matches_request(attempt, headers) {
             // A duplicate answer to an earlier request. The answer to this one would follow,
             // but nothing tells which bytes belong to it.
-            return TargetOutcome::Unknown(Reason::LostAnswer);
+            return TargetOutcome::Lost(LostCause::OtherRequest);
         }
         let end = self.interpret(head.status, headers, &body.to_bytes());
         self.pool.put_back(connection, headers);
@@ -324,7 +354,7 @@
         }
         let is_complete = has(&self.names.signature) && has(&self.names.request_id);
         if status.is_success() && !is_complete {
-            return TargetOutcome::Unknown(Reason::LostAnswer);
+            return TargetOutcome::Lost(LostCause::Unsigned);
         }
         let forwarded = headers
             .iter()
--- a/crates/mesh/src/journal.rs
+++ b/crates/mesh/src/journal.rs
@@ -71,6 +71,8 @@
     pub(crate) attempt: AttemptId,
     pub(crate) upstream: &'a str,
     pub(crate) reason: Reason,
+    /// Why the answer was lost; empty if it was not.
+    pub(crate) cause: &'static str,
     pub(crate) arrived: bool,
     pub(crate) times: Times,
     pub(crate) running: u32,
@@ -183,7 +185,7 @@
         if let Some(left_out) = self.admits("run", now) {
             slog::info!(self.log, "run failed";
                 fields::REQUEST => %failed.call.request_id, fields::ATTEMPT => format!("{:032x}", failed.attempt),
-                fields::UPSTREAM => failed.upstream, fields::REASON => failed.reason.as_str(),
+                fields::UPSTREAM => failed.upstream, fields::REASON => failed.reason.as_str(), fields::CAUSE => failed.cause,
                 fields::ARRIVED => failed.arrived, fields::QUEUE_US => micros(failed.times.queue),
                 fields::TARGET_US => micros(failed.times.target), fields::RUNNING => failed.running,
                 fields::QUEUED => failed.queued, fields::CONTENT => %failed.call.fingerprint(),
--- a/crates/telemetry/src/fields.rs
+++ b/crates/telemetry/src/fields.rs
@@ -145,9 +145,11 @@
 pub const BEFORE_LIMIT: &str = "before_limit";
 /// Whether a target states that it leaves.
 pub const LEAVING: &str = "leaving";
+/// Why the answer of a run was lost; empty if it was not.
+pub const CAUSE: &str = "cause";
 
 /// All keys, in the order in which this module defines them.
-pub const ALL: [&str; 72] = [
+pub const ALL: [&str; 73] = [
     REQUEST,
     ATTEMPT,
     UPSTREAM,
@@ -220,4 +222,5 @@
     LIMIT,
     BEFORE_LIMIT,
     LEAVING,
+    CAUSE,
 ];
