Let an executor wait for as long as an entry may take to ask for a run

Cause: an executor ended the reads of a lost link after 0.3 s, while an entry whose first connection fails asks up to 0.86 s after the loss. The two times stood in two modules and did not know of each other.

Queued attempts are cancelled after 0.3 s as before.

--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -17,7 +17,7 @@
 use crate::executor;
 use crate::fleet::TargetLocation;
 use crate::journal::AttemptFailed;
-use crate::link::LinkError;
+use crate::link::{CONNECT_TIMEOUT, LinkError};
 use crate::mechanism::Mechanism;
 use crate::node::Node;
 use crate::wire::{Ask, Attempt, End, Ran, Reply, WireSettled};
@@ -39,6 +39,13 @@
 /// Delay between two of these requests.
 const SETTLE_DELAY: Duration = Duration::from_millis(120);
 
+/// Time after the loss of a link within which the last of these requests is sent, if the first
+/// one waits for a connection that is not established and the link is then not tried again for
+/// a while.
+pub(crate) const SETTLE_WINDOW: Duration = CONNECT_TIMEOUT
+    .saturating_mul(2)
+    .saturating_add(SETTLE_DELAY.saturating_mul(SETTLE_ATTEMPTS - 1));
+
 /// Retry delay after an attempt that was revoked before it ran.
 const REVOKED_RETRY: Duration = Duration::from_millis(10);
 
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -32,6 +32,7 @@
 use crate::node::Node;
 use crate::quarantine;
 use crate::wire::End;
+pub(crate) use attempt::SETTLE_WINDOW;
 use call::Call;
 use forward::CompletedCall;
 
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -33,6 +33,7 @@
 
 use crate::clock::Clock;
 use crate::config::MeshConfig;
+use crate::entry::SETTLE_WINDOW;
 use crate::node::Node;
 use crate::quarantine;
 use crate::wire::{Attempt, CallParts, End, Ran, WireSettled};
@@ -55,9 +56,15 @@
 /// of the roll-out's step.
 const HELD_RETRY: Duration = Duration::from_millis(50);
 
-/// Time for an entry whose link broke to ask for its attempts over another link. After it,
-/// the idempotent runs that no entry asked for are cancelled.
-const REJOIN_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after the loss of a link for which attempts that came over it wait for a slot. After
+/// it they are cancelled: an entry that asks for one that has not started revokes it.
+const QUEUED_REJOIN_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time for an entry whose link broke to ask for its runs over another link. After it, the
+/// idempotent runs that no entry asked for are cancelled. It is longer than the entry may take
+/// to [ask](crate::entry::SETTLE_WINDOW): a run that is cancelled before has done its work for
+/// nothing, and its caller gets no answer.
+const REJOIN_TIMEOUT: Duration = SETTLE_WINDOW.saturating_add(Duration::from_millis(200));
 
 /// Bytes of answers kept for entries whose links broke: ten seconds of answers of 2 KB at
 /// 50 calls a second. An entry asks for an answer within a second or never.
@@ -305,20 +312,32 @@
     }
     let node = Rc::clone(node);
     ntex::rt::spawn(async move {
-        tokio::time::sleep(REJOIN_TIMEOUT).await;
-        for attempt in attempts {
+        tokio::time::sleep(QUEUED_REJOIN_TIMEOUT).await;
+        let is_waiting = |attempt: &AttemptId| {
             let tables = node.executor.tables.borrow();
-            let run = tables.runs.get(&attempt);
-            let is_claimed = run.is_some_and(|it| !it.waiters.is_empty());
-            drop(tables);
-            if !is_claimed {
-                log_unclaimed(&node, attempt);
-                cancel(&node, attempt);
-            }
-        }
+            tables.waiting.contains_key(attempt)
+        };
+        let (waiting, running): (Vec<_>, Vec<_>) = attempts.into_iter().partition(is_waiting);
+        cancel_unclaimed(&node, waiting);
+        tokio::time::sleep(REJOIN_TIMEOUT.saturating_sub(QUEUED_REJOIN_TIMEOUT)).await;
+        cancel_unclaimed(&node, running);
     });
 }
 
+/// Cancels those of the attempts that no entry has asked for since their link was lost.
+fn cancel_unclaimed(node: &Node, attempts: Vec<AttemptId>) {
+    for attempt in attempts {
+        let tables = node.executor.tables.borrow();
+        let run = tables.runs.get(&attempt);
+        let is_claimed = run.is_none_or(|it| !it.waiters.is_empty());
+        drop(tables);
+        if !is_claimed {
+            log_unclaimed(node, attempt);
+            cancel(node, attempt);
+        }
+    }
+}
+
 fn log_unclaimed(node: &Node, attempt: AttemptId) {
     node.journal.count("runs.unclaimed");
     let Some(suppressed) = node.journal.admits("unclaimed", node.clock.now()) else {
--- a/crates/mesh/src/link/client.rs
+++ b/crates/mesh/src/link/client.rs
@@ -24,7 +24,7 @@
 
 /// Time limit for connecting. Between zones of a region connecting takes a few
 /// milliseconds. After the limit, a call can still be sent to another daemon.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Time after a failed attempt to connect in which no other is made. Without it, each call
 /// for an unreachable daemon would wait for the time limit again.
--- a/crates/mesh/src/link/mod.rs
+++ b/crates/mesh/src/link/mod.rs
@@ -25,7 +25,7 @@
 
 use framing::{Outgoing, SendQueue};
 
-pub(crate) use client::{LinkError, Links};
+pub(crate) use client::{CONNECT_TIMEOUT, LinkError, Links};
 pub(crate) use server::serve;
 pub(crate) use uplink::SharedUplink;
 
