Move the settling of attempts and the waits of queues to modules of their own

No logic changed. The limits that entries were told stood in three places as the same match; they are one type now (StatedLimits).

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -11,7 +11,8 @@
 //! caller, and the *executor*, the daemon on the target's own instance:
 //!
 //! * the entry uses [`RouteTable`], [`KeyRing`], [`TokenCache`], [`Router`] or
-//!   [`Placement`], [`RetryBudget`], [`Backoff`], [`Deadline`] and [`SilenceDetector`];
+//!   [`Placement`], [`StatedLimits`], [`RetryBudget`], [`Backoff`], [`Deadline`] and
+//!   [`SilenceDetector`];
 //! * both use [`Quarantine`];
 //! * the executor uses [`Admission`] or [`Queue`], [`TargetLimiter`], [`Ledger`],
 //!   [`IdempotencyTable`], [`Drain`] and [`Shutdown`].
@@ -42,6 +43,7 @@
 mod routes;
 mod shutdown;
 mod silence;
+mod stated_limits;
 mod statement;
 mod target_limiter;
 mod throttle;
@@ -79,6 +81,7 @@
 pub use routes::{ResolvedRoute, RouteTable};
 pub use shutdown::Shutdown;
 pub use silence::{SilenceAction, SilenceConfig, SilenceDetector};
+pub use stated_limits::StatedLimits;
 pub use statement::{InvalidRateLimit, LimitStatement, RateLimit, TargetStatement};
 pub use target_limiter::{KnownLimit, LimitReport, TargetLimiter};
 pub use throttle::Throttle;
--- a/crates/calls/src/queue.rs
+++ b/crates/calls/src/queue.rs
@@ -18,6 +18,7 @@
 //! See `docs/design/platform.md`.
 
 mod kinds;
+mod waiting;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -30,6 +31,7 @@
 use crate::refusal::{Reason, Refusal};
 use crate::target_limiter::{LimitReport, TargetLimiter};
 use kinds::Kinds;
+use waiting::Waiting;
 
 /// Share of the time to its objective that a call may spend waiting. Run times
 /// vary by more than their mean: at a third, a call whose run takes twice its
@@ -75,14 +77,6 @@
     pub limit: LimitReport,
 }
 
-#[derive(Clone, Debug)]
-struct Waiting {
-    request: QueueRequest,
-    /// Time by which it is to be answered if it waits for the target's limit: its objective, or
-    /// its deadline if its objective had passed when it came.
-    answer_by: Time,
-}
-
 #[derive(Clone, Debug)]
 struct Running {
     kind: SmolStr,
@@ -99,19 +93,6 @@
     limiter: TargetLimiter,
 }
 
-/// Estimated time until a call starts, and what it waits for.
-#[derive(Clone, Copy, Debug)]
-struct Wait {
-    time: Duration,
-    reason: Reason,
-}
-
-impl Wait {
-    fn refusal(self) -> Refusal {
-        Refusal::retry(self.reason, self.time.max(MIN_RETRY_AFTER))
-    }
-}
-
 impl Queue {
     /// Creates the queue of an idle executor whose target has `slots`.
     #[must_use]
@@ -297,38 +278,6 @@
         first.map(|(index, _)| index)
     }
 
-    /// Estimated time until a call starts that goes after `ahead`.
-    fn queue_wait<'a>(&self, ahead: impl Iterator<Item = &'a QueueRequest>, now: Time) -> Wait {
-        let (mut count, mut service) = (0, Duration::ZERO);
-        for request in ahead {
-            count += 1;
-            service += self.service(&request.kind);
-        }
-        self.wait_after(count, service, now)
-    }
-
-    /// Estimated time until a call starts that goes after `count` calls with a total run time
-    /// of `service`: until a slot is free and the target's limit allows it.
-    fn wait_after(&self, count: usize, service: Duration, now: Time) -> Wait {
-        let for_slot = if self.running.len() + count < self.slots as usize {
-            Duration::ZERO
-        } else {
-            (service + self.kinds.mean()) / self.slots.max(1)
-        };
-        let for_limit = self.limiter.wait(count, now);
-        if for_limit > for_slot {
-            Wait {
-                time: for_limit,
-                reason: Reason::Limited,
-            }
-        } else {
-            Wait {
-                time: for_slot,
-                reason: Reason::Overload,
-            }
-        }
-    }
-
     /// Whether a call should be queued if it has to wait for `wait`. A call whose
     /// objective has passed only has to meet its deadline.
     fn is_worth_queueing(&self, request: &QueueRequest, wait: Duration, now: Time) -> bool {
@@ -342,52 +291,6 @@
             .mul_f64(MAX_WAIT_SHARE);
         done < request.expires && wait <= room
     }
-
-    /// Refuses the calls that can no longer meet their deadline after a more urgent call
-    /// was queued. They are refused now rather than when their deadline has passed, so
-    /// that their callers can still retry elsewhere. Calls that wait for the target's limit are
-    /// refused if they can no longer meet their objective: the limit allows a number of calls
-    /// and not of runs, so a late answer would take the place of one in time.
-    fn refuse_displaced(&mut self, now: Time) -> Vec<Dispatch> {
-        let mut order: Vec<usize> = (0..self.waiting.len()).collect();
-        order.sort_by_key(|index| self.position(&self.waiting[*index].request, now));
-        let (mut count, mut ahead) = (0, Duration::ZERO);
-        let mut out = Vec::new();
-        for index in order {
-            let Waiting { request, answer_by } = &self.waiting[index];
-            let service = self.service(&request.kind);
-            let wait = self.wait_after(count, ahead, now);
-            let bound = match wait.reason {
-                Reason::Limited => *answer_by,
-                _ => request.expires,
-            };
-            if now + wait.time + service < bound {
-                count += 1;
-                ahead += service;
-            } else {
-                out.push((request.attempt, wait));
-            }
-        }
-        let displaced = |it: &Waiting| out.iter().any(|(id, _)| *id == it.request.attempt);
-        self.waiting.retain(|it| !displaced(it));
-        let refused = |(attempt, wait): (_, Wait)| Dispatch::Refused(attempt, wait.refusal());
-        out.into_iter().map(refused).collect()
-    }
-
-    fn refuse_expired(&mut self, now: Time) -> Vec<Dispatch> {
-        let late: Vec<_> = self
-            .waiting
-            .iter()
-            .map(|it| &it.request)
-            .filter(|request| now + self.service(&request.kind) >= request.expires)
-            .map(|request| request.attempt)
-            .collect();
-        self.waiting
-            .retain(|it| !late.contains(&it.request.attempt));
-        let refusal = Refusal::retry(Reason::Deadline, MIN_RETRY_AFTER);
-        let refused = |attempt| Dispatch::Refused(attempt, refusal);
-        late.into_iter().map(refused).collect()
-    }
 }
 
 fn to_u32(len: usize) -> u32 {
--- a/crates/daemon/src/call/attempt.rs
+++ b/crates/daemon/src/call/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ntex::util::{Either, select};
-use stoatstep_calls::{Deadline, KnownLimit, Load, Outcome, Reason, Refusal, Report};
+use stoatstep_calls::{Deadline, Load, Outcome, Reason, Refusal, Report};
 
 use super::executor;
 use super::peers::PeerError;
@@ -78,7 +78,7 @@
     } else {
         node.calls.peers.ticket(addr)
     };
-    let limit = node.calls.entry.borrow().limits.get(&addr).copied();
+    let limit = node.calls.entry.borrow().limits.get(&addr);
     let wire = WireAttempt {
         attempt: node.calls.entry.borrow_mut().attempt_id(),
         ticket,
@@ -144,7 +144,8 @@
     match select(sent, watch).await {
         Either::Left(Ok(reply)) => {
             peers.set_ticket(remote.addr, reply.ticket);
-            record_limit(node, remote.addr, reply.load.limit.known);
+            let limits = &mut node.calls.entry.borrow_mut().limits;
+            limits.record(remote.addr, reply.load.limit.known);
             outcome_of(reply)
         }
         Either::Left(Err(PeerError::NotSent)) => {
@@ -171,21 +172,6 @@
     }
 }
 
-/// Keeps the limit that a daemon's target states, for the daemon's next process. One that has
-/// just started knows none and changes nothing.
-fn record_limit(node: &Node, addr: SocketAddr, known: KnownLimit) {
-    let limits = &mut node.calls.entry.borrow_mut().limits;
-    match known {
-        KnownLimit::Unknown => {}
-        KnownLimit::Unlimited => {
-            limits.remove(&addr);
-        }
-        KnownLimit::Limited(limit) => {
-            limits.insert(addr, limit);
-        }
-    }
-}
-
 fn outcome_of(reply: WireReply) -> AttemptOutcome {
     let load = Some(reply.load);
     let end = match reply.end {
--- a/crates/daemon/src/call/sync.rs
+++ b/crates/daemon/src/call/sync.rs
@@ -81,7 +81,7 @@
     tables.budgets.retain(|name, _| is_known(name));
     let members = node.control.members();
     let is_member = |addr| members.iter().any(|it| it.peer_addr == addr);
-    tables.limits.retain(|addr, _| is_member(*addr));
+    tables.limits.retain(|addr| is_member(*addr));
     drop(tables);
     node.calls.peers.retain(is_member);
 }
--- a/crates/daemon/src/call/tables.rs
+++ b/crates/daemon/src/call/tables.rs
@@ -8,7 +8,7 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 use stoatstep_calls::{
     Admission, AdmissionConfig, AttemptId, HomeHistory, IdempotencyConfig, IdempotencyTable,
-    Incarnation, Ledger, LedgerConfig, RateLimit, Refusal, RetryBudget, Router,
+    Incarnation, Ledger, LedgerConfig, Refusal, RetryBudget, Router, StatedLimits,
 };
 use stoatstep_resource::{ServiceName, Version};
 
@@ -24,7 +24,7 @@
     pub(super) router: Router,
     pub(super) budgets: BTreeMap<ServiceName, RetryBudget>,
     /// The limits that the targets beside these daemons stated.
-    pub(super) limits: BTreeMap<SocketAddr, RateLimit>,
+    pub(super) limits: StatedLimits<SocketAddr>,
     pub(super) rng: Xoshiro256PlusPlus,
 }
 
@@ -33,7 +33,7 @@
         Self {
             router: Router::new(cfg.zone.clone()),
             budgets: BTreeMap::new(),
-            limits: BTreeMap::new(),
+            limits: StatedLimits::default(),
             rng: Xoshiro256PlusPlus::from_rng(&mut rand::rng()),
         }
     }
--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -6,8 +6,7 @@
 
 use rand::RngExt;
 use stoatstep_calls::{
-    Answer, AttemptFeedback, AttemptId, KnownLimit, Occupancy, Reason, Refusal, TargetStatement,
-    Ticket, Time,
+    Answer, AttemptFeedback, AttemptId, Occupancy, Reason, Refusal, TargetStatement, Ticket, Time,
 };
 use stoatstep_resource::UpstreamName;
 use stoatstep_telemetry::fields;
@@ -95,7 +94,8 @@
         record_departure(node, call, upstream);
     }
     if let Some(occupancy) = occupancy {
-        record_limit(node, upstream, occupancy.limit.known);
+        let limits = &mut node.entry.tables.borrow_mut().limits;
+        limits.record(upstream.clone(), occupancy.limit.known);
     }
     outcome
 }
@@ -121,21 +121,6 @@
     }
 }
 
-/// Keeps the limit that the target's executor reports, for the executor's next process. One
-/// that has just started knows none and changes nothing.
-fn record_limit(node: &Node, upstream: &UpstreamName, known: KnownLimit) {
-    let limits = &mut node.entry.tables.borrow_mut().limits;
-    match known {
-        KnownLimit::Unknown => {}
-        KnownLimit::Unlimited => {
-            limits.remove(upstream);
-        }
-        KnownLimit::Limited(limit) => {
-            limits.insert(upstream.clone(), limit);
-        }
-    }
-}
-
 async fn attempt(
     node: &Rc<Node>,
     call: &Call,
@@ -155,7 +140,7 @@
             upstream: upstream.clone(),
             left,
             objective: call.objective.saturating_sub(node.clock.now()),
-            limit: node.entry.tables.borrow().limits.get(upstream).copied(),
+            limit: node.entry.tables.borrow().limits.get(upstream),
             call: Rc::clone(&call.parts),
         };
         let (outcome, occupancy) = match place {
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -19,8 +19,8 @@
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use stoatstep_calls::{
-    AnswerStats, Candidate, Outcome, Placement, RateLimit, Refusal, RetryBudget, Throttle, Ticket,
-    Time,
+    AnswerStats, Candidate, Outcome, Placement, Refusal, RetryBudget, StatedLimits, Throttle,
+    Ticket, Time,
 };
 use stoatstep_http::drop_body;
 use stoatstep_resource::{RouteName, ServiceName, UpstreamName};
@@ -55,7 +55,7 @@
     /// The newest ticket that each executor issued.
     tickets: HashMap<SocketAddr, Ticket>,
     /// The limits that targets stated to their executors.
-    limits: HashMap<UpstreamName, RateLimit>,
+    limits: StatedLimits<UpstreamName>,
     rng: Xoshiro256PlusPlus,
 }
 
@@ -67,7 +67,7 @@
             answers: HashMap::new(),
             throttles: HashMap::new(),
             tickets: HashMap::new(),
-            limits: HashMap::new(),
+            limits: StatedLimits::default(),
             rng: Xoshiro256PlusPlus::from_rng(&mut rand::rng()),
         };
         Self {
@@ -93,7 +93,7 @@
             let mut candidates = services.values().flatten();
             candidates.any(|it| it.upstream == *name)
         };
-        limits.retain(|name, _| is_candidate(name));
+        limits.retain(is_candidate);
     }
 }
 
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -1,6 +1,7 @@
 //! HTTP client for the target beside this daemon.
 
 mod idle_limit;
+mod outcome;
 mod pool;
 
 use std::net::SocketAddr;
@@ -23,6 +24,7 @@
 use crate::clock::Clock;
 use crate::header_names::HeaderNames;
 use crate::wire::Attempt;
+pub(super) use outcome::{LostCause, TargetOutcome};
 use pool::{Connection, Pool};
 
 /// Largest answer that is forwarded. It is held back until it is complete, so that a
@@ -35,63 +37,6 @@
 /// Retry delay if the target is unreachable, or refuses a request without stating a delay.
 const DEFAULT_RETRY: Duration = Duration::from_millis(100);
 
-/// How a request to the target ended.
-#[derive(Clone, Debug)]
-pub(super) enum TargetOutcome {
-    /// The target's whole answer.
-    Answered(Arc<Answer>),
-    /// It did not run.
-    NotRun {
-        refusal: Refusal,
-        /// Whether it reached the target.
-        arrived: bool,
-        /// The generation of the target that answered, if it is not the one meant.
-        actual: Option<UpstreamName>,
-    },
-    /// It may have run, and there is no usable answer.
-    Lost(LostCause),
-    /// It may have run, and there was no answer until its deadline.
-    TimedOut,
-}
-
-/// Why a run has no usable answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum LostCause {
-    /// The connection ended before the head of an answer.
-    NoAnswer,
-    /// The connection ended in the body of the answer.
-    CutShort,
-    /// The answer belongs to another request.
-    OtherRequest,
-    /// A successful answer that does not come from the target.
-    Unsigned,
-    /// This daemon cancelled the run.
-    Cancelled,
-}
-
-impl LostCause {
-    /// The cause in log lines.
-    pub(super) fn as_str(self) -> &'static str {
-        match self {
-            Self::NoAnswer => "no-answer",
-            Self::CutShort => "cut-short",
-            Self::OtherRequest => "other-request",
-            Self::Unsigned => "unsigned",
-            Self::Cancelled => "cancelled",
-        }
-    }
-}
-
-impl TargetOutcome {
-    fn unreachable() -> Self {
-        Self::NotRun {
-            refusal: Refusal::retry(Reason::NoUpstream, DEFAULT_RETRY),
-            arrived: false,
-            actual: None,
-        }
-    }
-}
-
 /// The target's answer to a health request.
 #[derive(Clone, Debug)]
 pub(super) struct Health {
@@ -184,7 +129,7 @@
         };
         loop {
             let Some(mut connection) = self.pool.take().await else {
-                return TargetOutcome::unreachable();
+                return TargetOutcome::unreachable(DEFAULT_RETRY);
             };
             match connection.send(req).await {
                 Ok(res) => {
--- a/crates/scenario/src/daemon/attempt.rs
+++ b/crates/scenario/src/daemon/attempt.rs
@@ -4,8 +4,8 @@
 
 use rand::RngExt;
 use stoatstep_calls::{
-    AttemptId, AttemptStatus, Deadline, KnownLimit, Reason, Refusal, Report, SilenceAction,
-    SilenceConfig, SilenceDetector, Ticket,
+    AttemptId, AttemptStatus, Deadline, Reason, Refusal, Report, SilenceAction, SilenceConfig,
+    SilenceDetector, Ticket,
 };
 use stoatstep_membership::Time;
 
@@ -37,7 +37,7 @@
         id,
         ticket: ticket(node, to),
         left,
-        limit: node.calls.borrow().limits.get(&to).copied(),
+        limit: node.calls.borrow().limits.get(&to),
         carried: Rc::clone(carried),
     };
     if to == node.index {
@@ -76,7 +76,8 @@
     match first(sent, watch).await {
         Ok(Ok(reply)) => {
             node.calls.borrow_mut().tickets.insert(to, reply.ticket);
-            record_limit(node, to, reply.load.limit.known);
+            let limits = &mut node.calls.borrow_mut().limits;
+            limits.record(to, reply.load.limit.known);
             of_reply(reply)
         }
         Ok(Err(Lost::NotSent)) => {
@@ -97,19 +98,6 @@
     }
 }
 
-fn record_limit(node: &Node, of: Index, known: KnownLimit) {
-    let limits = &mut node.calls.borrow_mut().limits;
-    match known {
-        KnownLimit::Unknown => {}
-        KnownLimit::Unlimited => {
-            limits.remove(&of);
-        }
-        KnownLimit::Limited(limit) => {
-            limits.insert(of, limit);
-        }
-    }
-}
-
 fn of_reply(reply: Reply) -> (End, Report) {
     let load = Some(reply.load);
     let report = match &reply.end {
--- a/crates/scenario/src/daemon/calls.rs
+++ b/crates/scenario/src/daemon/calls.rs
@@ -10,7 +10,7 @@
 use stoatstep_calls::{
     Admission, AdmissionConfig, Answer, AttemptId, Candidate, CandidateState, Dispatch, Drain,
     DrainStep, HomeHistory, IdempotencyConfig, IdempotencyTable, Incarnation, Ledger, LedgerConfig,
-    RateLimit, Reason, Refusal, RetryBudget, Router, Ticket,
+    Reason, Refusal, RetryBudget, Router, StatedLimits, Ticket,
 };
 use stoatstep_membership::{MemberState, Time};
 use stoatstep_platform::TableRevision;
@@ -46,7 +46,7 @@
     pub(super) budgets: BTreeMap<ServiceName, RetryBudget>,
     pub(super) rng: Xoshiro256PlusPlus,
     pub(super) tickets: BTreeMap<Index, Ticket>,
-    pub(super) limits: BTreeMap<Index, RateLimit>,
+    pub(super) limits: StatedLimits<Index>,
     pub(super) ledger: Ledger,
     pub(super) admission: Admission,
     pub(super) intents: IdempotencyTable,
@@ -82,7 +82,7 @@
             budgets: BTreeMap::new(),
             rng,
             tickets: BTreeMap::new(),
-            limits: BTreeMap::new(),
+            limits: StatedLimits::default(),
             ledger: Ledger::new(incarnation, LedgerConfig::default()),
             admission: Admission::new(AdmissionConfig::for_slots(1)),
             intents: IdempotencyTable::new(has_authority_from, intents),
