Kill the daemon before it is started again in the test of the limit

Its fleet's log shows why: the new process found its address in use and ended, as restart_daemon only starts one, and the old daemon was killed afterwards. It passed where the new process was slower than that. The bounds are as they were.

--- a/tests/all/calls.rs
+++ b/tests/all/calls.rs
@@ -222,6 +222,7 @@
             });
         }
         sleep(Duration::from_secs(1)).await;
+        fleet.instances[limited].daemon.kill();
         fleet.restart_daemon(limited);
         sleep(Duration::from_secs(2)).await;
         let before = counts(&fleet, limited).await.started;
