Judge calls that are late anyway by their deadline when they are placed

Cause: placement compared what another zone saves with shares of the time left to the latency objective.

Change: a call that is late wherever it goes is judged by what is left to its deadline. An estimate of less than twice the objective still counts as possibly in time, as run times of half the mean are common.

Test: a_late_call_stays_while_its_zone_meets_the_deadline fails without the change.

--- a/crates/calls/src/placement.rs
+++ b/crates/calls/src/placement.rs
@@ -43,11 +43,17 @@
 /// that most likely meets its objective in its zone has nothing to gain elsewhere.
 const STAY_SHARE_LARGE: f64 = 1.0;
 
+/// Multiple of the time to the objective from which an estimated answer counts as late. Run times
+/// of half the mean are common enough that a smaller estimate may still turn out in time.
+const LATE_FACTOR: f64 = 2.0;
+
 /// A call to select a target for.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlacementRequest<'a> {
-    /// Time left to its latency objective.
+    /// Time left to its latency objective; zero if that has passed.
     pub objective: Duration,
+    /// Time left to its deadline.
+    pub left: Duration,
     /// Mean size of the answers of its route.
     pub answer_bytes: f64,
     /// Mean run time of its route; `None` before the first run.
@@ -67,9 +73,21 @@
     fn spills(&self, here: Duration, there: Duration) -> bool {
         let stay = STAY_SHARE + (STAY_SHARE_LARGE - STAY_SHARE) * self.relative_size().min(1.0);
         let spill = SPILL_SHARE + self.relative_size();
+        let bound = self.answer_by(there);
         let saved = here.saturating_sub(there);
-        let is_late = here > self.objective.mul_f64(stay);
-        is_late && saved > self.objective.mul_f64(spill)
+        let is_late = here > bound.mul_f64(stay);
+        is_late && saved > bound.mul_f64(spill)
+    }
+
+    /// Time by which an answer still has a value, if the soonest one takes `soonest`. A call
+    /// that is late wherever it goes has until its deadline: judged by what is left of its
+    /// objective, it would leave its zone for every millisecond saved.
+    fn answer_by(&self, soonest: Duration) -> Duration {
+        if soonest < self.objective.mul_f64(LATE_FACTOR) {
+            self.objective
+        } else {
+            self.left.max(self.objective)
+        }
     }
 }
 
--- a/crates/calls/tests/all/placement.rs
+++ b/crates/calls/tests/all/placement.rs
@@ -43,6 +43,7 @@
             placement,
             request: PlacementRequest {
                 objective: OBJECTIVE,
+                left: OBJECTIVE * 4,
                 answer_bytes: 0.0,
                 run: None,
                 filter: TargetFilter::All,
@@ -155,6 +156,23 @@
     assert_eq!(entry.shares(NOW).get("far"), None);
 }
 
+/// Guards against answers of 90 KB that leave their zone for a few milliseconds saved, because
+/// the objective of their calls has passed or can no longer be met anywhere.
+#[test]
+fn a_late_call_stays_while_its_zone_meets_the_deadline() {
+    let mut entry = Entry::new(&[candidate("near", "a"), candidate("far", "b")]);
+    entry.finish_attempt("near", AttemptFeedback::Answered, occupied(10, 5, 100), NOW);
+    entry.finish_attempt("far", AttemptFeedback::Answered, occupied(0, 0, 100), NOW);
+    entry.request.left = MS * 3_000;
+    for objective in [Duration::ZERO, MS * 40] {
+        entry.request.objective = objective;
+        for answer_bytes in [1_500.0, 90_000.0] {
+            entry.request.answer_bytes = answer_bytes;
+            assert_eq!(entry.shares(NOW).get("far"), None, "{objective:?}");
+        }
+    }
+}
+
 /// A target runs long calls and short ones and reports their mean run time, 100 ms. A call
 /// whose route takes 15 ms meets an objective of 45 ms in its zone. By the mean it would
 /// look late at every target, and leave its zone for any target that is slightly less busy.
--- a/crates/mesh/src/entry/forward.rs
+++ b/crates/mesh/src/entry/forward.rs
@@ -165,6 +165,7 @@
     let answers = answers.get(&call.parts.route).copied().unwrap_or_default();
     let wish = PlacementRequest {
         objective: call.objective.saturating_sub(now),
+        left: call.deadline.left(now),
         answer_bytes: if node.cfg.is_enabled(Mechanism::AnswerSize) {
             answers.bytes()
         } else {
