Send no calls on a link that has fallen silent

A link is closed 0.6 s after the last thing that was received on it; until then calls went on being sent on it, and of each of them the entry cannot tell whether it ran: 738 attempts with no line at an executor ended as lost between 30 and 32 s.

Change: once a link has been silent for 0.3 s although a reply is due, with a ping since 0.15 s, attempts are not sent on it. They did not run, so they go to another target, and a caller without one is told so. What was sent before may have run and stays unknown: to call it not run would be untrue.

Ruled out: asking fewer times for the outcome of an idempotent run before it is repeated elsewhere. The run at an executor that comes back would be lost to its caller, which the test a_run_goes_on_until_its_entry_has_had_time_to_ask_for_it forbids.

--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -228,7 +228,8 @@
 ) -> (AttemptOutcome, Option<Occupancy>) {
     let (id, ticket) = (attempt.id, attempt.ticket);
     let bound = call.deadline.left(node.clock.now()) + REPORT_GRACE;
-    let asked = timeout(bound, node.links.ask(addr, Ask::Run(attempt))).await;
+    let asked = node.links.ask_unless_silent(addr, Ask::Run(attempt));
+    let asked = timeout(bound, asked).await;
     match asked {
         Ok(Ok(Reply::Ran(ran))) => {
             let mut tables = node.entry.tables.borrow_mut();
--- a/crates/mesh/src/link/client.rs
+++ b/crates/mesh/src/link/client.rs
@@ -40,6 +40,11 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Why a request got no reply.
+/// Silence of a link with pending requests, a ping among them, after which nothing more is sent
+/// on it. A request that is sent while the peer is cut off may have run, as far as this daemon
+/// can tell; one that was not sent can still be answered elsewhere.
+const SUSPECT_SILENCE: Duration = CHECK_INTERVAL.saturating_mul(2);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LinkError {
     /// The request never left this process: the peer cannot have acted on it.
@@ -89,6 +94,20 @@
         let reply = timeout(bound, self.ask(addr, ask)).await;
         reply.unwrap_or(Err(LinkError::Lost))
     }
+    /// Sends a request like [`Links::ask`], unless the link to `addr` has been silent for a while
+    /// although a reply is due.
+    pub(crate) async fn ask_unless_silent(
+        &self,
+        addr: SocketAddr,
+        ask: Ask,
+    ) -> Result<Reply, LinkError> {
+        let link = self.table.borrow().get(&addr).cloned();
+        if link.is_some_and(|it| it.is_silent(self.clock.now())) {
+            return Err(LinkError::NotSent);
+        }
+        self.ask(addr, ask).await
+    }
+
 
     /// Closes all links. Called after a suspension of the instance, during which the peers
     /// may have closed them.
@@ -180,6 +199,12 @@
         if pending.is_empty() {
             self.last_received.set(now);
             self.became_busy.notify_one();
+    fn is_silent(&self, now: Time) -> bool {
+        let silence = now.saturating_sub(self.last_received.get());
+        let is_due = !self.pending.borrow().is_empty();
+        self.stage.get() == Stage::Up && is_due && silence >= SUSPECT_SILENCE
+    }
+
         }
         pending.insert(id, waiter);
         Ok(id)
