Borrow tokens of a quota before a call is refused

Cause: a zone has an equal share of a customer's quota, and its home borrowed only after it had refused a call, four times a second, whole tokens, of which the lender kept half of its bucket. With a quota of 5 calls a second in four zones a bucket holds 1.25 tokens, the lender had none to spare and nothing was ever lent.

Change: a home that is short asks the other zones before it refuses: an equal part of what is missing from each, then the rest from one after the other. Parts of a token are lent. A zone that does not answer costs 30 ms at most, and after all zones were found short nobody is asked again before the fleet gets the next token. A bucket holds two tokens at least, since a full one loses what it is refilled with; the bound of a span grows by as many for customers with a burst below twice the zones. Refusals that the whole fleet's quota explains (quota.short) are counted apart from those that one zone's explains (quota.short_in_zone).

Test: nothing_is_refused_while_the_fleet_has_a_token, a load of 0.6 of a small and a large quota, even and half of it in one zone; it fails without the change.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -74,7 +74,7 @@
     QuarantinedRequest, RecentAnswers, generation_hash,
 };
 pub use queue::{Occupancy, Queue, QueueRequest};
-pub use quota::{QuotaShare, TokenBucket, TokenCache, TokenDecision, TokenGrant};
+pub use quota::{QuotaShare, TokenBucket, TokenCache, TokenDecision, TokenGrant, shortage_time};
 pub use refusal::{Outcome, Reason, Refusal};
 pub use retry::{Backoff, RefusedAttempts, RetryBudget, UnansweredOutcome, may_retry};
 pub use router::{Report, Router};
--- a/crates/calls/src/quota/token_bucket.rs
+++ b/crates/calls/src/quota/token_bucket.rs
@@ -9,13 +9,22 @@
 /// Maximum retry delay that a refused caller is given.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// Smallest capacity of a bucket, in tokens. With less than one, nothing could ever be granted.
+/// With less than two, the bucket of a zone with few calls would be full, and lose what it is
+/// refilled with, while the customer's calls in another zone are refused.
+const MIN_BURST: f64 = 2.0;
+
+/// Longest time for which a home does not ask the other zones again after none had a token.
+const MAX_SHORTAGE: Duration = Duration::from_millis(250);
+
 /// Time for which borrowed tokens may exceed the bucket's capacity.
 const BORROWED_TTL: Duration = Duration::from_secs(1);
 
 /// Fraction of a full bucket below which its home borrows tokens.
 const LOW_FRACTION: f64 = 0.25;
 
-/// Fraction of a full bucket that its home does not lend.
+/// Fraction of a full bucket's tokens beyond [`MIN_BURST`] that its home does not lend. A customer
+/// with a small quota uses them all wherever its calls arrive.
 const RESERVED_FRACTION: f64 = 0.5;
 
 /// A fraction of a quota.
@@ -29,12 +38,12 @@
 
 impl QuotaShare {
     /// Computes the share of a quota that has the given `fraction`. The bucket has room for
-    /// at least one token; otherwise nothing could ever be granted from it.
+    /// at least two tokens.
     #[must_use]
     pub fn new(quota: Quota, fraction: f64) -> Self {
         Self {
             per_second: quota.per_second() * fraction,
-            burst: (f64::from(quota.burst) * fraction).max(1.0),
+            burst: (f64::from(quota.burst) * fraction).max(MIN_BURST),
         }
     }
 
@@ -52,6 +61,14 @@
     }
 }
 
+/// Time in which `missing` tokens arrive at `per_second`. A home that has found all zones short
+/// need not ask them again before.
+#[must_use]
+pub fn shortage_time(missing: f64, per_second: f64) -> Duration {
+    let time = Duration::try_from_secs_f64(missing / per_second).unwrap_or(MAX_SHORTAGE);
+    time.min(MAX_SHORTAGE)
+}
+
 /// A home's answer to an entry that requested tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TokenGrant {
@@ -93,16 +110,28 @@
     /// Refused callers get different retry times, one for each future token, so that they
     /// do not all come back at once to an empty bucket.
     pub fn grant(&mut self, wanted: u32, share: QuotaShare, now: Time) -> TokenGrant {
-        self.refill(share, now);
-        let tokens = self.take(wanted);
+        let tokens = self.take_available(wanted, share, now);
         let refused = wanted - tokens;
-        let retry_after = (refused > 0).then(|| self.reserve_retry(refused, share, now));
+        let retry_after = (refused > 0).then(|| self.reserve_retry(refused, share.per_second, now));
         TokenGrant {
             tokens,
             retry_after,
         }
     }
 
+    /// Takes up to `wanted` tokens, as far as there are any. The rest may be
+    /// [borrowed](Self::missing) before it is [refused](Self::reserve_retry).
+    pub fn take_available(&mut self, wanted: u32, share: QuotaShare, now: Time) -> u32 {
+        self.refill(share, now);
+        self.take(wanted)
+    }
+
+    /// Tokens that the bucket lacks for `wanted` whole ones.
+    #[must_use]
+    pub fn missing(&self, wanted: u32) -> f64 {
+        (f64::from(wanted) - self.tokens).max(0.0)
+    }
+
     /// Returns whether the home should borrow tokens now. If it waited until the bucket is
     /// empty, calls would be refused until the lender answers.
     #[must_use]
@@ -110,18 +139,21 @@
         self.tokens < share.burst * LOW_FRACTION
     }
 
-    /// Grants tokens to the home of another zone, and reserves some for this one.
-    pub fn lend(&mut self, wanted: u32, share: QuotaShare, now: Time) -> u32 {
+    /// Grants tokens to the home of another zone, and reserves some for this one. Parts
+    /// of a token are lent as well: the shares of a customer with a small quota are hardly
+    /// ever whole tokens, and all zones together have some while none of them has one.
+    pub fn lend(&mut self, wanted: f64, share: QuotaShare, now: Time) -> f64 {
         self.refill(share, now);
-        let reserved = share.burst * RESERVED_FRACTION;
-        let free = QuotaShare::whole_tokens(self.tokens - reserved);
-        self.take(wanted.min(free))
+        let reserved = (share.burst - MIN_BURST) * RESERVED_FRACTION;
+        let lent = wanted.min(self.tokens - reserved).max(0.0);
+        self.tokens -= lent;
+        lent
     }
 
     /// Adds tokens that another home lent. They may exceed the capacity for a moment, because
     /// the bucket may have been refilled before they arrive.
-    pub fn add_borrowed(&mut self, tokens: u32, now: Time) {
-        self.tokens += f64::from(tokens);
+    pub fn add_borrowed(&mut self, tokens: f64, now: Time) {
+        self.tokens += tokens.max(0.0);
         self.borrowed_until = now + BORROWED_TTL;
     }
 
@@ -143,9 +175,9 @@
     }
 
     /// Returns when refused callers may retry, and promises them the tokens that arrive by
-    /// then.
-    fn reserve_retry(&mut self, refused: u32, share: QuotaShare, now: Time) -> Duration {
-        let seconds = f64::from(refused) / share.per_second;
+    /// then at the rate of `per_second`.
+    pub fn reserve_retry(&mut self, refused: u32, per_second: f64, now: Time) -> Duration {
+        let seconds = f64::from(refused) / per_second;
         let wait = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_RETRY_AFTER);
         let until = self.promised_until.max(now) + wait.min(MAX_RETRY_AFTER);
         self.promised_until = until.min(now + MAX_RETRY_AFTER);
--- a/crates/calls/tests/all/quota.rs
+++ b/crates/calls/tests/all/quota.rs
@@ -10,7 +10,9 @@
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
-use stoatstep_calls::{QuotaShare, Time, TokenBucket, TokenCache, TokenDecision};
+use stoatstep_calls::{
+    QuotaShare, Time, TokenBucket, TokenCache, TokenDecision, TokenGrant, shortage_time,
+};
 use stoatstep_resource::Quota;
 
 const ZONES: usize = 4;
@@ -36,7 +38,7 @@
     /// Each zone has a home with an equal share, and homes do not borrow.
     ZoneHomes,
     /// Each zone has a home with an equal share, and a home that runs short borrows from the
-    /// others.
+    /// others: before it refuses a call, and in advance.
     Borrowing,
 }
 
@@ -71,6 +73,7 @@
     load: f64,
     skew: Skew,
     trouble: Trouble,
+    quota: Quota,
 }
 
 /// Result of one simulation.
@@ -78,6 +81,8 @@
 struct Outcome {
     calls: f64,
     refused: f64,
+    /// Calls refused while one bucket of the whole quota would have had a token.
+    refused_below: f64,
     messages: f64,
     messages_between_zones: f64,
     /// Largest number of grants in a window, as a fraction of what the quota allows.
@@ -90,7 +95,11 @@
     caches: HashMap<usize, TokenCache>,
     buckets: HashMap<usize, TokenBucket>,
     next_borrow: HashMap<usize, Time>,
+    /// Until when each home need not ask the others, which had no tokens either.
+    shortage: HashMap<usize, Time>,
     grants: Vec<Time>,
+    /// Tokens of one bucket for the whole fleet, which are taken by the calls that are served.
+    fleet_tokens: f64,
     outcome: Outcome,
 }
 
@@ -137,12 +146,20 @@
         };
         self.caches.insert(entry, cache);
         if is_served {
+            self.fleet_tokens -= 1.0;
             self.grants.push(now);
         } else {
             self.outcome.refused += 1.0;
+            self.outcome.refused_below += f64::from(u8::from(self.fleet_tokens >= 1.0));
         }
     }
 
+    fn refill_fleet(&mut self, gap: Duration) {
+        let quota = self.play.quota;
+        let refilled = self.fleet_tokens + quota.per_second() * gap.as_secs_f64();
+        self.fleet_tokens = refilled.min(f64::from(quota.burst));
+    }
+
     fn ask(&mut self, cache: &mut TokenCache, entry: usize, now: Time) -> bool {
         let (bucket, fraction) = self.bucket_of(entry, now);
         if self.play.way != Way::EvenShares {
@@ -151,40 +168,102 @@
         if self.play.way == Way::OneHome && Self::zone(entry) != bucket {
             self.outcome.messages_between_zones += 2.0;
         }
-        let share = QuotaShare::new(QUOTA, fraction);
+        let share = QuotaShare::new(self.play.quota, fraction);
         // An entry that has a share of its own does not request tokens in advance.
         let wanted = if self.play.way == Way::EvenShares {
             1
         } else {
             cache.tokens_to_request(1)
         };
-        let granted = self.bucket(bucket).grant(wanted, share, now);
+        let granted = if self.play.way == Way::Borrowing {
+            self.grant_borrowing(bucket, wanted, share, now)
+        } else {
+            self.bucket(bucket).grant(wanted, share, now)
+        };
         if let Some(retry_after) = granted.retry_after {
             cache.refused(retry_after, now);
         }
         if self.play.way == Way::Borrowing && self.bucket(bucket).is_low(share) {
-            self.borrow(bucket, share, now);
+            self.borrow_ahead(bucket, share, now);
         }
         cache.add(granted.tokens.saturating_sub(1), now);
         granted.tokens > 0
     }
 
+    fn grant_borrowing(
+        &mut self,
+        home: usize,
+        wanted: u32,
+        share: QuotaShare,
+        now: Time,
+    ) -> TokenGrant {
+        let mut tokens = self.bucket(home).take_available(wanted, share, now);
+        let mut rate = share.per_second;
+        if tokens < wanted && now >= self.shortage[&home] {
+            rate = self.borrow_missing(home, wanted - tokens, now);
+            tokens += self
+                .bucket(home)
+                .take_available(wanted - tokens, share, now);
+        }
+        let refused = wanted - tokens;
+        let mut retry_after = None;
+        if refused > 0 {
+            let rest = shortage_time(self.bucket(home).missing(1), rate);
+            self.shortage.insert(home, now + rest);
+            retry_after = Some(self.bucket(home).reserve_retry(refused, rate, now));
+        }
+        TokenGrant {
+            tokens,
+            retry_after,
+        }
+    }
+
+    /// Borrows what `home` lacks: an equal part from each zone, then the rest from one after the
+    /// other. Returns the rate at which the zones that it reaches get tokens.
+    fn borrow_missing(&mut self, home: usize, wanted: u32, now: Time) -> f64 {
+        let share = QuotaShare::new(self.play.quota, 1.0 / to_f64(ZONES));
+        let lenders: Vec<usize> = (0..ZONES)
+            .filter(|it| self.may_lend(*it, home, now))
+            .collect();
+        let part = self.bucket(home).missing(wanted) / to_f64(lenders.len().max(1));
+        for lender in &lenders {
+            self.borrow_from(*lender, home, part, now);
+        }
+        for lender in &lenders {
+            let rest = self.bucket(home).missing(wanted);
+            if rest > 0.0 {
+                self.borrow_from(*lender, home, rest, now);
+            }
+        }
+        share.per_second * to_f64(lenders.len() + 1)
+    }
+
+    fn borrow_from(&mut self, lender: usize, home: usize, wanted: f64, now: Time) {
+        let share = QuotaShare::new(self.play.quota, 1.0 / to_f64(ZONES));
+        self.outcome.messages_between_zones += 2.0;
+        let lent = self.bucket(lender).lend(wanted, share, now);
+        self.bucket(home).add_borrowed(lent, now);
+    }
+
+    fn may_lend(&self, lender: usize, home: usize, now: Time) -> bool {
+        lender != home && (!self.is_cut(now) || lender != 0 && home != 0)
+    }
+
     fn bucket(&mut self, bucket: usize) -> &mut TokenBucket {
         self.buckets
             .get_mut(&bucket)
             .expect("all buckets exist from the start")
     }
 
-    fn borrow(&mut self, borrower: usize, share: QuotaShare, now: Time) {
+    fn borrow_ahead(&mut self, borrower: usize, share: QuotaShare, now: Time) {
         let next = self.next_borrow.entry(borrower).or_default();
-        if now < *next {
+        let wanted = share.per_second * 0.5;
+        if now < *next || wanted < 1.0 {
             return;
         }
         *next = now + BORROW_INTERVAL;
-        let wanted = QuotaShare::whole_tokens(share.per_second * 0.5).max(1);
         for lender in 0..ZONES {
-            let is_reachable = !self.is_cut(now) || lender != 0 && borrower != 0;
-            if lender == borrower || !is_reachable {
+            if !self.may_lend(lender, borrower, now) {
                 continue;
             }
             self.outcome.messages_between_zones += 2.0;
@@ -211,6 +290,8 @@
         caches: HashMap::new(),
         buckets: HashMap::new(),
         next_borrow: HashMap::new(),
+        shortage: (0..ZONES).map(|zone| (zone, Time::ZERO)).collect(),
+        fleet_tokens: f64::from(play.quota.burst),
         grants: Vec::new(),
         outcome: Outcome::default(),
     };
@@ -228,15 +309,19 @@
     let mut now = WARM_UP;
     let mut are_replaced = false;
     while now < WARM_UP + LENGTH {
-        let gap = -(1.0 - simulation.rng.random::<f64>()).ln() / (play.load * QUOTA.per_second());
-        now += Duration::from_secs_f64(gap);
+        let gap =
+            -(1.0 - simulation.rng.random::<f64>()).ln() / (play.load * play.quota.per_second());
+        let gap = Duration::from_secs_f64(gap);
+        now += gap;
+        simulation.refill_fleet(gap);
         if play.trouble == Trouble::HomesDie && !are_replaced && now > WARM_UP + LENGTH / 2 {
             are_replaced = true;
             simulation.replace_homes(now);
         }
         simulation.call(now);
     }
-    let allowed = QUOTA.per_second() * WINDOW.as_secs_f64() + f64::from(QUOTA.burst);
+    let quota = play.quota;
+    let allowed = quota.per_second() * WINDOW.as_secs_f64() + f64::from(quota.burst);
     let mut from = 0;
     for until in 0..simulation.grants.len() {
         while simulation.grants[until].saturating_sub(simulation.grants[from]) > WINDOW {
@@ -254,6 +339,7 @@
     load: 0.6,
     skew: Skew::Even,
     trouble: Trouble::None,
+    quota: QUOTA,
 };
 
 /// Factor of its quota up to which a customer may get tokens: the tolerance that is in force
@@ -287,6 +373,7 @@
                         load,
                         skew,
                         trouble,
+                        quota: QUOTA,
                     },
                     1,
                 );
@@ -348,6 +435,33 @@
     }
 }
 
+/// Guards against refusing calls of a customer below its quota: one with a quota of a few
+/// calls a second, whose zones hold parts of a token, and calls that come unevenly by zone.
+#[test]
+fn nothing_is_refused_while_the_fleet_has_a_token() {
+    let small = Quota {
+        per_minute: 300,
+        burst: 5,
+    };
+    let large = Quota {
+        per_minute: 13_860,
+        burst: 231,
+    };
+    for quota in [small, large] {
+        for skew in [Skew::Even, Skew::OneZone] {
+            for seed in 0..5 {
+                let below_quota = Play {
+                    skew,
+                    quota,
+                    ..DEFAULT
+                };
+                let outcome = simulate(below_quota, seed);
+                assert!(outcome.refused_below < 1.0, "{below_quota:?}: {outcome:?}");
+            }
+        }
+    }
+}
+
 /// Guards against refused callers that all retry at the same time and are refused again.
 #[test]
 fn refused_callers_get_different_retry_times() {
--- a/crates/mesh/src/link/server.rs
+++ b/crates/mesh/src/link/server.rs
@@ -148,13 +148,13 @@
             let confirmed = fleet::confirmation::own(&node);
             connection.reply(id, Reply::Confirmed(confirmed));
         }
-        Ask::Tokens(customer, wanted) => {
-            let grant = quota::grant(&node, &customer, wanted);
-            connection.reply(id, Reply::Tokens(grant.map(GrantWire::from)));
-        }
+        Ask::Tokens(customer, wanted) => reply_later(connection, id, async move {
+            let grant = quota::grant(&node, &customer, wanted).await;
+            Reply::Tokens(grant.map(GrantWire::from))
+        }),
         Ask::Borrow(customer, wanted) => {
-            let grant = quota::lend(&node, &customer, wanted);
-            connection.reply(id, Reply::Tokens(grant.map(GrantWire::from)));
+            let lent = quota::lend(&node, &customer, wanted);
+            connection.reply(id, Reply::Lent(lent));
         }
         Ask::Ping => connection.reply(id, Reply::Pong),
     }
--- a/crates/mesh/src/quota.rs
+++ b/crates/mesh/src/quota.rs
@@ -130,7 +130,7 @@
 async fn request_tokens(node: Rc<Node>, customer: CustomerName) {
     while let Some(wanted) = next_request(&node, &customer) {
         let granted = match home::location_of(&node, &customer) {
-            Some(Location::Here) => grant(&node, &customer, wanted),
+            Some(Location::Here) => grant(&node, &customer, wanted).await,
             Some(Location::At(addr)) => {
                 ask(&node, addr, Ask::Tokens(customer.clone(), wanted)).await
             }
--- a/crates/mesh/src/quota/home.rs
+++ b/crates/mesh/src/quota/home.rs
@@ -10,16 +10,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stoatstep_calls::{QuotaShare, Time, TokenBucket, TokenGrant};
+use futures_util::future::join_all;
+use stoatstep_calls::{QuotaShare, Time, TokenBucket, TokenGrant, shortage_time};
 use stoatstep_distribution::{rendezvous_choice, seed_of};
 use stoatstep_membership::{Member, MemberKey};
 use stoatstep_resource::{CustomerName, Quota, ZoneName};
 use stoatstep_telemetry::fields;
+use tokio::sync::Notify;
 
-use super::{ask, to_f64};
+use super::{ANSWER_TIMEOUT, to_f64};
 use crate::fleet::role;
 use crate::node::Node;
-use crate::wire::Ask;
+use crate::wire::{Ask, Reply};
 
 /// Time for which dead members still count when the share of the remaining ones is computed: they
 /// may be on the other side of a network partition and use their part.
@@ -28,6 +30,10 @@
 /// Time between two attempts to borrow for one customer.
 const BORROW_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Timeout of a request to the home of another zone for a call that waits: several round trips
+/// between zones. A zone that is cut off must not hold up the call for longer.
+const LEND_TIMEOUT: Duration = Duration::from_millis(30);
+
 /// Period for which a home borrows in advance.
 const BORROW_PERIOD: Duration = Duration::from_millis(500);
 
@@ -53,8 +59,13 @@
 /// Quota state of one customer.
 struct CustomerBucket {
     bucket: TokenBucket,
-    /// Earliest time of the next request to the other zones.
+    /// Earliest time of the next request to the other zones in advance.
     next_borrow: Time,
+    /// Earliest time of the next request for a call that would be refused.
+    next_request: Time,
+    /// Notified when the request to the other zones for such a call has ended; none if there is
+    /// no such request.
+    borrowing: Option<Rc<Notify>>,
 }
 
 impl Homes {
@@ -105,8 +116,13 @@
     Some(Location::At(entry.member.peer))
 }
 
-/// Grants tokens; `None` if this daemon is not the customer's home.
-pub(crate) fn grant(node: &Rc<Node>, customer: &CustomerName, wanted: u32) -> Option<TokenGrant> {
+/// Grants tokens; `None` if this daemon is not the customer's home. If it has too few, the homes
+/// of the other zones are asked for the rest before a call is refused.
+pub(crate) async fn grant(
+    node: &Rc<Node>,
+    customer: &CustomerName,
+    wanted: u32,
+) -> Option<TokenGrant> {
     let (share, quota) = own_share(node, customer)?;
     let Some(quota) = quota else {
         // The limit was removed, and the entry will learn of it shortly.
@@ -115,30 +131,76 @@
             retry_after: None,
         });
     };
-    let now = node.clock.now();
-    let (granted, is_low) = with_bucket(node, customer, |it| {
-        let granted = it.bucket.grant(wanted, share, now);
-        (granted, it.bucket.is_low(share))
+    let take = |wanted| {
+        let now = node.clock.now();
+        with_bucket(node, customer, |it| {
+            it.bucket.take_available(wanted, share, now)
+        })
+    };
+    let mut tokens = take(wanted);
+    let mut supply = Supply::of_zone(share);
+    while tokens < wanted
+        && let Some(turn) = borrow_turn(node, customer)
+    {
+        match turn {
+            BorrowTurn::Own => {
+                supply = borrow_missing(node, customer, wanted - tokens, share).await;
+                tokens += take(wanted - tokens);
+                break;
+            }
+            BorrowTurn::After(other) => other.notified().await,
+        }
+        tokens += take(wanted - tokens);
+    }
+    let refused = wanted - tokens;
+    let retry_after = (refused > 0).then(|| {
+        log_shortage(node, customer, (wanted, tokens), quota, supply);
+        refuse(node, customer, refused, supply)
     });
-    if granted.retry_after.is_some() {
-        log_shortage(node, customer, (wanted, granted), quota);
+    if with_bucket(node, customer, |it| it.bucket.is_low(share)) {
+        borrow_ahead(node, customer, share);
     }
-    if is_low {
-        borrow(node, customer, share);
+    Some(TokenGrant {
+        tokens,
+        retry_after,
+    })
+}
+
+/// Records that tokens are short, and returns when the refused callers may retry.
+fn refuse(node: &Node, customer: &CustomerName, refused: u32, supply: Supply) -> Duration {
+    let now = node.clock.now();
+    with_bucket(node, customer, |it| {
+        it.next_request = now + shortage_time(it.bucket.missing(1), supply.per_second);
+        it.bucket.reserve_retry(refused, supply.per_second, now)
+    })
+}
+
+/// Where tokens can come from.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Supply {
+    /// Rate at which the zones that answered get tokens.
+    per_second: f64,
+    /// Whether all zones were asked and answered, so that a refusal is beyond the whole quota.
+    is_whole_fleet: bool,
+}
+
+impl Supply {
+    fn of_zone(share: QuotaShare) -> Self {
+        Self {
+            per_second: share.per_second,
+            is_whole_fleet: false,
+        }
     }
-    Some(granted)
 }
 
-/// Grants tokens to the home of another zone.
-pub(crate) fn lend(node: &Node, customer: &CustomerName, wanted: u32) -> Option<TokenGrant> {
+/// Lends tokens to the home of another zone; `None` if this daemon is not the customer's home.
+pub(crate) fn lend(node: &Node, customer: &CustomerName, wanted: f64) -> Option<f64> {
     let (share, quota) = own_share(node, customer)?;
     quota?;
     let now = node.clock.now();
-    let tokens = with_bucket(node, customer, |it| it.bucket.lend(wanted, share, now));
-    Some(TokenGrant {
-        tokens,
-        retry_after: None,
-    })
+    Some(with_bucket(node, customer, |it| {
+        it.bucket.lend(wanted, share, now)
+    }))
 }
 
 /// The share that this daemon may grant as the customer's home, and the whole quota.
@@ -180,24 +242,147 @@
         .or_insert_with(|| CustomerBucket {
             bucket: TokenBucket::empty(homes.changed_at.get()),
             next_borrow: Time::ZERO,
+            next_request: Time::ZERO,
+            borrowing: None,
         });
     act(bucket)
 }
 
-fn log_shortage(node: &Node, customer: &str, (wanted, granted): (u32, TokenGrant), quota: Quota) {
-    node.journal.count("quota.short");
+/// Applies `act` to the state of a customer of which this daemon is still the home.
+fn with_held(node: &Node, customer: &CustomerName, act: impl FnOnce(&mut CustomerBucket)) {
+    let mut buckets = node.quotas.homes.buckets.borrow_mut();
+    if let Some(held) = buckets.get_mut(customer) {
+        act(held);
+    }
+}
+
+fn log_shortage(
+    node: &Node,
+    customer: &str,
+    (wanted, granted): (u32, u32),
+    quota: Quota,
+    supply: Supply,
+) {
+    node.journal.count(if supply.is_whole_fleet {
+        "quota.short"
+    } else {
+        "quota.short_in_zone"
+    });
     if let Some(left_out) = node.journal.admits("quota", node.clock.now()) {
         slog::info!(node.log, "quota used up"; fields::CUSTOMER => customer,
-            fields::WANTED => wanted, fields::GRANTED => granted.tokens,
-            fields::PER_MINUTE => quota.per_minute, fields::LEFT_OUT => left_out);
+            fields::WANTED => wanted, fields::GRANTED => granted,
+            fields::PER_MINUTE => quota.per_minute,
+            fields::WHOLE_FLEET => supply.is_whole_fleet, fields::LEFT_OUT => left_out);
+    }
+}
+
+/// When a grant that is short of tokens may ask the other zones.
+enum BorrowTurn {
+    /// Now.
+    Own,
+    /// After the grant that is asking them for the same customer; its end is notified.
+    After(Rc<Notify>),
+}
+
+/// `None` if the other zones had no tokens when last asked, and can't have any yet.
+fn borrow_turn(node: &Node, customer: &CustomerName) -> Option<BorrowTurn> {
+    let now = node.clock.now();
+    with_bucket(node, customer, |it| match &it.borrowing {
+        Some(other) => Some(BorrowTurn::After(Rc::clone(other))),
+        None => (now >= it.next_request).then_some(BorrowTurn::Own),
+    })
+}
+
+/// Guard of a request to the other zones. Dropping it lets the next grant ask.
+struct BorrowingGuard<'a> {
+    node: &'a Node,
+    customer: &'a CustomerName,
+    ended: Rc<Notify>,
+}
+
+impl<'a> BorrowingGuard<'a> {
+    fn new(node: &'a Node, customer: &'a CustomerName) -> Self {
+        let ended = Rc::new(Notify::new());
+        let held = Rc::clone(&ended);
+        with_bucket(node, customer, |it| it.borrowing = Some(held));
+        Self {
+            node,
+            customer,
+            ended,
+        }
+    }
+}
+
+impl Drop for BorrowingGuard<'_> {
+    fn drop(&mut self) {
+        with_held(self.node, self.customer, |it| it.borrowing = None);
+        self.ended.notify_waiters();
     }
 }
 
-/// Asks the customer's homes in the other zones for unused tokens.
-fn borrow(node: &Rc<Node>, customer: &CustomerName, share: QuotaShare) {
+/// Asks each zone for an equal part of what is missing, and then one after the other for the rest.
+/// Equal parts leave room in all buckets; full ones lose what they are refilled with.
+async fn borrow_missing(
+    node: &Rc<Node>,
+    customer: &CustomerName,
+    wanted: u32,
+    share: QuotaShare,
+) -> Supply {
+    let _guard = BorrowingGuard::new(node, customer);
+    let lenders = homes_in_other_zones(node, customer);
+    let missing = || with_bucket(node, customer, |it| it.bucket.missing(wanted));
+    let part = missing() / to_f64(lenders.len().max(1));
+    let parts = lenders
+        .iter()
+        .map(|addr| borrow_from(node, customer, *addr, part));
+    let answered = join_all(parts).await;
+    let reached = answered.iter().filter(|it| **it).count();
+    let reachable = lenders.iter().zip(&answered).filter(|(_, it)| **it);
+    for (addr, _) in reachable {
+        let rest = missing();
+        if rest <= 0.0 {
+            break;
+        }
+        borrow_from(node, customer, *addr, rest).await;
+    }
+    Supply {
+        per_second: share.per_second * to_f64(reached + 1),
+        is_whole_fleet: reached == lenders.len(),
+    }
+}
+
+/// Borrows tokens from the home in another zone. Returns whether it answered.
+async fn borrow_from(
+    node: &Rc<Node>,
+    customer: &CustomerName,
+    addr: SocketAddr,
+    wanted: f64,
+) -> bool {
+    let ask = Ask::Borrow(customer.clone(), wanted);
+    match node.links.ask_within(addr, ask, LEND_TIMEOUT).await {
+        Ok(Reply::Lent(Some(lent))) => {
+            add_borrowed(node, customer, lent);
+            true
+        }
+        Ok(_) | Err(_) => false,
+    }
+}
+
+/// Adds lent tokens, unless this daemon has ceased to be the customer's home meanwhile: the next
+/// home grants its share already.
+fn add_borrowed(node: &Node, customer: &CustomerName, lent: f64) {
+    let now = node.clock.now();
+    with_held(node, customer, |it| it.bucket.add_borrowed(lent, now));
+}
+
+/// Asks the customer's homes in the other zones for unused tokens before they are needed, so that
+/// calls don't wait for them. Shares of less than a token are only borrowed when they are needed:
+/// the bucket has no room for more.
+fn borrow_ahead(node: &Rc<Node>, customer: &CustomerName, share: QuotaShare) {
     let now = node.clock.now();
+    let wanted = share.per_second * BORROW_PERIOD.as_secs_f64();
     let is_due = with_bucket(node, customer, |it| {
-        let is_due = now >= it.next_borrow;
+        let is_due = wanted >= 1.0 && now >= it.next_borrow;
         if is_due {
             it.next_borrow = now + BORROW_INTERVAL;
         }
@@ -206,19 +391,13 @@
     if !is_due {
         return;
     }
-    let tokens_ahead = share.per_second * BORROW_PERIOD.as_secs_f64();
-    let wanted = QuotaShare::whole_tokens(tokens_ahead).max(1);
     for addr in homes_in_other_zones(node, customer) {
         let (node, customer) = (Rc::clone(node), customer.clone());
         ntex::rt::spawn(async move {
-            let ask_for = Ask::Borrow(customer.clone(), wanted);
-            let Some(lent) = ask(&node, addr, ask_for).await else {
-                return;
-            };
-            let now = node.clock.now();
-            let mut buckets = node.quotas.homes.buckets.borrow_mut();
-            if let Some(held) = buckets.get_mut(&customer) {
-                held.bucket.add_borrowed(lent.tokens, now);
+            let ask = Ask::Borrow(customer.clone(), wanted);
+            let lent = node.links.ask_within(addr, ask, ANSWER_TIMEOUT).await;
+            if let Ok(Reply::Lent(Some(lent))) = lent {
+                add_borrowed(&node, &customer, lent);
             }
         });
     }
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -81,7 +81,7 @@
     Tokens(CustomerName, u32),
     /// Asks a customer's home in another zone to lend tokens of its quota.
     #[serde(rename = "b")]
-    Borrow(CustomerName, u32),
+    Borrow(CustomerName, f64),
     /// Checks that the receiver answers.
     #[serde(rename = "p")]
     Ping,
@@ -114,9 +114,12 @@
     /// Answers [`Ask::Following`].
     #[serde(rename = "w")]
     Following(Following, ConfigId),
-    /// Answers [`Ask::Tokens`] and [`Ask::Borrow`]; `None` if the receiver is not the home.
+    /// Answers [`Ask::Tokens`]; `None` if the receiver is not the home.
     #[serde(rename = "t")]
     Tokens(Option<GrantWire>),
+    /// Answers [`Ask::Borrow`]; `None` if the receiver is not the home.
+    #[serde(rename = "b")]
+    Lent(Option<f64>),
     /// Answers [`Ask::Ping`], [`Ask::Holds`], [`Ask::Rollout`], [`Ask::Findings`] and
     /// [`Ask::LostStore`].
     #[serde(rename = "p")]
--- a/crates/telemetry/src/fields.rs
+++ b/crates/telemetry/src/fields.rs
@@ -137,6 +137,8 @@
 pub const GRANTED: &str = "granted";
 /// Number of tokens that the home of a quota may grant per minute.
 pub const PER_MINUTE: &str = "per_minute";
+/// Whether all availability zones were short, and not only those that were asked in time.
+pub const WHOLE_FLEET: &str = "whole_fleet";
 /// Age of what is known, in milliseconds; absent if nothing is known.
 pub const AGE_MS: &str = "age_ms";
 /// Requests per second that a target states as its limit; empty if it states none.
@@ -149,7 +151,7 @@
 pub const CAUSE: &str = "cause";
 
 /// All keys, in the order in which this module defines them.
-pub const ALL: [&str; 73] = [
+pub const ALL: [&str; 74] = [
     REQUEST,
     ATTEMPT,
     UPSTREAM,
@@ -218,6 +220,7 @@
     WANTED,
     GRANTED,
     PER_MINUTE,
+    WHOLE_FLEET,
     AGE_MS,
     LIMIT,
     BEFORE_LIMIT,
