Count the bytes of links by cause and by the zone of the receiver

Nothing showed what is sent between zones: one counter, link_bytes, with the cause, for calls and answers the route, and whether the receiver is in the same zone.

--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 use crate::config::MeshConfig;
 use crate::fleet_store::Era;
 use crate::in_force::InForce;
+use crate::link::Place;
 use crate::node::Node;
 use crate::quota;
 use crate::rollout::{self, NewVersions};
@@ -180,6 +181,9 @@
     node.journal.gauge("target.limited", is_limited.into());
     let takes_calls = node.executor.accepts_calls(node.clock.now());
     node.journal.gauge("target.takes_calls", takes_calls.into());
+    for ((cause, place), bytes) in node.traffic.take() {
+        node.journal.count_link_bytes(&cause, place, bytes);
+    }
     let follows_store = role::follows_store(node);
     node.journal.gauge("host.followed", follows_store.into());
     let reaches_store = node.fleet.reaches_store.get() == Some(true);
@@ -242,7 +246,14 @@
     let mut is_holding = false;
     let mut services: HashMap<ServiceName, Vec<Candidate>> = HashMap::new();
     let mut target_locations = HashMap::new();
+    let mut places = HashMap::new();
     for (key, entry) in membership.table().present() {
+        let place = if entry.member.zone == node.cfg.zone {
+            Place::SameZone
+        } else {
+            Place::OtherZone
+        };
+        places.insert(entry.member.peer.ip(), place);
         let Some(announced) = &entry.member.announced else {
             continue;
         };
@@ -276,6 +287,7 @@
     drop((membership, new_versions));
     rollout::rebuild(node);
     quota::members_changed(node);
+    node.traffic.set_places(places);
     *node.fleet.target_locations.borrow_mut() = target_locations;
     node.entry.set_candidates(&services, now);
     if is_holding {
--- a/crates/mesh/src/journal.rs
+++ b/crates/mesh/src/journal.rs
@@ -12,6 +12,7 @@
 use stoatstep_calls::{AttemptId, Outcome, Reason, Time};
 use stoatstep_telemetry::{Histograms, LogDecision, LogRateLimit, Metrics, Stage, fields};
 
+use crate::link::{Cause, Place};
 use crate::wire::{CallParts, End};
 
 /// Lines per second about successful calls. Enough for every call of an ordinary day; under heavy
@@ -109,6 +110,16 @@
         self.metrics.gauge(name, value);
     }
 
+    /// Adds bytes that were sent over links.
+    pub(crate) fn count_link_bytes(&self, cause: &Cause, place: Place, bytes: u64) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        let mut tags = vec![("cause", cause.name()), ("place", place.name())];
+        if let Some(route) = cause.route() {
+            tags.push(("route", route));
+        }
+        self.metrics.count_with_tags("link_bytes", bytes, &tags);
+    }
+
     pub(crate) fn count(&self, name: &str) {
         self.metrics.count(name, 1);
     }
--- a/crates/mesh/src/link/client.rs
+++ b/crates/mesh/src/link/client.rs
@@ -17,6 +17,7 @@
 use tokio_util::codec::{FramedRead, FramedWrite};
 
 use super::framing::{Outgoing, Reassembler};
+use super::traffic::{Cause, LinkTraffic};
 use super::uplink::SharedUplink;
 use super::{Reader, codec, decode, encode, write};
 use crate::clock::Clock;
@@ -39,12 +40,12 @@
 /// ping on a busy instance.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Why a request got no reply.
 /// Silence of a link with pending requests, a ping among them, after which nothing more is sent
 /// on it. A request that is sent while the peer is cut off may have run, as far as this daemon
 /// can tell; one that was not sent can still be answered elsewhere.
 const SUSPECT_SILENCE: Duration = CHECK_INTERVAL.saturating_mul(2);
 
+/// Why a request got no reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LinkError {
     /// The request never left this process: the peer cannot have acted on it.
@@ -58,15 +59,22 @@
     clock: Clock,
     log: Logger,
     uplink: Rc<SharedUplink>,
+    traffic: Rc<LinkTraffic>,
     table: RefCell<HashMap<SocketAddr, Rc<Link>>>,
 }
 
 impl Links {
-    pub(crate) fn new(uplink: Rc<SharedUplink>, clock: Clock, log: Logger) -> Self {
+    pub(crate) fn new(
+        uplink: Rc<SharedUplink>,
+        traffic: Rc<LinkTraffic>,
+        clock: Clock,
+        log: Logger,
+    ) -> Self {
         Self {
             clock,
             log,
             uplink,
+            traffic,
             table: RefCell::default(),
         }
     }
@@ -78,22 +86,14 @@
         let (tx, rx) = oneshot::channel();
         let id = link.register(tx, self.clock.now())?;
         let guard = PendingGuard { link: &link, id };
-        link.send(id, &ToServer::Ask(id, ask));
+        let cause = Cause::of_ask(&ask);
+        let bytes = link.send(id, &ToServer::Ask(id, ask));
+        self.traffic.record(cause, addr.ip(), bytes);
         let reply = rx.await.unwrap_or(Err(LinkError::Lost));
         guard.disarm();
         reply
     }
 
-    /// Sends a request like [`Links::ask`], and waits at most `bound` for the reply.
-    pub(crate) async fn ask_within(
-        &self,
-        addr: SocketAddr,
-        ask: Ask,
-        bound: Duration,
-    ) -> Result<Reply, LinkError> {
-        let reply = timeout(bound, self.ask(addr, ask)).await;
-        reply.unwrap_or(Err(LinkError::Lost))
-    }
     /// Sends a request like [`Links::ask`], unless the link to `addr` has been silent for a while
     /// although a reply is due.
     pub(crate) async fn ask_unless_silent(
@@ -108,6 +108,16 @@
         self.ask(addr, ask).await
     }
 
+    /// Sends a request like [`Links::ask`], and waits at most `bound` for the reply.
+    pub(crate) async fn ask_within(
+        &self,
+        addr: SocketAddr,
+        ask: Ask,
+        bound: Duration,
+    ) -> Result<Reply, LinkError> {
+        let reply = timeout(bound, self.ask(addr, ask)).await;
+        reply.unwrap_or(Err(LinkError::Lost))
+    }
 
     /// Closes all links. Called after a suspension of the instance, during which the peers
     /// may have closed them.
@@ -189,6 +199,12 @@
         }
     }
 
+    fn is_silent(&self, now: Time) -> bool {
+        let silence = now.saturating_sub(self.last_received.get());
+        let is_due = !self.pending.borrow().is_empty();
+        self.stage.get() == Stage::Up && is_due && silence >= SUSPECT_SILENCE
+    }
+
     fn register(&self, waiter: Waiter, now: Time) -> Result<AskId, LinkError> {
         if matches!(self.stage.get(), Stage::Down(_) | Stage::Closed) {
             return Err(LinkError::NotSent);
@@ -199,20 +215,18 @@
         if pending.is_empty() {
             self.last_received.set(now);
             self.became_busy.notify_one();
-    fn is_silent(&self, now: Time) -> bool {
-        let silence = now.saturating_sub(self.last_received.get());
-        let is_due = !self.pending.borrow().is_empty();
-        self.stage.get() == Stage::Up && is_due && silence >= SUSPECT_SILENCE
-    }
-
         }
         pending.insert(id, waiter);
         Ok(id)
     }
 
-    fn send(&self, id: AskId, message: &ToServer) {
+    /// Queues a message, and returns its size.
+    fn send(&self, id: AskId, message: &ToServer) -> usize {
+        let message = encode(message);
+        let size = message.len();
         // This fails only if the link is closed, and then every pending request has failed.
-        let _ = self.queue.send(Outgoing::Message(id, encode(message)));
+        let _ = self.queue.send(Outgoing::Message(id, message));
+        size
     }
 
     fn close(&self, stage: Stage, err: LinkError) {
--- a/crates/mesh/src/link/mod.rs
+++ b/crates/mesh/src/link/mod.rs
@@ -11,6 +11,7 @@
 mod client;
 mod framing;
 mod server;
+mod traffic;
 mod uplink;
 
 use std::rc::Rc;
@@ -27,6 +28,7 @@
 
 pub(crate) use client::{CONNECT_TIMEOUT, LinkError, Links};
 pub(crate) use server::serve;
+pub(crate) use traffic::{Cause, LinkTraffic, Place};
 pub(crate) use uplink::SharedUplink;
 
 /// Largest message: a call with the largest body, and its headers.
--- a/crates/mesh/src/link/server.rs
+++ b/crates/mesh/src/link/server.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use tokio_util::codec::{FramedRead, FramedWrite};
 
 use super::framing::{Outgoing, Reassembler};
+use super::traffic::Cause;
 use super::{Reader, codec, decode, encode, write};
 use crate::executor::{self, Origin};
 use crate::fleet;
@@ -29,8 +31,8 @@
 pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                ntex::rt::spawn(connection(Rc::clone(&node), stream));
+            Ok((stream, peer)) => {
+                ntex::rt::spawn(connection(Rc::clone(&node), stream, peer.ip()));
             }
             Err(err) => {
                 slog::warn!(node.log, "link not accepted"; fields::ERROR => %err);
@@ -43,6 +45,7 @@
 /// A link that a peer has opened.
 struct Connection {
     node: Rc<Node>,
+    peer: IpAddr,
     queue: UnboundedSender<Outgoing>,
     /// Attempts that came over this link and have not ended.
     running: RefCell<HashMap<AskId, AttemptId>>,
@@ -50,10 +53,15 @@
 
 impl Connection {
     fn reply(&self, id: AskId, reply: Reply) {
+        self.reply_for(id, Cause::of_reply(&reply), reply);
+    }
+
+    fn reply_for(&self, id: AskId, cause: Cause, reply: Reply) {
         // This fails only if the link is closed. The peer then asks for the outcome of its
         // attempts over another link.
         let is_urgent = matches!(reply, Reply::Newer(..));
         let message = encode(&ToClient(id, reply));
+        self.node.traffic.record(cause, self.peer, message.len());
         let _ = self.queue.send(if is_urgent {
             Outgoing::Urgent(id, message)
         } else {
@@ -62,13 +70,14 @@
     }
 }
 
-async fn connection(node: Rc<Node>, stream: TcpStream) {
+async fn connection(node: Rc<Node>, stream: TcpStream, peer: IpAddr) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
     let (queue, rx) = mpsc::unbounded_channel();
     let connection = Rc::new(Connection {
         node: Rc::clone(&node),
+        peer,
         queue,
         running: RefCell::default(),
     });
@@ -177,12 +186,13 @@
 /// the attempt.
 fn run(connection: &Rc<Connection>, id: AskId, attempt: Attempt) {
     connection.running.borrow_mut().insert(id, attempt.id);
+    let cause = Cause::Answer(attempt.call.route.clone());
     let accepted = executor::accept(&connection.node, attempt, Origin::Link);
     let connection = Rc::clone(connection);
     ntex::rt::spawn(async move {
         let ran = executor::wait(&connection.node, accepted).await;
         connection.running.borrow_mut().remove(&id);
-        connection.reply(id, Reply::Ran(ran));
+        connection.reply_for(id, cause, Reply::Ran(ran));
     });
 }
 
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -17,7 +17,7 @@
 use crate::fleet::{self, Fleet};
 use crate::fleet_store::FleetStore;
 use crate::journal::Journal;
-use crate::link::{self, Links, SharedUplink};
+use crate::link::{self, LinkTraffic, Links, SharedUplink};
 use crate::mechanism::Mechanism;
 use crate::quarantine::QuarantineState;
 use crate::quota::{self, Quotas};
@@ -40,6 +40,8 @@
     pub(crate) journal: Journal,
     /// Pacing of what is sent over this instance's link.
     pub(crate) uplink: Rc<SharedUplink>,
+    /// What was sent over links, and why.
+    pub(crate) traffic: Rc<LinkTraffic>,
     pub(crate) links: Links,
     pub(crate) entry: Entry,
     pub(crate) executor: Executor,
@@ -83,8 +85,10 @@
                 .filter(|_| cfg.is_enabled(Mechanism::LinkPace)),
             clock,
         ));
+        let traffic = Rc::new(LinkTraffic::default());
         let node = Rc::new(Node {
-            links: Links::new(Rc::clone(&uplink), clock, log.clone()),
+            links: Links::new(Rc::clone(&uplink), Rc::clone(&traffic), clock, log.clone()),
+            traffic,
             uplink,
             journal: Journal::new(log.clone()),
             entry: Entry::new(&cfg),
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -56,6 +56,15 @@
         let _ = self.client.count(name, by);
     }
 
+    /// Adds to a counter with tags, which are pairs of a name and a value.
+    pub fn count_with_tags(&self, name: &str, by: i64, tags: &[(&str, &str)]) {
+        let metric = self.client.count_with_tags(name, by);
+        let tagged = tags
+            .iter()
+            .fold(metric, |metric, (name, value)| metric.with_tag(name, value));
+        tagged.send();
+    }
+
     /// Sets the value of a gauge.
     pub fn gauge(&self, name: &str, value: u64) {
         let _ = self.client.gauge(name, value);
