Move calls from zones that are short of room by the rooms of all zones

No daemon knew the room and the demand of a zone as a whole: each entry compared its own zone with one of two random targets elsewhere. One member of each zone, chosen by a hash, now adds up what its members report once a second and exchanges the sums with the members that do so in the other zones. The shares of each route's calls that leave are a pure function of these sums (crates/calls/src/zone_room.rs): nothing leaves while the zone has room, what frees most slot time for each byte leaves first, and together the zones never send more than another has left over. Reports and sums expire after 3 s; what is not known counts as no room, and slots are believed as far as targets announced them.

It takes effect for routes whose timeout is three times their objective or more, in deployments of several zones; the switch is the mechanism zone-rooms.

Tests: load tests of downloads over thin links, of short slots and of all zones short at once; failure tests of makers that die, of reports that come twice or late and of a zone that claims ten times its room; a property test that nothing is sent beyond room.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -48,6 +48,7 @@
 mod target_limiter;
 mod throttle;
 mod uplink;
+mod zone_room;
 
 pub use admission::{
     Admission, AdmissionConfig, AdmissionDecision, AdmissionRequest, Dispatch, Load,
@@ -86,3 +87,7 @@
 pub use target_limiter::{KnownLimit, LimitReport, TargetLimiter};
 pub use throttle::Throttle;
 pub use uplink::Uplink;
+pub use zone_room::{
+    DemandMeter, LoadReport, RoomBoard, RouteDemand, RouteShares, ServiceRoom, TargetRoom,
+    ZoneRoom, route_shares, zone_for,
+};
--- a/crates/calls/src/placement.rs
+++ b/crates/calls/src/placement.rs
@@ -60,6 +60,8 @@
     pub run: Option<Duration>,
     /// Targets that it may go to.
     pub filter: TargetFilter<'a>,
+    /// Another zone that has room for it, while its own zone has too little.
+    pub zone: Option<&'a ZoneName>,
 }
 
 impl PlacementRequest<'_> {
@@ -244,6 +246,13 @@
         run: request.run,
         bytes: request.answer_bytes,
     };
+    if let Some(zone) = request.zone {
+        let there = eligible.remote.iter().copied();
+        let there: Vec<&Row> = there.filter(|it| it.zone == *zone).collect();
+        if let Some(row) = soonest_sampled(&there, inputs, now, rng) {
+            return Some(row);
+        }
+    }
     let tolerance = request.objective.mul_f64(TOLERANCE_SHARE);
     let Some(local) = soonest_by_reports(&eligible.local, inputs, tolerance, now, rng) else {
         return soonest_sampled(&eligible.remote, inputs, now, rng);
--- a/crates/calls/src/routes.rs
+++ b/crates/calls/src/routes.rs
@@ -82,6 +82,13 @@
             .or_else(|| any.and_then(|routes| longest_match(routes, path)))
     }
 
+    /// Whether the calls of any route are served after their objective.
+    #[must_use]
+    pub fn any_serves_late(&self) -> bool {
+        let mut routes = self.hosts.values().flat_map(HashMap::values);
+        routes.any(|it| it.policy.serves_late())
+    }
+
     fn add(&mut self, resolved: ResolvedRoute) {
         let host = resolved.route.host.as_deref().unwrap_or_default();
         let routes = self.hosts.entry(normalize_host(host)).or_default();
--- a/crates/calls/tests/all/main.rs
+++ b/crates/calls/tests/all/main.rs
@@ -19,3 +19,4 @@
 mod target_limiter;
 mod throttle;
 mod uplink;
+mod zone_room;
--- a/crates/calls/tests/all/placement.rs
+++ b/crates/calls/tests/all/placement.rs
@@ -47,6 +47,7 @@
                 answer_bytes: 0.0,
                 run: None,
                 filter: TargetFilter::All,
+                zone: None,
             },
             rng: Xoshiro256PlusPlus::seed_from_u64(1),
         }
--- a/crates/mesh/src/entry/forward.rs
+++ b/crates/mesh/src/entry/forward.rs
@@ -3,10 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::RngExt;
 use stoatstep_calls::{
     Outcome, Pick, PlacementRequest, Reason, Refusal, RefusedAttempts, TargetFilter,
 };
-use stoatstep_resource::UpstreamName;
+use stoatstep_resource::{UpstreamName, ZoneName};
 use stoatstep_telemetry::fields;
 
 use super::Tables;
@@ -21,6 +22,7 @@
 use crate::node::Node;
 use crate::quarantine;
 use crate::wire::End;
+use crate::zones;
 
 /// Retry delay given to callers if no target is available.
 const UNREACHABLE_RETRY: Duration = Duration::from_millis(200);
@@ -55,6 +57,7 @@
 pub(super) async fn forward(node: &Rc<Node>, call: &Call) -> CompletedCall {
     let mut history = AttemptHistory::default();
     let mut split = TrafficSplit::draw(node, call);
+    let zone = draw_zone(node, call);
     earn_retries(node, call);
     loop {
         // The request may have been quarantined, or its key revoked, since the last
@@ -64,7 +67,9 @@
             history.record(AttemptOutcome::refused(refusal, false));
             return history.finish();
         }
-        let Some((pick, place)) = choose_target(node, call, &history.tried, &mut split) else {
+        let Some((pick, place)) =
+            choose_target(node, call, &history.tried, &mut split, zone.as_ref())
+        else {
             return history.finish();
         };
         probes::send(node, &call.parts.service, split.allowed_targets());
@@ -140,12 +145,27 @@
     call: &Call,
     tried: &[UpstreamName],
     split: &mut TrafficSplit,
+    zone: Option<&ZoneName>,
 ) -> Option<(Pick, TargetLocation)> {
-    let pick = choose_from(node, call, tried, split.allowed_targets());
+    let zone = zone.filter(|_| tried.is_empty());
+    let pick = choose_from(node, call, tried, split.allowed_targets(), zone);
     if pick.is_some() || !split.fall_back() {
         return pick;
     }
-    choose_from(node, call, tried, split.allowed_targets())
+    choose_from(node, call, tried, split.allowed_targets(), zone)
+}
+
+/// Draws whether the call leaves its zone for one that has room for it.
+fn draw_zone(node: &Node, call: &Call) -> Option<ZoneName> {
+    let parts = &call.parts;
+    zones::record_call(node, &parts.route, &parts.service);
+    if !call.route.policy.serves_late() || !node.cfg.is_enabled(Mechanism::ZoneRooms) {
+        return None;
+    }
+    let draw = node.entry.tables.borrow_mut().rng.random();
+    let zone = zones::zone_of_call(node, &parts.route, draw)?;
+    node.journal.count("calls.moved");
+    Some(zone)
 }
 
 fn choose_from(
@@ -153,6 +173,7 @@
     call: &Call,
     tried: &[UpstreamName],
     among: TargetFilter<'_>,
+    zone: Option<&ZoneName>,
 ) -> Option<(Pick, TargetLocation)> {
     let now = node.clock.now();
     let mut tables = node.entry.tables.borrow_mut();
@@ -175,6 +196,7 @@
             .run()
             .filter(|_| node.cfg.is_enabled(Mechanism::RouteTime)),
         filter: among,
+        zone,
     };
     let pick = placement.pick(&call.parts.service, tried, wish, now, rng)?;
     let place = node.fleet.target_location(&pick.upstream)?;
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Statistics of the answers of a route.
+    pub(crate) fn answer_stats(&self, route: &RouteName) -> Option<AnswerStats> {
+        self.tables.borrow().answers.get(route).copied()
+    }
+
     /// Replaces the candidates of all services.
     pub(crate) fn set_candidates(
         &self,
--- a/crates/mesh/src/journal.rs
+++ b/crates/mesh/src/journal.rs
@@ -120,6 +120,15 @@
         self.metrics.count_with_tags("link_bytes", bytes, &tags);
     }
 
+    /// Sets a part of the room of this daemon's zone, rounded to whole slots or bytes a second.
+    pub(crate) fn gauge_zone_room(&self, service: &str, what: &str, value: f64) {
+        let value = Duration::try_from_secs_f64(value)
+            .unwrap_or_default()
+            .as_secs();
+        let tags = [("service", service), ("what", what)];
+        self.metrics.gauge_with_tags("zone.room", value, &tags);
+    }
+
     pub(crate) fn count(&self, name: &str) {
         self.metrics.count(name, 1);
     }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -33,6 +33,7 @@
 mod quota;
 mod rollout;
 mod wire;
+mod zones;
 
 pub use config::{Addresses, MeshConfig};
 pub use fleet_store::{
--- a/crates/mesh/src/link/server.rs
+++ b/crates/mesh/src/link/server.rs
@@ -23,6 +23,7 @@
 use crate::quota;
 use crate::rollout::{self, Source};
 use crate::wire::{Ask, AskId, Attempt, GrantWire, Reply, ToClient, ToServer};
+use crate::zones;
 
 /// Delay after a failed accept, which is most often due to a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -165,6 +166,14 @@
             let lent = quota::lend(&node, &customer, wanted);
             connection.reply(id, Reply::Lent(lent));
         }
+        Ask::Load(member, report) => {
+            let shares = zones::handle_report(&node, member, report);
+            connection.reply(id, Reply::Shares(shares));
+        }
+        Ask::ZoneRoom(zone, room) => {
+            let own = zones::handle_zone_room(&node, zone, room);
+            connection.reply(id, Reply::ZoneRoom(own));
+        }
         Ask::Ping => connection.reply(id, Reply::Pong),
     }
 }
--- a/crates/mesh/src/link/traffic.rs
+++ b/crates/mesh/src/link/traffic.rs
@@ -29,6 +29,7 @@
     Quarantine,
     LoadProbes,
     Quotas,
+    ZoneRooms,
     Pings,
 }
 
@@ -47,6 +48,7 @@
             Ask::Findings(_) => Self::Quarantine,
             Ask::Occupancy => Self::LoadProbes,
             Ask::Tokens(..) | Ask::Borrow(..) => Self::Quotas,
+            Ask::Load(..) | Ask::ZoneRoom(..) => Self::ZoneRooms,
             Ask::Ping => Self::Pings,
         }
     }
@@ -60,6 +62,7 @@
             Reply::Evidence(_) => Self::Rollouts,
             Reply::Occupancy(_) => Self::LoadProbes,
             Reply::Tokens(_) | Reply::Lent(_) => Self::Quotas,
+            Reply::Shares(_) | Reply::ZoneRoom(_) => Self::ZoneRooms,
             Reply::Pong => Self::Pings,
         }
     }
@@ -84,6 +87,7 @@
             Self::Quarantine => "quarantine",
             Self::LoadProbes => "load-probes",
             Self::Quotas => "quotas",
+            Self::ZoneRooms => "zone-rooms",
             Self::Pings => "pings",
         }
     }
--- a/crates/mesh/src/mechanism.rs
+++ b/crates/mesh/src/mechanism.rs
@@ -24,11 +24,13 @@
     LoadProbes,
     /// Refuses requests under which targets end.
     Quarantine,
+    /// Moves calls from a zone that is short of room to zones that have some left.
+    ZoneRooms,
 }
 
 impl Mechanism {
     /// All mechanisms.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Throttle,
         Self::Ejection,
         Self::QueueObjective,
@@ -38,6 +40,7 @@
         Self::LinkPace,
         Self::LoadProbes,
         Self::Quarantine,
+        Self::ZoneRooms,
     ];
 
     /// The name of the mechanism in settings.
@@ -53,6 +56,7 @@
             Self::LinkPace => "link-pace",
             Self::LoadProbes => "load-probes",
             Self::Quarantine => "quarantine",
+            Self::ZoneRooms => "zone-rooms",
         }
     }
 }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -22,6 +22,7 @@
 use crate::quarantine::QuarantineState;
 use crate::quota::{self, Quotas};
 use crate::rollout::{self, Rollouts};
+use crate::zones::{self, Zones};
 use crate::{drain, fleet::gossip};
 use stoatstep_calls::Shutdown;
 use stoatstep_http::{PendingWrites, Server};
@@ -49,6 +50,7 @@
     pub(crate) rollouts: Rollouts,
     pub(crate) quarantine: QuarantineState,
     pub(crate) quotas: Quotas,
+    pub(crate) zones: Zones,
     pub(crate) in_flight: Cell<u32>,
     /// Answers to callers that are not yet fully written.
     pub(crate) unwritten: PendingWrites,
@@ -97,6 +99,7 @@
             rollouts: Rollouts::default(),
             quarantine: QuarantineState::default(),
             quotas: Quotas::default(),
+            zones: Zones::default(),
             in_flight: Cell::new(0),
             unwritten: callers.pending_writes(),
             departure: Cell::new(Shutdown::new(cfg.grace)),
@@ -189,5 +192,6 @@
         executor::tick(&node);
         node.quarantine.tick(node.clock.now());
         quota::tick(&node);
+        zones::tick(&node);
     }
 }
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -9,12 +9,14 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use stoatstep_calls::{
-    Answer, AttemptId, AttemptStatus, Fingerprint, Header, Occupancy, QuarantineFinding, RateLimit,
-    Refusal, Ticket, TokenGrant,
+    Answer, AttemptId, AttemptStatus, Fingerprint, Header, LoadReport, Occupancy,
+    QuarantineFinding, RateLimit, Refusal, RouteShares, Ticket, TokenGrant, ZoneRoom,
 };
 use stoatstep_membership::{ConfigId, GossipReply, GossipRequest, MemberKey};
 use stoatstep_resource::wire::{DifferenceWire, SnapshotWire};
-use stoatstep_resource::{CustomerName, KeyId, RouteName, ServiceName, UpstreamName, Version};
+use stoatstep_resource::{
+    CustomerName, KeyId, RouteName, ServiceName, UpstreamName, Version, ZoneName,
+};
 use stoatstep_rollout::{Evidence, OrderId, Progress};
 
 /// Identifies a request on a link.
@@ -82,6 +84,12 @@
     /// Asks a customer's home in another zone to lend tokens of its quota.
     #[serde(rename = "b")]
     Borrow(CustomerName, f64),
+    /// Reports the sender's load to the maker of its zone.
+    #[serde(rename = "d")]
+    Load(MemberKey, LoadReport),
+    /// States the room of the sender's zone to the maker of another one.
+    #[serde(rename = "z")]
+    ZoneRoom(ZoneName, ZoneRoom),
     /// Checks that the receiver answers.
     #[serde(rename = "p")]
     Ping,
@@ -120,6 +128,12 @@
     /// Answers [`Ask::Borrow`]; `None` if the receiver is not the home.
     #[serde(rename = "b")]
     Lent(Option<f64>),
+    /// Answers [`Ask::Load`] with the shares of the zone's calls that leave it.
+    #[serde(rename = "d")]
+    Shares(RouteShares),
+    /// Answers [`Ask::ZoneRoom`] with the room of the receiver's zone.
+    #[serde(rename = "z")]
+    ZoneRoom(ZoneRoom),
     /// Answers [`Ask::Ping`], [`Ask::Holds`], [`Ask::Rollout`], [`Ask::Findings`] and
     /// [`Ask::LostStore`].
     #[serde(rename = "p")]
--- a/crates/resource/src/types.rs
+++ b/crates/resource/src/types.rs
@@ -94,6 +94,20 @@
     pub limits: Vec<TenantLimit>,
 }
 
+/// Multiple of the latency objective from which a timeout says that callers are still served well
+/// after it. Up to that, the timeout only bounds how long a caller is kept.
+const LATE_TIMEOUT_FACTOR: u32 = 3;
+
+impl Policy {
+    /// Returns whether calls are to be served after their latency objective as well, while there
+    /// is too little room for all in time: if the timeout is three times the objective or more.
+    #[must_use]
+    pub fn serves_late(&self) -> bool {
+        self.latency_objective
+            .is_some_and(|it| self.timeout >= it * LATE_TIMEOUT_FACTOR)
+    }
+}
+
 /// Limits of retries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Retry {
--- a/crates/telemetry/src/fields.rs
+++ b/crates/telemetry/src/fields.rs
@@ -137,6 +137,8 @@
 pub const GRANTED: &str = "granted";
 /// Number of tokens that the home of a quota may grant per minute.
 pub const PER_MINUTE: &str = "per_minute";
+/// Share of a route's calls that leave their availability zone.
+pub const SHARE: &str = "share";
 /// Whether all availability zones were short, and not only those that were asked in time.
 pub const WHOLE_FLEET: &str = "whole_fleet";
 /// Age of what is known, in milliseconds; absent if nothing is known.
@@ -151,7 +153,7 @@
 pub const CAUSE: &str = "cause";
 
 /// All keys, in the order in which this module defines them.
-pub const ALL: [&str; 74] = [
+pub const ALL: [&str; 75] = [
     REQUEST,
     ATTEMPT,
     UPSTREAM,
@@ -221,6 +223,7 @@
     GRANTED,
     PER_MINUTE,
     WHOLE_FLEET,
+    SHARE,
     AGE_MS,
     LIMIT,
     BEFORE_LIMIT,
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -70,6 +70,15 @@
         let _ = self.client.gauge(name, value);
     }
 
+    /// Sets the value of a gauge with tags, which are pairs of a name and a value.
+    pub fn gauge_with_tags(&self, name: &str, value: u64, tags: &[(&str, &str)]) {
+        let metric = self.client.gauge_with_tags(name, value);
+        let tagged = tags
+            .iter()
+            .fold(metric, |metric, (name, value)| metric.with_tag(name, value));
+        tagged.send();
+    }
+
     /// Records a duration in whole milliseconds; [`Histograms`] have a finer resolution.
     ///
     /// [`Histograms`]: crate::Histograms
