Let the customer that was served least go first while there is too little room

Nobody knew a customer in the queue of the platform's daemon: a customer with many calls got slots in proportion to them. The homes of quotas, which see all calls of a zone, now keep the rate at which they granted tokens, exchange it when tokens are borrowed and send it with grants; a call carries it to the queue, which orders by rank, band, what the customer was served (in powers of two), kind and deadline. That gives max-min shares of whatever room there is. It takes effect for customers with quotas; the switch is the mechanism customer-order.

--- a/crates/calls/src/queue.rs
+++ b/crates/calls/src/queue.rs
@@ -9,8 +9,9 @@
 //! * A call that [may be late](QueueRequest::late_wait) can wait behind those in time
 //!   instead, as long as they are forecast to leave it a slot before its deadline.
 //! * The more urgent rank goes first. Within a rank, calls that can still meet their
-//!   objective go before those that can't, then the kind with the smallest admitted
-//!   share of its recent calls, then the earlier deadline.
+//!   objective go before those that can't, then the customer that was served least, then
+//!   the kind with the smallest admitted share of its recent calls, then the earlier
+//!   deadline.
 //! * Run times are estimated for each kind of call, which is its route, because the kinds
 //!   of calls to one target differ several times in their run times.
 //! * Calls start no faster than the limit that the target states allows. The time until
@@ -29,6 +30,7 @@
 use smol_str::SmolStr;
 
 use crate::admission::{AdmissionDecision, Dispatch};
+use crate::customer_usage::UsageLevel;
 use crate::ids::{AttemptId, Time};
 use crate::late_band::{Band, LateWait};
 use crate::recent_load::RecentLoad;
@@ -61,6 +63,8 @@
     pub expires: Time,
     /// Whether it may wait past its objective.
     pub late_wait: LateWait,
+    /// What its customer was served lately; 0 if it has none.
+    pub usage: UsageLevel,
 }
 
 /// Load that an executor which queues calls by rank and latency objective ([`Queue`])
@@ -85,6 +89,10 @@
     pub limit: LimitReport,
 }
 
+/// Position in the queue: rank, band, what the customer was served, admitted share of the kind,
+/// and deadline. The smallest goes first.
+type Position = (u8, Band, UsageLevel, u8, Time);
+
 #[derive(Clone, Debug)]
 struct Running {
     kind: SmolStr,
@@ -298,11 +306,11 @@
         }
     }
 
-    fn position(&self, request: &QueueRequest, band: Band, now: Time) -> (u8, Band, u8, Time) {
+    fn position(&self, request: &QueueRequest, band: Band, now: Time) -> Position {
         let is_late = now + self.service(&request.kind) > request.objective;
         let band = if is_late { Band::Late } else { band };
         let share = self.kinds.share(&request.kind);
-        (request.rank, band, share, request.expires)
+        (request.rank, band, request.usage, share, request.expires)
     }
 
     fn next_index(&self, now: Time) -> Option<usize> {
--- a/crates/calls/src/quota/token_bucket.rs
+++ b/crates/calls/src/quota/token_bucket.rs
@@ -4,6 +4,7 @@
 
 use stoatstep_resource::Quota;
 
+use crate::customer_usage::UsageLevel;
 use crate::ids::Time;
 
 /// Maximum retry delay that a refused caller is given.
@@ -76,6 +77,8 @@
     pub tokens: u32,
     /// If fewer tokens were granted than requested, the time after which to ask again.
     pub retry_after: Option<Duration>,
+    /// What the customer was served lately.
+    pub usage: UsageLevel,
 }
 
 /// The token bucket of one customer at the home of the customer's quota.
@@ -116,6 +119,7 @@
         TokenGrant {
             tokens,
             retry_after,
+            usage: 0,
         }
     }
 
--- a/crates/calls/src/recent_load.rs
+++ b/crates/calls/src/recent_load.rs
@@ -34,18 +34,18 @@
 
 /// Exponentially decayed sum of amounts.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-struct Decayed {
+pub(crate) struct Decayed {
     sum: f64,
     updated_at: Time,
 }
 
 impl Decayed {
-    fn record(&mut self, amount: f64, decay: Duration, now: Time) {
+    pub(crate) fn record(&mut self, amount: f64, decay: Duration, now: Time) {
         self.sum = self.sum(decay, now) + amount;
         self.updated_at = self.updated_at.max(now);
     }
 
-    fn per_second(&self, decay: Duration, now: Time) -> f64 {
+    pub(crate) fn per_second(&self, decay: Duration, now: Time) -> f64 {
         self.sum(decay, now) / decay.as_secs_f64()
     }
 
--- a/crates/calls/tests/all/late_calls.rs
+++ b/crates/calls/tests/all/late_calls.rs
@@ -89,6 +89,7 @@
                 1 => LateWait::FirstTry,
                 _ => LateWait::Returned,
             },
+            usage: 0,
         };
         let (decision, displaced) = self.queue.offer(request, now);
         match decision {
--- a/crates/calls/tests/all/queue.rs
+++ b/crates/calls/tests/all/queue.rs
@@ -21,6 +21,7 @@
         objective: ms(300),
         expires: ms(1_000),
         late_wait: LateWait::No,
+        usage: 0,
     }
 }
 
--- a/crates/calls/tests/all/quota.rs
+++ b/crates/calls/tests/all/quota.rs
@@ -215,6 +215,7 @@
         TokenGrant {
             tokens,
             retry_after,
+            usage: 0,
         }
     }
 
--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -144,6 +144,7 @@
             left,
             objective: call.objective.saturating_sub(node.clock.now()),
             late_wait,
+            usage: super::quota::usage(node, call),
             limit: node.entry.tables.borrow().limits.get(upstream),
             call: Rc::clone(&call.parts),
         };
--- a/crates/mesh/src/entry/quota.rs
+++ b/crates/mesh/src/entry/quota.rs
@@ -3,10 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stoatstep_calls::{Reason, Refusal, TokenDecision};
+use stoatstep_calls::{Reason, Refusal, TokenDecision, UsageLevel};
 use stoatstep_resource::CustomerName;
 
 use super::call::Call;
+use crate::mechanism::Mechanism;
 use crate::node::Node;
 use crate::quota::{self, TokenOutcome};
 
@@ -25,6 +26,16 @@
     }
 }
 
+/// What the call's customer was served lately; 0 for calls that no quota counts.
+pub(super) fn usage(node: &Node, call: &Call) -> UsageLevel {
+    match (call.quota, &call.parts.identity) {
+        (Some(_), Some(identity)) if node.cfg.is_enabled(Mechanism::CustomerOrder) => {
+            node.quotas.usage(&identity.customer, node.clock.now())
+        }
+        _ => 0,
+    }
+}
+
 /// Charges a call to its customer's quota. Waits for the quota's home if this daemon holds
 /// no token.
 ///
--- a/crates/mesh/src/executor/slot.rs
+++ b/crates/mesh/src/executor/slot.rs
@@ -63,6 +63,7 @@
         objective,
         expires: deadline.expires(),
         late_wait: attempt.late_wait,
+        usage: attempt.usage,
     };
     let (verdict, evicted) = offer(node, ask, now);
     deliver(node, evicted);
--- a/crates/mesh/src/link/server.rs
+++ b/crates/mesh/src/link/server.rs
@@ -168,8 +168,8 @@
             let grant = quota::grant(&node, &customer, wanted).await;
             Reply::Tokens(grant.map(GrantWire::from))
         }),
-        Ask::Borrow(customer, wanted) => {
-            let lent = quota::lend(&node, &customer, wanted);
+        Ask::Borrow(customer, wanted, rate) => {
+            let lent = quota::lend(&node, &customer, wanted, (connection.peer, rate));
             connection.reply(id, Reply::Lent(lent));
         }
         Ask::Load(member, report) => {
--- a/crates/mesh/src/mechanism.rs
+++ b/crates/mesh/src/mechanism.rs
@@ -29,11 +29,13 @@
     /// Serves calls after their objective, behind those in time, and tells apart callers that come
     /// back after a refusal.
     LateCalls,
+    /// Lets the customer that was served least go first.
+    CustomerOrder,
 }
 
 impl Mechanism {
     /// All mechanisms.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Throttle,
         Self::Ejection,
         Self::QueueObjective,
@@ -45,6 +47,7 @@
         Self::Quarantine,
         Self::ZoneRooms,
         Self::LateCalls,
+        Self::CustomerOrder,
     ];
 
     /// The name of the mechanism in settings.
@@ -62,6 +65,7 @@
             Self::Quarantine => "quarantine",
             Self::ZoneRooms => "zone-rooms",
             Self::LateCalls => "late-calls",
+            Self::CustomerOrder => "customer-order",
         }
     }
 }
--- a/crates/mesh/src/quota.rs
+++ b/crates/mesh/src/quota.rs
@@ -9,7 +9,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stoatstep_calls::{QuotaShare, Time, TokenBucket, TokenCache, TokenDecision, TokenGrant};
+use stoatstep_calls::{
+    QuotaShare, Time, TokenBucket, TokenCache, TokenDecision, TokenGrant, UsageLevel,
+};
 use stoatstep_resource::CustomerName;
 use tokio::sync::oneshot;
 
@@ -21,6 +23,9 @@
 /// Timeout of a request to the home: some round trips within a zone.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Age at which what a customer was served expires at an entry.
+const MAX_USAGE_AGE: Duration = Duration::from_secs(3);
+
 /// Fraction of its even share of the zone's quota that an entry may use while the home does not
 /// answer. If the home is alive but out of reach, it grants the whole share to others.
 const RESERVE_FRACTION: f64 = 0.25;
@@ -50,6 +55,8 @@
     is_request_open: bool,
     /// Tokens that may be used while the home does not answer.
     reserve: TokenBucket,
+    /// What the customer was served lately, as the home stated it, and when.
+    usage: (UsageLevel, Time),
 }
 
 impl CustomerQueue {
@@ -59,6 +66,7 @@
             waiting: VecDeque::new(),
             is_request_open: false,
             reserve: TokenBucket::empty(now),
+            usage: (0, now),
         }
     }
 
@@ -107,6 +115,18 @@
         std::mem::replace(&mut queue.is_request_open, true)
     }
 
+    /// What the customer was served lately. A home that has not answered for a while may be cut
+    /// off, and the customer counts as one that was not served.
+    pub(crate) fn usage(&self, customer: &CustomerName, now: Time) -> UsageLevel {
+        let queues = self.queues.borrow();
+        let (level, at) = queues.get(customer).map_or((0, now), |it| it.usage);
+        if now.saturating_sub(at) < MAX_USAGE_AGE {
+            level
+        } else {
+            0
+        }
+    }
+
     /// Returns a token that a call did not use.
     pub(crate) fn give_back(&self, customer: &CustomerName, now: Time) {
         if let Some(queue) = self.queues.borrow_mut().get_mut(customer) {
@@ -177,6 +197,7 @@
         queue.finish_all(TokenOutcome::Unknown);
         return;
     };
+    queue.usage = (granted.usage, now);
     queue.distribute(granted.tokens, now);
     if let Some(pause) = granted.retry_after {
         queue.purse.refused(pause, now);
--- a/crates/mesh/src/quota/home.rs
+++ b/crates/mesh/src/quota/home.rs
@@ -6,12 +6,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use stoatstep_calls::{QuotaShare, Time, TokenBucket, TokenGrant, shortage_time};
+use stoatstep_calls::{CustomerUsage, QuotaShare, Time, TokenBucket, TokenGrant, shortage_time};
 use stoatstep_distribution::{rendezvous_choice, seed_of};
 use stoatstep_membership::{Member, MemberKey};
 use stoatstep_resource::{CustomerName, Quota, ZoneName};
@@ -59,6 +59,8 @@
 /// Quota state of one customer.
 struct CustomerBucket {
     bucket: TokenBucket,
+    /// What the customer was served, here and at the homes of other zones, by their addresses.
+    usage: CustomerUsage<IpAddr>,
     /// Earliest time of the next request to the other zones in advance.
     next_borrow: Time,
     /// Earliest time of the next request for a call that would be refused.
@@ -129,6 +131,7 @@
         return Some(TokenGrant {
             tokens: wanted,
             retry_after: None,
+            usage: 0,
         });
     };
     let take = |wanted| {
@@ -160,9 +163,15 @@
     if with_bucket(node, customer, |it| it.bucket.is_low(share)) {
         borrow_ahead(node, customer, share);
     }
+    let now = node.clock.now();
+    let usage = with_bucket(node, customer, |it| {
+        it.usage.record(tokens, now);
+        it.usage.level(now)
+    });
     Some(TokenGrant {
         tokens,
         retry_after,
+        usage,
     })
 }
 
@@ -194,12 +203,19 @@
 }
 
 /// Lends tokens to the home of another zone; `None` if this daemon is not the customer's home.
-pub(crate) fn lend(node: &Node, customer: &CustomerName, wanted: f64) -> Option<f64> {
+/// Both sides learn what the other has granted.
+pub(crate) fn lend(
+    node: &Node,
+    customer: &CustomerName,
+    wanted: f64,
+    (borrower, rate): (IpAddr, f64),
+) -> Option<(f64, f64)> {
     let (share, quota) = own_share(node, customer)?;
     quota?;
     let now = node.clock.now();
     Some(with_bucket(node, customer, |it| {
-        it.bucket.lend(wanted, share, now)
+        it.usage.record_other(borrower, rate, now);
+        (it.bucket.lend(wanted, share, now), it.usage.own_rate(now))
     }))
 }
 
@@ -241,6 +257,7 @@
         .entry(customer.clone())
         .or_insert_with(|| CustomerBucket {
             bucket: TokenBucket::empty(homes.changed_at.get()),
+            usage: CustomerUsage::default(),
             next_borrow: Time::ZERO,
             next_request: Time::ZERO,
             borrowing: None,
@@ -358,10 +375,10 @@
     addr: SocketAddr,
     wanted: f64,
 ) -> bool {
-    let ask = Ask::Borrow(customer.clone(), wanted);
+    let ask = Ask::Borrow(customer.clone(), wanted, own_rate(node, customer));
     match node.links.ask_within(addr, ask, LEND_TIMEOUT).await {
         Ok(Reply::Lent(Some(lent))) => {
-            add_borrowed(node, customer, lent);
+            add_borrowed(node, customer, addr, lent);
             true
         }
         Ok(_) | Err(_) => false,
@@ -370,9 +387,23 @@
 
 /// Adds lent tokens, unless this daemon has ceased to be the customer's home meanwhile: the next
 /// home grants its share already.
-fn add_borrowed(node: &Node, customer: &CustomerName, lent: f64) {
+fn add_borrowed(
+    node: &Node,
+    customer: &CustomerName,
+    lender: SocketAddr,
+    (tokens, rate): (f64, f64),
+) {
+    let now = node.clock.now();
+    with_held(node, customer, |it| {
+        it.bucket.add_borrowed(tokens, now);
+        it.usage.record_other(lender.ip(), rate, now);
+    });
+}
+
+/// Calls per second of the customer that this daemon granted as its home.
+fn own_rate(node: &Node, customer: &CustomerName) -> f64 {
     let now = node.clock.now();
-    with_held(node, customer, |it| it.bucket.add_borrowed(lent, now));
+    with_bucket(node, customer, |it| it.usage.own_rate(now))
 }
 
 /// Asks the customer's homes in the other zones for unused tokens before they are needed, so that
@@ -394,10 +425,11 @@
     for addr in homes_in_other_zones(node, customer) {
         let (node, customer) = (Rc::clone(node), customer.clone());
         ntex::rt::spawn(async move {
-            let ask = Ask::Borrow(customer.clone(), wanted);
+            let rate = own_rate(&node, &customer);
+            let ask = Ask::Borrow(customer.clone(), wanted, rate);
             let lent = node.links.ask_within(addr, ask, ANSWER_TIMEOUT).await;
             if let Ok(Reply::Lent(Some(lent))) = lent {
-                add_borrowed(&node, &customer, lent);
+                add_borrowed(&node, &customer, addr, lent);
             }
         });
     }
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -10,7 +10,7 @@
 use smol_str::SmolStr;
 use stoatstep_calls::{
     Answer, AttemptId, AttemptStatus, Fingerprint, Header, LateWait, LoadReport, Occupancy,
-    QuarantineFinding, RateLimit, Refusal, RouteShares, Ticket, TokenGrant, ZoneRoom,
+    QuarantineFinding, RateLimit, Refusal, RouteShares, Ticket, TokenGrant, UsageLevel, ZoneRoom,
 };
 use stoatstep_membership::{ConfigId, GossipReply, GossipRequest, MemberKey};
 use stoatstep_resource::wire::{DifferenceWire, SnapshotWire};
@@ -81,9 +81,10 @@
     /// Asks a customer's home for tokens of its quota.
     #[serde(rename = "t")]
     Tokens(CustomerName, u32),
-    /// Asks a customer's home in another zone to lend tokens of its quota.
+    /// Asks a customer's home in another zone to lend tokens of its quota, and states the calls
+    /// per second that the sender granted.
     #[serde(rename = "b")]
-    Borrow(CustomerName, f64),
+    Borrow(CustomerName, f64, f64),
     /// Reports the sender's load to the maker of its zone.
     #[serde(rename = "d")]
     Load(MemberKey, LoadReport),
@@ -125,9 +126,10 @@
     /// Answers [`Ask::Tokens`]; `None` if the receiver is not the home.
     #[serde(rename = "t")]
     Tokens(Option<GrantWire>),
-    /// Answers [`Ask::Borrow`]; `None` if the receiver is not the home.
+    /// Answers [`Ask::Borrow`] with the tokens lent and the calls per second that the receiver
+    /// granted; `None` if it is not the home.
     #[serde(rename = "b")]
-    Lent(Option<f64>),
+    Lent(Option<(f64, f64)>),
     /// Answers [`Ask::Load`] with the shares of the zone's calls that leave it.
     #[serde(rename = "d")]
     Shares(RouteShares),
@@ -177,6 +179,7 @@
 pub(crate) struct GrantWire {
     tokens: u32,
     retry_after: Option<Duration>,
+    usage: UsageLevel,
 }
 
 impl From<TokenGrant> for GrantWire {
@@ -184,6 +187,7 @@
         Self {
             tokens: grant.tokens,
             retry_after: grant.retry_after,
+            usage: grant.usage,
         }
     }
 }
@@ -193,6 +197,7 @@
         Self {
             tokens: wire.tokens,
             retry_after: wire.retry_after,
+            usage: wire.usage,
         }
     }
 }
@@ -274,6 +279,8 @@
     pub(crate) objective: Duration,
     /// Whether it may wait past the objective.
     pub(crate) late_wait: LateWait,
+    /// What its customer was served lately.
+    pub(crate) usage: UsageLevel,
     /// Limit that the target stated to the entry. The executor may have been restarted since.
     pub(crate) limit: Option<RateLimit>,
     pub(crate) call: Rc<CallParts>,
