Keep calls in their zone while no other zone has room

The maker now also tells which routes' calls stay, since no other zone has room for them.

Tests: calls_stay_while_no_other_zone_has_room, a_call_stays_while_no_other_zone_has_room.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -98,5 +98,5 @@
 pub use uplink::Uplink;
 pub use zone_room::{
     DemandMeter, LoadReport, RoomBoard, RouteDemand, RouteShares, ServiceRoom, TargetRoom,
-    ZoneRoom, route_shares, zone_for,
+    ZoneAdvice, ZoneRoom, advise, route_shares, zone_for,
 };
--- a/crates/calls/src/placement.rs
+++ b/crates/calls/src/placement.rs
@@ -62,6 +62,8 @@
     pub filter: TargetFilter<'a>,
     /// Another zone that has room for it, while its own zone has too little.
     pub zone: Option<&'a ZoneName>,
+    /// Whether no other zone has room, so that it stays in its zone if that has any target.
+    pub stays: bool,
 }
 
 impl PlacementRequest<'_> {
@@ -258,6 +260,9 @@
     let Some(local) = soonest_by_reports(&eligible.local, inputs, tolerance, now, rng) else {
         return soonest_sampled(&eligible.remote, inputs, now, rng);
     };
+    if request.stays {
+        return Some(local);
+    }
     let Some(remote) = soonest_sampled(&eligible.remote, inputs, now, rng) else {
         return Some(local);
     };
--- a/crates/calls/src/zone_room.rs
+++ b/crates/calls/src/zone_room.rs
@@ -6,7 +6,8 @@
 //!
 //! One member of each zone, the *maker*, adds up what its members [report](LoadReport) and
 //! exchanges the sums with the makers of the other zones. From the sums of all zones it derives
-//! the [shares](route_shares) of each route's calls that leave, and its members apply them.
+//! the [shares](route_shares) of each route's calls that leave and the routes whose calls stay
+//! since no other zone has room, and its members apply both.
 //! Every maker derives the same transfers from the same sums, so that together the zones never
 //! send more to a zone than it has left over.
 //!
@@ -15,7 +16,7 @@
 mod board;
 mod demand;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 use stoatstep_resource::{RouteName, ServiceName, ZoneName};
@@ -114,6 +115,12 @@
         FILLED_SHARE * sane(self.slots) - sane(self.slot_demand)
     }
 
+    /// Whether not all of its room is needed by its own callers.
+    fn has_room_for(&self, route: &RouteDemand) -> bool {
+        let has_link = !route.is_large() || sane(self.link_demand) < sane(self.link);
+        sane(self.slot_demand) < sane(self.slots) && has_link
+    }
+
     fn spare_link(&self) -> f64 {
         FILLED_SHARE * sane(self.link) - sane(self.link_demand)
     }
@@ -134,6 +141,35 @@
 /// Shares of the calls of each route that go to other zones; the rest stays.
 pub type RouteShares = BTreeMap<RouteName, Vec<(ZoneName, f64)>>;
 
+/// What a zone's members are told about calls that may leave.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ZoneAdvice {
+    /// The calls that leave while the zone has too little room.
+    pub shares: RouteShares,
+    /// Routes for whose calls no other zone has room. They stay, also if their own zone would
+    /// answer too late: elsewhere they would be refused, or displace others.
+    pub staying: BTreeSet<RouteName>,
+}
+
+/// Derives the advice for `own` from the rooms of all zones and the demand of `own` by route.
+#[must_use]
+pub fn advise(
+    own: &ZoneName,
+    rooms: &BTreeMap<ZoneName, ZoneRoom>,
+    demand: &[RouteDemand],
+) -> ZoneAdvice {
+    let has_room = |route: &&RouteDemand| {
+        let others = rooms.iter().filter(|(zone, _)| *zone != own);
+        let mut others = others.filter_map(|(_, room)| room.get(&route.service));
+        others.any(|it| it.has_room_for(route))
+    };
+    let staying = demand.iter().filter(|it| !has_room(it));
+    ZoneAdvice {
+        shares: route_shares(own, rooms, demand),
+        staying: staying.map(|it| it.route.clone()).collect(),
+    }
+}
+
 /// Computes the shares of the calls of `own` that leave it, from the rooms of all zones and the
 /// demand of `own` by route. A zone whose room is not known takes nothing.
 #[must_use]
--- a/crates/calls/src/zone_room/board.rs
+++ b/crates/calls/src/zone_room/board.rs
@@ -5,7 +5,7 @@
 
 use stoatstep_resource::{RouteName, ServiceName, ZoneName};
 
-use super::{LoadReport, RouteDemand, RouteShares, ServiceRoom, ZoneRoom, route_shares};
+use super::{LoadReport, RouteDemand, ServiceRoom, ZoneAdvice, ZoneRoom, advise};
 use crate::ids::Time;
 
 /// Age at which a report and a zone's room expire: a member or zone that has told nothing for so
@@ -77,15 +77,15 @@
         room
     }
 
-    /// The shares of the own zone's calls that leave it.
+    /// What the members of the own zone are told.
     #[must_use]
-    pub fn shares(&self, own: &ZoneName) -> RouteShares {
+    pub fn advice(&self, own: &ZoneName) -> ZoneAdvice {
         let others = self.others.iter();
         let mut rooms: BTreeMap<ZoneName, ZoneRoom> = others
             .map(|(zone, (room, _))| (zone.clone(), room.clone()))
             .collect();
         rooms.insert(own.clone(), self.own_room());
-        route_shares(own, &rooms, &self.own_demand())
+        advise(own, &rooms, &self.own_demand())
     }
 
     /// Demand of the own zone by route: calls add up, and what a call needs is averaged.
--- a/crates/calls/tests/all/placement.rs
+++ b/crates/calls/tests/all/placement.rs
@@ -48,6 +48,7 @@
                 run: None,
                 filter: TargetFilter::All,
                 zone: None,
+                stays: false,
             },
             rng: Xoshiro256PlusPlus::seed_from_u64(1),
         }
@@ -158,6 +159,24 @@
     assert_eq!(entry.shares(NOW).get("far"), None);
 }
 
+/// Load: all zones are short. A call for which its zone would be late is refused there, and does
+/// not go to a zone that would refuse it as well.
+#[test]
+fn a_call_stays_while_no_other_zone_has_room() {
+    let mut entry = Entry::new(&[candidate("near", "a"), candidate("far", "b")]);
+    entry.finish_attempt(
+        "near",
+        AttemptFeedback::Answered,
+        occupied(10, 40, 100),
+        NOW,
+    );
+    entry.finish_attempt("far", AttemptFeedback::Answered, occupied(0, 0, 100), NOW);
+    assert_eq!(entry.shares(NOW).get("near"), None);
+    entry.request.stays = true;
+    assert_eq!(entry.shares(NOW).get("far"), None);
+    assert_eq!(entry.pick(&["near".into()], NOW), Some("far".into()));
+}
+
 /// Guards against answers of 90 KB that leave their zone for a few milliseconds saved, because
 /// the objective of their calls has passed or can no longer be met anywhere.
 #[test]
--- a/crates/calls/tests/all/zone_room.rs
+++ b/crates/calls/tests/all/zone_room.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use stoatstep_calls::{
     DemandMeter, LoadReport, RoomBoard, RouteDemand, RouteShares, ServiceRoom, TargetRoom,
-    ZoneRoom, route_shares, zone_for,
+    ZoneRoom, advise, route_shares, zone_for,
 };
 use stoatstep_resource::{RouteName, ServiceName, ZoneName};
 
@@ -117,6 +117,18 @@
     );
 }
 
+/// Load: all zones are short at the same time, or one of them is not. Calls that would be refused
+/// elsewhere stay.
+#[test]
+fn calls_stay_while_no_other_zone_has_room() {
+    let calls = [demand("read", 200.0, 0.1, 500.0)];
+    let mut zones = rooms(&[("a", room(1.0, &calls)), ("b", room(2.0, &calls))]);
+    let staying = |zones: &BTreeMap<_, _>| advise(&"a".into(), zones, &calls).staying;
+    assert!(staying(&zones).contains(&RouteName::new("read")));
+    zones.extend(rooms(&[("c", room(3.0, &calls))]));
+    assert!(staying(&zones).is_empty());
+}
+
 #[test]
 fn calls_are_divided_by_the_shares() {
     let shares = [(ZoneName::new("b"), 0.25), (ZoneName::new("c"), 0.25)];
@@ -162,10 +174,12 @@
         at(1),
     );
     board.report("m1", report(1, 1, 50.0), at(1));
-    assert!(share(&board.shares(&"a".into()), "read") > 0.5);
+    assert!(share(&board.advice(&"a".into()).shares, "read") > 0.5);
     board.report("m1", report(2, 1, 50.0), at(5));
     board.expire(at(5));
-    assert_eq!(board.shares(&"a".into()), RouteShares::new());
+    let advice = board.advice(&"a".into());
+    assert_eq!(advice.shares, RouteShares::new());
+    assert!(advice.staying.contains(&RouteName::new("read")));
 }
 
 /// Guards against a zone that claims ten times the room that it has.
@@ -175,7 +189,7 @@
     let mut board = RoomBoard::default();
     board.record_zone("b".into(), claimed, |_| 9.0, at(1));
     board.report("m1", report(1, 9, 1_000.0), at(1));
-    let sent = share(&board.shares(&"a".into()), "read") * 100.0;
+    let sent = share(&board.advice(&"a".into()).shares, "read") * 100.0;
     assert!(sent <= FILLED * 9.0 + 1e-6, "{sent} slots");
 }
 
--- a/crates/mesh/src/entry/forward.rs
+++ b/crates/mesh/src/entry/forward.rs
@@ -7,7 +7,7 @@
 use stoatstep_calls::{
     Outcome, Pick, PlacementRequest, Reason, Refusal, RefusedAttempts, TargetFilter,
 };
-use stoatstep_resource::{UpstreamName, ZoneName};
+use stoatstep_resource::UpstreamName;
 use stoatstep_telemetry::fields;
 
 use super::Tables;
@@ -23,7 +23,7 @@
 use crate::node::Node;
 use crate::quarantine;
 use crate::wire::End;
-use crate::zones;
+use crate::zones::{self, Leave};
 
 /// Retry delay given to callers if no target is available.
 const UNREACHABLE_RETRY: Duration = Duration::from_millis(200);
@@ -58,7 +58,7 @@
 pub(super) async fn forward(node: &Rc<Node>, call: &Call) -> CompletedCall {
     let mut history = AttemptHistory::default();
     let mut split = TrafficSplit::draw(node, call);
-    let zone = draw_zone(node, call);
+    let leave = draw_leave(node, call);
     earn_retries(node, call);
     loop {
         // The request may have been quarantined, or its key revoked, since the last
@@ -72,7 +72,7 @@
         let is_late = late_wait.is_allowed();
         let aim = Aim {
             tried: if is_late { &[] } else { &history.tried },
-            zone: zone.as_ref().filter(|_| history.tried.is_empty()),
+            leave: &leave,
             is_late,
         };
         let Some((pick, place)) = choose_target(node, call, aim, &mut split) else {
@@ -154,8 +154,7 @@
 struct Aim<'a> {
     /// Targets that it must not go to.
     tried: &'a [UpstreamName],
-    /// Another zone that has room for it.
-    zone: Option<&'a ZoneName>,
+    leave: &'a Leave,
     /// Whether it may be late.
     is_late: bool,
 }
@@ -175,17 +174,21 @@
     choose_from(node, call, aim, split.allowed_targets())
 }
 
-/// Draws whether the call leaves its zone for one that has room for it.
-fn draw_zone(node: &Node, call: &Call) -> Option<ZoneName> {
+/// Draws whether the call leaves its zone.
+fn draw_leave(node: &Node, call: &Call) -> Leave {
     let parts = &call.parts;
     zones::record_call(node, &parts.route, &parts.service);
     if !call.route.policy.serves_late() || !node.cfg.is_enabled(Mechanism::ZoneRooms) {
-        return None;
+        return Leave::Freely;
     }
     let draw = node.entry.tables.borrow_mut().rng.random();
-    let zone = zones::zone_of_call(node, &parts.route, draw)?;
-    node.journal.count("calls.moved");
-    Some(zone)
+    let leave = zones::leave(node, &parts.route, draw);
+    match &leave {
+        Leave::To(_) => node.journal.count("calls.moved"),
+        Leave::No => node.journal.count("calls.stayed"),
+        Leave::Freely => {}
+    }
+    leave
 }
 
 fn choose_from(
@@ -219,7 +222,11 @@
             .run()
             .filter(|_| node.cfg.is_enabled(Mechanism::RouteTime)),
         filter: among,
-        zone: aim.zone,
+        zone: match aim.leave {
+            Leave::To(zone) if aim.tried.is_empty() => Some(zone),
+            _ => None,
+        },
+        stays: *aim.leave == Leave::No,
     };
     let pick = placement.pick(&call.parts.service, aim.tried, wish, now, rng)?;
     let place = node.fleet.target_location(&pick.upstream)?;
--- a/crates/mesh/src/link/server.rs
+++ b/crates/mesh/src/link/server.rs
@@ -173,8 +173,8 @@
             connection.reply(id, Reply::Lent(lent));
         }
         Ask::Load(member, report) => {
-            let shares = zones::handle_report(&node, member, report);
-            connection.reply(id, Reply::Shares(shares));
+            let advice = zones::handle_report(&node, member, report);
+            connection.reply(id, Reply::Advice(advice));
         }
         Ask::ZoneRoom(zone, room) => {
             let own = zones::handle_zone_room(&node, zone, room);
--- a/crates/mesh/src/link/traffic.rs
+++ b/crates/mesh/src/link/traffic.rs
@@ -62,7 +62,7 @@
             Reply::Evidence(_) => Self::Rollouts,
             Reply::Occupancy(_) => Self::LoadProbes,
             Reply::Tokens(_) | Reply::Lent(_) => Self::Quotas,
-            Reply::Shares(_) | Reply::ZoneRoom(_) => Self::ZoneRooms,
+            Reply::Advice(_) | Reply::ZoneRoom(_) => Self::ZoneRooms,
             Reply::Pong => Self::Pings,
         }
     }
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -10,7 +10,7 @@
 use smol_str::SmolStr;
 use stoatstep_calls::{
     Answer, AttemptId, AttemptStatus, Fingerprint, Header, LateWait, LoadReport, Occupancy,
-    QuarantineFinding, RateLimit, Refusal, RouteShares, Ticket, TokenGrant, UsageLevel, ZoneRoom,
+    QuarantineFinding, RateLimit, Refusal, Ticket, TokenGrant, UsageLevel, ZoneAdvice, ZoneRoom,
 };
 use stoatstep_membership::{ConfigId, GossipReply, GossipRequest, MemberKey};
 use stoatstep_resource::wire::{DifferenceWire, SnapshotWire};
@@ -130,9 +130,9 @@
     /// granted; `None` if it is not the home.
     #[serde(rename = "b")]
     Lent(Option<(f64, f64)>),
-    /// Answers [`Ask::Load`] with the shares of the zone's calls that leave it.
+    /// Answers [`Ask::Load`].
     #[serde(rename = "d")]
-    Shares(RouteShares),
+    Advice(ZoneAdvice),
     /// Answers [`Ask::ZoneRoom`] with the room of the receiver's zone.
     #[serde(rename = "z")]
     ZoneRoom(ZoneRoom),
--- a/crates/mesh/src/zones.rs
+++ b/crates/mesh/src/zones.rs
@@ -13,7 +13,8 @@
 use std::time::Duration;
 
 use stoatstep_calls::{
-    DemandMeter, LoadReport, RoomBoard, RouteShares, TargetRoom, Time, Uplink, ZoneRoom, zone_for,
+    DemandMeter, LoadReport, RoomBoard, RouteShares, TargetRoom, Time, Uplink, ZoneAdvice,
+    ZoneRoom, zone_for,
 };
 use stoatstep_distribution::{rendezvous_choice, seed_of};
 use stoatstep_membership::{Entry, MemberKey};
@@ -29,7 +30,7 @@
 /// Timeout of a message: several round trips between zones.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Age at which the shares expire. Their maker is gone then, and all calls stay.
+/// Age at which the advice expires. Its maker is gone then, and calls are placed one by one.
 const MAX_AGE: Duration = Duration::from_secs(3);
 
 /// What this daemon knows about the rooms of zones.
@@ -37,8 +38,8 @@
 pub(crate) struct Zones {
     demand: RefCell<DemandMeter>,
     board: RefCell<RoomBoard<MemberKey>>,
-    shares: RefCell<RouteShares>,
-    shares_at: Cell<Time>,
+    advice: RefCell<ZoneAdvice>,
+    advised_at: Cell<Time>,
     sequence: Cell<u64>,
     next_report: Cell<Time>,
 }
@@ -56,15 +57,33 @@
     node.zones.demand.borrow_mut().record(route, service, now);
 }
 
-/// The zone to which a call of this route goes, if it leaves its own; `draw` is a random number
-/// from 0 to 1.
-pub(crate) fn zone_of_call(node: &Node, route: &RouteName, draw: f64) -> Option<ZoneName> {
-    let age = node.clock.now().saturating_sub(node.zones.shares_at.get());
+/// Where a call may go besides its own zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Leave {
+    /// To any zone, if it is answered too late in its own.
+    Freely,
+    /// To this zone, which has room for it.
+    To(ZoneName),
+    /// Nowhere: no other zone has room for it.
+    No,
+}
+
+/// Whether a call of this route leaves its zone; `draw` is a random number from 0 to 1.
+pub(crate) fn leave(node: &Node, route: &RouteName, draw: f64) -> Leave {
+    let age = node.clock.now().saturating_sub(node.zones.advised_at.get());
     if age >= MAX_AGE {
-        return None;
+        return Leave::Freely;
+    }
+    let advice = node.zones.advice.borrow();
+    let shares = advice.shares.get(route);
+    if let Some(zone) = shares.and_then(|it| zone_for(it, draw)) {
+        return Leave::To(zone.clone());
+    }
+    if advice.staying.contains(route) {
+        Leave::No
+    } else {
+        Leave::Freely
     }
-    let shares = node.zones.shares.borrow();
-    zone_for(shares.get(route)?, draw).cloned()
 }
 
 /// Reports and exchanges, once in each interval.
@@ -78,8 +97,8 @@
     let me = node.fleet.membership().me();
     match maker_of(node, &node.cfg.zone) {
         Some((maker, _)) if maker == me => {
-            let shares = handle_report(node, me, report);
-            apply_shares(node, shares);
+            let advice = handle_report(node, me, report);
+            apply_advice(node, advice);
             exchange(node);
         }
         Some((_, addr)) => {
@@ -114,23 +133,23 @@
 
 async fn send_report(node: Rc<Node>, addr: SocketAddr, ask: Ask) {
     let reply = node.links.ask_within(addr, ask, ANSWER_TIMEOUT).await;
-    if let Ok(Reply::Shares(shares)) = reply {
-        apply_shares(&node, shares);
+    if let Ok(Reply::Advice(advice)) = reply {
+        apply_advice(&node, advice);
     }
 }
 
-fn apply_shares(node: &Node, shares: RouteShares) {
+fn apply_advice(node: &Node, advice: ZoneAdvice) {
     let now = node.clock.now();
-    let before = node.zones.shares.replace(shares);
-    node.zones.shares_at.set(now);
-    let shares = node.zones.shares.borrow();
+    let before = node.zones.advice.replace(advice).shares;
+    node.zones.advised_at.set(now);
+    let shares = &node.zones.advice.borrow().shares;
     let total = |shares: &RouteShares, route: &RouteName| -> f64 {
         let of_route = shares.get(route).into_iter().flatten();
         of_route.map(|(_, share)| share).sum()
     };
     let routes: BTreeSet<&RouteName> = before.keys().chain(shares.keys()).collect();
     for route in routes {
-        let (was, is) = (total(&before, route), total(&shares, route));
+        let (was, is) = (total(&before, route), total(shares, route));
         if (was > 0.0) == (is > 0.0) {
             continue;
         }
@@ -141,13 +160,13 @@
     }
 }
 
-/// Records the report of a member of this zone, and returns the shares of its calls that leave.
-pub(crate) fn handle_report(node: &Node, member: MemberKey, report: LoadReport) -> RouteShares {
+/// Records the report of a member of this zone, and returns what the member is told.
+pub(crate) fn handle_report(node: &Node, member: MemberKey, report: LoadReport) -> ZoneAdvice {
     let now = node.clock.now();
     let mut board = node.zones.board.borrow_mut();
     board.report(member, report, now);
     board.expire(now);
-    board.shares(&node.cfg.zone)
+    board.advice(&node.cfg.zone)
 }
 
 /// Sends the room of this zone to the makers of the others, whose answers state theirs.
