Count calls of late routes for the throttle once they have ended

Cause: a call counted as failed until it had ended.

Change, for routes that are served late: a call counts when it ends. A refused one counts at once, as before, so that the refused share grows while most calls fail.

Test: a_burst_of_calls_under_way_does_not_look_like_failures.

--- a/crates/calls/src/throttle.rs
+++ b/crates/calls/src/throttle.rs
@@ -41,6 +41,24 @@
         draw >= excess / self.requests
     }
 
+    /// Whether a call of a route is admitted whose calls may wait for long. Calls under way don't
+    /// count: as many of them as a burst brings would look like failures until they end.
+    /// Admitted calls count once they [end](Self::record_end).
+    pub fn admits_waiting(&mut self, draw: f64, now: Time) -> bool {
+        self.decay(now);
+        let excess = self.requests - ADMITTED_PER_SUCCESS * self.successes - ALWAYS_ADMITTED;
+        let is_admitted = draw >= excess / self.requests.max(1.0);
+        self.requests += f64::from(u8::from(!is_admitted));
+        is_admitted
+    }
+
+    /// A call that [`admits_waiting`](Self::admits_waiting) admitted was run by its target.
+    pub fn record_end(&mut self, is_success: bool, now: Time) {
+        self.decay(now);
+        self.requests += 1.0;
+        self.successes += f64::from(u8::from(is_success));
+    }
+
     /// An admitted call ended in another way than by a failure of its target.
     pub fn record_success(&mut self, now: Time) {
         self.decay(now);
--- a/crates/calls/tests/all/throttle.rs
+++ b/crates/calls/tests/all/throttle.rs
@@ -75,3 +75,37 @@
         throttle.discard_request();
     }
 }
+
+/// Load: a burst of calls that wait for a second and then succeed. None of them has failed, so
+/// none may be refused because they have not ended yet.
+#[test]
+fn a_burst_of_calls_under_way_does_not_look_like_failures() {
+    let mut throttle = Throttle::default();
+    let now = Duration::from_secs(1);
+    let admitted = (0..200)
+        .filter(|_| throttle.admits_waiting(0.0, now))
+        .count();
+    assert_eq!(admitted, 200);
+    let later = now + Duration::from_secs(1);
+    for _ in 0..200 {
+        throttle.record_end(true, later);
+    }
+    assert!(throttle.admits_waiting(0.0, later));
+}
+
+/// Load: a service that the target calls is short, so that one call in five succeeds.
+#[test]
+fn calls_that_wait_are_refused_once_most_of_them_have_failed() {
+    let mut throttle = Throttle::default();
+    let mut now = Duration::from_secs(1);
+    let (mut admitted, mut asked) = (0, 0);
+    for call in 0..2_000_u32 {
+        now += Duration::from_millis(10);
+        asked += 1;
+        if throttle.admits_waiting(f64::from(call % 100) / 100.0, now) {
+            admitted += 1;
+            throttle.record_end(call % 5 == 0, now);
+        }
+    }
+    assert!(admitted * 2 < asked, "{admitted} of {asked}");
+}
--- a/crates/mesh/src/entry/throttle.rs
+++ b/crates/mesh/src/entry/throttle.rs
@@ -1,7 +1,7 @@
 //! Refuses calls of routes whose targets fail most calls.
 
 use rand::RngExt;
-use stoatstep_calls::{Reason, Refusal, Throttle};
+use stoatstep_calls::{Reason, Refusal, Throttle, Time};
 use stoatstep_telemetry::fields;
 
 use super::MAX_ROUTES;
@@ -29,7 +29,11 @@
         return true;
     }
     let throttle = throttles.entry(route.clone()).or_default();
-    let is_admitted = throttle.admits(draw, node.clock.now());
+    let now = node.clock.now();
+    let is_admitted = match call.late {
+        Some(_) => throttle.admits_waiting(draw, now),
+        None => throttle.admits(draw, now),
+    };
     let seen = *throttle;
     drop(tables);
     if !is_admitted {
@@ -60,6 +64,9 @@
 /// such calls counted as failures, a throttled route would stay throttled: both calls of a
 /// pair are hardly ever admitted, and of the other pairs no call succeeds.
 pub(super) fn caller_left(node: &Node, call: &Call) {
+    if call.late.is_some() {
+        return;
+    }
     let mut tables = node.entry.tables.borrow_mut();
     if let Some(throttle) = tables.throttles.get_mut(&call.parts.route) {
         throttle.discard_request();
@@ -74,6 +81,10 @@
     let Some(throttle) = tables.throttles.get_mut(&call.parts.route) else {
         return;
     };
+    if call.late.is_some() {
+        record_end(throttle, end, now);
+        return;
+    }
     match end {
         End::Answered(answer) if answer.is_failure() => {}
         End::Answered(_) => throttle.record_success(now),
@@ -81,3 +92,14 @@
         End::Refused(_) => Throttle::discard_request(throttle),
     }
 }
+
+/// Records how a call ended that counts only once it has ended.
+fn record_end(throttle: &mut Throttle, end: &End, now: Time) {
+    match end {
+        End::Answered(answer) => throttle.record_end(!answer.is_failure(), now),
+        End::Refused(refusal) if refusal.reason == Reason::TimedOut => {
+            throttle.record_end(false, now);
+        }
+        End::Refused(_) => {}
+    }
+}
