Split the borrowing of tokens, the choice of targets and the order of queues into modules

No decision changes. One copy of the decayed count: the demand of an entry uses the one of the forecasts.

--- a/crates/calls/src/zone_room.rs
+++ b/crates/calls/src/zone_room.rs
@@ -15,6 +15,7 @@
 
 mod board;
 mod demand;
+mod transfer;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -23,6 +24,7 @@
 
 pub use board::RoomBoard;
 pub use demand::DemandMeter;
+use transfer::Transfers;
 
 /// Share of its room that a zone fills with its own calls before some leave, and up to which it
 /// takes calls of others. With more, calls wait for slots of single targets while the mean over
@@ -201,70 +203,6 @@
     shares
 }
 
-/// What the zones send each other of the calls of one service, by sending and receiving zone.
-struct Transfers {
-    /// Shares of the calls with large answers.
-    large_shares: Vec<Vec<f64>>,
-    /// Slots that the calls with small answers take.
-    slots: Vec<Vec<f64>>,
-}
-
-impl Transfers {
-    fn compute(rooms: &[ServiceRoom]) -> Self {
-        let spare_link: Vec<f64> = rooms.iter().map(ServiceRoom::spare_link).collect();
-        let spare_slots: Vec<f64> = rooms.iter().map(ServiceRoom::spare_slots).collect();
-        let mut large_shares = transfer(&spare_link);
-        for (row, room) in large_shares.iter_mut().zip(rooms) {
-            for bytes in row {
-                *bytes /= sane(room.link_demand).max(1.0);
-            }
-        }
-        limit_to_slots(&mut large_shares, rooms, &spare_slots);
-        let mut rest = spare_slots;
-        for (from, row) in large_shares.iter().enumerate() {
-            for (to, share) in row.iter().enumerate() {
-                let slots = share * sane(rooms[from].large_slot_demand);
-                rest[from] += slots;
-                rest[to] -= slots;
-            }
-        }
-        Self {
-            large_shares,
-            slots: transfer(&rest),
-        }
-    }
-}
-
-/// Distributes what some zones lack over what others have to spare: each lacking zone gets the
-/// same part of what it lacks, and each other zone gives the same part of what it has.
-fn transfer(spare: &[f64]) -> Vec<Vec<f64>> {
-    let lacking: f64 = spare.iter().map(|it| (-it).max(0.0)).sum();
-    let available: f64 = spare.iter().map(|it| it.max(0.0)).sum();
-    let part = if lacking > 0.0 && available > 0.0 {
-        (available / lacking).min(1.0) / available
-    } else {
-        0.0
-    };
-    let row = |from: &f64| -> Vec<f64> {
-        let lacks = (-from).max(0.0);
-        spare.iter().map(|to| lacks * part * to.max(0.0)).collect()
-    };
-    spare.iter().map(row).collect()
-}
-
-/// Reduces the shares of calls with large answers to the slots that the receiving zones have left.
-fn limit_to_slots(shares: &mut [Vec<f64>], rooms: &[ServiceRoom], spare_slots: &[f64]) {
-    for (to, spare) in spare_slots.iter().enumerate() {
-        let needed = |row: &Vec<f64>, room: &ServiceRoom| row[to] * sane(room.large_slot_demand);
-        let needed: f64 = shares.iter().zip(rooms).map(|(a, b)| needed(a, b)).sum();
-        if needed > spare.max(0.0) {
-            for row in shares.iter_mut() {
-                row[to] *= spare.max(0.0) / needed;
-            }
-        }
-    }
-}
-
 /// Lets calls with small answers leave until they free `slots`, those first that free most slot
 /// time for each byte sent.
 fn share_slots(
--- a/crates/calls/src/zone_room/demand.rs
+++ b/crates/calls/src/zone_room/demand.rs
@@ -8,6 +8,7 @@
 use super::RouteDemand;
 use crate::answer_stats::AnswerStats;
 use crate::ids::Time;
+use crate::recent_load::Decayed;
 
 /// Time constant with which calls decay. Demand that lasts for less does not outlast the exchange
 /// between the zones.
@@ -28,16 +29,7 @@
 #[derive(Clone, Debug)]
 struct Count {
     service: ServiceName,
-    calls: f64,
-    updated_at: Time,
-}
-
-impl Count {
-    fn decay(&mut self, now: Time) {
-        let passed = now.saturating_sub(self.updated_at);
-        self.calls *= (-passed.as_secs_f64() / DECAY_TIME.as_secs_f64()).exp();
-        self.updated_at = now;
-    }
+    calls: Decayed,
 }
 
 impl DemandMeter {
@@ -48,11 +40,9 @@
         }
         let count = self.routes.entry(route.clone()).or_insert_with(|| Count {
             service: service.clone(),
-            calls: 0.0,
-            updated_at: now,
+            calls: Decayed::default(),
         });
-        count.decay(now);
-        count.calls += 1.0;
+        count.calls.record(1.0, DECAY_TIME, now);
         // The last one of a split route; its calls differ little in what they need.
         count.service = service.clone();
     }
@@ -63,17 +53,14 @@
         stats: impl Fn(&RouteName) -> Option<AnswerStats>,
         now: Time,
     ) -> Vec<RouteDemand> {
-        let is_in_use = |_: &RouteName, count: &mut Count| {
-            count.decay(now);
-            count.calls / DECAY_TIME.as_secs_f64() >= MIN_RATE
-        };
-        self.routes.retain(is_in_use);
+        let rate = |count: &Count| count.calls.per_second(DECAY_TIME, now);
+        self.routes.retain(|_, count| rate(count) >= MIN_RATE);
         let demand = |(route, count): (&RouteName, &Count)| {
             let stats = stats(route)?;
             Some(RouteDemand {
                 route: route.clone(),
                 service: count.service.clone(),
-                calls_per_s: count.calls / DECAY_TIME.as_secs_f64(),
+                calls_per_s: rate(count),
                 run_s: stats.run()?.as_secs_f64(),
                 answer_bytes: stats.bytes(),
             })
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod call;
+mod choice;
 mod forward;
 mod late;
 mod probes;
--- a/crates/mesh/src/quota.rs
+++ b/crates/mesh/src/quota.rs
@@ -1,6 +1,7 @@
 //! Enforcement of customers' quotas: an entry asks for tokens, and the home of a customer, a daemon
 //! chosen in each zone, grants them. The decisions are made by [`TokenCache`] and [`TokenBucket`].
 
+mod borrow;
 mod home;
 
 use std::cell::RefCell;
--- a/crates/mesh/src/quota/home.rs
+++ b/crates/mesh/src/quota/home.rs
@@ -10,7 +10,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::future::join_all;
 use stoatstep_calls::{CustomerUsage, QuotaShare, Time, TokenBucket, TokenGrant, shortage_time};
 use stoatstep_distribution::{rendezvous_choice, seed_of};
 use stoatstep_membership::{Member, MemberKey};
@@ -18,25 +17,15 @@
 use stoatstep_telemetry::fields;
 use tokio::sync::Notify;
 
-use super::{ANSWER_TIMEOUT, to_f64};
+use super::borrow::{BorrowTurn, Supply, borrow_ahead, borrow_missing, borrow_turn};
+use super::to_f64;
 use crate::fleet::role;
 use crate::node::Node;
-use crate::wire::{Ask, Reply};
 
 /// Time for which dead members still count when the share of the remaining ones is computed: they
 /// may be on the other side of a network partition and use their part.
 const DEAD_MEMBER_WINDOW: Duration = Duration::from_secs(30);
 
-/// Time between two attempts to borrow for one customer.
-const BORROW_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Timeout of a request to the home of another zone for a call that waits: several round trips
-/// between zones. A zone that is cut off must not hold up the call for longer.
-const LEND_TIMEOUT: Duration = Duration::from_millis(30);
-
-/// Period for which a home borrows in advance.
-const BORROW_PERIOD: Duration = Duration::from_millis(500);
-
 /// Location of a customer's home.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Location {
@@ -57,17 +46,17 @@
 }
 
 /// Quota state of one customer.
-struct CustomerBucket {
-    bucket: TokenBucket,
+pub(super) struct CustomerBucket {
+    pub(super) bucket: TokenBucket,
     /// What the customer was served, here and at the homes of other zones, by their addresses.
-    usage: CustomerUsage<IpAddr>,
+    pub(super) usage: CustomerUsage<IpAddr>,
     /// Earliest time of the next request to the other zones in advance.
-    next_borrow: Time,
+    pub(super) next_borrow: Time,
     /// Earliest time of the next request for a call that would be refused.
-    next_request: Time,
+    pub(super) next_request: Time,
     /// Notified when the request to the other zones for such a call has ended; none if there is
     /// no such request.
-    borrowing: Option<Rc<Notify>>,
+    pub(super) borrowing: Option<Rc<Notify>>,
 }
 
 impl Homes {
@@ -184,24 +173,6 @@
     })
 }
 
-/// Where tokens can come from.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Supply {
-    /// Rate at which the zones that answered get tokens.
-    per_second: f64,
-    /// Whether all zones were asked and answered, so that a refusal is beyond the whole quota.
-    is_whole_fleet: bool,
-}
-
-impl Supply {
-    fn of_zone(share: QuotaShare) -> Self {
-        Self {
-            per_second: share.per_second,
-            is_whole_fleet: false,
-        }
-    }
-}
-
 /// Lends tokens to the home of another zone; `None` if this daemon is not the customer's home.
 /// Both sides learn what the other has granted.
 pub(crate) fn lend(
@@ -246,7 +217,7 @@
     visible / to_f64(node.cfg.zones)
 }
 
-fn with_bucket<T>(
+pub(super) fn with_bucket<T>(
     node: &Node,
     customer: &CustomerName,
     act: impl FnOnce(&mut CustomerBucket) -> T,
@@ -266,7 +237,11 @@
 }
 
 /// Applies `act` to the state of a customer of which this daemon is still the home.
-fn with_held(node: &Node, customer: &CustomerName, act: impl FnOnce(&mut CustomerBucket)) {
+pub(super) fn with_held(
+    node: &Node,
+    customer: &CustomerName,
+    act: impl FnOnce(&mut CustomerBucket),
+) {
     let mut buckets = node.quotas.homes.buckets.borrow_mut();
     if let Some(held) = buckets.get_mut(customer) {
         act(held);
@@ -293,150 +268,8 @@
     }
 }
 
-/// When a grant that is short of tokens may ask the other zones.
-enum BorrowTurn {
-    /// Now.
-    Own,
-    /// After the grant that is asking them for the same customer; its end is notified.
-    After(Rc<Notify>),
-}
-
-/// `None` if the other zones had no tokens when last asked, and can't have any yet.
-fn borrow_turn(node: &Node, customer: &CustomerName) -> Option<BorrowTurn> {
-    let now = node.clock.now();
-    with_bucket(node, customer, |it| match &it.borrowing {
-        Some(other) => Some(BorrowTurn::After(Rc::clone(other))),
-        None => (now >= it.next_request).then_some(BorrowTurn::Own),
-    })
-}
-
-/// Guard of a request to the other zones. Dropping it lets the next grant ask.
-struct BorrowingGuard<'a> {
-    node: &'a Node,
-    customer: &'a CustomerName,
-    ended: Rc<Notify>,
-}
-
-impl<'a> BorrowingGuard<'a> {
-    fn new(node: &'a Node, customer: &'a CustomerName) -> Self {
-        let ended = Rc::new(Notify::new());
-        let held = Rc::clone(&ended);
-        with_bucket(node, customer, |it| it.borrowing = Some(held));
-        Self {
-            node,
-            customer,
-            ended,
-        }
-    }
-}
-
-impl Drop for BorrowingGuard<'_> {
-    fn drop(&mut self) {
-        with_held(self.node, self.customer, |it| it.borrowing = None);
-        self.ended.notify_waiters();
-    }
-}
-
-/// Asks each zone for an equal part of what is missing, and then one after the other for the rest.
-/// Equal parts leave room in all buckets; full ones lose what they are refilled with.
-async fn borrow_missing(
-    node: &Rc<Node>,
-    customer: &CustomerName,
-    wanted: u32,
-    share: QuotaShare,
-) -> Supply {
-    let _guard = BorrowingGuard::new(node, customer);
-    let lenders = homes_in_other_zones(node, customer);
-    let missing = || with_bucket(node, customer, |it| it.bucket.missing(wanted));
-    let part = missing() / to_f64(lenders.len().max(1));
-    let parts = lenders
-        .iter()
-        .map(|addr| borrow_from(node, customer, *addr, part));
-    let answered = join_all(parts).await;
-    let reached = answered.iter().filter(|it| **it).count();
-    let reachable = lenders.iter().zip(&answered).filter(|(_, it)| **it);
-    for (addr, _) in reachable {
-        let rest = missing();
-        if rest <= 0.0 {
-            break;
-        }
-        borrow_from(node, customer, *addr, rest).await;
-    }
-    Supply {
-        per_second: share.per_second * to_f64(reached + 1),
-        is_whole_fleet: reached == lenders.len(),
-    }
-}
-
-/// Borrows tokens from the home in another zone. Returns whether it answered.
-async fn borrow_from(
-    node: &Rc<Node>,
-    customer: &CustomerName,
-    addr: SocketAddr,
-    wanted: f64,
-) -> bool {
-    let ask = Ask::Borrow(customer.clone(), wanted, own_rate(node, customer));
-    match node.links.ask_within(addr, ask, LEND_TIMEOUT).await {
-        Ok(Reply::Lent(Some(lent))) => {
-            add_borrowed(node, customer, addr, lent);
-            true
-        }
-        Ok(_) | Err(_) => false,
-    }
-}
-
-/// Adds lent tokens, unless this daemon has ceased to be the customer's home meanwhile: the next
-/// home grants its share already.
-fn add_borrowed(
-    node: &Node,
-    customer: &CustomerName,
-    lender: SocketAddr,
-    (tokens, rate): (f64, f64),
-) {
-    let now = node.clock.now();
-    with_held(node, customer, |it| {
-        it.bucket.add_borrowed(tokens, now);
-        it.usage.record_other(lender.ip(), rate, now);
-    });
-}
-
-/// Calls per second of the customer that this daemon granted as its home.
-fn own_rate(node: &Node, customer: &CustomerName) -> f64 {
-    let now = node.clock.now();
-    with_bucket(node, customer, |it| it.usage.own_rate(now))
-}
-
-/// Asks the customer's homes in the other zones for unused tokens before they are needed, so that
-/// calls don't wait for them. Shares of less than a token are only borrowed when they are needed:
-/// the bucket has no room for more.
-fn borrow_ahead(node: &Rc<Node>, customer: &CustomerName, share: QuotaShare) {
-    let now = node.clock.now();
-    let wanted = share.per_second * BORROW_PERIOD.as_secs_f64();
-    let is_due = with_bucket(node, customer, |it| {
-        let is_due = wanted >= 1.0 && now >= it.next_borrow;
-        if is_due {
-            it.next_borrow = now + BORROW_INTERVAL;
-        }
-        is_due
-    });
-    if !is_due {
-        return;
-    }
-    for addr in homes_in_other_zones(node, customer) {
-        let (node, customer) = (Rc::clone(node), customer.clone());
-        ntex::rt::spawn(async move {
-            let rate = own_rate(&node, &customer);
-            let ask = Ask::Borrow(customer.clone(), wanted, rate);
-            let lent = node.links.ask_within(addr, ask, ANSWER_TIMEOUT).await;
-            if let Ok(Reply::Lent(Some(lent))) = lent {
-                add_borrowed(&node, &customer, addr, lent);
-            }
-        });
-    }
-}
-
 /// The customer's homes in the other zones, as far as this daemon knows.
-fn homes_in_other_zones(node: &Node, customer: &str) -> Vec<SocketAddr> {
+pub(super) fn homes_in_other_zones(node: &Node, customer: &str) -> Vec<SocketAddr> {
     let membership = node.fleet.membership();
     let mut zones: BTreeMap<&ZoneName, Vec<MemberKey>> = BTreeMap::new();
     for (key, entry) in membership.table().present() {
--- a/tests/all/lifecycle.rs
+++ b/tests/all/lifecycle.rs
@@ -147,7 +147,7 @@
         let status = fleet.instances[0].daemon.terminate(READY).await;
         let answer = call.await.expect("a task").expect("a whole answer");
         answer.assert_answered();
-        assert!(status.is_some_and(|status| status.success()));
+        assert!(status.is_some_and(|status| status.success()), "{status:?}");
     });
 }
 
@@ -221,6 +221,6 @@
         let status = fleet.platform.terminate(READY).await;
         let answer = list.await.expect("a task").expect("a whole answer");
         assert_eq!(answer.status, 200);
-        assert!(status.is_some_and(|status| status.success()));
+        assert!(status.is_some_and(|status| status.success()), "{status:?}");
     });
 }
