--- a/crates/resource/tests/all/main.rs
+++ b/crates/resource/tests/all/main.rs
@@ -7,5 +7,6 @@
 mod decoders;
 mod examples;
 mod files;
+mod policy;
 mod state;
 mod wire;
