Forget refused calls after a minute, whatever their callers state

A caller that states years would have stayed in the memory of refused calls, and 4,096 of them would have kept out all others. Found on reading; test a_refused_call_is_forgotten_after_a_minute.

--- a/crates/calls/src/late_band.rs
+++ b/crates/calls/src/late_band.rs
@@ -11,16 +11,12 @@
 
 /// Whether calls can still meet their latency objective. Of calls of one rank, those in time go
 /// first.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Band {
     /// They meet their objective.
     #[default]
-    #[serde(rename = "t")]
     InTime,
     /// They don't, and are served by what the others leave.
-    #[serde(rename = "l")]
     Late,
 }
 
--- a/crates/calls/src/returning.rs
+++ b/crates/calls/src/returning.rs
@@ -15,6 +15,10 @@
 /// callers wait for 8 s has 800 of them.
 const MAX_REFUSED: usize = 4096;
 
+/// Longest time for which a refused call is remembered, whatever its caller states: callers that
+/// state years would fill the memory for good.
+const MAX_AGE: Duration = Duration::from_mins(1);
+
 /// Limit on the refused calls with the same content; of more, the first ones are remembered.
 const MAX_SAME: usize = 16;
 
@@ -70,9 +74,10 @@
         if self.count >= MAX_REFUSED {
             return;
         }
+        let expires = call.expires.min(now + MAX_AGE);
         let same = self.refused.entry(content).or_default();
         if same.len() < MAX_SAME {
-            same.push_back(call);
+            same.push_back(RefusedCall { expires, ..call });
             self.count += 1;
         }
     }
--- a/crates/calls/tests/all/late_calls.rs
+++ b/crates/calls/tests/all/late_calls.rs
@@ -319,6 +319,19 @@
     assert!(calls.is_empty());
 }
 
+/// Guards against callers that state years, whose calls would be remembered for so long.
+#[test]
+fn a_refused_call_is_forgotten_after_a_minute() {
+    let mut calls = ReturningCalls::default();
+    let known = RefusedCall {
+        first_sent: Duration::ZERO,
+        expires: Duration::from_millis(u64::MAX),
+    };
+    calls.refused(content("/a"), known, MS * 10);
+    calls.expire(Duration::from_secs(61));
+    assert!(calls.is_empty());
+}
+
 /// Guards against first tries that count as late since callers state less than others, and against
 /// callers that state next to nothing and so make others look recent.
 #[test]
--- a/crates/mesh/src/entry/call.rs
+++ b/crates/mesh/src/entry/call.rs
@@ -15,12 +15,11 @@
 use stoatstep_http::{BodyError, read_body};
 use stoatstep_resource::{Quota, Version};
 
+use super::late::LateCall;
 use crate::identity;
 use crate::node::Node;
 use crate::wire::CallParts;
 
-use super::late::LateCall;
-
 /// Largest request body. The whole body is kept until the call ends, so that the call can
 /// be sent to another target if an attempt did not run.
 const MAX_BODY: usize = 64 << 20;
--- a/crates/mesh/src/entry/choice.rs
+++ b/crates/mesh/src/entry/choice.rs
@@ -19,6 +19,7 @@
 pub(super) struct Aim<'a> {
     /// Targets that it must not go to.
     pub(super) tried: &'a [UpstreamName],
+    /// Whether it leaves its zone.
     pub(super) leave: &'a Leave,
     /// Whether it may be late.
     pub(super) is_late: bool,
