--- a/crates/calls/src/quota/token_bucket.rs
+++ b/crates/calls/src/quota/token_bucket.rs
@@ -149,6 +149,7 @@
     pub fn lend(&mut self, wanted: f64, share: QuotaShare, now: Time) -> f64 {
         self.refill(share, now);
         let reserved = (share.burst - MIN_BURST) * RESERVED_FRACTION;
+        let wanted = if wanted.is_finite() { wanted } else { 0.0 };
         let lent = wanted.min(self.tokens - reserved).max(0.0);
         self.tokens -= lent;
         lent
--- a/crates/mesh/src/quota/borrow.rs
+++ b/crates/mesh/src/quota/borrow.rs
@@ -126,8 +126,8 @@
 ) -> bool {
     let ask = Ask::Borrow(customer.clone(), wanted, own_rate(node, customer));
     match node.links.ask_within(addr, ask, LEND_TIMEOUT).await {
-        Ok(Reply::Lent(Some(lent))) => {
-            add_borrowed(node, customer, addr, lent);
+        Ok(Reply::Lent(Some((tokens, rate)))) => {
+            add_borrowed(node, customer, addr, (tokens.min(wanted), rate));
             true
         }
         Ok(_) | Err(_) => false,
@@ -177,8 +177,8 @@
             let rate = own_rate(&node, &customer);
             let ask = Ask::Borrow(customer.clone(), wanted, rate);
             let lent = node.links.ask_within(addr, ask, ANSWER_TIMEOUT).await;
-            if let Ok(Reply::Lent(Some(lent))) = lent {
-                add_borrowed(&node, &customer, addr, lent);
+            if let Ok(Reply::Lent(Some((tokens, rate)))) = lent {
+                add_borrowed(&node, &customer, addr, (tokens.min(wanted), rate));
             }
         });
     }
