Judge late calls by their deadline only on routes that are served late

Earlier deployments are served as before. It stays limited since nothing in those deployments' configurations asks for it.

--- a/crates/calls/src/placement.rs
+++ b/crates/calls/src/placement.rs
@@ -52,7 +52,8 @@
 pub struct PlacementRequest<'a> {
     /// Time left to its latency objective; zero if that has passed.
     pub objective: Duration,
-    /// Time left to its deadline.
+    /// Time left until a late answer has no value either: to its deadline, or to its objective if
+    /// its route is not served late.
     pub left: Duration,
     /// Mean size of the answers of its route.
     pub answer_bytes: f64,
--- a/crates/mesh/src/entry/choice.rs
+++ b/crates/mesh/src/entry/choice.rs
@@ -72,13 +72,17 @@
         ..
     } = &mut *tables;
     let answers = answers.get(&call.parts.route).copied().unwrap_or_default();
+    let objective = call.objective.saturating_sub(now);
     let wish = PlacementRequest {
         objective: if aim.is_late {
             Duration::ZERO
         } else {
-            call.objective.saturating_sub(now)
+            objective
+        },
+        left: match call.late {
+            Some(_) => call.deadline.left(now),
+            None => objective,
         },
-        left: call.deadline.left(now),
         answer_bytes: if node.cfg.is_enabled(Mechanism::AnswerSize) {
             answers.bytes()
         } else {
