--- a/crates/mesh/src/in_force.rs
+++ b/crates/mesh/src/in_force.rs
@@ -13,14 +13,18 @@
     pub(crate) state: Arc<State>,
     pub(crate) config_id: ConfigId,
     pub(crate) routes: RouteTable,
+    /// Whether the calls of any route are served after their objective.
+    pub(crate) any_serves_late: bool,
     pub(crate) keys: KeyRing,
 }
 
 impl InForce {
     pub(crate) fn new(state: State) -> Self {
+        let routes = RouteTable::new(&state);
         Self {
             config_id: stoatstep_distribution::config_id_of(&state),
-            routes: RouteTable::new(&state),
+            any_serves_late: routes.any_serves_late(),
+            routes,
             keys: KeyRing::new(&state),
             state: Arc::new(state),
         }
--- a/crates/mesh/src/zones.rs
+++ b/crates/mesh/src/zones.rs
@@ -48,7 +48,7 @@
 /// after their objective, so that a zone that is short of room stays short.
 fn is_called_for(node: &Node) -> bool {
     let in_force = node.fleet.in_force();
-    node.cfg.zones > 1 && in_force.is_some_and(|it| it.routes.any_serves_late())
+    node.cfg.zones > 1 && in_force.is_some_and(|it| it.any_serves_late)
 }
 
 /// Counts a call of this daemon's callers.
