Keep an entry's reserve of a quota at one token

The smallest bucket of two tokens is meant for zones. It also held for the reserve that each entry has while the customer's home does not answer, which had one: a zone of 19 entries could have granted 19 tokens more than before.

--- a/crates/mesh/src/quota.rs
+++ b/crates/mesh/src/quota.rs
@@ -31,6 +31,10 @@
 /// answer. If the home is alive but out of reach, it grants the whole share to others.
 const RESERVE_FRACTION: f64 = 0.25;
 
+/// Smallest capacity of an entry's reserve: with less than one token, nothing could be granted
+/// from it.
+const MIN_RESERVE: f64 = 1.0;
+
 /// Result of waiting for a token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum TokenOutcome {
@@ -212,7 +216,11 @@
     let quota = in_force.keys.customer(customer)?.quota?;
     let entries = node.quotas.homes.members().max(1);
     let of = home::share_of_zone(node) * RESERVE_FRACTION / to_f64(entries);
-    Some(QuotaShare::new(quota, of))
+    // The room that a zone's bucket has at least would add up over the entries.
+    Some(QuotaShare {
+        burst: (f64::from(quota.burst) * of).max(MIN_RESERVE),
+        ..QuotaShare::new(quota, of)
+    })
 }
 
 /// Removes customers that have not called for a while.
