--- a/review/stand-in/fleet.rs
+++ b/review/stand-in/fleet.rs
@@ -27,6 +27,8 @@
     inbound: SocketAddr,
     /// Where its upstream listens.
     pub app: SocketAddr,
+    /// Rate of its link, which its daemon keeps to.
+    pub link_mbps: f64,
     daemon: Option<Child>,
     folder: PathBuf,
 }
@@ -56,6 +58,7 @@
             ready: free(ip)?,
             inbound: free(ip)?,
             app: free(ip)?,
+            link_mbps: 1000.0,
             daemon: None,
             folder,
         })
@@ -63,7 +66,7 @@
 
     /// Starts the daemon with settings as `DEPLOY.md` has them.
     pub fn start(&mut self, program: &str, store: &Store, bootstrap: bool) -> std::io::Result<()> {
-        let Self { name, zone, service, outbound, control, ready, inbound, app, .. } = self;
+        let Self { name, zone, service, outbound, control, ready, inbound, app, link_mbps, .. } = self;
         let (ip, store) = (control.ip(), store.addr);
         let settings = format!(
             r#"{{"node":"{name}","role":"daemon","instance_class":"sidecar","serves":["sidecar"],
@@ -71,7 +74,7 @@
 "zones":{{"nv-a":"northvale","nv-b":"northvale","nv-c":"northvale","nv-d":"northvale"}},
 "listen":{{"inbound":"{inbound}","outbound":"{outbound}","ready":"{ready}","control":"{control}"}},
 "port_range":[7380,7395],"seeds":[],"bootstrap":{bootstrap},"in_tolerance":false,
-"limits":{{"cpu_share":0.2,"cores":1,"memory_mb":260,"max_fds":4100,"link_mbps":1000.0,"disk_mb":0}},
+"limits":{{"cpu_share":0.2,"cores":1,"memory_mb":260,"max_fds":4100,"link_mbps":{link_mbps:.1},"disk_mb":0}},
 "data_dir":null,"discovery":"static","entry":"static","heartbeat_s":1.5,
 "contracts":["base","drain","config","cost","retry","recover","platform"],
 "fault_tolerance":{{"machines":2,"zones":1,"regions":0}},
@@ -95,6 +98,12 @@
         Ok(())
     }
 
+    /// Sends SIGTERM to the daemon.
+    pub fn terminate(&self) -> std::io::Result<()> {
+        let id = self.daemon.as_ref().map_or(0, Child::id);
+        Command::new("kill").args(["-TERM", &id.to_string()]).status().map(drop)
+    }
+
     /// Whether the daemon says that it is ready.
     pub fn is_ready(&self) -> bool {
         let host = [("Host", "ready")];
@@ -180,7 +189,8 @@
     false
 }
 
-/// The operator's configuration, with the routes of `chalkbox-ops`.
+/// The operator's configuration, with the routes of `chalkbox-ops` and the downloads of
+/// `eml-preview-grown`.
 pub fn configuration(version: u64) -> String {
     let route = |prefix: &str, kind: &str, timeout: f64, aim: f64, rank: u8, service: &str| {
         format!(
@@ -191,8 +201,9 @@
     let claim = route("claim-post", "non_idempotent", 1.2, 0.3, 1, "floatdesk");
     let refund = route("refund-issue", "non_idempotent", 0.8, 0.2, 0, "refundhall");
     let limit = route("limit-check", "idempotent", 0.5, 0.12, 1, "refundhall");
+    let stems = route("stem-download", "download", 4.0, 0.6, 2, "refundhall");
     let service = r#"{"health_path":"/healthz","max_connections":120,"protocol":"h1","tls":false}"#;
     format!(
-        r#"{{"version":{version},"routes":{{"r-balance":{balance},"r-claim":{claim},"r-refund":{refund},"r-limit":{limit}}},"services":{{"floatdesk":{service},"refundhall":{service}}},"limits":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}},"base_version":0}}"#
+        r#"{{"version":{version},"routes":{{"r-balance":{balance},"r-claim":{claim},"r-refund":{refund},"r-limit":{limit},"r-stems":{stems}}},"services":{{"floatdesk":{service},"refundhall":{service}}},"limits":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}},"base_version":0}}"#
     )
 }
--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod http;
 mod json;
+mod last_answer;
 mod late_beat;
 mod late_copy;
 mod nobodys_beat;
@@ -60,6 +61,7 @@
     let verdict = match case.as_str() {
         "late-copy" => late_copy::run(&record, daemon, trouble),
         "late-copy-unnamed" => late_copy::run_unnamed(&record, daemon, trouble),
+        "last-answer" => last_answer::run(&record, daemon, trouble),
         "reused-address" => reused_address::run(&record, daemon, trouble),
         "nobodys-beat" => nobodys_beat::run(&record, daemon, trouble),
         "late-beat" => late_beat::run(&record, daemon, trouble),
--- a/review/stand-in/upstream.rs
+++ b/review/stand-in/upstream.rs
@@ -221,7 +221,12 @@
         std::thread::sleep(Duration::from_millis(work));
         self.free_slot();
         let headers = [("X-Attempt-Id", id.as_str()), ("X-Response-Seal", "3e1b.07.5a2.600.0.c9f2a4d1")];
-        Answer::plain(http::answer(200, &headers, b"done"))
+        let size = match path.contains("/stem-download/") {
+            true if path.ends_with("/large") => 540_000,
+            true => 60_000,
+            false => 4,
+        };
+        Answer::plain(http::answer(200, &headers, &vec![b'.'; size]))
     }
 }
 
