--- a/review/stand-in/late_copy.rs
+++ b/review/stand-in/late_copy.rs
@@ -22,18 +22,27 @@
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
 pub fn run(record: &Record, daemon: &str, trouble: bool) -> Verdict {
-    match play(record, daemon, trouble) {
+    match play(record, daemon, trouble, false) {
         Ok(verdict) => verdict,
         Err(err) => Verdict::NotRun(err.to_string()),
     }
 }
 
-fn play(record: &Record, daemon: &str, trouble: bool) -> std::io::Result<Verdict> {
+/// The same with two upstreams and rejections that leave out the request's id: the copy of one is
+/// taken for the answer to the next request on the connection, which then runs at both upstreams.
+pub fn run_unnamed(record: &Record, daemon: &str, trouble: bool) -> Verdict {
+    match play(record, daemon, trouble, true) {
+        Ok(verdict) => verdict,
+        Err(err) => Verdict::NotRun(err.to_string()),
+    }
+}
+
+fn play(record: &Record, daemon: &str, trouble: bool, is_unnamed: bool) -> std::io::Result<Verdict> {
     let store = Store::start(crate::fleet::address(200))?;
     store.write("op", "config", &configuration(7));
     let mut machines = vec![
         Machine::new(1, "nv-a", "floatdesk")?,
-        Machine::new(2, "nv-b", "refundhall")?,
+        Machine::new(2, "nv-b", if is_unnamed { "floatdesk" } else { "refundhall" })?,
     ];
     for machine in &mut machines {
         machine.start(daemon, &store, true)?;
@@ -41,13 +50,16 @@
     let machines = Arc::new(machines);
     let upstreams = vec![
         Upstream::start(&machines[0], "i-float1", record)?,
-        Upstream::start(&machines[1], "i-refund1", record)?,
+        Upstream::start(&machines[1], "i-other1", record)?,
     ];
     let _beats = Beats::start(&machines, &upstreams);
-    Ok(post_claims(record, trouble, &machines, &upstreams[0]))
+    if is_unnamed {
+        upstreams[0].reject_unnamed();
+    }
+    Ok(post_claims(record, trouble, &machines, &upstreams))
 }
 
-fn post_claims(record: &Record, trouble: bool, machines: &[Machine], floats: &Upstream) -> Verdict {
+fn post_claims(record: &Record, trouble: bool, machines: &[Machine], upstreams: &[Upstream]) -> Verdict {
     let mut number = 0;
     let mut read = |machine: &Machine| {
         number += 1;
@@ -59,7 +71,7 @@
     if !until(Duration::from_secs(25), is_served) {
         return Verdict::NotRun("the deployment doesn't serve".into());
     }
-    floats.reject(trouble);
+    upstreams[0].reject(trouble);
     let mut ended: Vec<Ended> = Vec::new();
     for claim in 0..CLAIMS {
         let machine = &machines[claim as usize % machines.len()];
@@ -77,11 +89,20 @@
             ended.push(second);
         }
         ended.push(first);
+        let id = format!("2{claim:015x}");
+        ended.push(requester::send(machine, ("POST", &path), &id, DEADLINE, "another claim", record));
         thread::sleep(Duration::from_millis(300));
     }
     thread::sleep(Duration::from_secs(1));
-    let runs = floats.runs();
+    let runs: Vec<_> = upstreams.iter().flat_map(Upstream::runs).collect();
     let mut broken = 0;
+    for ended in &ended {
+        let times = runs.iter().filter(|run| run.id == ended.id).count();
+        if times > 1 {
+            broken += 1;
+            record.line(&format!("TWICE: {} ran {times} times, and was answered {}", ended.id, ended.status));
+        }
+    }
     for ended in ended.iter().filter(|it| PROMISES.contains(&it.status)) {
         if runs.iter().any(|run| run.id == ended.id) {
             broken += 1;
@@ -95,6 +116,6 @@
             record.line(&format!("seen by the customer: {body:?} was posted {times} times"));
         }
     }
-    record.line(&format!("requests that were refused as not run and have run: {broken}"));
+    record.line(&format!("requests that were refused as not run and have run, or ran twice: {broken}"));
     if broken > 0 { Verdict::Broken } else { Verdict::Held }
 }
--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -12,6 +12,7 @@
 mod late_copy;
 mod nobodys_beat;
 mod requester;
+mod reused_address;
 mod store;
 mod upstream;
 
@@ -58,6 +59,8 @@
     record.line(&format!("case {case}, disruption: {trouble}"));
     let verdict = match case.as_str() {
         "late-copy" => late_copy::run(&record, daemon, trouble),
+        "late-copy-unnamed" => late_copy::run_unnamed(&record, daemon, trouble),
+        "reused-address" => reused_address::run(&record, daemon, trouble),
         "nobodys-beat" => nobodys_beat::run(&record, daemon, trouble),
         "late-beat" => late_beat::run(&record, daemon, trouble),
         _ => Verdict::NotRun("unknown case".into()),
--- a/review/stand-in/nobodys_beat.rs
+++ b/review/stand-in/nobodys_beat.rs
@@ -1,4 +1,4 @@
-//! Case 2. Before the operator writes the first configuration, a heartbeat of another writer, which
+//! Another way to case 3. Before the operator writes the first configuration, a heartbeat of another writer, which
 //! names a service that doesn't exist, reaches a daemon. The daemon takes it for a newer boot of its
 //! upstream: from then on it ignores the upstream's own heartbeats and states the unknown service as
 //! the caller of all requests that begin on its machine.
@@ -67,7 +67,8 @@
     Ok(send_requests(record, &machines, &upstreams))
 }
 
-fn send_requests(record: &Record, machines: &[Machine], upstreams: &[Upstream]) -> Verdict {
+/// Sends requests from all machines, and checks whose service each of them states where it runs.
+pub fn send_requests(record: &Record, machines: &[Machine], upstreams: &[Upstream]) -> Verdict {
     let mut served = 0;
     for number in 0..REQUESTS {
         let machine = &machines[number as usize % machines.len()];
--- a/review/stand-in/store.rs
+++ b/review/stand-in/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,7 @@
     tables: Mutex<Tables>,
     changed: Condvar,
     started: Instant,
+    is_down: AtomicBool,
 }
 
 #[derive(Clone)]
@@ -45,6 +47,7 @@
             tables: Mutex::default(),
             changed: Condvar::new(),
             started: Instant::now(),
+            is_down: AtomicBool::new(false),
         });
         let store = Self { addr, shared };
         let served = store.clone();
@@ -62,6 +65,16 @@
         self.shared.changed.notify_all();
     }
 
+    /// Takes the store down, so that it answers 503 and does nothing, or up again.
+    pub fn set_down(&self, is_down: bool) {
+        self.shared.is_down.store(is_down, Ordering::SeqCst);
+        self.shared.changed.notify_all();
+    }
+
+    fn is_down(&self) -> bool {
+        self.shared.is_down.load(Ordering::SeqCst)
+    }
+
     fn connection(&self, mut stream: TcpStream) {
         let Ok(reader) = stream.try_clone() else { return };
         let mut reader = BufReader::new(reader);
@@ -76,6 +89,9 @@
     }
 
     fn answer(&self, request: &Message) -> (u16, String) {
+        if self.is_down() {
+            return (503, "{}".to_owned());
+        }
         let (path, query) = request.path().split_once('?').unwrap_or((request.path(), ""));
         let field = |name: &str| {
             let fields = query.split('&').filter_map(|it| it.split_once('='));
@@ -90,7 +106,10 @@
             "/v1/rows-feed" => {
                 let after: u64 = field("after").parse().unwrap_or(0);
                 let wait = Duration::from_millis(field("wait_ms").parse().unwrap_or(0));
-                (200, self.feed(&field("table"), after, wait))
+                match self.feed(&field("table"), after, wait) {
+                    Some(rows) => (200, rows),
+                    None => (503, "{}".to_owned()),
+                }
             }
             "/v1/rows-tx" => self.change(&String::from_utf8_lossy(&request.body)),
             _ => (404, "{}".to_owned()),
@@ -112,15 +131,18 @@
         format!(r#"{{"rows":[{rows}],"has_more":false,"ver":{ver},"now_s":{now:.3}}}"#)
     }
 
-    fn feed(&self, table: &str, after: u64, wait: Duration) -> String {
+    fn feed(&self, table: &str, after: u64, wait: Duration) -> Option<String> {
         let until = Instant::now() + wait;
         let mut tables = self.shared.tables.lock().unwrap();
         loop {
+            if self.is_down() {
+                return None;
+            }
             let is_new = |row: &Row| row.ver > after;
             let any = tables.rows.iter().any(|((of, _), row)| of == table && is_new(row));
             let left = until.saturating_duration_since(Instant::now());
             if any || left.is_zero() {
-                return self.rows(&tables, table, is_new);
+                return Some(self.rows(&tables, table, is_new));
             }
             tables = self.shared.changed.wait_timeout(tables, left).unwrap().0;
         }
--- a/review/stand-in/upstream.rs
+++ b/review/stand-in/upstream.rs
@@ -35,6 +35,8 @@
     rejected: Mutex<Vec<String>>,
     /// Whether it sends a second copy of a rejection, where the next answer is expected.
     copies: AtomicBool,
+    /// Whether its rejections leave out the request's id, as in the example of `fleetbench wire`.
+    is_unnamed: AtomicBool,
 }
 
 #[derive(Clone)]
@@ -64,6 +66,7 @@
             rejects: AtomicBool::new(false),
             rejected: Mutex::default(),
             copies: AtomicBool::new(false),
+            is_unnamed: AtomicBool::new(false),
         }));
         let served = upstream.clone();
         http::serve(listener, move |stream| served.connection(stream));
@@ -107,10 +110,20 @@
         self.0.copies.store(copies, Ordering::SeqCst);
     }
 
+    /// Leaves the request's id out of its rejections, and rejects at once.
+    pub fn reject_unnamed(&self) {
+        self.0.is_unnamed.store(true, Ordering::SeqCst);
+    }
+
     pub fn runs(&self) -> Vec<Run> {
         self.0.runs.lock().unwrap().clone()
     }
 
+    /// Forgets the requests that it ran so far, which the case doesn't check.
+    pub fn forget_runs(&self) {
+        self.0.runs.lock().unwrap().clear();
+    }
+
     /// Requests at work now.
     pub fn running(&self) -> usize {
         *self.0.running.lock().unwrap()
@@ -185,10 +198,14 @@
             return Answer::plain(http::answer(421, &headers, b""));
         }
         if self.is_to_reject(&id) {
-            std::thread::sleep(REJECTED_AFTER);
+            let is_unnamed = state.is_unnamed.load(Ordering::SeqCst);
+            if !is_unnamed {
+                std::thread::sleep(REJECTED_AFTER);
+            }
             state.record.line(&format!("{} rejects {id} with 503, X-Not-Executed", state.id));
-            let headers = [("X-Attempt-Id", id.as_str()), ("X-Not-Executed", "1")];
-            return Answer { bytes: http::answer(503, &headers, b""), is_rejection: true };
+            let headers = [("X-Not-Executed", "1"), ("X-Attempt-Id", id.as_str())];
+            let headers = if is_unnamed { &headers[..1] } else { &headers[..] };
+            return Answer { bytes: http::answer(503, headers, b""), is_rejection: true };
         }
         self.take_slot();
         let caller = request.header("x-caller-service").unwrap_or_default().to_owned();
