Tell where the answers of calls wait, and which calls an exit cuts off

The output could not tell apart whether an answer that was never delivered waited at its executor for the uplink, behind more than the link can carry, or at its entry to be written.

`large answer ended`, at the executor, has for each answer that is sent in chunks how long it waited, what was ahead of it, how far it was sent and how that ended. `caller left` and the new `call cut off` (a call that is open when the daemon exits) name the stage that the call had reached, its attempt and target, and how much of its answer had arrived. `stoatctl explain` tells them.

--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -103,6 +103,9 @@
         if let Some(line) = said("request refused") {
             return format!("it did not run: {}", meaning(&line.text(fields::REASON)));
         }
+        if said("call cut off").is_some() {
+            return "its daemon exited before it ended; it may have run".to_owned();
+        }
         if said("caller left").is_some() {
             return "its caller left before it ended; it may have run".to_owned();
         }
@@ -196,7 +199,27 @@
             line.text(fields::RUNNING),
             line.text(fields::QUEUED),
         ),
-        "caller left" => format!("entry: its caller left after {} ms", ms(fields::TOTAL_US)),
+        "caller left" => format!(
+            "entry: its caller left after {} ms{}",
+            ms(fields::TOTAL_US),
+            stage(line)
+        ),
+        "call cut off" => format!(
+            "entry: the daemon exited after {} ms, without an answer{}",
+            ms(fields::TOTAL_US),
+            stage(line)
+        ),
+        "large answer ended" => format!(
+            "executor: {} of {} bytes of its answer sent ({}, {}); it waited {} ms for the uplink, \
+             which needed {} ms for what went first, and took {} ms",
+            line.text(fields::SENT_BYTES),
+            line.text(fields::BYTES),
+            line.text(fields::END),
+            line.text(fields::BAND),
+            ms(fields::WAIT_US),
+            ms(fields::AHEAD_US),
+            ms(fields::SENDING_US),
+        ),
         "request refused" => format!(
             "entry: refused when it came, by version {}: {}",
             line.text(fields::VERSION),
@@ -211,6 +234,21 @@
     }
 }
 
+/// How far a call had got that was not answered.
+fn stage(line: &Line) -> String {
+    let upstream = line.text(fields::UPSTREAM);
+    match line.text(fields::STAGE).as_str() {
+        "placing" => ", at no target".to_owned(),
+        "asked" => format!(", while {upstream} had it"),
+        "receiving" => format!(
+            ", when {} bytes of the answer of {upstream} had arrived",
+            line.text(fields::RECEIVED_BYTES)
+        ),
+        "settling" => format!(", when the link for {upstream} was lost"),
+        _ => String::new(),
+    }
+}
+
 fn outcome(line: &Line) -> String {
     match line.text(fields::OUTCOME).as_str() {
         "answered" => format!("answered with status {}", line.text(fields::STATUS)),
--- a/crates/mesh/src/drain.rs
+++ b/crates/mesh/src/drain.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::entry;
 use crate::fleet;
 use crate::node::Node;
 use stoatstep_telemetry::fields;
@@ -51,5 +52,6 @@
     while !may_end() {
         tokio::time::sleep(POLL).await;
     }
+    entry::log_cut_off(node);
     slog::info!(node.log, "drained"; fields::IN_FLIGHT => node.in_flight.get());
 }
--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -17,7 +17,7 @@
 use crate::executor;
 use crate::fleet::TargetLocation;
 use crate::journal::AttemptFailed;
-use crate::link::{CONNECT_TIMEOUT, LinkError};
+use crate::link::{BytesReceived, CONNECT_TIMEOUT, LinkError};
 use crate::mechanism::Mechanism;
 use crate::node::Node;
 use crate::wire::{Ask, Attempt, End, Ran, Reply, WireSettled};
@@ -148,10 +148,12 @@
             limit: node.entry.tables.borrow().limits.get(upstream),
             call: Rc::clone(&call.parts),
         };
+        let received = call.progress.asked(id, upstream);
         let (outcome, occupancy) = match place {
             TargetLocation::Local => without_uplink(outcome_of_run(local(node, attempt).await)),
-            TargetLocation::Remote(addr) => remote(node, call, addr, attempt).await,
+            TargetLocation::Remote(addr) => remote(node, call, addr, attempt, received).await,
         };
+        call.progress.placing();
         let is_stale = matches!(&outcome.end, End::Refused(it) if it.reason == Reason::StaleTicket);
         if !is_stale {
             log_failure(node, call, (id, upstream), &outcome, started_at);
@@ -230,10 +232,12 @@
     call: &Call,
     addr: SocketAddr,
     attempt: Attempt,
+    received: BytesReceived,
 ) -> (AttemptOutcome, Option<Occupancy>) {
     let (id, ticket) = (attempt.id, attempt.ticket);
     let bound = call.deadline.left(node.clock.now()) + REPORT_GRACE;
-    let asked = node.links.ask_unless_silent(addr, Ask::Run(attempt));
+    let ask = Ask::Run(attempt);
+    let asked = node.links.ask_unless_silent(addr, ask, received);
     let asked = timeout(bound, asked).await;
     match asked {
         Ok(Ok(Reply::Ran(ran))) => {
@@ -285,6 +289,7 @@
     attempt: AttemptId,
     ticket: Ticket,
 ) -> AttemptOutcome {
+    call.progress.settling();
     for _ in 0..SETTLE_ATTEMPTS {
         let left = call.deadline.left(node.clock.now());
         if left.is_zero() {
--- a/crates/mesh/src/entry/call.rs
+++ b/crates/mesh/src/entry/call.rs
@@ -16,6 +16,7 @@
 use stoatstep_resource::{Quota, Version};
 
 use super::late::LateCall;
+use super::open::Progress;
 use crate::identity;
 use crate::node::Node;
 use crate::wire::CallParts;
@@ -48,6 +49,7 @@
     /// Quota of the caller's customer, if it has one.
     pub(super) quota: Option<Quota>,
     pub(super) parts: Rc<CallParts>,
+    pub(super) progress: Rc<Progress>,
 }
 
 impl Call {
@@ -110,6 +112,7 @@
             route,
             deadline,
             parts: Rc::new(parts),
+            progress: Rc::default(),
         })
     }
 }
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod forward;
 mod late;
+mod open;
 mod probes;
 mod quota;
 mod respond;
@@ -38,6 +39,8 @@
 pub(crate) use attempt::SETTLE_WINDOW;
 use call::Call;
 use forward::CompletedCall;
+pub(crate) use open::log_cut_off;
+use open::{OpenCalls, OpenGuard};
 
 /// Limit on the routes for which statistics are kept. The callers of one daemon use a few
 /// dozen.
@@ -46,6 +49,7 @@
 /// State of the entry that outlives single calls.
 pub(crate) struct Entry {
     tables: RefCell<Tables>,
+    open: OpenCalls,
 }
 
 struct Tables {
@@ -95,6 +99,7 @@
         };
         Self {
             tables: RefCell::new(tables),
+            open: OpenCalls::default(),
         }
     }
 
@@ -139,9 +144,9 @@
         }
     };
     let mut completed = if throttle::admits(node, &call) {
-        let mut guard = CallerLeftGuard::new(node, &call, started_at);
+        let open = OpenGuard::new(node, &call, started_at);
         let completed = forward_with_quota(node, &call).await;
-        guard.has_ended = true;
+        open.end();
         throttle::record(node, &call, &completed.end);
         completed
     } else {
@@ -168,38 +173,6 @@
     completed
 }
 
-/// Guard of a call that the throttle admitted. If it is dropped before the call has ended,
-/// it records that the caller disconnected.
-struct CallerLeftGuard<'a> {
-    node: &'a Node,
-    call: &'a Call,
-    started_at: Time,
-    has_ended: bool,
-}
-
-impl<'a> CallerLeftGuard<'a> {
-    fn new(node: &'a Node, call: &'a Call, started_at: Time) -> Self {
-        Self {
-            node,
-            call,
-            started_at,
-            has_ended: false,
-        }
-    }
-}
-
-impl Drop for CallerLeftGuard<'_> {
-    fn drop(&mut self) {
-        if self.has_ended {
-            return;
-        }
-        throttle::caller_left(self.node, self.call);
-        let now = self.node.clock.now();
-        let waited = now.saturating_sub(self.started_at);
-        self.node.journal.caller_left(&self.call.parts, waited, now);
-    }
-}
-
 /// Records a call that has ended in the log, the metrics and the route's statistics.
 fn record_call(node: &Rc<Node>, call: &Call, completed: &CompletedCall, started_at: Time) {
     let now = node.clock.now();
--- a/crates/mesh/src/link/client.rs
+++ b/crates/mesh/src/link/client.rs
@@ -16,7 +16,7 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 use tokio_util::codec::{FramedRead, FramedWrite};
 
-use super::framing::{Outgoing, Reassembler};
+use super::framing::{Outgoing, Reassembler, Received};
 use super::traffic::{Cause, LinkTraffic};
 use super::uplink::SharedUplink;
 use super::{Reader, codec, decode, encode, write};
@@ -82,9 +82,20 @@
     /// Sends a request to the daemon at `addr` and waits for the reply. Dropping the future
     /// cancels the request.
     pub(crate) async fn ask(&self, addr: SocketAddr, ask: Ask) -> Result<Reply, LinkError> {
+        self.ask_and_count(addr, ask, BytesReceived::default())
+            .await
+    }
+
+    async fn ask_and_count(
+        &self,
+        addr: SocketAddr,
+        ask: Ask,
+        received: BytesReceived,
+    ) -> Result<Reply, LinkError> {
         let link = self.link(addr);
         let (tx, rx) = oneshot::channel();
-        let id = link.register(tx, self.clock.now())?;
+        let waiter = Waiter { tx, received };
+        let id = link.register(waiter, self.clock.now())?;
         let guard = PendingGuard { link: &link, id };
         let cause = Cause::of_ask(&ask);
         let bytes = link.send(id, &ToServer::Ask(id, ask));
@@ -95,17 +106,18 @@
     }
 
     /// Sends a request like [`Links::ask`], unless the link to `addr` has been silent for a while
-    /// although a reply is due.
+    /// although a reply is due. Counts the bytes of the reply that arrive before it is complete.
     pub(crate) async fn ask_unless_silent(
         &self,
         addr: SocketAddr,
         ask: Ask,
+        received: BytesReceived,
     ) -> Result<Reply, LinkError> {
         let link = self.table.borrow().get(&addr).cloned();
         if link.is_some_and(|it| it.is_silent(self.clock.now())) {
             return Err(LinkError::NotSent);
         }
-        self.ask(addr, ask).await
+        self.ask_and_count(addr, ask, received).await
     }
 
     /// Sends a request like [`Links::ask`], and waits at most `bound` for the reply.
@@ -161,7 +173,14 @@
     Closed,
 }
 
-type Waiter = oneshot::Sender<Result<Reply, LinkError>>;
+/// How much of a reply is there, shared with whoever waits for it.
+pub(crate) type BytesReceived = Rc<Cell<usize>>;
+
+/// Waits for the reply to a request.
+struct Waiter {
+    tx: oneshot::Sender<Result<Reply, LinkError>>,
+    received: BytesReceived,
+}
 
 struct Link {
     queue: UnboundedSender<Outgoing>,
@@ -233,14 +252,20 @@
         self.stage.set(stage);
         let pending = std::mem::take(&mut *self.pending.borrow_mut());
         for (_, waiter) in pending {
-            let _ = waiter.send(Err(err));
+            let _ = waiter.tx.send(Err(err));
+        }
+    }
+
+    fn record_part(&self, id: AskId, len: usize) {
+        if let Some(waiter) = self.pending.borrow().get(&id) {
+            waiter.received.set(len);
         }
     }
 
     fn deliver(&self, ToClient(id, reply): ToClient) {
         let waiter = self.pending.borrow_mut().remove(&id);
         if let Some(waiter) = waiter {
-            let _ = waiter.send(Ok(reply));
+            let _ = waiter.tx.send(Ok(reply));
         }
     }
 }
@@ -327,8 +352,12 @@
                 };
                 link.last_received.set(clock.now());
                 let message = match reassembler.process(frame) {
-                    Ok(Some(message)) => message,
-                    Ok(None) => continue,
+                    Ok(Received::Message(message)) => message,
+                    Ok(Received::Part(id, len)) => {
+                        link.record_part(id, len);
+                        continue;
+                    }
+                    Ok(Received::Nothing) => continue,
                     Err(_) => return,
                 };
                 let Some(message) = decode::<ToClient>(&message) else {
--- a/crates/mesh/src/link/framing.rs
+++ b/crates/mesh/src/link/framing.rs
@@ -11,6 +11,7 @@
 use stoatstep_calls::Band;
 
 use super::MAX_FRAME;
+use super::answer::{AnswerOf, Sending};
 use super::uplink::{SendOrder, SharedUplink};
 use crate::wire::AskId;
 
@@ -31,12 +32,12 @@
 const MAX_INCOMPLETE: usize = 1024;
 
 /// An entry in the queue of a link's writer.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(super) enum Outgoing {
     /// A message of this request: the request or its reply.
     Message(AskId, Bytes),
-    /// A late answer, which is sent after those that are in time.
-    Late(AskId, Bytes),
+    /// The result of an attempt. A late one is sent after those that are in time.
+    Answer(AskId, Bytes, AnswerOf),
     /// A message that is sent before large answers and does not wait for room on the uplink.
     /// Used for configurations, which have to be in force within seconds.
     Urgent(AskId, Bytes),
@@ -50,6 +51,8 @@
     rest: Bytes,
     is_urgent: bool,
     order: SendOrder,
+    /// Set for the results of attempts.
+    sending: Option<Sending>,
 }
 
 /// The frames and large messages that wait to be sent on one link.
@@ -71,26 +74,35 @@
 
     pub(super) fn push(&mut self, outgoing: Outgoing) {
         match outgoing {
-            Outgoing::Message(id, bytes) => self.push_message(id, bytes, Band::InTime, false),
-            Outgoing::Late(id, bytes) => self.push_message(id, bytes, Band::Late, false),
-            Outgoing::Urgent(id, bytes) => self.push_message(id, bytes, Band::InTime, true),
+            Outgoing::Message(id, bytes) => self.push_message(id, bytes, false, None),
+            Outgoing::Answer(id, bytes, of) => self.push_message(id, bytes, false, Some(of)),
+            Outgoing::Urgent(id, bytes) => self.push_message(id, bytes, true, None),
             Outgoing::Abort(id) => self.abort(id),
         }
     }
 
-    fn push_message(&mut self, id: AskId, bytes: Bytes, band: Band, is_urgent: bool) {
+    fn push_message(
+        &mut self,
+        id: AskId,
+        bytes: Bytes,
+        is_urgent: bool,
+        answer_of: Option<AnswerOf>,
+    ) {
         let chunk_bytes = self.uplink.read(stoatstep_calls::Uplink::chunk_bytes);
         if bytes.len() <= chunk_bytes {
             self.small.push_back(frame(FRAME_WHOLE, None, &bytes));
             return;
         }
+        let band = answer_of.as_ref().map_or(Band::InTime, |it| it.band);
         let order = self.uplink.next_order(bytes.len(), band);
+        let sending = answer_of.map(|it| self.uplink.begin_sending(it, bytes.len(), order));
         self.uplink.record_queued(bytes.len(), order);
         let large = Large {
             id,
             order,
             rest: bytes,
             is_urgent,
+            sending,
         };
         let sort_key = |it: &Large| (!it.is_urgent, it.order);
         let ahead = self
@@ -109,6 +121,9 @@
         if let Some(large) = self.large.remove(at) {
             self.uplink.record_dequeued(large.rest.len(), large.order);
             self.small.push_back(frame(FRAME_ABORTED, Some(id), &[]));
+            if let Some(sending) = large.sending {
+                sending.cancel();
+            }
         }
     }
 
@@ -144,6 +159,9 @@
             FRAME_CHUNK
         };
         let (frame, order) = (frame(kind, Some(large.id), &chunk), large.order);
+        if let Some(sending) = &mut large.sending {
+            sending.record_chunk(chunk.len());
+        }
         if is_last {
             self.large.pop_front();
         }
@@ -171,6 +189,17 @@
     frame.freeze()
 }
 
+/// What a frame added to the messages of a link.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Received {
+    /// The last part of a message, which is complete now.
+    Message(Bytes),
+    /// Another part of the message of this request, of which so many bytes are there.
+    Part(AskId, usize),
+    /// Nothing: the rest of a message is not sent any more.
+    Nothing,
+}
+
 /// A frame that does not follow the protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct BadFrame;
@@ -182,35 +211,37 @@
 }
 
 impl Reassembler {
-    /// Processes a frame and returns the message that it completes, if any.
+    /// Processes a frame and returns what it added.
     ///
     /// # Errors
     ///
     /// Fails if no daemon of this build sends such a frame. The caller closes the link then.
-    pub(super) fn process(&mut self, frame: BytesMut) -> Result<Option<Bytes>, BadFrame> {
+    pub(super) fn process(&mut self, frame: BytesMut) -> Result<Received, BadFrame> {
         let mut frame = frame.freeze();
         let kind = *frame.first().ok_or(BadFrame)?;
         if kind == FRAME_WHOLE {
-            return Ok(Some(frame.split_off(1)));
+            return Ok(Received::Message(frame.split_off(1)));
         }
         let head = frame.get(1..CHUNK_HEADER).and_then(|it| it.try_into().ok());
         let id = AskId::from_be_bytes(head.ok_or(BadFrame)?);
         let bytes = frame.split_off(CHUNK_HEADER);
         match kind {
-            FRAME_CHUNK => self.append(id, &bytes).map(|()| None),
+            FRAME_CHUNK => self.append(id, &bytes).map(|len| Received::Part(id, len)),
             FRAME_LAST_CHUNK => {
                 self.append(id, &bytes)?;
-                Ok(self.incomplete.remove(&id).map(BytesMut::freeze))
+                let message = self.incomplete.remove(&id).unwrap_or_default();
+                Ok(Received::Message(message.freeze()))
             }
             FRAME_ABORTED => {
                 self.incomplete.remove(&id);
-                Ok(None)
+                Ok(Received::Nothing)
             }
             _ => Err(BadFrame),
         }
     }
 
-    fn append(&mut self, id: AskId, bytes: &[u8]) -> Result<(), BadFrame> {
+    /// Adds a chunk, and returns how much of its message is there.
+    fn append(&mut self, id: AskId, bytes: &[u8]) -> Result<usize, BadFrame> {
         let is_known = self.incomplete.contains_key(&id);
         if !is_known && self.incomplete.len() >= MAX_INCOMPLETE {
             return Err(BadFrame);
@@ -220,6 +251,6 @@
             return Err(BadFrame);
         }
         message.extend_from_slice(bytes);
-        Ok(())
+        Ok(message.len())
     }
 }
--- a/crates/mesh/src/link/mod.rs
+++ b/crates/mesh/src/link/mod.rs
@@ -8,6 +8,7 @@
 //!
 //! [`client`] is the end that sends requests, [`server`] the one that replies.
 
+mod answer;
 mod client;
 mod framing;
 mod server;
@@ -26,7 +27,7 @@
 
 use framing::{Outgoing, SendQueue};
 
-pub(crate) use client::{CONNECT_TIMEOUT, LinkError, Links};
+pub(crate) use client::{BytesReceived, CONNECT_TIMEOUT, LinkError, Links};
 pub(crate) use server::serve;
 pub(crate) use traffic::{Cause, LinkTraffic, Place};
 pub(crate) use uplink::SharedUplink;
--- a/crates/mesh/src/link/server.rs
+++ b/crates/mesh/src/link/server.rs
@@ -8,13 +8,14 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
-use stoatstep_calls::{AttemptId, Band};
+use stoatstep_calls::AttemptId;
 use stoatstep_telemetry::fields;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{self, UnboundedSender};
 use tokio_util::codec::{FramedRead, FramedWrite};
 
-use super::framing::{Outgoing, Reassembler};
+use super::answer::AnswerOf;
+use super::framing::{Outgoing, Reassembler, Received};
 use super::traffic::Cause;
 use super::{Reader, codec, decode, encode, write};
 use crate::executor::{self, Origin};
@@ -55,11 +56,11 @@
 
 impl Connection {
     fn reply(&self, id: AskId, reply: Reply) {
-        let as_frame = match &reply {
+        let queue_as = match &reply {
             Reply::Newer(..) => Outgoing::Urgent,
             _ => Outgoing::Message,
         };
-        self.send(id, Cause::of_reply(&reply), reply, as_frame);
+        self.send(id, Cause::of_reply(&reply), reply, queue_as);
     }
 
     fn send(
@@ -67,13 +68,13 @@
         id: AskId,
         cause: Cause,
         reply: Reply,
-        as_frame: impl Fn(AskId, Bytes) -> Outgoing,
+        queue_as: impl FnOnce(AskId, Bytes) -> Outgoing,
     ) {
         // This fails only if the link is closed. The peer then asks for the outcome of its
         // attempts over another link.
         let message = encode(&ToClient(id, reply));
         self.node.traffic.record(cause, self.peer, message.len());
-        let _ = self.queue.send(as_frame(id, message));
+        let _ = self.queue.send(queue_as(id, message));
     }
 }
 
@@ -101,8 +102,8 @@
     let mut reassembler = Reassembler::default();
     while let Some(Ok(frame)) = reader.next().await {
         let message = match reassembler.process(frame) {
-            Ok(Some(message)) => message,
-            Ok(None) => continue,
+            Ok(Received::Message(message)) => message,
+            Ok(Received::Part(..) | Received::Nothing) => continue,
             Err(_) => return,
         };
         match decode::<ToServer>(&message) {
@@ -202,17 +203,14 @@
 fn run(connection: &Rc<Connection>, id: AskId, attempt: Attempt) {
     connection.running.borrow_mut().insert(id, attempt.id);
     let cause = Cause::Answer(attempt.call.route.clone());
-    let band = executor::band_of(&attempt);
+    let of = AnswerOf::new(&attempt, executor::band_of(&attempt));
     let accepted = executor::accept(&connection.node, attempt, Origin::Link);
     let connection = Rc::clone(connection);
     ntex::rt::spawn(async move {
         let ran = executor::wait(&connection.node, accepted).await;
         connection.running.borrow_mut().remove(&id);
-        let as_frame = match band {
-            Band::InTime => Outgoing::Message,
-            Band::Late => Outgoing::Late,
-        };
-        connection.send(id, cause, Reply::Ran(ran), as_frame);
+        let queue_as = |id, bytes| Outgoing::Answer(id, bytes, of);
+        connection.send(id, cause, Reply::Ran(ran), queue_as);
     });
 }
 
--- a/crates/mesh/src/link/uplink.rs
+++ b/crates/mesh/src/link/uplink.rs
@@ -2,12 +2,15 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 use stoatstep_calls::{AttemptId, Band, Uplink};
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use super::answer::{AnswerOf, Sending};
 use crate::clock::Clock;
+use crate::journal::Journal;
 
 /// Granularity in which the sizes of messages are compared. Answers that are barely large,
 /// for which callers wait with a short latency objective, are smaller than one step.
@@ -32,6 +35,7 @@
     /// Wakes the messages that wait for another one.
     ready_changed: Notify,
     clock: Clock,
+    journal: Rc<Journal>,
 }
 
 /// Guard of a message that waits for its turn.
@@ -48,13 +52,14 @@
 }
 
 impl SharedUplink {
-    pub(crate) fn new(bytes_per_s: Option<f64>, clock: Clock) -> Self {
+    pub(crate) fn new(bytes_per_s: Option<f64>, clock: Clock, journal: Rc<Journal>) -> Self {
         Self {
             state: RefCell::new(Uplink::new(bytes_per_s)),
             next_number: Cell::new(0),
             ready: RefCell::default(),
             ready_changed: Notify::new(),
             clock,
+            journal,
         }
     }
 
@@ -86,6 +91,13 @@
         }
     }
 
+    /// Begins to account for a large answer, before its bytes are counted as queued.
+    pub(super) fn begin_sending(&self, of: AnswerOf, bytes: usize, order: SendOrder) -> Sending {
+        let ahead = self.read(|it| it.backlog(order.band));
+        let context = (Rc::clone(&self.journal), self.clock);
+        Sending::new(context, of, bytes, ahead)
+    }
+
     /// Waits until the next chunk of this message may be sent: when the uplink is free and no
     /// message that comes before it could send a chunk on its own link.
     ///
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -38,7 +38,7 @@
     pub(crate) cfg: MeshConfig,
     pub(crate) log: Logger,
     pub(crate) clock: Clock,
-    pub(crate) journal: Journal,
+    pub(crate) journal: Rc<Journal>,
     /// Pacing of what is sent over this instance's link.
     pub(crate) uplink: Rc<SharedUplink>,
     /// What was sent over links, and why.
@@ -82,17 +82,19 @@
             None => None,
         };
         let clock = Clock::start();
+        let journal = Rc::new(Journal::new(log.clone()));
         let uplink = Rc::new(SharedUplink::new(
             cfg.link_bytes_per_s
                 .filter(|_| cfg.is_enabled(Mechanism::LinkPace)),
             clock,
+            Rc::clone(&journal),
         ));
         let traffic = Rc::new(LinkTraffic::default());
         let node = Rc::new(Node {
             links: Links::new(Rc::clone(&uplink), Rc::clone(&traffic), clock, log.clone()),
             traffic,
             uplink,
-            journal: Journal::new(log.clone()),
+            journal,
             entry: Entry::new(&cfg),
             executor: Executor::new(&cfg, clock, log.clone()),
             fleet: Fleet::new(&cfg),
--- a/crates/telemetry/src/fields.rs
+++ b/crates/telemetry/src/fields.rs
@@ -157,9 +157,27 @@
 pub const LEAVING: &str = "leaving";
 /// Why the answer of a run was lost; empty if it was not.
 pub const CAUSE: &str = "cause";
+/// How far a call had got that was not answered: `placing`, `asked`, `receiving` or `settling`.
+pub const STAGE: &str = "stage";
+/// Time left to a call's deadline, in milliseconds.
+pub const DEADLINE_MS: &str = "deadline_ms";
+/// Bytes of a call's answer that had arrived at its entry.
+pub const RECEIVED_BYTES: &str = "received_bytes";
+/// How the sending of an answer ended: `sent`, `cancelled` or `link-lost`.
+pub const END: &str = "end";
+/// Whether an answer could still meet its latency objective: `in-time` or `late`.
+pub const BAND: &str = "band";
+/// Bytes of an answer that were sent.
+pub const SENT_BYTES: &str = "sent_bytes";
+/// Time that the link needed for what went before an answer when it was queued, in microseconds.
+pub const AHEAD_US: &str = "ahead_us";
+/// Time for which an answer waited until its first chunk was sent, in microseconds.
+pub const WAIT_US: &str = "wait_us";
+/// Time from the first chunk of an answer until it ended, in microseconds.
+pub const SENDING_US: &str = "sending_us";
 
 /// All keys, in the order in which this module defines them.
-pub const ALL: [&str; 78] = [
+pub const ALL: [&str; 87] = [
     REQUEST,
     ATTEMPT,
     UPSTREAM,
@@ -238,4 +256,13 @@
     BEFORE_LIMIT,
     LEAVING,
     CAUSE,
+    STAGE,
+    DEADLINE_MS,
+    RECEIVED_BYTES,
+    END,
+    BAND,
+    SENT_BYTES,
+    AHEAD_US,
+    WAIT_US,
+    SENDING_US,
 ];
