Pass on when a stopping daemon needs the answers to its calls

What callers saw: a stopping daemon takes a call, passes it on, and exits before the answer comes; the connection is closed.

Cause: its exit is a bound on each of its calls, and no executor knew it. They judged by the caller's deadline, up to seconds later, and began runs whose answers could not arrive.

A stopping daemon now tells its peers on each link by when answers have to be there (`Stops`), for what it has sent and for what it is going to send. Executors hold queue and uplink against the earlier of this and the deadline: a call that can't be answered by then is refused as not run, also while it waits for a slot, so that its entry can try elsewhere or refuse it at once. The time that targets are given stays the caller's. An executor that stops does the same to its own calls.

--- a/crates/calls/src/queue.rs
+++ b/crates/calls/src/queue.rs
@@ -249,6 +249,15 @@
         waits.then(|| self.limiter.wait(0, now))
     }
 
+    /// Moves the deadline of a waiting call forward. [`next`](Self::next) must be called
+    /// afterwards.
+    pub fn expire_by(&mut self, attempt: AttemptId, expires: Time) {
+        let mut waiting = self.waiting.iter_mut().map(|it| &mut it.request);
+        if let Some(request) = waiting.find(|it| it.attempt == attempt) {
+            request.expires = request.expires.min(expires);
+        }
+    }
+
     /// Refuses all waiting calls with `reason`.
     pub fn flush(&mut self, reason: Reason) -> Vec<Dispatch> {
         let refusal = Refusal::retry(reason, MIN_RETRY_AFTER);
--- a/crates/calls/src/shutdown.rs
+++ b/crates/calls/src/shutdown.rs
@@ -17,6 +17,10 @@
 /// so that it writes its last answers and is not killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
 
+/// Time before the exit by which answers have to reach this daemon, so that it can write them to
+/// its callers.
+const WRITE_TIME: Duration = Duration::from_millis(200);
+
 /// Divisor of the grace period. After this part of it, only calls are accepted whose
 /// deadlines are within the period. Before, callers may not have noticed the
 /// shutdown, and most calls end long before their deadlines.
@@ -62,6 +66,21 @@
         now < begun + self.grace / EARLY_DIVISOR || expires <= self.exit_time(begun)
     }
 
+    /// Returns the time by which a call with the deadline `expires` has to be answered: its
+    /// deadline, or earlier if this daemon exits before it.
+    #[must_use]
+    pub fn answer_by(&self, expires: Time) -> Time {
+        self.answers_due().map_or(expires, |it| it.min(expires))
+    }
+
+    /// Returns the time by which all answers have to reach this daemon; `None` if it is not
+    /// shutting down.
+    #[must_use]
+    pub fn answers_due(&self) -> Option<Time> {
+        let begun = self.begun?;
+        Some(self.exit_time(begun).saturating_sub(WRITE_TIME))
+    }
+
     /// Returns whether the process may exit while `in_flight` calls are unanswered.
     #[must_use]
     pub fn may_exit(&self, in_flight: u32, now: Time) -> bool {
--- a/crates/calls/tests/all/shutdown.rs
+++ b/crates/calls/tests/all/shutdown.rs
@@ -57,3 +57,15 @@
     shutdown.begin(at(5_000));
     assert!(shutdown.may_exit(1, at(5_400)));
 }
+
+/// Guards against calls that are passed on with a deadline later than their entry's exit.
+#[test]
+fn answers_are_due_before_the_exit() {
+    let shutdown = begun();
+    let due = shutdown.answers_due().expect("it stops");
+    assert_eq!(shutdown.answer_by(at(4_000)), at(4_000));
+    assert_eq!(shutdown.answer_by(at(8_000)), due);
+    assert!(due < at(5_400), "they have to be written before the exit");
+    assert!(!shutdown.may_exit(1, due));
+    assert_eq!(Shutdown::new(GRACE).answer_by(at(8_000)), at(8_000));
+}
--- a/crates/mesh/src/drain.rs
+++ b/crates/mesh/src/drain.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::entry;
+use crate::executor;
 use crate::fleet;
 use crate::node::Node;
 use stoatstep_telemetry::fields;
@@ -37,6 +38,10 @@
     let mut departure = node.departure.get();
     departure.begin(node.clock.now());
     node.departure.set(departure);
+    if let Some(due) = departure.answers_due() {
+        node.links.announce_stop(due);
+        executor::answer_all_by(node, due);
+    }
     slog::info!(node.log, "draining"; fields::IN_FLIGHT => node.in_flight.get());
     fleet::gossip::leave(node);
 }
--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -131,6 +131,10 @@
     late_wait: LateWait,
 ) -> (AttemptOutcome, Option<Occupancy>) {
     for _ in 0..MAX_TICKETS {
+        if node.is_leaving() && call.time_left(node).is_zero() {
+            let refusal = Refusal::retry(Reason::Draining, UNREACHABLE_RETRY);
+            return (AttemptOutcome::refused(refusal, false), None);
+        }
         let Some(left) = call.deadline.for_next_hop(node.clock.now()) else {
             let refusal = Refusal::retry(Reason::Deadline, UNREACHABLE_RETRY);
             return (AttemptOutcome::refused(refusal, false), None);
--- a/crates/mesh/src/entry/call.rs
+++ b/crates/mesh/src/entry/call.rs
@@ -53,6 +53,12 @@
 }
 
 impl Call {
+    /// Time left to answer the call: to its deadline, or until this daemon exits.
+    pub(super) fn time_left(&self, node: &Node) -> Duration {
+        let by = node.departure.get().answer_by(self.deadline.expires());
+        by.saturating_sub(node.clock.now())
+    }
+
     pub(super) async fn read(node: &Rc<Node>, req: &mut Request) -> Result<Self, Refusal> {
         let now = node.clock.now();
         let Some(in_force) = node.fleet.in_force() else {
--- a/crates/mesh/src/entry/forward.rs
+++ b/crates/mesh/src/entry/forward.rs
@@ -163,7 +163,7 @@
         },
     };
     let allowed = call.route.policy.retry.attempts;
-    let has_time = call.deadline.left(node.clock.now()) > MIN_TIME_LEFT;
+    let has_time = call.time_left(node) > MIN_TIME_LEFT;
     if !may || !has_time || history.arrived >= allowed {
         return false;
     }
--- a/crates/mesh/src/executor/answer_stats.rs
+++ b/crates/mesh/src/executor/answer_stats.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use stoatstep_calls::{Answer, AnswerStats, Band, Reason, Refusal};
+use stoatstep_calls::{Answer, AnswerStats, Band, Reason, Refusal, Time};
 use stoatstep_resource::RouteName;
 
 use super::Tables;
@@ -15,17 +15,23 @@
 
 /// Refuses an attempt whose answer the instance's uplink could not deliver in time, before
 /// the target spends work on it.
-pub(super) fn check_uplink(node: &Node, tables: &Tables, attempt: &Attempt) -> Result<(), End> {
+pub(super) fn check_uplink(
+    node: &Node,
+    tables: &Tables,
+    attempt: &Attempt,
+    answer_by: Time,
+) -> Result<(), End> {
     let answers = tables.answers.get(&attempt.call.route).copied();
     let answers = answers.unwrap_or_default();
     let run = answers.run().unwrap_or_default();
     let band = band_of(attempt);
+    let now = node.clock.now();
+    let left = answer_by.saturating_sub(now);
     let within = if attempt.objective.is_zero() || band == Band::Late {
-        attempt.left
+        left
     } else {
-        attempt.objective
+        attempt.objective.min(left)
     };
-    let now = node.clock.now();
     let taken = node
         .uplink
         .read(|it| it.check_capacity(answers.bytes(), run, within, band, now));
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -24,7 +24,7 @@
 use slog::Logger;
 use stoatstep_calls::{
     AnswerStats, Arrival, AttemptId, AttemptStatus, Band, Deadline, Incarnation, Ledger,
-    LedgerConfig, Occupancy, Queue, Reason, RecentAnswers, Refusal, TargetStatement, Ticket,
+    LedgerConfig, Occupancy, Queue, Reason, RecentAnswers, Refusal, TargetStatement, Ticket, Time,
     Uplink,
 };
 use stoatstep_membership::{AnnouncedTarget, LocalTarget};
@@ -97,6 +97,8 @@
 struct Run {
     cancel: Option<oneshot::Sender<()>>,
     call: Rc<CallParts>,
+    /// When its answer has to be at its entry.
+    answer_by: Time,
     /// The generation of the target to which it was sent; none while it waits for a slot.
     upstream: Option<UpstreamName>,
     /// Wakes the tasks that wait for its end.
@@ -172,12 +174,7 @@
     }
 
     /// How the target's runs ended since the roll-out order.
-    pub(crate) fn evidence(
-        &self,
-        service: &str,
-        order: OrderId,
-        now: stoatstep_calls::Time,
-    ) -> Evidence {
+    pub(crate) fn evidence(&self, service: &str, order: OrderId, now: Time) -> Evidence {
         self.begin_tally(service, order);
         let tables = self.tables.borrow();
         let occupancy = tables.queue.occupancy(now);
@@ -187,7 +184,7 @@
     }
 
     /// What peers are told about the target, if anything.
-    pub(crate) fn announced(&self, now: stoatstep_calls::Time) -> Option<AnnouncedTarget> {
+    pub(crate) fn announced(&self, now: Time) -> Option<AnnouncedTarget> {
         self.tables.borrow().local_target.announced(now)
     }
 }
@@ -207,7 +204,24 @@
     /// This daemon's entry. The answer does not leave the instance.
     Local,
     /// Another daemon, over a link.
-    Link,
+    Link {
+        /// When the answer has to be there, if that daemon stops.
+        answers_due: Option<Time>,
+    },
+}
+
+impl Origin {
+    /// The time by which an attempt with the deadline `expires` has to be answered: before its
+    /// entry exits, and before this daemon does.
+    fn answer_by(self, node: &Node, expires: Time) -> Time {
+        let by = node.departure.get().answer_by(expires);
+        match self {
+            Self::Link {
+                answers_due: Some(due),
+            } => by.min(due),
+            Self::Link { answers_due: None } | Self::Local => by,
+        }
+    }
 }
 
 /// Runs one attempt of this daemon's entry to its end.
@@ -222,12 +236,14 @@
 /// Accepts an attempt. When this returns it can be cancelled, even though it has not run
 /// yet: the next message on its link may be the cancellation.
 pub(crate) fn accept(node: &Rc<Node>, attempt: Attempt, origin: Origin) -> Accepted {
-    match admit(node, &attempt, origin) {
+    let expires = Deadline::after(attempt.left, node.clock.now()).expires();
+    let answer_by = origin.answer_by(node, expires);
+    match admit(node, &attempt, origin, answer_by) {
         Ok(()) => {
-            if origin == Origin::Link {
+            if origin != Origin::Local {
                 answer_stats::expect_answer(node, &attempt);
             }
-            Ok(run::start(node, attempt))
+            Ok(run::start(node, attempt, answer_by))
         }
         Err(end) => Err(Box::new(run::refused(node, end))),
     }
@@ -244,7 +260,7 @@
 }
 
 /// Checks whether the attempt may run here, and records it in the ledger.
-fn admit(node: &Node, attempt: &Attempt, origin: Origin) -> Result<(), End> {
+fn admit(node: &Node, attempt: &Attempt, origin: Origin, answer_by: Time) -> Result<(), End> {
     let now = node.clock.now();
     if let Some(refusal) = quarantine::refusal(node, &attempt.call) {
         return Err(End::Refused(refusal));
@@ -269,8 +285,8 @@
     if let Some(limit) = attempt.limit {
         tables.queue.limiter_mut().adopt(limit, now);
     }
-    if origin == Origin::Link {
-        answer_stats::check_uplink(node, &tables, attempt)?;
+    if origin != Origin::Local {
+        answer_stats::check_uplink(node, &tables, attempt, answer_by)?;
     }
     match tables.ledger.arrive(attempt.id, attempt.ticket, now) {
         Arrival::New => Ok(()),
@@ -296,6 +312,27 @@
     }
 }
 
+/// Has these attempts answered by `due` if they can be, or else refused as not run. Their entry
+/// stops.
+pub(crate) fn answer_by(node: &Rc<Node>, attempts: impl IntoIterator<Item = AttemptId>, due: Time) {
+    let mut tables = node.executor.tables.borrow_mut();
+    let Tables { runs, queue, .. } = &mut *tables;
+    for attempt in attempts {
+        if let Some(run) = runs.get_mut(&attempt) {
+            run.answer_by = run.answer_by.min(due);
+        }
+        queue.expire_by(attempt, due);
+    }
+    drop(tables);
+    slot::dispatch_waiting(node);
+}
+
+/// Has all attempts answered by `due`: this daemon stops.
+pub(crate) fn answer_all_by(node: &Rc<Node>, due: Time) {
+    let attempts: Vec<_> = node.executor.tables.borrow().runs.keys().copied().collect();
+    answer_by(node, attempts, due);
+}
+
 /// Performs the executor's periodic work.
 pub(crate) fn tick(node: &Rc<Node>) {
     let now = node.clock.now();
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stoatstep_calls::{AttemptStatus, Deadline, KnownLimit, Outcome, Reason, Refusal};
+use stoatstep_calls::{AttemptStatus, Deadline, KnownLimit, Outcome, Reason, Refusal, Time};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -48,12 +48,13 @@
 
 /// Starts the run as a separate task, which outlives the link over which the attempt came:
 /// the ledger keeps the answer for an entry whose link broke.
-pub(super) fn start(node: &Rc<Node>, attempt: Attempt) -> oneshot::Receiver<Ran> {
+pub(super) fn start(node: &Rc<Node>, attempt: Attempt, answer_by: Time) -> oneshot::Receiver<Ran> {
     let (tx, rx) = oneshot::channel();
     let (cancel, cancelled) = oneshot::channel();
     let run = Run {
         cancel: Some(cancel),
         call: Rc::clone(&attempt.call),
+        answer_by,
         upstream: None,
         waiters: Vec::new(),
     };
@@ -63,7 +64,7 @@
     let node = Rc::clone(node);
     ntex::rt::spawn(async move {
         let _in_flight = InFlight::enter(&node);
-        let outcome = run_or_cancel(&node, &attempt, cancelled).await;
+        let outcome = run_or_cancel(&node, &attempt, answer_by, cancelled).await;
         finish(&node, &attempt, &outcome);
         log_failure(&node, &attempt, &outcome);
         // If nobody receives it because the link broke, the ledger has the outcome.
@@ -100,13 +101,14 @@
 async fn run_or_cancel(
     node: &Rc<Node>,
     attempt: &Attempt,
+    answer_by: Time,
     cancelled: oneshot::Receiver<()>,
 ) -> RunOutcome {
     tokio::select! {
         biased;
         // Checked first, so that an attempt cancelled before its start does not start.
         Ok(()) = cancelled => cancelled_outcome(node, attempt),
-        outcome = run(node, attempt) => outcome,
+        outcome = run(node, attempt, answer_by) => outcome,
     }
 }
 
@@ -129,10 +131,10 @@
 }
 
 /// Waits for a slot, sends the request to the target and waits for its answer.
-async fn run(node: &Rc<Node>, attempt: &Attempt) -> RunOutcome {
+async fn run(node: &Rc<Node>, attempt: &Attempt, answer_by: Time) -> RunOutcome {
     let arrived_at = node.clock.now();
     let deadline = Deadline::after(attempt.left, arrived_at);
-    let slot = match slot::take(node, attempt, deadline).await {
+    let slot = match slot::take(node, attempt, answer_by).await {
         Ok(slot) => slot,
         Err(refusal) => return RunOutcome::not_started(refusal),
     };
--- a/crates/mesh/src/executor/slot.rs
+++ b/crates/mesh/src/executor/slot.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use stoatstep_calls::{
-    AdmissionDecision, AttemptId, Deadline, Dispatch, QueueRequest, Reason, Refusal, Time,
+    AdmissionDecision, AttemptId, Dispatch, QueueRequest, Reason, Refusal, Time,
 };
 use tokio::sync::oneshot;
 use tokio::time::sleep;
@@ -48,20 +48,20 @@
 pub(super) async fn take(
     node: &Rc<Node>,
     attempt: &Attempt,
-    deadline: Deadline,
+    answer_by: Time,
 ) -> Result<Slot, Refusal> {
     let now = node.clock.now();
     let objective = if node.cfg.is_enabled(Mechanism::QueueObjective) {
         now + attempt.objective
     } else {
-        deadline.expires()
+        answer_by
     };
     let ask = QueueRequest {
         attempt: attempt.id,
         kind: attempt.call.route.clone(),
         rank: attempt.call.priority,
         objective,
-        expires: deadline.expires(),
+        expires: answer_by,
         late_wait: attempt.late_wait,
         usage: attempt.usage,
     };
--- a/crates/mesh/src/link/client.rs
+++ b/crates/mesh/src/link/client.rs
@@ -61,6 +61,8 @@
     uplink: Rc<SharedUplink>,
     traffic: Rc<LinkTraffic>,
     table: RefCell<HashMap<SocketAddr, Rc<Link>>>,
+    /// Set once this daemon stops: when the answers to its requests have to be here.
+    answers_due: Cell<Option<Time>>,
 }
 
 impl Links {
@@ -76,6 +78,23 @@
             uplink,
             traffic,
             table: RefCell::default(),
+            answers_due: Cell::new(None),
+        }
+    }
+
+    /// Tells all peers, on present and future links, that this daemon stops and when the answers
+    /// to its requests have to be here.
+    pub(crate) fn announce_stop(&self, answers_due: Time) {
+        self.answers_due.set(Some(answers_due));
+        for link in self.table.borrow().values() {
+            self.send_stop(link);
+        }
+    }
+
+    fn send_stop(&self, link: &Link) {
+        if let Some(due) = self.answers_due.get() {
+            let left = due.saturating_sub(self.clock.now());
+            link.send(AskId::MAX, &ToServer::Stops(left));
         }
     }
 
@@ -152,6 +171,7 @@
         let (tx, rx) = mpsc::unbounded_channel();
         let link = Rc::new(Link::new(tx));
         links.insert(addr, Rc::clone(&link));
+        self.send_stop(&link);
         let context = TaskContext {
             addr,
             uplink: Rc::clone(&self.uplink),
--- a/crates/mesh/src/link/server.rs
+++ b/crates/mesh/src/link/server.rs
@@ -1,6 +1,6 @@
 //! The end of a link that receives requests and replies to them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
-use stoatstep_calls::AttemptId;
+use stoatstep_calls::{AttemptId, Time};
 use stoatstep_telemetry::fields;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{self, UnboundedSender};
@@ -50,6 +50,8 @@
     node: Rc<Node>,
     peer: IpAddr,
     queue: UnboundedSender<Outgoing>,
+    /// Set once the peer stops: when the answers to its requests have to be there.
+    answers_due: Cell<Option<Time>>,
     /// Attempts that came over this link and have not ended.
     running: RefCell<HashMap<AskId, AttemptId>>,
 }
@@ -87,6 +89,7 @@
         node: Rc::clone(&node),
         peer,
         queue,
+        answers_due: Cell::new(None),
         running: RefCell::default(),
     });
     let (reader, writer) = stream.into_split();
@@ -109,6 +112,7 @@
         match decode::<ToServer>(&message) {
             Some(ToServer::Ask(id, ask)) => handle(connection, id, ask),
             Some(ToServer::Cancel(id)) => cancel(connection, id),
+            Some(ToServer::Stops(left)) => peer_stops(connection, left),
             None => return,
         }
     }
@@ -204,7 +208,10 @@
     connection.running.borrow_mut().insert(id, attempt.id);
     let cause = Cause::Answer(attempt.call.route.clone());
     let of = AnswerOf::new(&attempt, executor::band_of(&attempt));
-    let accepted = executor::accept(&connection.node, attempt, Origin::Link);
+    let origin = Origin::Link {
+        answers_due: connection.answers_due.get(),
+    };
+    let accepted = executor::accept(&connection.node, attempt, origin);
     let connection = Rc::clone(connection);
     ntex::rt::spawn(async move {
         let ran = executor::wait(&connection.node, accepted).await;
@@ -214,6 +221,14 @@
     });
 }
 
+fn peer_stops(connection: &Connection, left: Duration) {
+    let node = &connection.node;
+    let due = node.clock.now() + left;
+    connection.answers_due.set(Some(due));
+    let running = connection.running.borrow();
+    executor::answer_by(node, running.values().copied(), due);
+}
+
 fn cancel(connection: &Connection, id: AskId) {
     let attempt = connection.running.borrow_mut().remove(&id);
     if let Some(attempt) = attempt {
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -31,6 +31,10 @@
     /// The answer to this request is no longer needed.
     #[serde(rename = "c")]
     Cancel(AskId),
+    /// The sender stops: it can pass on only the answers that reach it within this time, to
+    /// requests that it has sent or is going to send on this link.
+    #[serde(rename = "x")]
+    Stops(Duration),
 }
 
 /// Answer of the daemon at the other end of a link.
