Send answers that are due before those that have time

What callers saw: a download whose answer was complete at its executor for seconds, and a connection that was closed without it when its entry exited; without a stop, a wait to the end of their time.

Cause: large answers went by band and size only, late ones after all in time, larger ones after smaller ones. Nothing bounded their wait while others kept coming: starvation under a priority order. The comment said that admission bounds it; the forecast of late answers assumes a share of the link that answers in time, which are admitted without regard to late ones, go on to take.

Each queued message now has a time by which it is due: the earlier of its caller's deadline and the exit of its entry or of this daemon. While what is queued can be sent by these times with some slack, the order is the old one. Otherwise the earliest due goes first, without those that can't make it: the largest ones are left out, so that as many as possible can. The decision is one pure function of the queue (`Uplink::next`), which all links ask.

--- a/crates/calls/src/uplink.rs
+++ b/crates/calls/src/uplink.rs
@@ -15,12 +15,16 @@
 //!
 //! See `docs/design/further.md`.
 
+mod queued;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::ids::{AttemptId, Time};
 use crate::late_band::{Band, forecast_wait};
 use crate::recent_load::RecentLoad;
+use queued::QueuedMessages;
+pub use queued::{LargeMessage, MessageNumber};
 
 /// Share of the stated rate that messages may use. Packet headers and other traffic of the
 /// instance need the rest. A saturated link builds up a queue that delays every message.
@@ -48,8 +52,7 @@
     free_at: Time,
     /// Expected sizes of the large answers that the target still works on.
     expected: BTreeMap<AttemptId, (f64, Band)>,
-    /// Bytes of large messages that are queued for the link, by band.
-    queued_bytes: BTreeMap<Band, f64>,
+    queued: QueuedMessages,
     /// Bytes of large answers that were accepted in time.
     in_time: RecentLoad,
 }
@@ -62,7 +65,7 @@
             rate: bytes_per_s.map(|it| it * USABLE_SHARE),
             free_at: Time::ZERO,
             expected: BTreeMap::new(),
-            queued_bytes: BTreeMap::new(),
+            queued: QueuedMessages::default(),
             in_time: RecentLoad::default(),
         }
     }
@@ -102,7 +105,7 @@
     pub fn backlog(&self, band: Band) -> Duration {
         let expected = self.expected.values().filter(|(_, of)| *of <= band);
         let expected: f64 = expected.map(|(bytes, _)| bytes).sum();
-        let queued: f64 = self.queued_bytes.range(..=band).map(|(_, it)| it).sum();
+        let queued = to_f64(self.queued.bytes_up_to(band));
         self.rate
             .map_or(Duration::ZERO, |rate| seconds((expected + queued) / rate))
     }
@@ -152,7 +155,7 @@
     }
 
     fn is_idle(&self) -> bool {
-        self.expected.is_empty() && self.queued_bytes.values().all(|it| *it <= 0.0)
+        self.expected.is_empty() && self.queued.is_empty()
     }
 
     /// The target works on an answer of this expected size.
@@ -171,14 +174,29 @@
     }
 
     /// A large message was queued for the link.
-    pub fn record_queued(&mut self, bytes: usize, band: Band) {
-        *self.queued_bytes.entry(band).or_default() += to_f64(bytes);
+    pub fn record_queued(&mut self, message: LargeMessage) -> MessageNumber {
+        self.queued.add(message)
+    }
+
+    /// A chunk of a queued message was sent. After its last one, it is no longer queued.
+    pub fn record_chunk(&mut self, message: MessageNumber, bytes: usize) {
+        self.queued.record_chunk(message, bytes);
+    }
+
+    /// The rest of a queued message is not sent.
+    pub fn record_dropped(&mut self, message: MessageNumber) {
+        self.queued.remove(message);
+    }
+
+    /// A queued message is due earlier than it was.
+    pub fn due_by(&mut self, message: MessageNumber, due: Time) {
+        self.queued.due_by(message, due);
     }
 
-    /// Queued bytes were sent or dropped.
-    pub fn record_dequeued(&mut self, bytes: usize, band: Band) {
-        let queued = self.queued_bytes.entry(band).or_default();
-        *queued = (*queued - to_f64(bytes)).max(0.0);
+    /// The queued message whose next chunk is sent next, of those in `ready`.
+    #[must_use]
+    pub fn next(&self, ready: impl Fn(MessageNumber) -> bool, now: Time) -> Option<MessageNumber> {
+        self.queued.next(ready, self.rate, now)
     }
 }
 
--- a/crates/calls/tests/all/uplink.rs
+++ b/crates/calls/tests/all/uplink.rs
@@ -1,10 +1,14 @@
 use std::time::Duration;
 
-use stoatstep_calls::{Band, Uplink};
+use stoatstep_calls::{Band, LargeMessage, MessageNumber, Uplink};
 
 const MS: Duration = Duration::from_millis(1);
 const NOW: Duration = Duration::from_secs(1);
 
+fn answer(bytes: usize, band: Band, due: Duration) -> LargeMessage {
+    LargeMessage { bytes, band, due }
+}
+
 /// A link of 9 Mbit/s, of which 1,012,500 bytes per second are usable.
 fn slow_link() -> Uplink {
     Uplink::new(Some(1_125_000.0))
@@ -73,12 +77,12 @@
         link.check_capacity(5_000_000.0, MS, MS * 600, Band::InTime, NOW),
         Ok(())
     );
-    link.record_queued(90_000, Band::InTime);
+    let queued = link.record_queued(answer(90_000, Band::InTime, NOW * 5));
     assert!(
         link.check_capacity(5_000_000.0, MS, MS * 600, Band::InTime, NOW)
             .is_err()
     );
-    link.record_dequeued(90_000, Band::InTime);
+    link.record_chunk(queued, 90_000);
     assert_eq!(
         link.check_capacity(5_000_000.0, MS, MS * 600, Band::InTime, NOW),
         Ok(())
@@ -94,3 +98,72 @@
     assert_eq!(link.backlog(Band::Late), Duration::ZERO);
     assert_eq!(link.check_capacity(5e9, MS, MS, Band::InTime, NOW), Ok(()));
 }
+
+/// Sends all queued messages at the rate of the link, and returns when each was sent.
+fn send_all(link: &mut Uplink, messages: &[(MessageNumber, usize)]) -> Vec<Duration> {
+    let mut rest: Vec<usize> = messages.iter().map(|(_, bytes)| *bytes).collect();
+    let mut sent_at = vec![Duration::ZERO; messages.len()];
+    let mut now = NOW;
+    while let Some(next) = link.next(|_| true, now) {
+        let chunk = link.chunk_bytes();
+        let at = messages.iter().position(|(number, _)| *number == next);
+        let at = at.expect("a queued message");
+        let bytes = chunk.min(rest[at]);
+        rest[at] -= bytes;
+        link.record_chunk(next, bytes);
+        now += Duration::from_secs_f64(f64::from(u32::try_from(bytes).unwrap()) / 1_012_500.0);
+        sent_at[at] = now;
+    }
+    sent_at
+}
+
+/// Guards against late answers that wait behind those in time until their callers have left.
+#[test]
+fn a_late_answer_is_sent_before_it_is_due() {
+    let mut link = slow_link();
+    let late = link.record_queued(answer(100_000, Band::Late, NOW + MS * 2_000));
+    let mut messages = vec![(late, 100_000)];
+    for _ in 0..60 {
+        let in_time = link.record_queued(answer(50_000, Band::InTime, NOW + MS * 4_000));
+        messages.push((in_time, 50_000));
+    }
+    let sent_at = send_all(&mut link, &messages);
+    assert!(sent_at[0] < NOW + MS * 2_000, "{:?}", sent_at[0]);
+    assert!(
+        sent_at[0] > NOW + MS * 1_500,
+        "others went first: {:?}",
+        sent_at[0]
+    );
+}
+
+/// Guards against answers that can't be sent in time any more and delay those that can.
+#[test]
+fn an_answer_that_cannot_be_sent_before_it_is_due_delays_no_other() {
+    let mut link = slow_link();
+    let hopeless = link.record_queued(answer(900_000, Band::Late, NOW + MS * 500));
+    let small = link.record_queued(answer(200_000, Band::Late, NOW + MS * 450));
+    let in_time = link.record_queued(answer(50_000, Band::InTime, NOW + MS * 4_000));
+    let sent_at = send_all(
+        &mut link,
+        &[(hopeless, 900_000), (small, 200_000), (in_time, 50_000)],
+    );
+    assert!(sent_at[1] < NOW + MS * 450, "{sent_at:?}");
+    assert!(sent_at[2] < NOW + MS * 450, "{sent_at:?}");
+}
+
+#[test]
+fn with_slack_answers_in_time_and_smaller_ones_go_first() {
+    let mut link = slow_link();
+    let due = NOW + MS * 10_000;
+    let late = link.record_queued(answer(50_000, Band::Late, due));
+    let large = link.record_queued(answer(200_000, Band::InTime, due));
+    let small = link.record_queued(answer(50_000, Band::InTime, due));
+    let sent_at = send_all(
+        &mut link,
+        &[(late, 50_000), (large, 200_000), (small, 50_000)],
+    );
+    assert!(
+        sent_at[2] < sent_at[1] && sent_at[1] < sent_at[0],
+        "{sent_at:?}"
+    );
+}
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -213,7 +213,7 @@
 impl Origin {
     /// The time by which an attempt with the deadline `expires` has to be answered: before its
     /// entry exits, and before this daemon does.
-    fn answer_by(self, node: &Node, expires: Time) -> Time {
+    pub(crate) fn answer_by(self, node: &Node, expires: Time) -> Time {
         let by = node.departure.get().answer_by(expires);
         match self {
             Self::Link {
--- a/crates/mesh/src/link/answer.rs
+++ b/crates/mesh/src/link/answer.rs
@@ -18,15 +18,18 @@
     pub(super) attempt: AttemptId,
     pub(super) route: RouteName,
     pub(super) band: Band,
+    /// When its entry stops waiting for it.
+    pub(super) due: Time,
 }
 
 impl AnswerOf {
-    pub(super) fn new(attempt: &Attempt, band: Band) -> Self {
+    pub(super) fn new(attempt: &Attempt, band: Band, due: Time) -> Self {
         Self {
             request: attempt.call.request_id.clone(),
             attempt: attempt.id,
             route: attempt.call.route.clone(),
             band,
+            due,
         }
     }
 }
--- a/crates/mesh/src/link/framing.rs
+++ b/crates/mesh/src/link/framing.rs
@@ -8,11 +8,11 @@
 use std::rc::Rc;
 
 use bytes::{BufMut, Bytes, BytesMut};
-use stoatstep_calls::Band;
+use stoatstep_calls::{MessageNumber, Time};
 
 use super::MAX_FRAME;
 use super::answer::{AnswerOf, Sending};
-use super::uplink::{SendOrder, SharedUplink};
+use super::uplink::SharedUplink;
 use crate::wire::AskId;
 
 /// First byte of a frame that holds a complete message.
@@ -41,6 +41,8 @@
     /// A message that is sent before large answers and does not wait for room on the uplink.
     /// Used for configurations, which have to be in force within seconds.
     Urgent(AskId, Bytes),
+    /// Nothing: the answers that are queued are due by then.
+    AnswersDue(Time),
     /// Nobody waits for the message of this request any more.
     Abort(AskId),
 }
@@ -50,7 +52,7 @@
     id: AskId,
     rest: Bytes,
     is_urgent: bool,
-    order: SendOrder,
+    number: MessageNumber,
     /// Set for the results of attempts.
     sending: Option<Sending>,
 }
@@ -59,8 +61,7 @@
 pub(super) struct SendQueue {
     uplink: Rc<SharedUplink>,
     small: VecDeque<Bytes>,
-    /// In the order in which they are sent.
-    large: VecDeque<Large>,
+    large: Vec<Large>,
 }
 
 impl SendQueue {
@@ -68,7 +69,7 @@
         Self {
             uplink,
             small: VecDeque::new(),
-            large: VecDeque::new(),
+            large: Vec::new(),
         }
     }
 
@@ -77,6 +78,7 @@
             Outgoing::Message(id, bytes) => self.push_message(id, bytes, false, None),
             Outgoing::Answer(id, bytes, of) => self.push_message(id, bytes, false, Some(of)),
             Outgoing::Urgent(id, bytes) => self.push_message(id, bytes, true, None),
+            Outgoing::AnswersDue(due) => self.due_by(due),
             Outgoing::Abort(id) => self.abort(id),
         }
     }
@@ -93,24 +95,21 @@
             self.small.push_back(frame(FRAME_WHOLE, None, &bytes));
             return;
         }
-        let band = answer_of.as_ref().map_or(Band::InTime, |it| it.band);
-        let order = self.uplink.next_order(bytes.len(), band);
-        let sending = answer_of.map(|it| self.uplink.begin_sending(it, bytes.len(), order));
-        self.uplink.record_queued(bytes.len(), order);
-        let large = Large {
+        let (number, sending) = self.uplink.queue(bytes.len(), answer_of);
+        self.large.push(Large {
             id,
-            order,
             rest: bytes,
             is_urgent,
+            number,
             sending,
-        };
-        let sort_key = |it: &Large| (!it.is_urgent, it.order);
-        let ahead = self
-            .large
-            .iter()
-            .take_while(|it| sort_key(it) < sort_key(&large));
-        let at = ahead.count();
-        self.large.insert(at, large);
+        });
+    }
+
+    /// Has the answers that are queued sent by `due` if that is possible.
+    fn due_by(&self, due: Time) {
+        for large in self.large.iter().filter(|it| it.sending.is_some()) {
+            self.uplink.due_by(large.number, due);
+        }
     }
 
     /// Drops the rest of a large message, which would only delay others: nobody waits for it.
@@ -118,12 +117,11 @@
         let Some(at) = self.large.iter().position(|it| it.id == id) else {
             return;
         };
-        if let Some(large) = self.large.remove(at) {
-            self.uplink.record_dequeued(large.rest.len(), large.order);
-            self.small.push_back(frame(FRAME_ABORTED, Some(id), &[]));
-            if let Some(sending) = large.sending {
-                sending.cancel();
-            }
+        let large = self.large.swap_remove(at);
+        self.uplink.record_dropped(large.number);
+        self.small.push_back(frame(FRAME_ABORTED, Some(id), &[]));
+        if let Some(sending) = large.sending {
+            sending.cancel();
         }
     }
 
@@ -131,12 +129,13 @@
         !self.large.is_empty()
     }
 
-    /// Waits until the next chunk may be sent.
-    pub(super) async fn wait_turn(&self) {
-        match self.large.front() {
-            Some(large) if !large.is_urgent => self.uplink.wait_turn(large.order).await,
-            Some(_) | None => {}
+    /// Waits until the next chunk may be sent, and returns its message.
+    pub(super) async fn wait_turn(&self) -> MessageNumber {
+        if let Some(urgent) = self.large.iter().find(|it| it.is_urgent) {
+            return urgent.number;
         }
+        let numbers = self.large.iter().map(|it| it.number);
+        self.uplink.wait_turn(numbers.collect()).await
     }
 
     /// The next frame that need not wait for room on the uplink.
@@ -146,11 +145,11 @@
         Some(frame)
     }
 
-    /// The next chunk of a large message. Messages are sent one after the other: if they took
-    /// turns, all of them would be late.
-    pub(super) fn next_chunk(&mut self) -> Option<Bytes> {
+    /// The next chunk of a large message.
+    pub(super) fn next_chunk(&mut self, message: MessageNumber) -> Option<Bytes> {
         let size = self.uplink.read(stoatstep_calls::Uplink::chunk_bytes);
-        let large = self.large.front_mut()?;
+        let at = self.large.iter().position(|it| it.number == message)?;
+        let large = &mut self.large[at];
         let chunk = large.rest.split_to(size.min(large.rest.len()));
         let is_last = large.rest.is_empty();
         let kind = if is_last {
@@ -158,15 +157,14 @@
         } else {
             FRAME_CHUNK
         };
-        let (frame, order) = (frame(kind, Some(large.id), &chunk), large.order);
+        let frame = frame(kind, Some(large.id), &chunk);
         if let Some(sending) = &mut large.sending {
             sending.record_chunk(chunk.len());
         }
         if is_last {
-            self.large.pop_front();
+            self.large.swap_remove(at);
         }
-        self.uplink.record_dequeued(chunk.len(), order);
-        self.uplink.record_sent(frame.len());
+        self.uplink.record_chunk(message, chunk.len(), frame.len());
         Some(frame)
     }
 }
@@ -174,7 +172,7 @@
 impl Drop for SendQueue {
     fn drop(&mut self) {
         for large in &self.large {
-            self.uplink.record_dequeued(large.rest.len(), large.order);
+            self.uplink.record_dropped(large.number);
         }
     }
 }
--- a/crates/mesh/src/link/mod.rs
+++ b/crates/mesh/src/link/mod.rs
@@ -73,8 +73,8 @@
                     send_queue.push(outgoing);
                 }
             }
-            () = send_queue.wait_turn(), if send_queue.has_large() => {
-                let Some(chunk) = send_queue.next_chunk() else {
+            message = send_queue.wait_turn(), if send_queue.has_large() => {
+                let Some(chunk) = send_queue.next_chunk(message) else {
                     continue;
                 };
                 if writer.feed(chunk).await.is_err() {
--- a/crates/mesh/src/link/server.rs
+++ b/crates/mesh/src/link/server.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
-use stoatstep_calls::{AttemptId, Time};
+use stoatstep_calls::{AttemptId, Deadline, Time};
 use stoatstep_telemetry::fields;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{self, UnboundedSender};
@@ -57,6 +57,18 @@
 }
 
 impl Connection {
+    /// The time by which an attempt of the peer with the deadline `expires` has to be answered.
+    fn answer_by(&self, expires: Time) -> Time {
+        self.origin().answer_by(&self.node, expires)
+    }
+
+    /// Where the attempts of this link come from.
+    fn origin(&self) -> Origin {
+        Origin::Link {
+            answers_due: self.answers_due.get(),
+        }
+    }
+
     fn reply(&self, id: AskId, reply: Reply) {
         let queue_as = match &reply {
             Reply::Newer(..) => Outgoing::Urgent,
@@ -207,15 +219,14 @@
 fn run(connection: &Rc<Connection>, id: AskId, attempt: Attempt) {
     connection.running.borrow_mut().insert(id, attempt.id);
     let cause = Cause::Answer(attempt.call.route.clone());
-    let of = AnswerOf::new(&attempt, executor::band_of(&attempt));
-    let origin = Origin::Link {
-        answers_due: connection.answers_due.get(),
-    };
-    let accepted = executor::accept(&connection.node, attempt, origin);
+    let expires = Deadline::after(attempt.left, connection.node.clock.now()).expires();
+    let mut of = AnswerOf::new(&attempt, executor::band_of(&attempt), expires);
+    let accepted = executor::accept(&connection.node, attempt, connection.origin());
     let connection = Rc::clone(connection);
     ntex::rt::spawn(async move {
         let ran = executor::wait(&connection.node, accepted).await;
         connection.running.borrow_mut().remove(&id);
+        of.due = connection.answer_by(expires);
         let queue_as = |id, bytes| Outgoing::Answer(id, bytes, of);
         connection.send(id, cause, Reply::Ran(ran), queue_as);
     });
@@ -227,6 +238,7 @@
     connection.answers_due.set(Some(due));
     let running = connection.running.borrow();
     executor::answer_by(node, running.values().copied(), due);
+    let _ = connection.queue.send(Outgoing::AnswersDue(due));
 }
 
 fn cancel(connection: &Connection, id: AskId) {
--- a/crates/mesh/src/link/uplink.rs
+++ b/crates/mesh/src/link/uplink.rs
@@ -1,10 +1,11 @@
 //! The instance's uplink, which all links of this daemon share.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::time::Duration;
 
-use stoatstep_calls::{AttemptId, Band, Uplink};
+use stoatstep_calls::{AttemptId, Band, LargeMessage, MessageNumber, Time, Uplink};
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
@@ -12,41 +13,39 @@
 use crate::clock::Clock;
 use crate::journal::Journal;
 
-/// Granularity in which the sizes of messages are compared. Answers that are barely large,
-/// for which callers wait with a short latency objective, are smaller than one step.
-const SIZE_STEP: usize = 32 << 10;
-
-/// Order of the large messages of all links: late answers last, then by size in steps, smaller
-/// ones first, then by arrival. Answers are admitted only as the uplink can carry them, so the largest ones do
-/// not wait forever.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct SendOrder {
-    band: Band,
-    steps: usize,
-    number: u64,
-}
+/// Time within which a large message that is no answer is due.
+const DUE_WITHIN: Duration = Duration::from_secs(1);
 
 /// The [`Uplink`] of this daemon, and the order in which links send over it.
 pub(crate) struct SharedUplink {
     state: RefCell<Uplink>,
-    next_number: Cell<u64>,
     /// Messages whose connections could send a chunk now.
-    ready: RefCell<BTreeSet<SendOrder>>,
+    ready: RefCell<BTreeSet<MessageNumber>>,
     /// Wakes the messages that wait for another one.
     ready_changed: Notify,
     clock: Clock,
     journal: Rc<Journal>,
 }
 
-/// Guard of a message that waits for its turn.
+/// Guard of a link's messages that wait for their turn.
 struct ReadyGuard<'a> {
     uplink: &'a SharedUplink,
-    order: SendOrder,
+    messages: Vec<MessageNumber>,
+}
+
+impl<'a> ReadyGuard<'a> {
+    fn new(uplink: &'a SharedUplink, messages: Vec<MessageNumber>) -> Self {
+        uplink.ready.borrow_mut().extend(&messages);
+        Self { uplink, messages }
+    }
 }
 
 impl Drop for ReadyGuard<'_> {
     fn drop(&mut self) {
-        self.uplink.ready.borrow_mut().remove(&self.order);
+        let mut ready = self.uplink.ready.borrow_mut();
+        for message in &self.messages {
+            ready.remove(message);
+        }
         self.uplink.ready_changed.notify_waiters();
     }
 }
@@ -55,7 +54,6 @@
     pub(crate) fn new(bytes_per_s: Option<f64>, clock: Clock, journal: Rc<Journal>) -> Self {
         Self {
             state: RefCell::new(Uplink::new(bytes_per_s)),
-            next_number: Cell::new(0),
             ready: RefCell::default(),
             ready_changed: Notify::new(),
             clock,
@@ -80,45 +78,50 @@
         self.state.borrow_mut().answer_completed(attempt);
     }
 
-    /// Assigns the order of the next large message, which has this size.
-    pub(super) fn next_order(&self, bytes: usize, band: Band) -> SendOrder {
-        let number = self.next_number.get();
-        self.next_number.set(number + 1);
-        SendOrder {
-            band,
-            steps: bytes / SIZE_STEP,
-            number,
-        }
-    }
-
-    /// Begins to account for a large answer, before its bytes are counted as queued.
-    pub(super) fn begin_sending(&self, of: AnswerOf, bytes: usize, order: SendOrder) -> Sending {
-        let ahead = self.read(|it| it.backlog(order.band));
-        let context = (Rc::clone(&self.journal), self.clock);
-        Sending::new(context, of, bytes, ahead)
+    /// Queues a large message, and begins to account for it if it is an answer.
+    pub(super) fn queue(
+        &self,
+        bytes: usize,
+        answer_of: Option<AnswerOf>,
+    ) -> (MessageNumber, Option<Sending>) {
+        let now = self.clock.now();
+        let (band, due) = match &answer_of {
+            Some(of) => (of.band, of.due),
+            None => (Band::InTime, now + DUE_WITHIN),
+        };
+        let ahead = self.read(|it| it.backlog(band));
+        let message = LargeMessage { bytes, band, due };
+        let number = self.state.borrow_mut().record_queued(message);
+        let sending = answer_of.map(|of| {
+            let context = (Rc::clone(&self.journal), self.clock);
+            Sending::new(context, of, bytes, ahead)
+        });
+        (number, sending)
     }
 
-    /// Waits until the next chunk of this message may be sent: when the uplink is free and no
-    /// message that comes before it could send a chunk on its own link.
+    /// Waits until the next chunk of one of these messages of one link may be sent, and returns
+    /// which: when the uplink is free and no message of another link that comes before it could
+    /// send a chunk there.
     ///
     /// If messages took turns, every answer would take as long as all of them together, and
     /// most would be late. One after the other, the first ones are in time. A message whose
     /// peer does not read is not ready, so it does not delay others.
-    pub(super) async fn wait_turn(&self, order: SendOrder) {
-        self.ready.borrow_mut().insert(order);
-        let _guard = ReadyGuard {
-            uplink: self,
-            order,
-        };
+    pub(super) async fn wait_turn(&self, messages: Vec<MessageNumber>) -> MessageNumber {
+        let own = ReadyGuard::new(self, messages);
         loop {
             let ready_changed = self.ready_changed.notified();
-            if self.ready.borrow().first() != Some(&order) {
+            let now = self.clock.now();
+            let next = {
+                let ready = self.ready.borrow();
+                self.read(|it| it.next(|message| ready.contains(&message), now))
+            };
+            let Some(next) = next.filter(|it| own.messages.contains(it)) else {
                 ready_changed.await;
                 continue;
-            }
-            let wait = self.read(|it| it.until_free(self.clock.now()));
+            };
+            let wait = self.read(|it| it.until_free(now));
             if wait.is_zero() {
-                return;
+                return next;
             }
             tokio::select! {
                 () = sleep(wait) => {}
@@ -132,13 +135,19 @@
         self.state.borrow_mut().record_sent(bytes, self.clock.now());
     }
 
-    /// Counts bytes of a large message that wait to be sent.
-    pub(super) fn record_queued(&self, bytes: usize, order: SendOrder) {
-        self.state.borrow_mut().record_queued(bytes, order.band);
+    /// Counts a chunk of a queued message, whose frame has this size.
+    pub(super) fn record_chunk(&self, message: MessageNumber, chunk: usize, frame: usize) {
+        self.state.borrow_mut().record_chunk(message, chunk);
+        self.record_sent(frame);
+    }
+
+    /// The rest of a queued message is not sent.
+    pub(super) fn record_dropped(&self, message: MessageNumber) {
+        self.state.borrow_mut().record_dropped(message);
     }
 
-    /// Ends the count of waiting bytes, which were sent or dropped.
-    pub(super) fn record_dequeued(&self, bytes: usize, order: SendOrder) {
-        self.state.borrow_mut().record_dequeued(bytes, order.band);
+    /// Has a queued message sent by `due` if that is possible.
+    pub(super) fn due_by(&self, message: MessageNumber, due: Time) {
+        self.state.borrow_mut().due_by(message, due);
     }
 }
