Give calls that are open at the exit a final answer

What callers saw: when a stopping daemon's time was over, the connections of the calls that it still had were closed with neither an answer nor a refusal.

Cause: the process ended with its calls in flight and dropped them. Nothing else ended them.

At the exit each open call now ends: as not run, with a time to come back, if none of its attempts can have run, else as unknown (502).

--- a/crates/mesh/src/drain.rs
+++ b/crates/mesh/src/drain.rs
@@ -1,9 +1,14 @@
 //! Graceful stop of this daemon. [`Shutdown`](stoatstep_calls::Shutdown) decides what it still
 //! accepts, and when it may end.
 
+use std::cell::Cell;
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
 use crate::entry;
 use crate::executor;
 use crate::fleet;
@@ -13,7 +18,13 @@
 /// How often the calls in flight are checked.
 const POLL: Duration = Duration::from_millis(50);
 
-/// Counts a call as in flight until it is dropped.
+/// How often the final answers are checked, and for how long at most. Together with the margin
+/// before the end of the grace period, the process ends before it is killed.
+const POLL_WRITES: Duration = Duration::from_millis(5);
+const LAST_WRITES: Duration = Duration::from_millis(300);
+
+/// Counts a call as in flight until it is dropped: at its entry until the response is made, at its
+/// executor until the result is written to its link.
 pub(crate) struct InFlight(Rc<Node>);
 
 impl InFlight {
@@ -23,6 +34,12 @@
     }
 }
 
+impl fmt::Debug for InFlight {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("InFlight")
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         let count = &self.0.in_flight;
@@ -30,6 +47,28 @@
     }
 }
 
+/// Tells the open calls that the process is about to exit.
+#[derive(Default)]
+pub(crate) struct ExitSignal {
+    is_given: Cell<bool>,
+    given: Notify,
+}
+
+impl ExitSignal {
+    /// Waits until the signal is given.
+    pub(crate) async fn wait(&self) {
+        let given = self.given.notified();
+        if !self.is_given.get() {
+            given.await;
+        }
+    }
+
+    fn give(&self) {
+        self.is_given.set(true);
+        self.given.notify_waiters();
+    }
+}
+
 /// Begins the graceful stop. Further calls have no effect.
 pub(crate) fn begin(node: &Rc<Node>) {
     if node.is_leaving() {
@@ -46,17 +85,28 @@
     fleet::gossip::leave(node);
 }
 
-/// Returns once the process may end.
+/// Returns once the process may end. Calls that are still open then get a final answer.
 pub(crate) async fn finished(node: &Node) {
-    let may_end = || {
-        let departure = node.departure.get();
-        // An answer that is not yet written counts like an unanswered call.
-        let unwritten = u32::from(!node.unwritten.is_empty());
-        departure.may_exit(node.in_flight.get() + unwritten, node.clock.now())
-    };
-    while !may_end() {
-        tokio::time::sleep(POLL).await;
+    while !node
+        .departure
+        .get()
+        .may_exit(pending(node), node.clock.now())
+    {
+        sleep(POLL).await;
     }
     entry::log_cut_off(node);
     slog::info!(node.log, "drained"; fields::IN_FLIGHT => node.in_flight.get());
+    node.exit.give();
+    let written = async {
+        while pending(node) > 0 {
+            sleep(POLL_WRITES).await;
+        }
+    };
+    // Runs at the target are still counted; their entries learn of the exit by their links.
+    let _ = timeout(LAST_WRITES, written).await;
+}
+
+/// Number of calls that are not answered, or whose answers are not written yet.
+fn pending(node: &Node) -> u32 {
+    node.in_flight.get() + u32::from(!node.unwritten.is_empty())
 }
--- a/crates/mesh/src/entry/attempt.rs
+++ b/crates/mesh/src/entry/attempt.rs
@@ -157,7 +157,7 @@
             TargetLocation::Local => without_uplink(outcome_of_run(local(node, attempt).await)),
             TargetLocation::Remote(addr) => remote(node, call, addr, attempt, received).await,
         };
-        call.progress.placing();
+        call.progress.ended(outcome.arrived);
         let is_stale = matches!(&outcome.end, End::Refused(it) if it.reason == Reason::StaleTicket);
         if !is_stale {
             log_failure(node, call, (id, upstream), &outcome, started_at);
--- a/crates/mesh/src/entry/call.rs
+++ b/crates/mesh/src/entry/call.rs
@@ -30,7 +30,7 @@
 
 /// Retry delay given to callers while the daemon drains. Other daemons can take the call at
 /// once, but the caller's load balancer has to notice that this one is not ready.
-const DRAINING_RETRY: Duration = Duration::from_millis(100);
+pub(super) const DRAINING_RETRY: Duration = Duration::from_millis(100);
 
 /// Priority of calls for which neither the customer nor the policy sets one: after all
 /// others.
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -145,7 +145,10 @@
     };
     let mut completed = if throttle::admits(node, &call) {
         let open = OpenGuard::new(node, &call, started_at);
-        let completed = forward_with_quota(node, &call).await;
+        let completed = tokio::select! {
+            completed = forward_with_quota(node, &call) => completed,
+            () = node.exit.wait() => CompletedCall::refused(open::cut_off(&call)),
+        };
         open.end();
         throttle::record(node, &call, &completed.end);
         completed
--- a/crates/mesh/src/entry/open.rs
+++ b/crates/mesh/src/entry/open.rs
@@ -4,10 +4,10 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use stoatstep_calls::{AttemptId, Deadline, Time};
+use stoatstep_calls::{AttemptId, Deadline, Reason, Refusal, Time};
 use stoatstep_resource::UpstreamName;
 
-use super::call::Call;
+use super::call::{Call, DRAINING_RETRY};
 use super::throttle;
 use crate::journal::CallOpen;
 use crate::link::BytesReceived;
@@ -28,27 +28,36 @@
 
 /// Progress of one call, which its attempts update.
 #[derive(Debug, Default)]
-pub(super) struct Progress(RefCell<Stage>);
+pub(super) struct Progress {
+    stage: RefCell<Stage>,
+    /// Whether an attempt that has ended reached its target, or may have.
+    has_arrived: Cell<bool>,
+}
 
 impl Progress {
+    fn may_have_run(&self) -> bool {
+        self.has_arrived.get() || !matches!(*self.stage.borrow(), Stage::Placing)
+    }
+
     /// An attempt begins. The result counts the bytes of its answer.
     pub(super) fn asked(&self, attempt: AttemptId, upstream: &UpstreamName) -> BytesReceived {
         let received = BytesReceived::default();
-        *self.0.borrow_mut() = Stage::Asked(attempt, upstream.clone(), Rc::clone(&received));
+        *self.stage.borrow_mut() = Stage::Asked(attempt, upstream.clone(), Rc::clone(&received));
         received
     }
 
     /// The link of the attempt was lost.
     pub(super) fn settling(&self) {
-        self.0.replace_with(|stage| match stage {
+        self.stage.replace_with(|stage| match stage {
             Stage::Asked(attempt, upstream, _) => Stage::Settling(*attempt, upstream.clone()),
             Stage::Placing | Stage::Settling(..) => std::mem::take(stage),
         });
     }
 
-    /// The attempt has ended.
-    pub(super) fn placing(&self) {
-        self.0.replace(Stage::Placing);
+    /// The attempt has ended, after it `arrived` at its target or may have.
+    pub(super) fn ended(&self, arrived: bool) {
+        self.stage.replace(Stage::Placing);
+        self.has_arrived.set(self.has_arrived.get() || arrived);
     }
 }
 
@@ -63,7 +72,7 @@
 impl OpenCall {
     /// Passes its details to `log`.
     fn describe(&self, now: Time, log: impl FnOnce(&CallOpen<'_>)) {
-        let stage = self.progress.0.borrow();
+        let stage = self.progress.stage.borrow();
         let (name, attempt, upstream, received) = match &*stage {
             Stage::Placing => ("placing", 0, "", 0),
             Stage::Asked(attempt, upstream, received) => {
@@ -149,6 +158,16 @@
     }
 }
 
+/// The final answer to a call that is open when this daemon exits. It says that the call did not
+/// run only if no attempt may have.
+pub(super) fn cut_off(call: &Call) -> Refusal {
+    if call.progress.may_have_run() {
+        Refusal::permanent(Reason::LostAnswer)
+    } else {
+        Refusal::retry(Reason::Draining, DRAINING_RETRY)
+    }
+}
+
 /// Logs the calls that are open when this daemon exits, and forgets them.
 pub(crate) fn log_cut_off(node: &Node) {
     let now = node.clock.now();
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -12,8 +12,10 @@
 
 use crate::clock::Clock;
 use crate::config::MeshConfig;
+use crate::drain::{self, ExitSignal};
 use crate::entry::{self, Entry};
 use crate::executor::{self, Executor};
+use crate::fleet::gossip;
 use crate::fleet::{self, Fleet};
 use crate::fleet_store::FleetStore;
 use crate::journal::Journal;
@@ -23,7 +25,6 @@
 use crate::quota::{self, Quotas};
 use crate::rollout::{self, Rollouts};
 use crate::zones::{self, Zones};
-use crate::{drain, fleet::gossip};
 use stoatstep_calls::Shutdown;
 use stoatstep_http::{PendingWrites, Server};
 use stoatstep_membership::{Heartbeat, HeartbeatOutcome, StartMillis};
@@ -55,6 +56,7 @@
     /// Answers to callers that are not yet fully written.
     pub(crate) unwritten: PendingWrites,
     pub(crate) departure: Cell<Shutdown>,
+    pub(crate) exit: ExitSignal,
 }
 
 impl Node {
@@ -105,6 +107,7 @@
             in_flight: Cell::new(0),
             unwritten: callers.pending_writes(),
             departure: Cell::new(Shutdown::new(cfg.grace)),
+            exit: ExitSignal::default(),
             cfg,
             log,
             clock,
