Count answers as in flight until they are written to their link

What callers saw: a stopping daemon could exit with an answer of its target still queued for the link to the call's entry. The entry then asks a process that is gone, and its caller gets 502 or a second run.

Cause: a run counted as in flight until its result was handed to the link's queue. Answers to callers were counted until they are written; those to other daemons, which wait for the uplink for seconds, were not.

The count now travels with the result, through the queue to the end of its last flush, also for answers that are sent because an entry asks for them after its link was lost.

--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -34,6 +34,7 @@
 
 use crate::clock::Clock;
 use crate::config::MeshConfig;
+use crate::drain::InFlight;
 use crate::node::Node;
 use crate::quarantine;
 use crate::wire::{Attempt, CallParts, End, Ran};
@@ -226,12 +227,12 @@
 
 /// Runs one attempt of this daemon's entry to its end.
 pub(crate) async fn execute(node: &Rc<Node>, attempt: Attempt) -> Ran {
-    wait(node, accept(node, attempt, Origin::Local)).await
+    wait(node, accept(node, attempt, Origin::Local)).await.0
 }
 
 /// An attempt that was accepted, or the result of one that was not: a refusal, or the answer
 /// if it has run before.
-pub(crate) type Accepted = Result<oneshot::Receiver<Ran>, Box<Ran>>;
+pub(crate) type Accepted = Result<oneshot::Receiver<(Ran, InFlight)>, Box<Ran>>;
 
 /// Accepts an attempt. When this returns it can be cancelled, even though it has not run
 /// yet: the next message on its link may be the cancellation.
@@ -249,14 +250,16 @@
     }
 }
 
-/// Waits for the result of an attempt.
-pub(crate) async fn wait(node: &Node, accepted: Accepted) -> Ran {
-    match accepted {
-        Ok(running) => running
-            .await
-            .unwrap_or_else(|_| run::refused(node, lost_answer())),
+/// Waits for the result of an attempt, which counts as in flight until it is passed on.
+pub(crate) async fn wait(node: &Rc<Node>, accepted: Accepted) -> (Ran, InFlight) {
+    let ran = match accepted {
+        Ok(running) => match running.await {
+            Ok(ended) => return ended,
+            Err(_) => run::refused(node, lost_answer()),
+        },
         Err(ran) => *ran,
-    }
+    };
+    (ran, InFlight::enter(node))
 }
 
 /// Checks whether the attempt may run here, and records it in the ledger.
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -48,7 +48,11 @@
 
 /// Starts the run as a separate task, which outlives the link over which the attempt came:
 /// the ledger keeps the answer for an entry whose link broke.
-pub(super) fn start(node: &Rc<Node>, attempt: Attempt, answer_by: Time) -> oneshot::Receiver<Ran> {
+pub(super) fn start(
+    node: &Rc<Node>,
+    attempt: Attempt,
+    answer_by: Time,
+) -> oneshot::Receiver<(Ran, InFlight)> {
     let (tx, rx) = oneshot::channel();
     let (cancel, cancelled) = oneshot::channel();
     let run = Run {
@@ -63,12 +67,12 @@
     drop(tables);
     let node = Rc::clone(node);
     ntex::rt::spawn(async move {
-        let _in_flight = InFlight::enter(&node);
+        let in_flight = InFlight::enter(&node);
         let outcome = run_or_cancel(&node, &attempt, answer_by, cancelled).await;
         finish(&node, &attempt, &outcome);
         log_failure(&node, &attempt, &outcome);
         // If nobody receives it because the link broke, the ledger has the outcome.
-        let _ = tx.send(ran(&node, outcome));
+        let _ = tx.send((ran(&node, outcome), in_flight));
     });
     rx
 }
--- a/crates/mesh/src/link/client.rs
+++ b/crates/mesh/src/link/client.rs
@@ -264,7 +264,7 @@
         let message = encode(message);
         let size = message.len();
         // This fails only if the link is closed, and then every pending request has failed.
-        let _ = self.queue.send(Outgoing::Message(id, message));
+        let _ = self.queue.send(Outgoing::Message(id, message, None));
         size
     }
 
--- a/crates/mesh/src/link/framing.rs
+++ b/crates/mesh/src/link/framing.rs
@@ -13,6 +13,7 @@
 use super::MAX_FRAME;
 use super::answer::{AnswerOf, Sending};
 use super::uplink::SharedUplink;
+use crate::drain::InFlight;
 use crate::wire::AskId;
 
 /// First byte of a frame that holds a complete message.
@@ -34,10 +35,11 @@
 /// An entry in the queue of a link's writer.
 #[derive(Debug)]
 pub(super) enum Outgoing {
-    /// A message of this request: the request or its reply.
-    Message(AskId, Bytes),
+    /// A message of this request: the request or its reply, which counts as in flight until it is
+    /// written.
+    Message(AskId, Bytes, Option<InFlight>),
     /// The result of an attempt. A late one is sent after those that are in time.
-    Answer(AskId, Bytes, AnswerOf),
+    Answer(AskId, Bytes, AnswerOf, InFlight),
     /// A message that is sent before large answers and does not wait for room on the uplink.
     /// Used for configurations, which have to be in force within seconds.
     Urgent(AskId, Bytes),
@@ -55,13 +57,28 @@
     number: MessageNumber,
     /// Set for the results of attempts.
     sending: Option<Sending>,
+    in_flight: Option<InFlight>,
+}
+
+/// A frame that need not wait for room on the uplink.
+struct Small {
+    frame: Bytes,
+    in_flight: Option<InFlight>,
+}
+
+impl Small {
+    fn new(frame: Bytes, in_flight: Option<InFlight>) -> Self {
+        Self { frame, in_flight }
+    }
 }
 
 /// The frames and large messages that wait to be sent on one link.
 pub(super) struct SendQueue {
     uplink: Rc<SharedUplink>,
-    small: VecDeque<Bytes>,
+    small: VecDeque<Small>,
     large: Vec<Large>,
+    /// Of the messages that were handed to the connection, and may be in its buffer.
+    unflushed: Vec<InFlight>,
 }
 
 impl SendQueue {
@@ -70,14 +87,19 @@
             uplink,
             small: VecDeque::new(),
             large: Vec::new(),
+            unflushed: Vec::new(),
         }
     }
 
     pub(super) fn push(&mut self, outgoing: Outgoing) {
         match outgoing {
-            Outgoing::Message(id, bytes) => self.push_message(id, bytes, false, None),
-            Outgoing::Answer(id, bytes, of) => self.push_message(id, bytes, false, Some(of)),
-            Outgoing::Urgent(id, bytes) => self.push_message(id, bytes, true, None),
+            Outgoing::Message(id, bytes, in_flight) => {
+                self.push_message(id, bytes, None, in_flight);
+            }
+            Outgoing::Answer(id, bytes, of, in_flight) => {
+                self.push_message(id, bytes, Some(of), Some(in_flight));
+            }
+            Outgoing::Urgent(id, bytes) => self.push_urgent(id, bytes),
             Outgoing::AnswersDue(due) => self.due_by(due),
             Outgoing::Abort(id) => self.abort(id),
         }
@@ -86,25 +108,38 @@
     fn push_message(
         &mut self,
         id: AskId,
-        bytes: Bytes,
-        is_urgent: bool,
+        rest: Bytes,
         answer_of: Option<AnswerOf>,
+        in_flight: Option<InFlight>,
     ) {
-        let chunk_bytes = self.uplink.read(stoatstep_calls::Uplink::chunk_bytes);
-        if bytes.len() <= chunk_bytes {
-            self.small.push_back(frame(FRAME_WHOLE, None, &bytes));
+        if !self.is_large(&rest) {
+            let frame = frame(FRAME_WHOLE, None, &rest);
+            self.small.push_back(Small::new(frame, in_flight));
             return;
         }
-        let (number, sending) = self.uplink.queue(bytes.len(), answer_of);
+        let (number, sending) = self.uplink.queue(rest.len(), answer_of);
         self.large.push(Large {
             id,
-            rest: bytes,
-            is_urgent,
+            rest,
+            is_urgent: false,
             number,
             sending,
+            in_flight,
         });
     }
 
+    fn push_urgent(&mut self, id: AskId, bytes: Bytes) {
+        let is_urgent = self.is_large(&bytes);
+        self.push_message(id, bytes, None, None);
+        if let Some(large) = self.large.last_mut() {
+            large.is_urgent |= is_urgent;
+        }
+    }
+
+    fn is_large(&self, bytes: &Bytes) -> bool {
+        bytes.len() > self.uplink.read(stoatstep_calls::Uplink::chunk_bytes)
+    }
+
     /// Has the answers that are queued sent by `due` if that is possible.
     fn due_by(&self, due: Time) {
         for large in self.large.iter().filter(|it| it.sending.is_some()) {
@@ -119,7 +154,8 @@
         };
         let large = self.large.swap_remove(at);
         self.uplink.record_dropped(large.number);
-        self.small.push_back(frame(FRAME_ABORTED, Some(id), &[]));
+        let aborted = frame(FRAME_ABORTED, Some(id), &[]);
+        self.small.push_back(Small::new(aborted, None));
         if let Some(sending) = large.sending {
             sending.cancel();
         }
@@ -140,7 +176,8 @@
 
     /// The next frame that need not wait for room on the uplink.
     pub(super) fn next_small(&mut self) -> Option<Bytes> {
-        let frame = self.small.pop_front()?;
+        let Small { frame, in_flight } = self.small.pop_front()?;
+        self.unflushed.extend(in_flight);
         self.uplink.record_sent(frame.len());
         Some(frame)
     }
@@ -162,11 +199,16 @@
             sending.record_chunk(chunk.len());
         }
         if is_last {
-            self.large.swap_remove(at);
+            self.unflushed.extend(self.large.swap_remove(at).in_flight);
         }
         self.uplink.record_chunk(message, chunk.len(), frame.len());
         Some(frame)
     }
+
+    /// All frames so far were written.
+    pub(super) fn record_flushed(&mut self) {
+        self.unflushed.clear();
+    }
 }
 
 impl Drop for SendQueue {
--- a/crates/mesh/src/link/mod.rs
+++ b/crates/mesh/src/link/mod.rs
@@ -90,5 +90,6 @@
         if SinkExt::<Bytes>::flush(&mut writer).await.is_err() {
             return;
         }
+        send_queue.record_flushed();
     }
 }
--- a/crates/mesh/src/link/server.rs
+++ b/crates/mesh/src/link/server.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
-use stoatstep_calls::{AttemptId, Deadline, Time};
+use stoatstep_calls::{AttemptId, Deadline, Ticket, Time};
 use stoatstep_telemetry::fields;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{self, UnboundedSender};
@@ -18,6 +18,7 @@
 use super::framing::{Outgoing, Reassembler, Received};
 use super::traffic::Cause;
 use super::{Reader, codec, decode, encode, write};
+use crate::drain::InFlight;
 use crate::executor::{self, Origin};
 use crate::fleet;
 use crate::node::Node;
@@ -72,7 +73,7 @@
     fn reply(&self, id: AskId, reply: Reply) {
         let queue_as = match &reply {
             Reply::Newer(..) => Outgoing::Urgent,
-            _ => Outgoing::Message,
+            _ => |id, bytes| Outgoing::Message(id, bytes, None),
         };
         self.send(id, Cause::of_reply(&reply), reply, queue_as);
     }
@@ -134,9 +135,7 @@
     let node = Rc::clone(&connection.node);
     match ask {
         Ask::Run(attempt) => run(connection, id, attempt),
-        Ask::Settle(attempt, ticket) => reply_later(connection, id, async move {
-            Reply::Settled(executor::settle(&node, attempt, ticket).await)
-        }),
+        Ask::Settle(attempt, ticket) => settle(connection, id, (attempt, ticket)),
         Ask::Gossip(message, piggyback) => reply_later(connection, id, async move {
             fleet::gossip::apply_piggyback(&node, piggyback);
             let reply = fleet::gossip::answer(&node, message).await;
@@ -224,14 +223,25 @@
     let accepted = executor::accept(&connection.node, attempt, connection.origin());
     let connection = Rc::clone(connection);
     ntex::rt::spawn(async move {
-        let ran = executor::wait(&connection.node, accepted).await;
+        let (ran, in_flight) = executor::wait(&connection.node, accepted).await;
         connection.running.borrow_mut().remove(&id);
         of.due = connection.answer_by(expires);
-        let queue_as = |id, bytes| Outgoing::Answer(id, bytes, of);
+        let queue_as = |id, bytes| Outgoing::Answer(id, bytes, of, in_flight);
         connection.send(id, cause, Reply::Ran(ran), queue_as);
     });
 }
 
+/// Sends the outcome of an attempt whose link was lost, which may be its answer.
+fn settle(connection: &Rc<Connection>, id: AskId, (attempt, ticket): (AttemptId, Ticket)) {
+    let connection = Rc::clone(connection);
+    ntex::rt::spawn(async move {
+        let in_flight = InFlight::enter(&connection.node);
+        let settled = executor::settle(&connection.node, attempt, ticket).await;
+        let queue_as = |id, bytes| Outgoing::Message(id, bytes, Some(in_flight));
+        connection.send(id, Cause::Settling, Reply::Settled(settled), queue_as);
+    });
+}
+
 fn peer_stops(connection: &Connection, left: Duration) {
     let node = &connection.node;
     let due = node.clock.now() + left;
