Count late answers that are due when answers in time are admitted

What callers saw: answers that were admitted as in time and came after their objective, since late ones whose time was over went first.

Cause: an answer in time was admitted by what is in time alone, as if late ones always gave way. Since these are sent once they are due, they take their part of the link before it.

Late answers that are queued and due within the time that an answer in time has now count as ahead of it, so a call that they would delay past its objective is refused at once and tried elsewhere.

Test: an_answer_in_time_waits_for_late_ones_that_are_due; without the change it is admitted behind 1.2 s of answers of which 0.6 s are due before it.

--- a/crates/calls/src/uplink.rs
+++ b/crates/calls/src/uplink.rs
@@ -23,8 +23,8 @@
 use crate::ids::{AttemptId, Time};
 use crate::late_band::{Band, forecast_wait};
 use crate::recent_load::RecentLoad;
-use queued::QueuedMessages;
 pub use queued::{LargeMessage, MessageNumber};
+use queued::{QueuedMessages, SLACK};
 
 /// Share of the stated rate that messages may use. Packet headers and other traffic of the
 /// instance need the rest. A saturated link builds up a queue that delays every message.
@@ -119,7 +119,8 @@
 
     /// Checks whether the link can deliver an answer of `bytes`, which its target completes
     /// in `run`, within the time `within`. Nothing is reserved. An idle link accepts any
-    /// answer. A late answer goes after those in time, also those that are still to come.
+    /// answer. A late answer goes after those in time, also those that are still to come, until
+    /// it is due: then those in time wait for it.
     ///
     /// # Errors
     ///
@@ -140,7 +141,11 @@
         }
         let own = seconds(bytes / rate);
         let needed = match band {
-            Band::InTime => Some(run.max(self.backlog(band)) + own),
+            Band::InTime => {
+                let due = self.queued.late_bytes_due(now + within + SLACK);
+                let ahead = self.backlog(band) + seconds(to_f64(due) / rate);
+                Some(run.max(ahead) + own)
+            }
             Band::Late => {
                 let used = self.in_time.expected_per_second(now) / rate;
                 let on_link = forecast_wait(self.backlog(band) + own, used);
--- a/crates/calls/src/uplink/queued.rs
+++ b/crates/calls/src/uplink/queued.rs
@@ -18,7 +18,7 @@
 
 /// Time before a message is due by which it should have been sent. Its receiver needs time to
 /// pass it on, and a chunk of another message may be on its way.
-const SLACK: Duration = Duration::from_millis(200);
+pub(super) const SLACK: Duration = Duration::from_millis(200);
 
 /// Number of a message on the uplink; later ones have higher numbers.
 pub type MessageNumber = u64;
@@ -107,6 +107,13 @@
         self.rest.range(..=band).map(|(_, it)| it).sum()
     }
 
+    /// Bytes of the late messages that are due by then, and go before others that are not.
+    pub(super) fn late_bytes_due(&self, by: Time) -> usize {
+        let messages = self.messages.values();
+        let late = messages.filter(|it| it.message.band == Band::Late && it.message.due <= by);
+        late.map(|it| it.rest).sum()
+    }
+
     /// The message that is sent next, of those in `ready`, whose links can take a chunk.
     pub(super) fn next(
         &self,
--- a/crates/calls/tests/all/uplink.rs
+++ b/crates/calls/tests/all/uplink.rs
@@ -167,3 +167,16 @@
         "{sent_at:?}"
     );
 }
+
+/// Guards against answers in time that are admitted although late ones are due before them.
+#[test]
+fn an_answer_in_time_waits_for_late_ones_that_are_due() {
+    let (run, objective) = (MS * 100, MS * 600);
+    let mut link = slow_link();
+    let check = |link: &Uplink| link.check_capacity(90_000.0, run, objective, Band::InTime, NOW);
+    link.record_queued(answer(600_000, Band::Late, NOW + MS * 3_000));
+    assert_eq!(check(&link), Ok(()));
+    link.record_queued(answer(600_000, Band::Late, NOW + MS * 700));
+    let after = check(&link).expect_err("the link is taken");
+    assert!(after < MS * 100, "{after:?}");
+}
