Admit late answers to the uplink by what is sure to be left of it

What callers saw: late answers that were admitted, and came at the expense of answers in time.

A promise that is kept must not rest on the better forecast: the uplink now takes the higher of both loads, and the queue's shares of the time hold for the link too. An attempt that waited for its slot is checked once more before it starts: its answer may no longer fit.

--- a/crates/calls/src/late_band.rs
+++ b/crates/calls/src/late_band.rs
@@ -49,7 +49,8 @@
     /// Longest forecast time to the answer of a call whose deadline is in `left`. The forecast
     /// can't know when a burst ends. Most of the room is kept for callers that came back as they
     /// were told, and that have fewer tries left.
-    pub(crate) fn longest(self, left: Duration) -> Duration {
+    #[must_use]
+    pub fn longest(self, left: Duration) -> Duration {
         match self {
             Self::No => Duration::ZERO,
             Self::FirstTry => left.mul_f64(FIRST_TRY_SHARE),
--- a/crates/calls/src/recent_load.rs
+++ b/crates/calls/src/recent_load.rs
@@ -24,6 +24,13 @@
         self.usual.record(amount, USUAL, now);
     }
 
+    /// The amount per second that the next seconds are not expected to exceed. For what is promised
+    /// and can't be taken back.
+    pub(crate) fn most_per_second(&self, now: Time) -> f64 {
+        let present = self.present.per_second(PRESENT, now);
+        present.max(self.usual.per_second(USUAL, now))
+    }
+
     /// The amount per second that is expected for the next seconds. A burst ends, and when it has
     /// ended, what was before it matters no longer.
     pub(crate) fn expected_per_second(&self, now: Time) -> f64 {
--- a/crates/calls/src/uplink.rs
+++ b/crates/calls/src/uplink.rs
@@ -147,7 +147,7 @@
                 Some(run.max(ahead) + own)
             }
             Band::Late => {
-                let used = self.in_time.expected_per_second(now) / rate;
+                let used = self.in_time.most_per_second(now) / rate;
                 let on_link = forecast_wait(self.backlog(band) + own, used);
                 on_link.map(|it| it.max(run + own))
             }
@@ -173,6 +173,27 @@
         }
     }
 
+    /// Checks, like [`check_capacity`](Self::check_capacity), whether the link can still deliver
+    /// an answer that is expected. It is not ahead of itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which a retry can succeed if the answer would be late.
+    pub fn check_expected(
+        &mut self,
+        attempt: AttemptId,
+        run: Duration,
+        within: Duration,
+        now: Time,
+    ) -> Result<(), Duration> {
+        let Some((bytes, band)) = self.expected.remove(&attempt) else {
+            return Ok(());
+        };
+        self.check_capacity(bytes, run, within, band, now)?;
+        self.expected.insert(attempt, (bytes, band));
+        Ok(())
+    }
+
     /// The target has completed the answer, whose bytes are counted when they are queued.
     pub fn answer_completed(&mut self, attempt: AttemptId) {
         self.expected.remove(&attempt);
--- a/crates/calls/tests/all/late_calls.rs
+++ b/crates/calls/tests/all/late_calls.rs
@@ -280,6 +280,22 @@
     assert!(check(&link, MS * 3_000, Band::Late, now).is_err());
 }
 
+/// Guards against late answers that are admitted while a rising demand in time takes the link.
+#[test]
+fn a_rising_demand_in_time_leaves_no_room_for_late_answers() {
+    let mut link = Uplink::new(Some(1_500_000.0));
+    let per_answer = Duration::from_secs_f64(90_000.0 / 1_350_000.0);
+    let mut now = Duration::ZERO;
+    for attempt in 0..45 {
+        now += per_answer;
+        link.expect_answer(attempt, 90_000.0, Band::InTime, now);
+        link.answer_completed(attempt);
+    }
+    link.expect_answer(45, 90_000.0, Band::InTime, now);
+    let late = link.check_capacity(90_000.0, MS * 100, MS * 3_000, Band::Late, now);
+    assert!(late.is_err());
+}
+
 fn content(of: &str) -> Fingerprint {
     Fingerprint::of("GET", of, &[])
 }
--- a/crates/mesh/src/executor/answer_stats.rs
+++ b/crates/mesh/src/executor/answer_stats.rs
@@ -21,23 +21,38 @@
     attempt: &Attempt,
     answer_by: Time,
 ) -> Result<(), End> {
+    let now = node.clock.now();
+    let left = answer_by.saturating_sub(now);
+    let within = match band_of(attempt) {
+        Band::Late => attempt.late_wait.longest(left),
+        Band::InTime if attempt.objective.is_zero() => left,
+        Band::InTime => attempt.objective.min(left),
+    };
     let answers = tables.answers.get(&attempt.call.route).copied();
     let answers = answers.unwrap_or_default();
     let run = answers.run().unwrap_or_default();
     let band = band_of(attempt);
-    let now = node.clock.now();
-    let left = answer_by.saturating_sub(now);
-    let within = if attempt.objective.is_zero() || band == Band::Late {
-        left
-    } else {
-        attempt.objective.min(left)
-    };
     let taken = node
         .uplink
         .read(|it| it.check_capacity(answers.bytes(), run, within, band, now));
     taken.map_err(|after| End::Refused(Refusal::retry(Reason::Overload, after)))
 }
 
+/// Refuses an attempt that has waited for its slot, and whose answer the uplink can no longer
+/// deliver by `answer_by`.
+pub(super) fn check_before_start(
+    node: &Node,
+    attempt: &Attempt,
+    answer_by: Time,
+) -> Result<(), End> {
+    let tables = node.executor.tables.borrow();
+    let run = tables.answers.get(&attempt.call.route);
+    let run = run.and_then(AnswerStats::run).unwrap_or_default();
+    let left = answer_by.saturating_sub(node.clock.now());
+    let can_deliver = node.uplink.check_expected(attempt.id, run, left);
+    can_deliver.map_err(|after| End::Refused(Refusal::retry(Reason::Overload, after)))
+}
+
 /// The band of an attempt's answer on the uplink. Answers of routes that are not served late have
 /// no band of their own, also if they are late.
 pub(crate) fn band_of(attempt: &Attempt) -> Band {
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -330,6 +330,12 @@
     slot::dispatch_waiting(node);
 }
 
+/// The time by which the answer to an attempt has to be at its entry.
+fn answer_by_of(node: &Node, attempt: AttemptId) -> Option<Time> {
+    let tables = node.executor.tables.borrow();
+    tables.runs.get(&attempt).map(|it| it.answer_by)
+}
+
 /// Has all attempts answered by `due`: this daemon stops.
 pub(crate) fn answer_all_by(node: &Rc<Node>, due: Time) {
     let attempts: Vec<_> = node.executor.tables.borrow().runs.keys().copied().collect();
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -159,6 +159,12 @@
         node.journal.count("requests.kept_apart");
         return RunOutcome::not_started(quarantine::refusal_while_running());
     }
+    if started > arrived_at {
+        let by = super::answer_by_of(node, attempt.id).unwrap_or(answer_by);
+        if let Err(End::Refused(refusal)) = answer_stats::check_before_start(node, attempt, by) {
+            return RunOutcome::not_started(refusal);
+        }
+    }
     if !may_start(node, attempt) {
         return RunOutcome::not_started(Refusal::permanent(Reason::Revoked));
     }
--- a/crates/mesh/src/link/uplink.rs
+++ b/crates/mesh/src/link/uplink.rs
@@ -73,6 +73,19 @@
         state.expect_answer(attempt, bytes, band, now);
     }
 
+    /// Checks whether an expected answer can still be delivered within this time. If it can't, it is
+    /// no longer expected.
+    pub(crate) fn check_expected(
+        &self,
+        attempt: AttemptId,
+        run: Duration,
+        within: Duration,
+    ) -> Result<(), Duration> {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        state.check_expected(attempt, run, within, now)
+    }
+
     /// Ends the count of an expected answer: the target's work has ended.
     pub(crate) fn answer_completed(&self, attempt: AttemptId) {
         self.state.borrow_mut().answer_completed(attempt);
