Wake the links when the order of answers changes, and count only what can be sent

The order of large messages depends on the time and on other links' messages, but links were woken only when one of them had sent a chunk. A link that woke as the first one and found another one to be next went to sleep without a word, and the uplink rested until the next message. The order is now found out once for each change, and whoever sleeps as the first one has it found out again.

A message whose time had passed, or whose peer does not read, counted as leaving no slack, so all others went by the times at which they are due: neither counts any more. Requests and other messages that are no answers were due after a second and then left out; they are never due before answers.

--- a/crates/calls/src/queue.rs
+++ b/crates/calls/src/queue.rs
@@ -249,7 +249,7 @@
         waits.then(|| self.limiter.wait(0, now))
     }
 
-    /// Moves the deadline of a waiting call forward. [`next`](Self::next) must be called
+    /// Makes the deadline of a waiting call earlier. [`next`](Self::next) must be called
     /// afterwards.
     pub fn expire_by(&mut self, attempt: AttemptId, expires: Time) {
         let mut waiting = self.waiting.iter_mut().map(|it| &mut it.request);
--- a/crates/calls/src/uplink.rs
+++ b/crates/calls/src/uplink.rs
@@ -219,6 +219,11 @@
         self.queued.due_by(message, due);
     }
 
+    /// All queued messages are due by then at the latest.
+    pub fn all_due_by(&mut self, due: Time) {
+        self.queued.all_due_by(due);
+    }
+
     /// The queued message whose next chunk is sent next, of those in `ready`.
     #[must_use]
     pub fn next(&self, ready: impl Fn(MessageNumber) -> bool, now: Time) -> Option<MessageNumber> {
--- a/crates/calls/src/uplink/queued.rs
+++ b/crates/calls/src/uplink/queued.rs
@@ -86,7 +86,14 @@
         }
     }
 
-    /// Moves the time at which a message is due forward.
+    /// Has all messages due by then at the latest.
+    pub(super) fn all_due_by(&mut self, due: Time) {
+        for queued in self.messages.values_mut() {
+            queued.message.due = queued.message.due.min(due);
+        }
+    }
+
+    /// Makes a message due earlier.
     pub(super) fn due_by(&mut self, number: MessageNumber, due: Time) {
         if let Some(queued) = self.messages.get_mut(&number) {
             queued.message.due = queued.message.due.min(due);
@@ -132,9 +139,9 @@
         first.map(|(number, _)| *number)
     }
 
-    /// The message that is due first, if the queued messages leave no slack. Those that can't be
-    /// sent by the time at which they are due are not counted: the largest ones, so that as many
-    /// as possible can.
+    /// The message that is due first, if those in `ready` leave no slack. Messages that can't all
+    /// be sent by the times at which they are due are not counted, the largest ones first, so that
+    /// as many as possible can. They wait until there is slack again.
     fn first_due(
         &self,
         ready: &impl Fn(MessageNumber) -> bool,
@@ -142,11 +149,12 @@
         now: Time,
     ) -> Option<MessageNumber> {
         let time = |bytes: usize| seconds(super::to_f64(bytes) / bytes_per_s);
-        let first_due = self.messages.values().map(|it| it.message.due).min()?;
+        let mut by_due: Vec<_> = self.messages.iter().collect();
+        by_due.retain(|(number, it)| it.message.due > now && ready(**number));
+        let first_due = by_due.iter().map(|(_, it)| it.message.due).min()?;
         if now + SLACK + time(self.bytes_up_to(Band::Late)) < first_due {
             return None;
         }
-        let mut by_due: Vec<_> = self.messages.iter().collect();
         by_due.sort_by_key(|(number, it)| (it.message.due, **number));
         let mut counted = BinaryHeap::new();
         let (mut ahead, mut has_slack) = (Duration::ZERO, true);
@@ -154,18 +162,21 @@
             let (due, own) = (queued.message.due, time(queued.rest));
             ahead += own;
             counted.push((own, due, *number));
+            let mut is_counted = true;
             while now + ahead > due
-                && let Some((largest, ..)) = counted.pop()
+                && let Some((largest, _, left_out)) = counted.pop()
             {
                 ahead = ahead.saturating_sub(largest);
+                is_counted &= left_out != *number;
             }
-            has_slack &= now + ahead + SLACK < due;
+            has_slack &= !is_counted || now + ahead + SLACK < due;
         }
         if has_slack {
             return None;
         }
-        let counted = counted.into_iter().filter(|(.., number)| ready(*number));
-        let first = counted.min_by_key(|(_, due, number)| (*due, *number));
+        let first = counted
+            .into_iter()
+            .min_by_key(|(_, due, number)| (*due, *number));
         first.map(|(.., number)| number)
     }
 }
--- a/crates/mesh/src/link/framing.rs
+++ b/crates/mesh/src/link/framing.rs
@@ -142,7 +142,7 @@
 
     /// Has the answers that are queued sent by `due` if that is possible.
     fn due_by(&self, due: Time) {
-        for large in self.large.iter().filter(|it| it.sending.is_some()) {
+        for large in self.large.iter().filter(|it| it.in_flight.is_some()) {
             self.uplink.due_by(large.number, due);
         }
     }
--- a/crates/mesh/src/link/uplink.rs
+++ b/crates/mesh/src/link/uplink.rs
@@ -1,6 +1,6 @@
 //! The instance's uplink, which all links of this daemon share.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,16 +13,18 @@
 use crate::clock::Clock;
 use crate::journal::Journal;
 
-/// Time within which a large message that is no answer is due.
-const DUE_WITHIN: Duration = Duration::from_secs(1);
+/// Time within which a large message that is no answer is due: longer than any call lasts.
+const NOT_DUE: Duration = Duration::from_hours(1);
 
 /// The [`Uplink`] of this daemon, and the order in which links send over it.
 pub(crate) struct SharedUplink {
     state: RefCell<Uplink>,
     /// Messages whose connections could send a chunk now.
     ready: RefCell<BTreeSet<MessageNumber>>,
-    /// Wakes the messages that wait for another one.
-    ready_changed: Notify,
+    /// The message that is sent next, until the order changes.
+    next: Cell<Option<MessageNumber>>,
+    /// Wakes the links when the order may have changed.
+    order_changed: Notify,
     clock: Clock,
     journal: Rc<Journal>,
 }
@@ -36,6 +38,8 @@
 impl<'a> ReadyGuard<'a> {
     fn new(uplink: &'a SharedUplink, messages: Vec<MessageNumber>) -> Self {
         uplink.ready.borrow_mut().extend(&messages);
+        // A link that sleeps as the first one asks again when it wakes.
+        uplink.next.set(None);
         Self { uplink, messages }
     }
 }
@@ -46,7 +50,8 @@
         for message in &self.messages {
             ready.remove(message);
         }
-        self.uplink.ready_changed.notify_waiters();
+        drop(ready);
+        self.uplink.order_changed();
     }
 }
 
@@ -55,7 +60,8 @@
         Self {
             state: RefCell::new(Uplink::new(bytes_per_s)),
             ready: RefCell::default(),
-            ready_changed: Notify::new(),
+            next: Cell::new(None),
+            order_changed: Notify::new(),
             clock,
             journal,
         }
@@ -91,16 +97,16 @@
         self.state.borrow_mut().answer_completed(attempt);
     }
 
-    /// Queues a large message, and begins to account for it if it is an answer.
+    /// Queues a large message, and begins to account for it if it is an answer. Others are never
+    /// due before answers.
     pub(super) fn queue(
         &self,
         bytes: usize,
         answer_of: Option<AnswerOf>,
     ) -> (MessageNumber, Option<Sending>) {
-        let now = self.clock.now();
         let (band, due) = match &answer_of {
             Some(of) => (of.band, of.due),
-            None => (Band::InTime, now + DUE_WITHIN),
+            None => (Band::InTime, self.clock.now() + NOT_DUE),
         };
         let ahead = self.read(|it| it.backlog(band));
         let message = LargeMessage { bytes, band, due };
@@ -122,27 +128,45 @@
     pub(super) async fn wait_turn(&self, messages: Vec<MessageNumber>) -> MessageNumber {
         let own = ReadyGuard::new(self, messages);
         loop {
-            let ready_changed = self.ready_changed.notified();
-            let now = self.clock.now();
-            let next = {
-                let ready = self.ready.borrow();
-                self.read(|it| it.next(|message| ready.contains(&message), now))
-            };
-            let Some(next) = next.filter(|it| own.messages.contains(it)) else {
-                ready_changed.await;
+            let order_changed = self.order_changed.notified();
+            let Some(next) = self.next().filter(|it| own.messages.contains(it)) else {
+                order_changed.await;
                 continue;
             };
-            let wait = self.read(|it| it.until_free(now));
+            let wait = self.read(|it| it.until_free(self.clock.now()));
             if wait.is_zero() {
                 return next;
             }
             tokio::select! {
-                () = sleep(wait) => {}
-                () = ready_changed => {}
+                // The order depends on the time, and no other link is awake to find out.
+                () = sleep(wait) => self.order_changed(),
+                () = order_changed => {}
             }
         }
     }
 
+    /// The message that is sent next, of those whose links can take a chunk.
+    fn next(&self) -> Option<MessageNumber> {
+        if self.next.get().is_none() {
+            let (ready, now) = (self.ready.borrow(), self.clock.now());
+            let next = self.read(|it| it.next(|message| ready.contains(&message), now));
+            self.next.set(next);
+        }
+        self.next.get()
+    }
+
+    /// Has the links find out which message is next.
+    fn order_changed(&self) {
+        self.next.set(None);
+        self.order_changed.notify_waiters();
+    }
+
+    /// Has all queued messages sent by `due` if that is possible: this daemon stops.
+    pub(crate) fn all_due_by(&self, due: Time) {
+        self.state.borrow_mut().all_due_by(due);
+        self.order_changed();
+    }
+
     /// Counts bytes that were sent.
     pub(super) fn record_sent(&self, bytes: usize) {
         self.state.borrow_mut().record_sent(bytes, self.clock.now());
@@ -157,10 +181,12 @@
     /// The rest of a queued message is not sent.
     pub(super) fn record_dropped(&self, message: MessageNumber) {
         self.state.borrow_mut().record_dropped(message);
+        self.order_changed();
     }
 
     /// Has a queued message sent by `due` if that is possible.
     pub(super) fn due_by(&self, message: MessageNumber, due: Time) {
         self.state.borrow_mut().due_by(message, due);
+        self.order_changed();
     }
 }
