Hold the exit against calls that start, connect or are answered just then

- A stop that arrived together with an attempt found it neither in the queue nor running, and the attempt then waited by its caller's deadline: the bound is read when it asks for a slot.
- An executor that stops moved forward the calls that wait or run, not the answers that are queued.
- The time left to the exit was stated when a link began to connect, and arrived later: it is sent once the link is up.
- At the exit an answer that had just arrived could lose to the final answer, and a call that was read after it could still be sent.
- A run counted as in flight only once its task had begun.

--- a/crates/mesh/src/drain.rs
+++ b/crates/mesh/src/drain.rs
@@ -55,6 +55,10 @@
 }
 
 impl ExitSignal {
+    pub(crate) fn is_given(&self) -> bool {
+        self.is_given.get()
+    }
+
     /// Waits until the signal is given.
     pub(crate) async fn wait(&self) {
         let given = self.given.notified();
@@ -79,7 +83,8 @@
     node.departure.set(departure);
     if let Some(due) = departure.answers_due() {
         node.links.announce_stop(due);
-        executor::answer_all_by(node, due);
+        node.uplink.all_due_by(due);
+        executor::require_all_answers_by(node, due);
     }
     slog::info!(node.log, "draining"; fields::IN_FLIGHT => node.in_flight.get());
     fleet::gossip::leave(node);
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -145,10 +145,7 @@
     };
     let mut completed = if throttle::admits(node, &call) {
         let open = OpenGuard::new(node, &call, started_at);
-        let completed = tokio::select! {
-            completed = forward_with_quota(node, &call) => completed,
-            () = node.exit.wait() => CompletedCall::refused(open::cut_off(&call)),
-        };
+        let completed = forward_until_exit(node, &call).await;
         open.end();
         throttle::record(node, &call, &completed.end);
         completed
@@ -160,6 +157,19 @@
     respond::completed(&completed.end, node.is_leaving())
 }
 
+/// Forwards the call. If this daemon exits before it has ended, it gets a final answer.
+async fn forward_until_exit(node: &Rc<Node>, call: &Call) -> CompletedCall {
+    if node.exit.is_given() {
+        return CompletedCall::refused(open::cut_off(call));
+    }
+    tokio::select! {
+        biased;
+        // Checked first, so that an answer that is there is passed on.
+        completed = forward_with_quota(node, call) => completed,
+        () = node.exit.wait() => CompletedCall::refused(open::cut_off(call)),
+    }
+}
+
 /// Charges the call to its customer's quota and forwards it if the quota allows. The
 /// charge is refunded if the call did not run.
 async fn forward_with_quota(node: &Rc<Node>, call: &Call) -> CompletedCall {
--- a/crates/mesh/src/executor/answer_stats.rs
+++ b/crates/mesh/src/executor/answer_stats.rs
@@ -44,13 +44,13 @@
     node: &Node,
     attempt: &Attempt,
     answer_by: Time,
-) -> Result<(), End> {
+) -> Result<(), Refusal> {
     let tables = node.executor.tables.borrow();
     let run = tables.answers.get(&attempt.call.route);
     let run = run.and_then(AnswerStats::run).unwrap_or_default();
     let left = answer_by.saturating_sub(node.clock.now());
     let can_deliver = node.uplink.check_expected(attempt.id, run, left);
-    can_deliver.map_err(|after| End::Refused(Refusal::retry(Reason::Overload, after)))
+    can_deliver.map_err(|after| Refusal::retry(Reason::Overload, after))
 }
 
 /// The band of an attempt's answer on the uplink. Answers of routes that are not served late have
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -317,7 +317,11 @@
 
 /// Has these attempts answered by `due` if they can be, or else refused as not run. Their entry
 /// stops.
-pub(crate) fn answer_by(node: &Rc<Node>, attempts: impl IntoIterator<Item = AttemptId>, due: Time) {
+pub(crate) fn require_answers_by(
+    node: &Rc<Node>,
+    attempts: impl IntoIterator<Item = AttemptId>,
+    due: Time,
+) {
     let mut tables = node.executor.tables.borrow_mut();
     let Tables { runs, queue, .. } = &mut *tables;
     for attempt in attempts {
@@ -337,9 +341,9 @@
 }
 
 /// Has all attempts answered by `due`: this daemon stops.
-pub(crate) fn answer_all_by(node: &Rc<Node>, due: Time) {
+pub(crate) fn require_all_answers_by(node: &Rc<Node>, due: Time) {
     let attempts: Vec<_> = node.executor.tables.borrow().runs.keys().copied().collect();
-    answer_by(node, attempts, due);
+    require_answers_by(node, attempts, due);
 }
 
 /// Performs the executor's periodic work.
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -48,6 +48,8 @@
 
 /// Starts the run as a separate task, which outlives the link over which the attempt came:
 /// the ledger keeps the answer for an entry whose link broke.
+///
+/// The answer has to be at the entry by `answer_by`.
 pub(super) fn start(
     node: &Rc<Node>,
     attempt: Attempt,
@@ -66,9 +68,9 @@
     tables.runs.insert(attempt.id, run);
     drop(tables);
     let node = Rc::clone(node);
+    let in_flight = InFlight::enter(&node);
     ntex::rt::spawn(async move {
-        let in_flight = InFlight::enter(&node);
-        let outcome = run_or_cancel(&node, &attempt, answer_by, cancelled).await;
+        let outcome = run_or_cancel(&node, &attempt, cancelled).await;
         finish(&node, &attempt, &outcome);
         log_failure(&node, &attempt, &outcome);
         // If nobody receives it because the link broke, the ledger has the outcome.
@@ -105,14 +107,13 @@
 async fn run_or_cancel(
     node: &Rc<Node>,
     attempt: &Attempt,
-    answer_by: Time,
     cancelled: oneshot::Receiver<()>,
 ) -> RunOutcome {
     tokio::select! {
         biased;
         // Checked first, so that an attempt cancelled before its start does not start.
         Ok(()) = cancelled => cancelled_outcome(node, attempt),
-        outcome = run(node, attempt, answer_by) => outcome,
+        outcome = run(node, attempt) => outcome,
     }
 }
 
@@ -135,10 +136,11 @@
 }
 
 /// Waits for a slot, sends the request to the target and waits for its answer.
-async fn run(node: &Rc<Node>, attempt: &Attempt, answer_by: Time) -> RunOutcome {
+async fn run(node: &Rc<Node>, attempt: &Attempt) -> RunOutcome {
     let arrived_at = node.clock.now();
     let deadline = Deadline::after(attempt.left, arrived_at);
-    let slot = match slot::take(node, attempt, answer_by).await {
+    let answer_by = || super::answer_by_of(node, attempt.id).unwrap_or(deadline.expires());
+    let slot = match slot::take(node, attempt, answer_by()).await {
         Ok(slot) => slot,
         Err(refusal) => return RunOutcome::not_started(refusal),
     };
@@ -159,11 +161,10 @@
         node.journal.count("requests.kept_apart");
         return RunOutcome::not_started(quarantine::refusal_while_running());
     }
-    if started > arrived_at {
-        let by = super::answer_by_of(node, attempt.id).unwrap_or(answer_by);
-        if let Err(End::Refused(refusal)) = answer_stats::check_before_start(node, attempt, by) {
-            return RunOutcome::not_started(refusal);
-        }
+    if started > arrived_at
+        && let Err(refusal) = answer_stats::check_before_start(node, attempt, answer_by())
+    {
+        return RunOutcome::not_started(refusal);
     }
     if !may_start(node, attempt) {
         return RunOutcome::not_started(Refusal::permanent(Reason::Revoked));
--- a/crates/mesh/src/link/client.rs
+++ b/crates/mesh/src/link/client.rs
@@ -62,7 +62,7 @@
     traffic: Rc<LinkTraffic>,
     table: RefCell<HashMap<SocketAddr, Rc<Link>>>,
     /// Set once this daemon stops: when the answers to its requests have to be here.
-    answers_due: Cell<Option<Time>>,
+    answers_due: Rc<Cell<Option<Time>>>,
 }
 
 impl Links {
@@ -78,7 +78,7 @@
             uplink,
             traffic,
             table: RefCell::default(),
-            answers_due: Cell::new(None),
+            answers_due: Rc::default(),
         }
     }
 
@@ -87,14 +87,7 @@
     pub(crate) fn announce_stop(&self, answers_due: Time) {
         self.answers_due.set(Some(answers_due));
         for link in self.table.borrow().values() {
-            self.send_stop(link);
-        }
-    }
-
-    fn send_stop(&self, link: &Link) {
-        if let Some(due) = self.answers_due.get() {
-            let left = due.saturating_sub(self.clock.now());
-            link.send(AskId::MAX, &ToServer::Stops(left));
+            link.send_stop(answers_due, self.clock.now());
         }
     }
 
@@ -171,12 +164,12 @@
         let (tx, rx) = mpsc::unbounded_channel();
         let link = Rc::new(Link::new(tx));
         links.insert(addr, Rc::clone(&link));
-        self.send_stop(&link);
         let context = TaskContext {
             addr,
             uplink: Rc::clone(&self.uplink),
             clock: self.clock,
             log: self.log.clone(),
+            answers_due: Rc::clone(&self.answers_due),
         };
         ntex::rt::spawn(run(Rc::clone(&link), rx, context));
         link
@@ -268,6 +261,15 @@
         size
     }
 
+    /// Tells the peer by when this daemon, which stops, needs the answers to its requests. A link
+    /// that is still connecting does so once it is up, since the time passes meanwhile.
+    fn send_stop(&self, answers_due: Time, now: Time) {
+        if self.stage.get() == Stage::Up {
+            let left = answers_due.saturating_sub(now);
+            self.send(AskId::MAX, &ToServer::Stops(left));
+        }
+    }
+
     fn close(&self, stage: Stage, err: LinkError) {
         self.stage.set(stage);
         let pending = std::mem::take(&mut *self.pending.borrow_mut());
@@ -317,6 +319,7 @@
     uplink: Rc<SharedUplink>,
     clock: Clock,
     log: Logger,
+    answers_due: Rc<Cell<Option<Time>>>,
 }
 
 async fn run(link: Rc<Link>, queue: UnboundedReceiver<Outgoing>, context: TaskContext) {
@@ -325,6 +328,7 @@
         uplink,
         clock,
         log,
+        answers_due,
     } = context;
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
     let Ok(Ok(stream)) = connected else {
@@ -341,6 +345,9 @@
     }
     link.stage.set(Stage::Up);
     link.last_received.set(clock.now());
+    if let Some(due) = answers_due.get() {
+        link.send_stop(due, clock.now());
+    }
     let (reader, writer) = stream.into_split();
     let reader = FramedRead::new(reader, codec());
     let writer = FramedWrite::new(writer, codec());
--- a/crates/mesh/src/link/server.rs
+++ b/crates/mesh/src/link/server.rs
@@ -247,7 +247,7 @@
     let due = node.clock.now() + left;
     connection.answers_due.set(Some(due));
     let running = connection.running.borrow();
-    executor::answer_by(node, running.values().copied(), due);
+    executor::require_answers_by(node, running.values().copied(), due);
     let _ = connection.queue.send(Outgoing::AnswersDue(due));
 }
 
