Membership: a later birth alone makes no successor

Cause: births are numbered by the time of day. A process that started after its clock was set back has a lower birth than its predecessor. Once it had met any peer, `has_met_peer` made it take the predecessor's row for a successor's, and it drained. Nobody had told it to stop, so it did not end either.

Evidence: `daemons_that_start_after_clocks_were_set_right_serve` on the code before:

thread 'births::daemons_that_start_after_clocks_were_set_right_serve' panicked at crates/membership/tests/all/births.rs:55:5: assertion `left == right` failed: of 12 daemons left: 71 right: 0

Why this works: a row with the process's own address can't be a successor's, as nothing else can listen there while the process lives; it is overridden by a higher birth. At another address, the other process is asked. Only one that answers under the id, doesn't leave and has precedence (birth, then address) makes this one yield. Births only rise and a process that yields leaves first, so two never yield to each other. A state update above the own incarnation comes from another process as well and raises the birth, or peers would go on using that process's address.

`a_frozen_process_learns_of_its_successor` assumed a successor at the address that the frozen process still holds, which can't be. It moved to births.rs: the successor has another address, must be asked, and must still be what stops the frozen process. Beside it: a successor that ended or leaves stops nobody.

--- a/crates/membership/src/action.rs
+++ b/crates/membership/src/action.rs
@@ -122,9 +122,10 @@
     },
     /// A peer remembers that this generation of the local target is draining.
     TargetDrained(SmolStr),
-    /// A newer process runs under this instance's id, so this process must stop.
+    /// A process with a later birth answered under this instance's id at another address, so
+    /// this process must stop and end.
     Superseded {
-        /// Starting incarnation of the newer process.
+        /// Starting incarnation of the other process.
         birth: Incarnation,
     },
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -20,6 +20,7 @@
 mod local_target;
 mod machine;
 mod member;
+mod own_row;
 mod probe;
 mod probe_failure;
 mod receive;
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -9,6 +9,7 @@
 use crate::config::Config;
 use crate::isolation::IsolationDetector;
 use crate::member::{AnnouncedTarget, Member, MemberKey, MemberState, Time};
+use crate::own_row::Rival;
 use crate::probe::{IndirectProbes, ProbeRound};
 use crate::table::{Entry, Table};
 use crate::update_queue::{FleetSize, Locality, UpdateQueue};
@@ -73,8 +74,8 @@
     pub(crate) own_zone_comparison: TableComparison,
     /// Comparison with the tables of peers in other zones.
     pub(crate) other_zones_comparison: TableComparison,
-    /// Whether this process has taken in a message or a table of a peer.
-    pub(crate) has_met_peer: bool,
+    /// Another process that may run under this instance's id, and is being asked.
+    pub(crate) rival: Option<Rival>,
     pub(crate) actions: Vec<Action>,
 }
 
@@ -108,7 +109,7 @@
             probes: 0,
             own_zone_comparison: TableComparison::default(),
             other_zones_comparison: TableComparison::default(),
-            has_met_peer: false,
+            rival: None,
             actions: Vec::new(),
         }
     }
@@ -122,8 +123,8 @@
             Input::IndirectProbeResult { target, reached } => {
                 self.indirect_probed(now, target, reached);
             }
-            Input::TablePulled { rows } => self.table_pulled(rows),
-            Input::AnnouncementsRead { rows } => self.announcements_read(rows),
+            Input::TablePulled { rows } => self.table_pulled(now, rows),
+            Input::AnnouncementsRead { rows } => self.announcements_read(now, rows),
             Input::Leave => self.leave(),
             Input::ConfigChanged(id) => self.config_id = id,
             Input::HeadRead => self.head_read = Some(now),
@@ -135,6 +136,9 @@
     /// Processes a peer's exchange and returns the reply and the requested actions.
     pub fn answer(&mut self, now: Time, message: Exchange) -> (Exchange, Vec<Action>) {
         let from = message.from;
+        if from == self.me {
+            return (self.answer_rival(now), Vec::new());
+        }
         let incarnation = message.incarnation;
         self.record_agreement(message.table);
         self.receive_message(now, from, message, false);
@@ -274,7 +278,7 @@
         message
     }
 
-    fn base_message(&self, now: Time, peer: MemberKey) -> Exchange {
+    pub(crate) fn base_message(&self, now: Time, peer: MemberKey) -> Exchange {
         // Rounded up: if it were rounded down, daemons would keep confirming an age of
         // zero to each other, and an outage of the platform would go unnoticed.
         let age = self
@@ -296,7 +300,7 @@
 
     /// Adds a member to a message: as a row with its addresses if it is alive, since
     /// the receiver may lack them, and as a state update otherwise.
-    fn add_member(&self, message: &mut Exchange, key: MemberKey) {
+    pub(crate) fn add_member(&self, message: &mut Exchange, key: MemberKey) {
         let Some(entry) = self.table.get(key).filter(|it| it.confirmed) else {
             return;
         };
--- a/crates/membership/src/probe_failure.rs
+++ b/crates/membership/src/probe_failure.rs
@@ -12,6 +12,10 @@
     /// suspect, and only after indirect probes failed as well: an unreachable zone is
     /// most likely cut off, and its members go on serving their own callers.
     pub(crate) fn unreached(&mut self, now: Time, peer: MemberKey) {
+        if peer == self.me {
+            self.rival_unreached(now);
+            return;
+        }
         let Some(entry) = self.table.get_mut(peer) else {
             return;
         };
--- a/crates/membership/src/receive.rs
+++ b/crates/membership/src/receive.rs
@@ -41,6 +41,10 @@
 
 impl Membership {
     pub(crate) fn replied(&mut self, now: Time, peer: MemberKey, reply: Exchange) {
+        if peer == self.me {
+            self.rival_replied(reply);
+            return;
+        }
         if reply.from != peer {
             // Another instance has taken over the address, so the expected one is gone.
             self.unreached(now, peer);
@@ -78,7 +82,7 @@
             .take(MAX_UPDATES)
             .partition(|row| row.key() == from);
         for row in own {
-            self.receive_row(row);
+            self.receive_row(now, row);
         }
         let Some(entry) = self.table.get_mut(from) else {
             return;
@@ -92,7 +96,7 @@
             return;
         }
         for row in rows {
-            self.receive_row(row);
+            self.receive_row(now, row);
         }
         for update in message.words.into_iter().take(MAX_UPDATES) {
             self.receive_state_update(update);
@@ -109,7 +113,6 @@
             answered,
         });
         self.compare_tables(now, from, message.table);
-        self.has_met_peer = true;
     }
 
     fn merge_head_age(&mut self, now: Time, age: u16) {
@@ -122,13 +125,13 @@
         }
     }
 
-    fn receive_row(&mut self, row: Row) {
+    fn receive_row(&mut self, now: Time, row: Row) {
         let Ok(member) = Member::try_from(row) else {
             return;
         };
         let key = member.key();
         if key == self.me {
-            self.receive_own_row(&member);
+            self.receive_own_row(now, &member);
             return;
         }
         // A dead member that is unknown here is not added: tables forget the dead at
@@ -152,47 +155,6 @@
         }
     }
 
-    /// Processes a row about this instance, which may describe this process, a former
-    /// one, or a newer one that was started while this one was frozen. If the row shows
-    /// a higher birth but this process has not met a peer yet, this process is not the
-    /// older one: it has just started, with a wall clock that went back.
-    fn receive_own_row(&mut self, row: &Member) {
-        let birth = self.own_entry().member.birth;
-        if row.birth > birth && self.has_met_peer {
-            self.actions.push(Action::Superseded { birth: row.birth });
-            return;
-        }
-        let state = if row.birth == birth {
-            row.state
-        } else {
-            MemberState::Dead
-        };
-        self.refute(row.incarnation, state);
-    }
-
-    /// Refutes an update that overrides this daemon's own state, by raising its
-    /// incarnation above that of the update. A leaving daemon stays leaving under the
-    /// higher incarnation.
-    fn refute(&mut self, incarnation: u64, state: MemberState) {
-        if (incarnation, state) <= self.own_entry().rank() {
-            return;
-        }
-        self.raise_incarnation(incarnation);
-        let is_about_former_process = !self.has_met_peer;
-        let me = self.me;
-        if is_about_former_process && let Some(own) = self.table.get_mut(me) {
-            own.member.birth = own.member.incarnation;
-        }
-    }
-
-    pub(crate) fn raise_incarnation(&mut self, above: u64) {
-        let me = self.me;
-        if let Some(own) = self.table.get_mut(me) {
-            own.member.incarnation = own.member.incarnation.max(above) + 1;
-        }
-        self.queue_update(me);
-    }
-
     /// Counts a matching digest in a peer's request as agreement about queued updates.
     /// It must be called before the request's own updates are applied. Replies don't
     /// count, since their sender has just applied this daemon's updates.
@@ -279,20 +241,19 @@
         });
     }
 
-    pub(crate) fn table_pulled(&mut self, rows: Vec<Row>) {
+    pub(crate) fn table_pulled(&mut self, now: Time, rows: Vec<Row>) {
         for row in rows.into_iter().take(MAX_TABLE_ROWS) {
-            self.receive_row(row);
+            self.receive_row(now, row);
         }
-        self.has_met_peer = true;
     }
 
-    pub(crate) fn announcements_read(&mut self, rows: Vec<Row>) {
+    pub(crate) fn announcements_read(&mut self, now: Time, rows: Vec<Row>) {
         for row in rows.into_iter().take(MAX_TABLE_ROWS) {
             let Ok(member) = Member::try_from(row) else {
                 continue;
             };
             if member.key() == self.me {
-                self.receive_own_row(&member);
+                self.receive_own_row(now, &member);
             } else {
                 self.receive_platform_row(member);
             }
--- a/crates/membership/tests/all/main.rs
+++ b/crates/membership/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the membership state machine under virtual time.
 
+mod births;
 mod codec;
 mod failures;
 mod fleet;
