--- a/crates/mesh/src/fleet/gossip.rs
+++ b/crates/mesh/src/fleet/gossip.rs
@@ -7,7 +7,8 @@
 
 use stoatstep_distribution::PollRole;
 use stoatstep_membership::{
-    Action, ConfigId, Exchange, GossipReply, GossipRequest, Input, MemberKey, ZoneDigest,
+    Action, ConfigId, Exchange, GossipReply, GossipRequest, Incarnation, Input, MemberKey,
+    ZoneDigest,
 };
 use stoatstep_rollout::Progress;
 use stoatstep_telemetry::fields;
@@ -219,10 +220,7 @@
             }
             Action::Resumed { gap } => resume(node, gap),
             Action::TargetDrained(upstream) => executor::mark_leaving(node, &upstream),
-            Action::Superseded { birth } => {
-                slog::error!(node.log, "a newer process runs under this id"; fields::BIRTH => birth);
-                drain::begin(node);
-            }
+            Action::Superseded { birth } => superseded(node, birth),
         }
     }
     if is_changed {
@@ -249,6 +247,15 @@
         fields::DRAINING => announced.is_some_and(|it| it.draining), fields::LEFT_OUT => left_out);
 }
 
+/// Begins the end of this process, as another one runs under its id.
+fn superseded(node: &Rc<Node>, birth: Incarnation) {
+    if !node.is_leaving() {
+        slog::error!(node.log, "a newer process runs under this id"; fields::BIRTH => birth);
+    }
+    drain::begin(node);
+    node.fleet.superseded.notify_one();
+}
+
 /// Handles the end of a suspension of the instance: connections and pending requests are stale.
 fn resume(node: &Rc<Node>, gap: Duration) {
     slog::warn!(node.log, "woke from a suspension"; fields::GAP_MS => gap.as_millis());
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -78,6 +78,8 @@
     /// Notified when the instance resumes from a suspension: pending requests to the store are to
     /// be sent again.
     resumed: Notify,
+    /// Notified when another process runs under this daemon's id.
+    pub(crate) superseded: Notify,
     /// Notified when a member has lost the store. This daemon may have lost it too, or the member
     /// that announces versions to it.
     store_doubted: Notify,
@@ -111,6 +113,7 @@
             confirmation_state: RefCell::default(),
             was_restored: Cell::new(false),
             resumed: Notify::new(),
+            superseded: Notify::new(),
             store_doubted: Notify::new(),
             roster_read_at: Cell::new(None),
             is_on_roster: Cell::new(false),
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -148,6 +148,12 @@
         is_configured && !self.0.is_leaving() && fleet::confirmation::is_recent(&self.0)
     }
 
+    /// Returns once another process runs under this daemon's id. This one has begun to stop by
+    /// then, and is to end.
+    pub async fn superseded(&self) {
+        self.0.fleet.superseded.notified().await;
+    }
+
     /// Stops gracefully. The process may end once this returns.
     pub async fn drain(&self) {
         drain::begin(&self.0);
