Rows that are not believed leave a line and a counter

Operators saw nothing of rows that a daemon overrides or passes over, so a clock that was set back, or one id given twice, did not show.

It covers updates above any incarnation that the process chose, and rows whose incarnation is below their birth. Rows with labels that are too long stay ignored without a line.

The log lines about members moved to fleet/report.rs.

--- a/crates/daemon/src/control/gossip.rs
+++ b/crates/daemon/src/control/gossip.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use stoatstep_membership::{
-    Action, ConfigId, Exchange, GossipReply, GossipRequest, Input, MemberKey, ZoneDigest,
+    Action, ConfigId, Disbelief, Exchange, GossipReply, GossipRequest, Input, MemberKey, ZoneDigest,
 };
 
 use super::announce;
 use super::client::{Message, PeerError, send_request};
 use super::peer::GOSSIP;
 use super::traffic::Class;
+use super::warning::warn;
 use crate::node::Node;
 
 /// Timeout of a probe. A round trip within a region takes a few milliseconds.
@@ -91,6 +92,7 @@
                 node.metrics.count("control.freezes", 1);
                 node.control.resumed();
             }
+            Action::NotBelieved(disbelief) => log_disbelief(node, &disbelief),
             Action::Superseded { birth } => superseded(node, birth),
             // Targets are configured here and announce nothing.
             Action::TargetDrained(_) => {}
@@ -101,7 +103,17 @@
     }
 }
 
-/// Stops this process because a newer one runs under the same instance id. If both
+/// Logs and counts a row or state update that was not believed.
+fn log_disbelief(node: &Node, disbelief: &Disbelief) {
+    node.metrics.count("control.rows_not_believed", 1);
+    let detail = format!(
+        "{} of {}: {} stated, {} known",
+        disbelief.field, disbelief.instance, disbelief.stated, disbelief.known
+    );
+    warn(node, "row not believed", &detail);
+}
+
+/// Stops this process because another one runs under the same instance id. If both
 /// answered calls, each would have only a part of the state that callers rely on.
 fn superseded(node: &Rc<Node>, birth: u64) {
     if !node.draining.get() {
--- a/crates/membership/src/action.rs
+++ b/crates/membership/src/action.rs
@@ -52,6 +52,19 @@
     TargetAnnounced(Option<AnnouncedTarget>),
 }
 
+/// A row or state update that was not believed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Disbelief {
+    /// The instance that it is about.
+    pub instance: SmolStr,
+    /// Name of the field.
+    pub field: &'static str,
+    /// Value of the field.
+    pub stated: Incarnation,
+    /// Value that the field contradicts.
+    pub known: Incarnation,
+}
+
 /// Work that the state machine requests from its caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -120,6 +133,9 @@
         /// How long the process was frozen.
         gap: Duration,
     },
+    /// A row or state update was not believed: it contradicts itself, or another process of this
+    /// instance caused it.
+    NotBelieved(Disbelief),
     /// A peer remembers that this generation of the local target is draining.
     TargetDrained(SmolStr),
     /// A process with a later birth answered under this instance's id at another address, so
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -29,7 +29,7 @@
 mod update_queue;
 mod wire;
 
-pub use action::{Action, Input};
+pub use action::{Action, Disbelief, Input};
 pub use config::Config;
 pub use generation::{StartMillis, generation_id, target_id_of};
 pub use local_target::{Heartbeat, HeartbeatOutcome, LocalTarget};
--- a/crates/membership/src/own_row.rs
+++ b/crates/membership/src/own_row.rs
@@ -7,7 +7,7 @@
 use std::cmp::Ordering;
 use std::net::SocketAddr;
 
-use crate::action::Action;
+use crate::action::{Action, Disbelief};
 use crate::machine::Membership;
 use crate::member::{Incarnation, Member, MemberKey, MemberState, Time};
 use crate::wire::Exchange;
@@ -64,6 +64,14 @@
     /// Raises this process's birth and incarnation above those of another process, so that peers
     /// use this one's addresses and state.
     fn override_process(&mut self, incarnation: Incarnation) {
+        let own = &self.own_entry().member;
+        let disbelief = Disbelief {
+            instance: own.instance.clone(),
+            field: "incarnation",
+            stated: incarnation,
+            known: own.incarnation,
+        };
+        self.actions.push(Action::NotBelieved(disbelief));
         self.raise_incarnation(incarnation);
         let me = self.me;
         if let Some(own) = self.table.get_mut(me) {
--- a/crates/membership/src/receive.rs
+++ b/crates/membership/src/receive.rs
@@ -1,10 +1,10 @@
 //! Processing of messages and tables that arrive from peers and of platform rows.
 
-use crate::action::Action;
+use crate::action::{Action, Disbelief};
 use crate::machine::{Membership, TableComparison};
 use crate::member::{Member, MemberKey, MemberState, Time};
 use crate::table::{Entry, Merge};
-use crate::wire::{Exchange, Row, StateUpdate};
+use crate::wire::{Exchange, Row, RowError, StateUpdate};
 
 /// Consecutive digest mismatches before a table is pulled. Updates in flight make
 /// digests differ for a moment, which resolves without a pull.
@@ -125,8 +125,23 @@
         }
     }
 
+    fn read_row(&mut self, row: Row) -> Option<Member> {
+        let (birth, incarnation) = (row.birth, row.incarnation);
+        let instance = row.instance.clone();
+        let read = Member::try_from(row);
+        if read == Err(RowError::BeforeBirth) {
+            self.actions.push(Action::NotBelieved(Disbelief {
+                instance,
+                field: "incarnation",
+                stated: incarnation,
+                known: birth,
+            }));
+        }
+        read.ok()
+    }
+
     fn receive_row(&mut self, now: Time, row: Row) {
-        let Ok(member) = Member::try_from(row) else {
+        let Some(member) = self.read_row(row) else {
             return;
         };
         let key = member.key();
@@ -249,7 +264,7 @@
 
     pub(crate) fn announcements_read(&mut self, now: Time, rows: Vec<Row>) {
         for row in rows.into_iter().take(MAX_TABLE_ROWS) {
-            let Ok(member) = Member::try_from(row) else {
+            let Some(member) = self.read_row(row) else {
                 continue;
             };
             if member.key() == self.me {
--- a/crates/membership/tests/all/births.rs
+++ b/crates/membership/tests/all/births.rs
@@ -175,6 +175,32 @@
     assert!(node.own_entry().member.birth > 5000);
 }
 
+#[test]
+fn a_row_that_is_not_believed_is_reported_with_both_values() {
+    // Guards against overridden or broken rows of which operators see nothing.
+    let mut node = Membership::new(member(0, 0, 1000), Config::default(), 1);
+    let mut broken = Row::from(&member(0, 1, 2000));
+    broken.incarnation = 1500;
+    let former = Row::from(&member(0, 0, 5000));
+    let rows = vec![former.clone(), broken, former];
+    let actions = node.handle(Time::ZERO, Input::TablePulled { rows });
+    let reported: Vec<_> = actions
+        .iter()
+        .filter_map(|it| match it {
+            Action::NotBelieved(it) => Some((it.instance.as_str(), it.field, it.stated, it.known)),
+            _ => None,
+        })
+        .collect();
+    let expected = [
+        ("i-0-0", "incarnation", 5000, 1000),
+        ("i-0-1", "incarnation", 1500, 2000),
+    ];
+    assert_eq!(
+        reported, expected,
+        "the repeated row is of a former process"
+    );
+}
+
 #[test]
 fn restarts_under_any_clock_end_in_one_table() {
     // Guards against clock steps that leave a daemon drained, unknown or at a former address.
--- a/crates/mesh/src/fleet/gossip.rs
+++ b/crates/mesh/src/fleet/gossip.rs
@@ -13,7 +13,7 @@
 use stoatstep_rollout::Progress;
 use stoatstep_telemetry::fields;
 
-use super::{role, schedule_refresh, versions};
+use super::{report, role, schedule_refresh, versions};
 use crate::node::Node;
 use crate::rollout::{self, Source};
 use crate::wire::{Ask, Piggyback, Reply};
@@ -209,7 +209,7 @@
             } => versions::pull_if_newer(node, peer, addr, config_id),
             Action::Changed(key) => {
                 is_changed = true;
-                log_member(node, key);
+                report::log_member(node, key);
             }
             Action::Forgotten { instance, .. } => {
                 node.fleet.removed_members.borrow_mut().push(instance);
@@ -220,6 +220,7 @@
             }
             Action::Resumed { gap } => resume(node, gap),
             Action::TargetDrained(upstream) => executor::mark_leaving(node, &upstream),
+            Action::NotBelieved(disbelief) => report::log_disbelief(node, &disbelief),
             Action::Superseded { birth } => superseded(node, birth),
         }
     }
@@ -228,25 +229,6 @@
     }
 }
 
-/// Logs a change in the believed state of a member.
-fn log_member(node: &Node, key: MemberKey) {
-    let Some(left_out) = node.journal.admits("member", node.clock.now()) else {
-        return;
-    };
-    let membership = node.fleet.membership.borrow();
-    let Some(entry) = membership.table().get(key) else {
-        return;
-    };
-    let member = &entry.member;
-    let announced = member.announced.as_ref();
-    slog::info!(node.log, "member";
-        fields::INSTANCE => %member.instance, fields::ZONE => %member.zone,
-        fields::INCARNATION => member.incarnation, fields::STATE => ?member.state,
-        fields::UPSTREAM => announced.map_or("", |it| it.upstream.as_str()),
-        fields::SERVICE => announced.map_or("", |it| it.service.as_str()),
-        fields::DRAINING => announced.is_some_and(|it| it.draining), fields::LEFT_OUT => left_out);
-}
-
 /// Begins the end of this process, as another one runs under its id.
 fn superseded(node: &Rc<Node>, birth: Incarnation) {
     if !node.is_leaving() {
--- a/crates/mesh/src/fleet/mod.rs
+++ b/crates/mesh/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod confirmation;
 pub(crate) mod contact;
 pub(crate) mod gossip;
+mod report;
 pub(crate) mod role;
 pub(crate) mod roster;
 pub(crate) mod versions;
--- a/crates/telemetry/src/fields.rs
+++ b/crates/telemetry/src/fields.rs
@@ -79,6 +79,12 @@
 pub const REACHABLE: &str = "reachable";
 /// Incarnation with which a process started.
 pub const BIRTH: &str = "birth";
+/// Field of a message that was not believed.
+pub const FIELD: &str = "field";
+/// Value of that field.
+pub const STATED: &str = "stated";
+/// Value that it contradicts.
+pub const KNOWN: &str = "known";
 /// Time for which the process was suspended, in milliseconds.
 pub const GAP_MS: &str = "gap_ms";
 /// Address of another daemon.
@@ -159,7 +165,7 @@
 pub const CAUSE: &str = "cause";
 
 /// All keys, in the order in which this module defines them.
-pub const ALL: [&str; 78] = [
+pub const ALL: [&str; 81] = [
     REQUEST,
     ATTEMPT,
     UPSTREAM,
@@ -199,6 +205,9 @@
     STATE,
     REACHABLE,
     BIRTH,
+    FIELD,
+    STATED,
+    KNOWN,
     GAP_MS,
     PEER,
     OPEN,
