Scenarios: clocks that are ahead or back

`at T clock PLACE ahead D`, `back D` and `right` set the time of day that processes read when they start. The wiring read the calendar at each use, unlike the daemon, which reads it once; it now does the same.

--- a/crates/scenario/src/daemon/calls.rs
+++ b/crates/scenario/src/daemon/calls.rs
@@ -19,7 +19,7 @@
 use super::{Node, handover, index_of};
 use crate::script::Safeguard;
 use crate::world::exec::Sender;
-use crate::world::{EPOCH, Index, World};
+use crate::world::{Index, World};
 
 const TICK: Time = Time::from_millis(20);
 const SYNC_EVERY: u32 = 10;
@@ -66,7 +66,7 @@
         world: &World,
         zone: &SmolStr,
         upstream: &SmolStr,
-        started: Time,
+        started_wall: Time,
         seed: u64,
     ) -> Self {
         let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
@@ -75,7 +75,7 @@
         let has_authority_from = if world.is_without(Safeguard::RestartAuthority) {
             Time::ZERO
         } else {
-            EPOCH + started
+            started_wall
         };
         Self {
             router: Router::new(zone.clone()),
--- a/crates/scenario/src/daemon/mod.rs
+++ b/crates/scenario/src/daemon/mod.rs
@@ -26,7 +26,7 @@
 
 use crate::world::exec::Life;
 use crate::world::store::StoreClient;
-use crate::world::{EPOCH, Index, LogEdge, World, zone_name};
+use crate::world::{Index, LogEdge, World, zone_name};
 use calls::Calls;
 use control::Control;
 
@@ -46,6 +46,7 @@
     pub(crate) instance: SmolStr,
     pub(crate) upstream: SmolStr,
     started: Time,
+    started_wall: Time,
     pub(crate) control: RefCell<Control>,
     calls: RefCell<Calls>,
 }
@@ -57,6 +58,7 @@
         let instance = instance_name(index);
         let upstream = upstream_name(index);
         let started = world.exec.now();
+        let started_wall = world.time_of_day(index);
         let me = Member {
             instance: instance.clone(),
             region: SmolStr::new_static("local"),
@@ -65,8 +67,8 @@
             caller: addr(index),
             peer: addr(index),
             operator: addr(index),
-            birth: starting_incarnation(EPOCH + started, None),
-            incarnation: starting_incarnation(EPOCH + started, None),
+            birth: starting_incarnation(started_wall, None),
+            incarnation: starting_incarnation(started_wall, None),
             state: MemberState::Alive,
             announced: None,
         };
@@ -75,11 +77,12 @@
             world: Rc::clone(world),
             index,
             life,
-            calls: RefCell::new(Calls::new(world, &zone, &upstream, started, seed)),
+            calls: RefCell::new(Calls::new(world, &zone, &upstream, started_wall, seed)),
             zone,
             instance,
             upstream,
             started,
+            started_wall,
             control: RefCell::new(Control::new(me, seed)),
         });
         let control = control::run(Rc::clone(&node));
@@ -98,9 +101,9 @@
         self.world.exec.now().saturating_sub(self.started)
     }
 
-    /// The calendar clock.
+    /// The calendar clock, which a process reads only once.
     fn wall(&self) -> Time {
-        EPOCH + self.world.exec.now()
+        self.started_wall + self.now()
     }
 
     fn spawn(&self, future: impl Future<Output = ()> + 'static) {
--- a/crates/scenario/src/run.rs
+++ b/crates/scenario/src/run.rs
@@ -94,6 +94,7 @@
             world.kill(index);
             world.start(index);
         }),
+        Deed::Clock(place, error) => each(world, *place, |index| world.set_clock(index, *error)),
         Deed::Freeze(index, time) => freeze(world, *index, *time),
         Deed::Drain(index) => {
             if let Some(node) = world.node(*index) {
--- a/crates/scenario/src/script/deed.rs
+++ b/crates/scenario/src/script/deed.rs
@@ -6,7 +6,7 @@
 use stoatstep_resource::{Key, Kind, Resource, Route, Service, Upstream};
 
 use super::words::Words;
-use super::{CallKind, CallSpec, Deed, Edit, Finding};
+use super::{CallKind, CallSpec, ClockError, Deed, Edit, Finding};
 use crate::world::SERVICE;
 use crate::world::net::LinkFault;
 
@@ -26,6 +26,7 @@
             let instance = words.instance()?;
             Ok(Deed::Freeze(instance, duration(words)?))
         }
+        "clock" => clock(words),
         "drain" => words.instance().map(Deed::Drain),
         "platform" => platform(words),
         "lose" => {
@@ -55,6 +56,22 @@
     words.time()
 }
 
+/// `clock PLACE ahead D`, `clock PLACE back D` or `clock PLACE right`.
+fn clock(words: &mut Words<'_>) -> Result<Deed, Finding> {
+    let place = words.place()?;
+    let error = match words.next("`ahead`, `back` or `right`")? {
+        "ahead" => ClockError::Ahead(words.time()?),
+        "back" => ClockError::Back(words.time()?),
+        "right" => ClockError::None,
+        word => {
+            return Err(words.wrong(format!(
+                "expected `ahead`, `back` or `right`, found `{word}`"
+            )));
+        }
+    };
+    Ok(Deed::Clock(place, error))
+}
+
 fn accept(words: &mut Words<'_>) -> Result<Deed, Finding> {
     let resource = match words.next("a kind of resource")? {
         "service" => Resource::Service(Service {
--- a/crates/scenario/src/script/mod.rs
+++ b/crates/scenario/src/script/mod.rs
@@ -191,6 +191,26 @@
     Instance(Index),
 }
 
+/// How far the time of day at an instance is off.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum ClockError {
+    #[default]
+    None,
+    Ahead(Time),
+    Back(Time),
+}
+
+impl ClockError {
+    /// What a clock with this error shows.
+    pub(crate) fn shown(self, time: Time) -> Time {
+        match self {
+            Self::None => time,
+            Self::Ahead(by) => time + by,
+            Self::Back(by) => time.saturating_sub(by),
+        }
+    }
+}
+
 /// One resource written or deleted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Edit {
@@ -235,6 +255,8 @@
     Kill(Place),
     Restart(Place),
     Freeze(Index, Time),
+    /// The time of day there is off from then on.
+    Clock(Place, ClockError),
     Drain(Index),
     Platform {
         kind: FaultKind,
--- a/crates/scenario/src/world/mod.rs
+++ b/crates/scenario/src/world/mod.rs
@@ -18,7 +18,7 @@
 use stoatstep_versionlog::Environment;
 
 use crate::daemon::{Call, Node};
-use crate::script::{Fleet, Safeguard};
+use crate::script::{ClockError, Fleet, Safeguard};
 use audit::{Audit, RunId};
 use exec::{Executor, Life, OUTSIDE};
 use net::Net;
@@ -57,6 +57,7 @@
     keys: RefCell<BTreeMap<SmolStr, KeyText>>,
     /// The limits that targets state.
     limits: RefCell<BTreeMap<Index, RateLimit>>,
+    clocks: RefCell<BTreeMap<Index, ClockError>>,
 }
 
 impl World {
@@ -75,6 +76,7 @@
             last_life: Cell::new(OUTSIDE),
             keys: RefCell::default(),
             limits: RefCell::default(),
+            clocks: RefCell::default(),
         })
     }
 
@@ -163,6 +165,16 @@
         limit.map_or(LimitStatement::Absent, LimitStatement::Limit)
     }
 
+    pub(crate) fn set_clock(&self, index: Index, error: ClockError) {
+        self.clocks.borrow_mut().insert(index, error);
+    }
+
+    /// The time of day at this instance.
+    pub(crate) fn time_of_day(&self, index: Index) -> Time {
+        let error = self.clocks.borrow().get(&index).copied();
+        error.unwrap_or_default().shown(EPOCH + self.exec.now())
+    }
+
     pub(crate) fn run_began(&self, node: &Node, call: &Call) -> RunId {
         let now = self.exec.now();
         self.audit.borrow_mut().run_began(node.index, call, now)
--- a/crates/scenario/tests/all/random.rs
+++ b/crates/scenario/tests/all/random.rs
@@ -17,6 +17,9 @@
 const FROM_MS: u64 = 12_000;
 const TO_MS: u64 = 40_000;
 
+/// Largest error of a clock. Clocks of callers and executors may differ by 2 s.
+const MAX_CLOCK_ERROR_MS: u64 = 1900;
+
 /// What may happen in one script. Restarts and faults of the platform stay
 /// apart: who restarts while the platform is out and everyone who knew of a
 /// version is gone may go back, which `docs/design/spreading.md` states.
@@ -81,6 +84,11 @@
             (5, Profile::Restarts) => format!("restart zone z{zone}"),
             (6, Profile::Restarts) => format!("drain {a}"),
             (7, Profile::Restarts) => format!("kill {a}"),
+            (8, Profile::Restarts) => {
+                let how = ["ahead", "back"].choose(&mut self.rng).copied();
+                let by = self.rng.random_range(0..=MAX_CLOCK_ERROR_MS);
+                format!("clock {a} {} {by}ms", how.unwrap_or_default())
+            }
             (_, Profile::Restarts) => format!("restart {a}"),
             (5, Profile::Platform) => format!("platform down for {span}"),
             (6, Profile::Platform) => format!("platform slow 1500ms for {span}"),
