--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -20,6 +20,7 @@
 mod local_target;
 mod machine;
 mod member;
+mod own_row;
 mod probe;
 mod probe_failure;
 mod receive;
@@ -28,7 +29,7 @@
 mod update_queue;
 mod wire;
 
-pub use action::{Action, Input};
+pub use action::{Action, Disbelief, Input};
 pub use config::Config;
 pub use generation::{StartMillis, generation_id, target_id_of};
 pub use local_target::{Heartbeat, HeartbeatOutcome, LocalTarget};
--- a/crates/mesh/src/fleet/gossip.rs
+++ b/crates/mesh/src/fleet/gossip.rs
@@ -7,12 +7,13 @@
 
 use stoatstep_distribution::PollRole;
 use stoatstep_membership::{
-    Action, ConfigId, Exchange, GossipReply, GossipRequest, Input, MemberKey, ZoneDigest,
+    Action, ConfigId, Exchange, GossipReply, GossipRequest, Incarnation, Input, MemberKey,
+    ZoneDigest,
 };
 use stoatstep_rollout::Progress;
 use stoatstep_telemetry::fields;
 
-use super::{role, schedule_refresh, versions};
+use super::{report, role, schedule_refresh, versions};
 use crate::node::Node;
 use crate::rollout::{self, Source};
 use crate::wire::{Ask, Piggyback, Reply};
@@ -208,7 +209,7 @@
             } => versions::pull_if_newer(node, peer, addr, config_id),
             Action::Changed(key) => {
                 is_changed = true;
-                log_member(node, key);
+                report::log_member(node, key);
             }
             Action::Forgotten { instance, .. } => {
                 node.fleet.removed_members.borrow_mut().push(instance);
@@ -219,10 +220,8 @@
             }
             Action::Resumed { gap } => resume(node, gap),
             Action::TargetDrained(upstream) => executor::mark_leaving(node, &upstream),
-            Action::Superseded { birth } => {
-                slog::error!(node.log, "a newer process runs under this id"; fields::BIRTH => birth);
-                drain::begin(node);
-            }
+            Action::NotBelieved(disbelief) => report::log_disbelief(node, &disbelief),
+            Action::Superseded { birth } => superseded(node, birth),
         }
     }
     if is_changed {
@@ -230,23 +229,13 @@
     }
 }
 
-/// Logs a change in the believed state of a member.
-fn log_member(node: &Node, key: MemberKey) {
-    let Some(left_out) = node.journal.admits("member", node.clock.now()) else {
-        return;
-    };
-    let membership = node.fleet.membership.borrow();
-    let Some(entry) = membership.table().get(key) else {
-        return;
-    };
-    let member = &entry.member;
-    let announced = member.announced.as_ref();
-    slog::info!(node.log, "member";
-        fields::INSTANCE => %member.instance, fields::ZONE => %member.zone,
-        fields::INCARNATION => member.incarnation, fields::STATE => ?member.state,
-        fields::UPSTREAM => announced.map_or("", |it| it.upstream.as_str()),
-        fields::SERVICE => announced.map_or("", |it| it.service.as_str()),
-        fields::DRAINING => announced.is_some_and(|it| it.draining), fields::LEFT_OUT => left_out);
+/// Begins the end of this process, as another one runs under its id.
+fn superseded(node: &Rc<Node>, birth: Incarnation) {
+    if !node.is_leaving() {
+        slog::error!(node.log, "a newer process runs under this id"; fields::BIRTH => birth);
+    }
+    drain::begin(node);
+    node.fleet.superseded.notify_one();
 }
 
 /// Handles the end of a suspension of the instance: connections and pending requests are stale.
--- a/crates/telemetry/src/fields.rs
+++ b/crates/telemetry/src/fields.rs
@@ -79,6 +79,12 @@
 pub const REACHABLE: &str = "reachable";
 /// Incarnation with which a process started.
 pub const BIRTH: &str = "birth";
+/// Field of a message that was not believed.
+pub const FIELD: &str = "field";
+/// Value of that field.
+pub const STATED: &str = "stated";
+/// Value that it contradicts.
+pub const KNOWN: &str = "known";
 /// Time for which the process was suspended, in milliseconds.
 pub const GAP_MS: &str = "gap_ms";
 /// Address of another daemon.
@@ -177,7 +183,7 @@
 pub const SENDING_US: &str = "sending_us";
 
 /// All keys, in the order in which this module defines them.
-pub const ALL: [&str; 87] = [
+pub const ALL: [&str; 90] = [
     REQUEST,
     ATTEMPT,
     UPSTREAM,
@@ -217,6 +223,9 @@
     STATE,
     REACHABLE,
     BIRTH,
+    FIELD,
+    STATED,
+    KNOWN,
     GAP_MS,
     PEER,
     OPEN,
@@ -246,11 +255,11 @@
     WANTED,
     GRANTED,
     PER_MINUTE,
-    WHOLE_FLEET,
-    SHARE,
     RETURNED,
     ROOM_AFTER_MS,
     RETRY_AFTER_MS,
+    SHARE,
+    WHOLE_FLEET,
     AGE_MS,
     LIMIT,
     BEFORE_LIMIT,
