Daemon: a drain waits for answers that are not yet written

What callers saw: a caller that was still reading a large answer when stoatstepd got SIGTERM lost the rest of it about 4 s later, and an entry whose executor left got its target's complete answer cut off and told its caller "unknown".

Cause: the drain counts a call until its handler returns. The HTTP library writes the answer after that, and its stop gives writes two seconds at most. The reply of an executor was not counted even until it was encoded: the run is done when its outcome is recorded.

Evidence, on the code before this change:

answer_to_a_slow_reader_is_written_before_the_daemon_stops: a whole answer: "body of 4000106 bytes: failed to fill whole buffer" answer_to_a_slow_entry_is_written_before_the_executor_stops: 504 lost-answer, left: "unknown", right: "answered"

Why this works: connections of callers and of other daemons are registered in the `PendingWrites` that the sidecar uses, and each with an unwritten rest counts as unanswered until the kernel has all of it. The time limit of the drain bounds that wait like any other.

--- a/crates/daemon/src/call/drain.rs
+++ b/crates/daemon/src/call/drain.rs
@@ -28,7 +28,7 @@
     REQUESTED.store(true, Ordering::Relaxed);
 }
 
-/// Whether every call was answered, so that the ports may close. If they closed earlier, entries
+/// Whether every call was answered to the last byte, so that the ports may close. If they closed earlier, entries
 /// that do not know of the drain yet would lose attempts instead of being told "not run".
 pub(crate) fn is_finished() -> bool {
     FINISHED.load(Ordering::Relaxed)
@@ -50,8 +50,8 @@
         start(node);
     }
     let now = node.calls.clock.now();
-    let in_flight = node.calls.in_flight.get();
-    let step = node.calls.drain.borrow_mut().tick(in_flight, now);
+    let unanswered = node.calls.in_flight.get() + unwritten(node);
+    let step = node.calls.drain.borrow_mut().tick(unanswered, now);
     match step {
         // Gossip and readiness announce the drain; they read the flag that `start` has set.
         DrainStep::Wait | DrainStep::Announce => return,
@@ -65,6 +65,11 @@
     }
 }
 
+/// Returns the number of connections with answers that are not written completely.
+fn unwritten(node: &Node) -> u32 {
+    u32::try_from(node.calls.pending_writes.len()).unwrap_or(u32::MAX)
+}
+
 async fn leave(node: Rc<Node>) {
     let handed_over = timeout(HANDOVER_TIMEOUT, handover::store_snapshot(&node)).await;
     if handed_over.is_err() {
--- a/crates/daemon/src/call/executor.rs
+++ b/crates/daemon/src/call/executor.rs
@@ -46,6 +46,8 @@
 async fn answer_attempt(node: &Rc<Node>, req: &mut Request) -> Option<Response> {
     let wire: WireAttempt = peers::receive(req).await?;
     let attempt = Attempt::try_from(wire).ok()?;
+    // The run is no longer in flight once it has ended, which is before the reply is sent.
+    let _in_flight = InFlight::enter(node);
     Some(ok(&execute(node, attempt).await))
 }
 
--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -32,6 +32,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use stoatstep_http::PendingWrites;
 use stoatstep_platform::TableRevision;
 use stoatstep_telemetry::Histograms;
 
@@ -59,6 +60,8 @@
     executor: RefCell<ExecutorTables>,
     drain: RefCell<stoatstep_calls::Drain>,
     in_flight: Cell<u32>,
+    /// Answers to callers and other daemons that are not written yet.
+    pub(crate) pending_writes: PendingWrites,
     /// Revision of the row that names this process as the home of its keys.
     home_row: Cell<Option<TableRevision>>,
     /// Whether keys with a timestamp may run here. Set once the home row names this process and the
@@ -84,6 +87,7 @@
             executor: RefCell::new(ExecutorTables::new(cfg, &clock)),
             drain: RefCell::new(stoatstep_calls::Drain::new(drain::MAX_DRAIN)),
             in_flight: Cell::new(0),
+            pending_writes: PendingWrites::default(),
             home_row: Cell::new(None),
             has_home: Cell::new(false),
             leaving: Cell::new(false),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod call;
 mod config;
+mod connections;
 mod control;
 mod http;
 mod in_force;
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -10,6 +10,7 @@
 use ntex::util::{Either, select};
 
 use crate::config::Config;
+use crate::connections::TrackedConnections;
 use crate::node::Node;
 use crate::{call, control, operator};
 
@@ -51,18 +52,28 @@
         .shutdown_timeout(Millis::from(FINAL_ANSWER_TIMEOUT))
         .bind("callers", cfg.caller_addr, async move |_| {
             let node = Node::for_this_thread(callers.clone()).await;
-            HttpService::h1(move |req: Request| {
+            let pending_writes = node.calls.pending_writes.clone();
+            let http = HttpService::h1(move |req: Request| {
                 let node = Rc::clone(&node);
                 async move { Ok::<_, io::Error>(call::entry::handle(&node, req).await) }
-            })
+            });
+            TrackedConnections {
+                http,
+                pending_writes,
+            }
         })?
         .config("callers", http_config("callers"))
         .bind("peers", cfg.peer_addr, async move |_| {
             let node = Node::for_this_thread(peers.clone()).await;
-            HttpService::h1(move |req: Request| {
+            let pending_writes = node.calls.pending_writes.clone();
+            let http = HttpService::h1(move |req: Request| {
                 let node = Rc::clone(&node);
                 async move { Ok::<_, io::Error>(control::peer::handle(&node, req).await) }
-            })
+            });
+            TrackedConnections {
+                http,
+                pending_writes,
+            }
         })?
         .config("peers", http_config("peers"))
         .bind("operators", cfg.operator_addr, async move |_| {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -45,13 +45,21 @@
     /// Returns whether all answers have been written.
     #[must_use]
     pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the number of connections with answers that have not been written completely.
+    #[must_use]
+    pub fn len(&self) -> usize {
         // The buffer of a connection that is being closed can't be read.
         let is_written = |io: &IoRef| io.with_write_buf(|buf| buf.is_empty()).unwrap_or(false);
         self.remove_closed();
-        self.0.borrow().iter().all(is_written)
+        let connections = self.0.borrow();
+        connections.iter().filter(|io| !is_written(io)).count()
     }
 
-    fn add(&self, io: IoRef) {
+    /// Adds a connection, which is removed once it is closed.
+    pub fn add(&self, io: IoRef) {
         self.remove_closed();
         self.0.borrow_mut().push(io);
     }
--- a/tests/all/calls.rs
+++ b/tests/all/calls.rs
@@ -57,14 +57,14 @@
 }
 
 /// Changes how a target behaves.
-async fn behave(target: SocketAddr, change: &str) {
+pub(crate) async fn behave(target: SocketAddr, change: &str) {
     let req = Request::post(target, "/admin/behaviour", change);
     let req = req.header("content-type", "application/json").send();
     assert_eq!(req.await.expect("an answer").status, 204);
 }
 
 /// The instance whose target runs something.
-async fn running(fleet: &Fleet) -> usize {
+pub(crate) async fn running(fleet: &Fleet) -> usize {
     let end = Instant::now() + READY;
     loop {
         for number in 0..fleet.instances.len() {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod decoders;
 mod docs;
+mod draining;
 mod explain;
 mod fleet;
 mod handover;
