Daemon: callers on open connections get a refusal until the port is closed

What callers saw: a caller that sent its requests on an open connection while stoatstepd drained got refusals, and then a closed connection in place of an answer, if a request was on its way as the daemon closed its ports.

Cause: refusals left the connection open, and the HTTP library closes all connections that are not in the middle of a request at once, without looking at what has arrived on them.

callers_on_open_connections_get_refusals_until_the_daemon_is_gone: after 990 answers, left: ["failed to fill whole buffer"], right: []

Why this works: while it drains, the daemon sends `connection: close` with each answer, so that callers come back on new connections, which the closed port refuses before anything is sent. Connections that were accepted just before that are served for 250 ms more. The last answer on a connection has 30 s to be written, as at the sidecar; the library's default is one second.

--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -1,10 +1,17 @@
 //! Wraps the HTTP service of a listener, so that a drain can wait for the answers that are not
-//! written yet.
+//! written yet, and the last requests are answered.
+
+use std::time::Duration;
 
 use ntex::io::Io;
 use ntex::service::{Service, ServiceCtx, ServiceFactory};
+use ntex::time::sleep;
 use stoatstep_http::PendingWrites;
 
+/// Time for requests on connections that were accepted just before the port closed. It is well
+/// below the time limit of the server's stop.
+const LAST_REQUESTS_TIME: Duration = Duration::from_millis(250);
+
 /// Registers each connection of a listener in `pending_writes` and passes it on to `http`.
 pub(crate) struct TrackedConnections<H> {
     pub(crate) http: H,
@@ -34,7 +41,13 @@
 
     ntex::service::forward_ready!(http);
     ntex::service::forward_poll!(http);
-    ntex::service::forward_shutdown!(http);
+
+    /// Shuts the HTTP service down, which closes idle connections at once, also those whose first
+    /// request is on its way. The port is closed by now.
+    async fn shutdown(&self) {
+        sleep(LAST_REQUESTS_TIME).await;
+        self.http.shutdown().await;
+    }
 
     async fn call(&self, io: Io, ctx: ServiceCtx<'_, Self>) -> Result<H::Response, H::Error> {
         self.pending_writes.add(io.get_ref());
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -4,11 +4,14 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use ntex::http::{HttpService, HttpServiceConfig, Request};
+use ntex::http::{ConnectionType, HttpService, HttpServiceConfig, Request, Response};
+use ntex::io::IoConfig;
 use ntex::server::{Server, Signal};
 use ntex::time::{Millis, Seconds, sleep, timeout};
 use ntex::util::{Either, select};
 
+use stoatstep_http::LAST_WRITE_TIMEOUT;
+
 use crate::config::Config;
 use crate::connections::TrackedConnections;
 use crate::node::Node;
@@ -55,7 +58,10 @@
             let pending_writes = node.calls.pending_writes.clone();
             let http = HttpService::h1(move |req: Request| {
                 let node = Rc::clone(&node);
-                async move { Ok::<_, io::Error>(call::entry::handle(&node, req).await) }
+                async move {
+                    let res = call::entry::handle(&node, req).await;
+                    Ok::<_, io::Error>(close_if_draining(&node, res))
+                }
             });
             TrackedConnections {
                 http,
@@ -68,7 +74,10 @@
             let pending_writes = node.calls.pending_writes.clone();
             let http = HttpService::h1(move |req: Request| {
                 let node = Rc::clone(&node);
-                async move { Ok::<_, io::Error>(control::peer::handle(&node, req).await) }
+                async move {
+                    let res = control::peer::handle(&node, req).await;
+                    Ok::<_, io::Error>(close_if_draining(&node, res))
+                }
             });
             TrackedConnections {
                 http,
@@ -93,6 +102,15 @@
     }
 }
 
+/// Makes the answer the last one on its connection during a drain. A request that a caller sends on
+/// an open connection just as the ports close would get no answer.
+fn close_if_draining(node: &Node, mut res: Response) -> Response {
+    if node.draining.get() {
+        res.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    res
+}
+
 /// Requests the drain on SIGTERM or SIGINT. The HTTP library's own handler would close idle
 /// connections at once, and with them attempts that are being transmitted.
 async fn drain_on_signal() {
@@ -123,5 +141,6 @@
                 .set_keepalive(KEEP_ALIVE)
                 .set_headers_read_rate(HEADER_TIMEOUT, HEADER_TIMEOUT, 256),
         )
+        .add(IoConfig::new().set_disconnect_timeout(LAST_WRITE_TIMEOUT))
         .into()
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,4 +5,4 @@
 mod server;
 
 pub use body::{BodyError, drop_body, read_body};
-pub use server::{PendingWrites, Server};
+pub use server::{LAST_WRITE_TIMEOUT, PendingWrites, Server};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -29,7 +29,7 @@
 
 /// Time within which the last answer on a connection has to be written. A shorter one would
 /// truncate answers to callers that read slowly or are on slow links.
-const LAST_WRITE_TIMEOUT: Seconds = Seconds(30);
+pub const LAST_WRITE_TIMEOUT: Seconds = Seconds(30);
 
 /// A server that answers every request with one async function.
 pub struct Server {
--- a/tests/all/draining.rs
+++ b/tests/all/draining.rs
@@ -1,9 +1,9 @@
 //! Daemons that stop while answers are on their way to callers and other daemons.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ntex::time::sleep;
 
@@ -28,8 +28,8 @@
     fleet
 }
 
-fn send_get(stream: &mut TcpStream, path: &str) -> std::io::Result<()> {
-    let text = format!("GET {path} HTTP/1.1\r\nhost: test\r\n\r\n");
+fn send_get(stream: &mut TcpStream, path: &str, connection: &str) -> std::io::Result<()> {
+    let text = format!("GET {path} HTTP/1.1\r\nhost: test\r\nconnection: {connection}\r\n\r\n");
     stream.write_all(text.as_bytes())
 }
 
@@ -54,13 +54,17 @@
     Ok((head, length))
 }
 
-/// Requests `path` and starts to read the answer after `delay`. Returns the head of the answer,
+/// Requests a large answer and starts to read the answer after `delay`. Returns the head of the answer,
 /// or the error that came in place of the whole answer.
-fn read_late(addr: SocketAddr, path: &str, delay: Duration) -> JoinHandle<Result<String, String>> {
-    let path = path.to_owned();
+fn read_late(
+    addr: SocketAddr,
+    connection: &'static str,
+    delay: Duration,
+) -> JoinHandle<Result<String, String>> {
+    let path = format!("/floatdesk/statement{LARGE}");
     thread::spawn(move || {
         let mut stream = connect(addr).map_err(|err| err.to_string())?;
-        send_get(&mut stream, &path).map_err(|err| err.to_string())?;
+        send_get(&mut stream, &path, connection).map_err(|err| err.to_string())?;
         thread::sleep(delay);
         let (head, length) = read_head(&mut stream).map_err(|err| format!("head: {err}"))?;
         let mut body = vec![0; length];
@@ -83,8 +87,7 @@
     run(async {
         let mut fleet = serving(Fleet::builder().instances(1)).await;
         let addr = fleet.instances[0].caller_addr;
-        let path = format!("/floatdesk/statement{LARGE}");
-        let answer = read_late(addr, &path, LONGER_THAN_A_STOP);
+        let answer = read_late(addr, "keep-alive", LONGER_THAN_A_STOP);
         sleep(Duration::from_millis(500)).await;
         fleet.instances[0].daemon.ask_to_stop();
         let head = joined(answer).await.expect("a whole answer");
@@ -94,6 +97,18 @@
     });
 }
 
+/// Guards against a slow reader's answer that is cut off because it is the last on its connection.
+#[test]
+fn last_answer_of_a_connection_reaches_a_slow_reader() {
+    run(async {
+        let fleet = serving(Fleet::builder().instances(1)).await;
+        let addr = fleet.instances[0].caller_addr;
+        let answer = read_late(addr, "close", Duration::from_secs(3));
+        let head = joined(answer).await.expect("a whole answer");
+        assert!(head.contains("stoatstep-outcome: answered"), "{head}");
+    });
+}
+
 /// Guards against an executor that exits with its target's answer half written to the entry.
 #[test]
 fn answer_to_a_slow_entry_is_written_before_the_executor_stops() {
@@ -116,6 +131,77 @@
     });
 }
 
+/// Sends one request after the other on open connections until the daemon is gone. Returns the
+/// number of answers, and the errors of connections that closed in place of an answer.
+fn call_until_gone(addr: SocketAddr) -> JoinHandle<(usize, Vec<String>)> {
+    thread::spawn(move || {
+        let (mut answers, mut errors) = (0, Vec::new());
+        let mut open = None;
+        let end = Instant::now() + READY;
+        while Instant::now() < end {
+            let mut stream = match open.take().map_or_else(|| connect(addr), Ok) {
+                Ok(stream) => stream,
+                Err(err) if err.kind() == ErrorKind::ConnectionRefused => break,
+                Err(err) => panic!("{err}"),
+            };
+            let exchanged =
+                send_get(&mut stream, "/floatdesk/balance", "keep-alive").and_then(|()| {
+                    let (head, length) = read_head(&mut stream)?;
+                    stream.read_exact(&mut vec![0; length])?;
+                    Ok(head)
+                });
+            match exchanged {
+                Ok(head) => {
+                    answers += 1;
+                    open = (!head.contains("connection: close")).then_some(stream);
+                }
+                Err(err) => errors.push(err.to_string()),
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        (answers, errors)
+    })
+}
+
+/// Guards against callers on open connections whose requests meet the closing of the connection.
+#[test]
+fn callers_on_open_connections_get_refusals_until_the_daemon_is_gone() {
+    run(async {
+        let mut fleet = serving(Fleet::builder().instances(1)).await;
+        let addr = fleet.instances[0].caller_addr;
+        let callers: Vec<_> = (0..16).map(|_| call_until_gone(addr)).collect();
+        sleep(Duration::from_millis(200)).await;
+        let status = fleet.instances[0].daemon.terminate(READY).await;
+        assert!(status.is_some_and(|it| it.success()), "{status:?}");
+        for caller in callers {
+            let (answers, errors) = joined(caller).await;
+            assert!(answers > 0);
+            assert_eq!(errors, Vec::<String>::new(), "after {answers} answers");
+        }
+    });
+}
+
+/// Guards against a stop that waits for callers to close the connections of their last answers.
+#[test]
+fn caller_that_keeps_its_connection_open_does_not_hold_up_the_stop() {
+    run(async {
+        let mut fleet = serving(Fleet::builder().instances(1)).await;
+        let daemon = &mut fleet.instances[0].daemon;
+        daemon.ask_to_stop();
+        sleep(Duration::from_millis(500)).await;
+        let mut stream = connect(fleet.instances[0].caller_addr).expect("it listens");
+        send_get(&mut stream, "/floatdesk/balance", "keep-alive").expect("it reads");
+        let (head, _) = read_head(&mut stream).expect("a whole refusal");
+        assert!(head.contains("stoatstep-reason: draining"), "{head}");
+        let status = fleet.instances[0]
+            .daemon
+            .terminate(LONGER_THAN_A_STOP)
+            .await;
+        assert!(status.is_some_and(|it| it.success()), "{status:?}");
+        drop(stream);
+    });
+}
+
 /// Guards against a second signal that ends a drain before the calls in flight are answered.
 #[test]
 fn second_signal_does_not_cut_off_the_calls_in_flight() {
