Daemon: refusals of a drain are in flight until they are sent

What callers saw: a call that came during a drain, with a body that took its time, lost its connection when stoatstepd exited, where it should have been refused.

Cause: the body of a refused call is read before the refusal is sent, and the call was counted as in flight only after that branch.

Evidence, without this change:

caller_that_sends_its_body_slowly_gets_its_refusal: a whole refusal: UnexpectedEof, "failed to fill whole buffer"

Why this works: the call counts from its head on. Five seconds bound the wait for the body, so that a caller that never sends it doesn't hold up the stop.

--- a/crates/daemon/src/call/entry.rs
+++ b/crates/daemon/src/call/entry.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ntex::http::{Request, Response};
-use ntex::time::sleep;
+use ntex::time::{Millis, sleep, timeout};
 use stoatstep_calls::{
     Backoff, Outcome, Reason, Refusal, RefusedAttempts, Report, Time, UnansweredOutcome, home_of,
     may_retry,
@@ -27,6 +27,9 @@
 /// Retry delay sent to callers while this daemon is draining.
 const DRAINING_RETRY: Duration = Duration::from_millis(100);
 
+/// Time within which a caller whose call is refused by a drain has to send its body.
+const REFUSED_BODY_TIMEOUT: Millis = Millis(5_000);
+
 /// Retry delay sent to callers when no executor can be reached.
 const UNREACHABLE_RETRY: Duration = Duration::from_millis(250);
 
@@ -36,12 +39,13 @@
 /// Handles one request of a caller.
 pub(crate) async fn handle(node: &Rc<Node>, mut req: Request) -> Response {
     let version = node.control.in_force().state.version();
+    let _in_flight = InFlight::enter(node);
     if !node.calls.drain.borrow().admits() {
-        drop_body(req.take_payload()).await;
+        // A caller that never sends the rest must not hold up the drain.
+        let _ = timeout(REFUSED_BODY_TIMEOUT, drop_body(req.take_payload())).await;
         let refusal = Refusal::retry(Reason::Draining, DRAINING_RETRY);
         return respond::refused(&refusal, &[], version);
     }
-    let _in_flight = InFlight::enter(node);
     let started = node.calls.clock.now();
     let call = match Call::read(node, &mut req).await {
         Ok(call) => call,
--- a/tests/all/draining.rs
+++ b/tests/all/draining.rs
@@ -202,6 +202,28 @@
     });
 }
 
+/// Guards against a refusal that is cut off because its request is still being received.
+#[test]
+fn caller_that_sends_its_body_slowly_gets_its_refusal() {
+    run(async {
+        let fleet = serving(Fleet::builder().instances(1)).await;
+        let addr = fleet.instances[0].caller_addr;
+        fleet.instances[0].daemon.ask_to_stop();
+        sleep(Duration::from_millis(1_500)).await;
+        let head = thread::spawn(move || {
+            let mut stream = connect(addr)?;
+            let text =
+                "POST /floatdesk/claims HTTP/1.1\r\nhost: test\r\ncontent-length: 8\r\n\r\nglue";
+            stream.write_all(text.as_bytes())?;
+            thread::sleep(Duration::from_millis(3_500));
+            stream.write_all(b"glue")?;
+            read_head(&mut stream)
+        });
+        let (head, _) = joined(head).await.expect("a whole refusal");
+        assert!(head.contains("stoatstep-reason: draining"), "{head}");
+    });
+}
+
 /// Guards against a second signal that ends a drain before the calls in flight are answered.
 #[test]
 fn second_signal_does_not_cut_off_the_calls_in_flight() {
