Daemon: calls cut off by a drain are named, and its time can be set

The line `stopping with calls in flight` gave a number only. It now names the oldest of them, each with its request id, the stage that it has reached and its age, and says how many connections hold an answer that is not written yet. `calls.cut_off` counts them on the metrics address.

`--drain-timeout` sets the longest time of a drain, which was fixed at 90 s. It has to fit the time after which the service manager kills the process.

--- a/crates/daemon/src/call/attempt.rs
+++ b/crates/daemon/src/call/attempt.rs
@@ -8,6 +8,7 @@
 use stoatstep_calls::{Deadline, Load, Outcome, Reason, Refusal, Report};
 
 use super::executor;
+use super::in_flight::{CallStage, InFlight};
 use super::peers::PeerError;
 use super::request::Call;
 use super::settle::RemoteAttempt;
@@ -106,7 +107,8 @@
         return cancelled(RunEnd::refused(Reason::BadRequest));
     };
     let guard = CancelOnDrop::local(node, &attempt);
-    let reply = executor::execute(node, attempt).await;
+    let in_flight = Rc::new(InFlight::enter(node, CallStage::Queued));
+    let reply = executor::execute(node, attempt, in_flight).await;
     guard.disarm();
     outcome_of(reply)
 }
--- a/crates/daemon/src/call/drain.rs
+++ b/crates/daemon/src/call/drain.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 
 use ntex::time::{Millis, timeout};
 use stoatstep_calls::DrainStep;
@@ -10,9 +9,6 @@
 use super::handover;
 use crate::node::Node;
 
-/// Longest duration of a drain. It exceeds any deadline, so only a faulty target can reach it.
-pub(super) const MAX_DRAIN: Duration = Duration::from_secs(90);
-
 /// Longest wait for the platform to store the idempotency keys, so that a stop does not hang
 /// during an outage.
 const HANDOVER_TIMEOUT: Millis = Millis(3_000);
@@ -41,7 +37,7 @@
     }
     let now = node.calls.clock.now();
     node.calls.drain.borrow_mut().begin(now);
-    slog::info!(node.log, "draining"; "in_flight" => node.calls.in_flight.get());
+    slog::info!(node.log, "draining"; "in_flight" => node.calls.in_flight.borrow().len());
 }
 
 /// Advances the drain.
@@ -50,14 +46,14 @@
         start(node);
     }
     let now = node.calls.clock.now();
-    let unanswered = node.calls.in_flight.get() + unwritten(node);
+    let unanswered = node.calls.in_flight.borrow().len() + unwritten(node);
     let step = node.calls.drain.borrow_mut().tick(unanswered, now);
     match step {
         // Gossip and readiness announce the drain; they read the flag that `start` has set.
         DrainStep::Wait | DrainStep::Announce => return,
         DrainStep::Leave => slog::info!(node.log, "drained"),
         DrainStep::LeaveUnfinished(calls) => {
-            slog::error!(node.log, "stopping with calls in flight"; "calls" => calls);
+            cut_off(node, calls, "stopping with calls in flight");
         }
     }
     if !node.calls.leaving.replace(true) {
@@ -65,6 +61,16 @@
     }
 }
 
+/// Logs the calls in flight, which end now, and counts them.
+fn cut_off(node: &Node, calls: u32, what: &'static str) {
+    let stages = node.calls.in_flight.borrow().list(node.calls.clock.now());
+    slog::error!(
+        node.log, "{}", what;
+        "calls" => calls, "unwritten" => unwritten(node), "stages" => stages,
+    );
+    node.metrics.count("calls.cut_off", i64::from(calls));
+}
+
 /// Returns the number of connections with answers that are not written completely.
 fn unwritten(node: &Node) -> u32 {
     u32::try_from(node.calls.pending_writes.len()).unwrap_or(u32::MAX)
--- a/crates/daemon/src/call/entry.rs
+++ b/crates/daemon/src/call/entry.rs
@@ -15,7 +15,7 @@
 use stoatstep_telemetry::Stage;
 
 use super::attempt::{self, AttemptOutcome};
-use super::in_flight::InFlight;
+use super::in_flight::{CallStage, InFlight};
 use super::request::{Call, Rejected};
 use super::respond;
 use super::sync;
@@ -39,7 +39,7 @@
 /// Handles one request of a caller.
 pub(crate) async fn handle(node: &Rc<Node>, mut req: Request) -> Response {
     let version = node.control.in_force().state.version();
-    let _in_flight = InFlight::enter(node);
+    let in_flight = InFlight::enter(node, CallStage::Receiving);
     if !node.calls.drain.borrow().admits() {
         // A caller that never sends the rest must not hold up the drain.
         let _ = timeout(REFUSED_BODY_TIMEOUT, drop_body(req.take_payload())).await;
@@ -54,7 +54,7 @@
             return respond::refused(&refusal, &findings, version);
         }
     };
-    let ended = forward(node, &call).await;
+    let ended = forward(node, &call, &in_flight).await;
     record(node, &call, &ended, started);
     let version = call.in_force.state.version();
     match &ended.end {
@@ -64,12 +64,14 @@
 }
 
 /// Makes attempts until one of them ends the call.
-async fn forward(node: &Rc<Node>, call: &Call) -> AttemptOutcome {
+async fn forward(node: &Rc<Node>, call: &Call, in_flight: &InFlight) -> AttemptOutcome {
     let mut tried = Vec::new();
     let mut attempts_made = 0;
     let mut refused_attempts = RefusedAttempts::default();
     earn_retry_budget(node, call);
+    in_flight.set_request(&call.parts.request_id);
     loop {
+        in_flight.set_stage(CallStage::Attempt);
         attempts_made += 1;
         let mut ended = match choose(node, call, &tried) {
             Some((upstream, addr)) => {
@@ -91,6 +93,7 @@
             tried.clear();
         }
         if !delay.is_zero() {
+            in_flight.set_stage(CallStage::Backoff);
             sleep(delay).await;
         }
     }
--- a/crates/daemon/src/call/executor.rs
+++ b/crates/daemon/src/call/executor.rs
@@ -6,7 +6,7 @@
 use ntex::http::{Request, Response, StatusCode};
 use stoatstep_calls::{Arrival, AttemptId, AttemptStatus, Reason, Refusal};
 
-use super::in_flight::InFlight;
+use super::in_flight::{CallStage, InFlight};
 use super::run::{self, RunOutcome};
 use super::target::RunEnd;
 use super::wire::{Attempt, WireAttempt, WireEnd, WireReply};
@@ -46,16 +46,21 @@
 async fn answer_attempt(node: &Rc<Node>, req: &mut Request) -> Option<Response> {
     let wire: WireAttempt = peers::receive(req).await?;
     let attempt = Attempt::try_from(wire).ok()?;
-    // The run is no longer in flight once it has ended, which is before the reply is sent.
-    let _in_flight = InFlight::enter(node);
-    Some(ok(&execute(node, attempt).await))
+    // The run releases its share when it ends, which is before the reply is sent.
+    let in_flight = Rc::new(InFlight::enter(node, CallStage::Queued));
+    Some(ok(&execute(node, attempt, Rc::clone(&in_flight)).await))
 }
 
 /// Runs one attempt and returns the reply for its entry. The entry of this daemon calls it
 /// directly, without a connection.
-pub(super) async fn execute(node: &Rc<Node>, attempt: Attempt) -> WireReply {
+pub(super) async fn execute(
+    node: &Rc<Node>,
+    attempt: Attempt,
+    in_flight: Rc<InFlight>,
+) -> WireReply {
+    in_flight.set_request(&attempt.call.request_id);
     let outcome = match accept(node, &attempt) {
-        Ok(()) => run_to_end(node, attempt).await,
+        Ok(()) => run_to_end(node, attempt, in_flight).await,
         Err(end) => RunOutcome::of(end),
     };
     reply(node, outcome)
@@ -79,8 +84,7 @@
     }
 }
 
-async fn run_to_end(node: &Rc<Node>, attempt: Attempt) -> RunOutcome {
-    let in_flight = InFlight::enter(node);
+async fn run_to_end(node: &Rc<Node>, attempt: Attempt, in_flight: Rc<InFlight>) -> RunOutcome {
     let id = attempt.id;
     let idempotent = attempt.call.idempotent;
     let receiver = run::start(node, attempt, in_flight);
--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -39,6 +39,7 @@
 use crate::config::Config;
 use crate::node::Node;
 use clock::Clock;
+use in_flight::InFlightTable;
 use peers::Peers;
 use tables::{EntryTables, ExecutorTables};
 use target::TargetClient;
@@ -59,7 +60,7 @@
     entry: RefCell<EntryTables>,
     executor: RefCell<ExecutorTables>,
     drain: RefCell<stoatstep_calls::Drain>,
-    in_flight: Cell<u32>,
+    in_flight: RefCell<InFlightTable>,
     /// Answers to callers and other daemons that are not written yet.
     pub(crate) pending_writes: PendingWrites,
     /// Revision of the row that names this process as the home of its keys.
@@ -85,8 +86,8 @@
             peers: Peers::new(cfg.peer_token.clone()).await,
             entry: RefCell::new(EntryTables::new(cfg)),
             executor: RefCell::new(ExecutorTables::new(cfg, &clock)),
-            drain: RefCell::new(stoatstep_calls::Drain::new(drain::MAX_DRAIN)),
-            in_flight: Cell::new(0),
+            drain: RefCell::new(stoatstep_calls::Drain::new(cfg.drain_timeout)),
+            in_flight: RefCell::default(),
             pending_writes: PendingWrites::default(),
             home_row: Cell::new(None),
             has_home: Cell::new(false),
--- a/crates/daemon/src/call/run.rs
+++ b/crates/daemon/src/call/run.rs
@@ -8,7 +8,7 @@
 use ntex::util::{Either, select};
 use stoatstep_calls::{Answer, AttemptId, AttemptStatus, Deadline, Outcome, Reason, Refusal};
 
-use super::in_flight::InFlight;
+use super::in_flight::{CallStage, InFlight};
 use super::keyed::{self, KeyResolution};
 use super::target::RunEnd;
 use super::wire::Attempt;
@@ -45,7 +45,7 @@
 pub(super) fn start(
     node: &Rc<Node>,
     attempt: Attempt,
-    in_flight: InFlight,
+    in_flight: Rc<InFlight>,
 ) -> oneshot::Receiver<RunOutcome> {
     let (tx, rx) = oneshot::channel();
     let (cancel, cancelled) = oneshot::channel();
@@ -59,7 +59,8 @@
     drop(tables);
     let node = Rc::clone(node);
     ntex::rt::spawn(async move {
-        let outcome = run_or_cancel(&node, &attempt, cancelled).await;
+        let outcome = run_or_cancel(&node, &attempt, &in_flight, cancelled).await;
+        in_flight.set_stage(CallStage::Replying);
         finish(&node, &attempt, &outcome.end);
         // If the entry's connection is closed, the ledger holds the outcome.
         let _ = tx.send(outcome);
@@ -91,9 +92,10 @@
 async fn run_or_cancel(
     node: &Rc<Node>,
     attempt: &Attempt,
+    in_flight: &InFlight,
     cancelled: oneshot::Receiver<()>,
 ) -> RunOutcome {
-    match select(cancelled, run_attempt(node, attempt)).await {
+    match select(cancelled, run_attempt(node, attempt, in_flight)).await {
         Either::Left(_) => RunOutcome::of(RunEnd::refused(reason_of_cancellation(node, attempt))),
         Either::Right(outcome) => outcome,
     }
@@ -108,7 +110,7 @@
     }
 }
 
-async fn run_attempt(node: &Rc<Node>, attempt: &Attempt) -> RunOutcome {
+async fn run_attempt(node: &Rc<Node>, attempt: &Attempt, in_flight: &InFlight) -> RunOutcome {
     let arrived = node.calls.clock.now();
     let deadline = Deadline::after(attempt.left, arrived);
     if let Some(key) = &attempt.key
@@ -132,6 +134,7 @@
     if !node.calls.executor.borrow_mut().ledger.start(attempt.id) {
         return RunOutcome::of(RunEnd::refused(Reason::Revoked));
     }
+    in_flight.set_stage(CallStage::Running);
     let timeout = match attempt.key {
         Some(_) => left + KEYED_EXTENSION,
         None => left,
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -1,10 +1,11 @@
 //! Settings of the daemon. All are validated before anything starts.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use smol_str::SmolStr;
 use stoatstep_resource::{InstanceId, UpstreamName, ZoneName};
-use stoatstep_settings::{EarlyExit, Program, Secret, Setting};
+use stoatstep_settings::{EarlyExit, HumanDuration, Program, Secret, Setting};
 use stoatstep_telemetry::Level;
 
 const PROGRAM: Program = Program {
@@ -43,6 +44,7 @@
             "TEXT",
             "secret that daemons present to each other",
         ),
+        Setting::new("drain-timeout", "TIME", "longest time of a graceful stop").default("90s"),
         Setting::new("log-level", "LEVEL", "error, warning, info or debug").default("info"),
     ],
 };
@@ -61,6 +63,7 @@
     pub(crate) platform: SocketAddr,
     pub(crate) operator_token: Secret,
     pub(crate) peer_token: Secret,
+    pub(crate) drain_timeout: Duration,
     pub(crate) log_level: Level,
 }
 
@@ -79,6 +82,7 @@
         let platform = values.required("platform");
         let operator_token = values.required("operator-token");
         let peer_token = values.required("peer-token");
+        let drain_timeout = values.required::<HumanDuration>("drain-timeout");
         let log_level = values.required("log-level");
         let cfg = (|| {
             Some(Self {
@@ -93,6 +97,7 @@
                 platform: platform?,
                 operator_token: operator_token?,
                 peer_token: peer_token?,
+                drain_timeout: drain_timeout?.0,
                 log_level: log_level?,
             })
         })();
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -46,6 +46,7 @@
     zones: usize,
     slots: u32,
     service_time: Duration,
+    drain_timeout: Duration,
 }
 
 impl FleetBuilder {
@@ -74,6 +75,12 @@
         self
     }
 
+    /// Longest time of a daemon's graceful stop; 90 s by default.
+    pub(crate) fn drain_timeout(mut self, time: Duration) -> Self {
+        self.drain_timeout = time;
+        self
+    }
+
     /// Starts every process; [`Fleet::ready`] waits for them.
     pub(crate) fn start(self) -> Fleet {
         let net = Net::next();
@@ -178,6 +185,7 @@
             zones: 1,
             slots: 13,
             service_time: Duration::from_millis(2),
+            drain_timeout: Duration::from_secs(90),
         }
     }
 
@@ -386,6 +394,10 @@
             ("operator-addr", identity.operator_addr.to_string()),
             ("target-addr", identity.target_addr.to_string()),
             ("platform", self.platform_addr.to_string()),
+            (
+                "drain-timeout",
+                format!("{}ms", self.cfg.drain_timeout.as_millis()),
+            ),
             ("operator-token", OPERATOR_TOKEN.to_owned()),
             ("peer-token", PEER_TOKEN.to_owned()),
         ];
