Daemon: calls that outlast a drain are answered before the process exits

What callers saw: calls that were still open when the time of a drain was over lost their connection without an answer, so that each of them had to be taken for one that may have run, also those that were still in a queue.

Cause: at the time limit the daemon logged the number of such calls and exited. The limit of 90 s was meant to exceed every deadline, but policies allow ten minutes, callers may state more, and a run with a key goes on for 30 s after its deadline.

Evidence, without this change and with a drain of 6 s:

calls_that_outlast_a_drain_get_their_outcome: a whole answer: "Failed to connect to host: Connector has been disconnected" log: stopping with calls in flight, calls 6, stages attempt 6849 ms, running 6848 ms, attempt 6650 ms, attempt 6442 ms, queued 6442 ms, ...

Why this works: three seconds before the time limit the drain ends the calls. The executor cancels its runs, which answers queued ones as not run and the others as unknown. The entry revokes its attempts at other executors: one that had not started is fenced there and thus not run, one that has ended gives its answer, and the rest is unknown. Calls between two attempts end as the last one did, and those whose bodies are still being received were not run.

The test gets unknown for the two calls that run, and not run for the two in queues, at this daemon's executor and at another one's.

--- a/crates/calls/tests/all/main.rs
+++ b/crates/calls/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod customer_order;
+mod drain;
 mod homes;
 mod idempotency;
 mod identity;
--- a/crates/daemon/src/call/attempt.rs
+++ b/crates/daemon/src/call/attempt.rs
@@ -139,6 +139,7 @@
     let peers = &node.calls.peers;
     let sent = peers.send::<WireReply>(remote.addr, "/peer/attempt", wire);
     let grace_over = node.calls.timers.until(deadline.expires() + REPORT_GRACE);
+    let grace_over = select(grace_over, node.calls.calls_end.wait());
     let watch = select(
         remote.detect_silence(node, wire.call.idempotent),
         grace_over,
@@ -166,7 +167,7 @@
             peers.retire(remote.addr).await;
             AttemptOutcome::failed(RunEnd::refused(Reason::LostAnswer))
         }
-        Either::Right(Either::Right(())) => {
+        Either::Right(Either::Right(_)) => {
             let end = remote.settle(node, deadline).await;
             // The daemon is not to blame for a slow target.
             cancelled(end)
--- a/crates/daemon/src/call/drain.rs
+++ b/crates/daemon/src/call/drain.rs
@@ -6,7 +6,7 @@
 use ntex::time::{Millis, timeout};
 use stoatstep_calls::DrainStep;
 
-use super::handover;
+use super::{handover, run};
 use crate::node::Node;
 
 /// Longest wait for the platform to store the idempotency keys, so that a stop does not hang
@@ -51,6 +51,12 @@
     match step {
         // Gossip and readiness announce the drain; they read the flag that `start` has set.
         DrainStep::Wait | DrainStep::Announce => return,
+        DrainStep::EndCalls(calls) => {
+            cut_off(node, calls, "ending the calls in flight");
+            node.metrics.count("calls.cut_off", i64::from(calls));
+            node.calls.calls_end.notify_and_lock_readiness();
+            return run::cancel_all(node);
+        }
         DrainStep::Leave => slog::info!(node.log, "drained"),
         DrainStep::LeaveUnfinished(calls) => {
             cut_off(node, calls, "stopping with calls in flight");
@@ -61,14 +67,13 @@
     }
 }
 
-/// Logs the calls in flight, which end now, and counts them.
+/// Logs the calls in flight, which end now.
 fn cut_off(node: &Node, calls: u32, what: &'static str) {
     let stages = node.calls.in_flight.borrow().list(node.calls.clock.now());
     slog::error!(
         node.log, "{}", what;
         "calls" => calls, "unwritten" => unwritten(node), "stages" => stages,
     );
-    node.metrics.count("calls.cut_off", i64::from(calls));
 }
 
 /// Returns the number of connections with answers that are not written completely.
--- a/crates/daemon/src/call/entry.rs
+++ b/crates/daemon/src/call/entry.rs
@@ -7,6 +7,7 @@
 
 use ntex::http::{Request, Response};
 use ntex::time::{Millis, sleep, timeout};
+use ntex::util::{Either, select};
 use stoatstep_calls::{
     Backoff, Outcome, Reason, Refusal, RefusedAttempts, Report, Time, UnansweredOutcome, home_of,
     may_retry,
@@ -24,9 +25,6 @@
 use crate::http::drop_body;
 use crate::node::Node;
 
-/// Retry delay sent to callers while this daemon is draining.
-const DRAINING_RETRY: Duration = Duration::from_millis(100);
-
 /// Time within which a caller whose call is refused by a drain has to send its body.
 const REFUSED_BODY_TIMEOUT: Millis = Millis(5_000);
 
@@ -43,14 +41,17 @@
     if !node.calls.drain.borrow().admits() {
         // A caller that never sends the rest must not hold up the drain.
         let _ = timeout(REFUSED_BODY_TIMEOUT, drop_body(req.take_payload())).await;
-        let refusal = Refusal::retry(Reason::Draining, DRAINING_RETRY);
-        return respond::refused(&refusal, &[], version);
+        return respond::refused(&Rejected::draining().refusal, &[], version);
     }
     let started = node.calls.clock.now();
-    let call = match Call::read(node, &mut req).await {
+    let received = match select(Call::read(node, &mut req), node.calls.calls_end.wait()).await {
+        Either::Left(received) => received,
+        Either::Right(()) => Err(Rejected::draining()),
+    };
+    let call = match received {
         Ok(call) => call,
         Err(Rejected { refusal, findings }) => {
-            drop_body(req.take_payload()).await;
+            let _ = timeout(REFUSED_BODY_TIMEOUT, drop_body(req.take_payload())).await;
             return respond::refused(&refusal, &findings, version);
         }
     };
@@ -85,6 +86,9 @@
             return ended;
         };
         ended.end = RunEnd::Refused(refused_attempts.refused(refusal));
+        if node.calls.drain.borrow().ends_calls() {
+            return ended;
+        }
         let untried = call.key.is_none() && tried.len() < upstreams(call).len();
         let Some(delay) = next_delay(node, call, &refusal, attempts_made, untried) else {
             return ended;
@@ -94,7 +98,9 @@
         }
         if !delay.is_zero() {
             in_flight.set_stage(CallStage::Backoff);
-            sleep(delay).await;
+            if let Either::Right(()) = select(sleep(delay), node.calls.calls_end.wait()).await {
+                return ended;
+            }
         }
     }
 }
--- a/crates/daemon/src/call/executor.rs
+++ b/crates/daemon/src/call/executor.rs
@@ -14,8 +14,9 @@
 use crate::http::msgpack;
 use crate::node::Node;
 
-/// Retry delay sent to entries after which they know of the drain and choose another executor.
-const DRAINING_RETRY: Duration = Duration::from_millis(100);
+/// Retry delay sent to entries and callers while this daemon is draining. After it, entries know of
+/// the drain and choose another executor.
+pub(super) const DRAINING_RETRY: Duration = Duration::from_millis(100);
 
 /// Answers a message of another daemon if it is about calls, otherwise returns `None`.
 pub(crate) async fn handle(node: &Rc<Node>, req: &mut Request) -> Option<Response> {
--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -32,6 +32,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use ntex::channel::condition::Condition;
 use stoatstep_http::PendingWrites;
 use stoatstep_platform::TableRevision;
 use stoatstep_telemetry::Histograms;
@@ -69,6 +70,8 @@
     /// predecessor's snapshot was processed, so that no key that an earlier process ran can be
     /// missing from the table without this process knowing.
     has_home: Cell<bool>,
+    /// Ready once the calls in flight have to end, because the time of the drain is nearly over.
+    calls_end: Condition,
     /// Set once the drain has ended and the keys are being handed over.
     leaving: Cell<bool>,
     /// Whether the target states that it leaves.
@@ -91,6 +94,7 @@
             pending_writes: PendingWrites::default(),
             home_row: Cell::new(None),
             has_home: Cell::new(false),
+            calls_end: Condition::default(),
             leaving: Cell::new(false),
             target_leaves: Cell::new(false),
             is_checking_target: Cell::new(false),
--- a/crates/daemon/src/call/request.rs
+++ b/crates/daemon/src/call/request.rs
@@ -15,6 +15,7 @@
 };
 use stoatstep_resource::{CustomerName, ServiceName, TenantLimit};
 
+use super::executor::DRAINING_RETRY;
 use super::headers;
 use super::wire::WireCall;
 use crate::http::{BodyError, read_body};
@@ -58,6 +59,14 @@
         }
     }
 
+    /// Rejects a request because the daemon is draining.
+    pub(super) fn draining() -> Self {
+        Self {
+            refusal: Refusal::retry(Reason::Draining, DRAINING_RETRY),
+            findings: Vec::new(),
+        }
+    }
+
     fn permanent(reason: Reason) -> Self {
         Self {
             refusal: Refusal::permanent(reason),
--- a/crates/daemon/src/call/run.rs
+++ b/crates/daemon/src/call/run.rs
@@ -8,6 +8,7 @@
 use ntex::util::{Either, select};
 use stoatstep_calls::{Answer, AttemptId, AttemptStatus, Deadline, Outcome, Reason, Refusal};
 
+use super::executor::DRAINING_RETRY;
 use super::in_flight::{CallStage, InFlight};
 use super::keyed::{self, KeyResolution};
 use super::target::RunEnd;
@@ -78,6 +79,16 @@
     }
 }
 
+/// Cancels all runs that have not ended.
+pub(super) fn cancel_all(node: &Rc<Node>) {
+    let tables = node.calls.executor.borrow();
+    let attempts: Vec<_> = tables.runs.keys().copied().collect();
+    drop(tables);
+    for attempt in attempts {
+        cancel(node, attempt);
+    }
+}
+
 /// Cancels a run that has not ended, unless it has an idempotency key: the caller's next try
 /// with the key should find the answer.
 pub(super) fn cancel_unkeyed(node: &Rc<Node>, attempt: AttemptId) {
@@ -96,17 +107,20 @@
     cancelled: oneshot::Receiver<()>,
 ) -> RunOutcome {
     match select(cancelled, run_attempt(node, attempt, in_flight)).await {
-        Either::Left(_) => RunOutcome::of(RunEnd::refused(reason_of_cancellation(node, attempt))),
+        Either::Left(_) => RunOutcome::of(RunEnd::Refused(refusal_of_cancelled(node, attempt))),
         Either::Right(outcome) => outcome,
     }
 }
 
-fn reason_of_cancellation(node: &Rc<Node>, attempt: &Attempt) -> Reason {
+fn refusal_of_cancelled(node: &Rc<Node>, attempt: &Attempt) -> Refusal {
     let now = node.calls.clock.now();
     let tables = node.calls.executor.borrow();
     match tables.ledger.peek(attempt.id, attempt.ticket, now) {
-        AttemptStatus::Queued | AttemptStatus::NotRun => Reason::Revoked,
-        _ => Reason::LostAnswer,
+        AttemptStatus::Queued | AttemptStatus::NotRun if node.calls.drain.borrow().ends_calls() => {
+            Refusal::retry(Reason::Draining, DRAINING_RETRY)
+        }
+        AttemptStatus::Queued | AttemptStatus::NotRun => Refusal::permanent(Reason::Revoked),
+        _ => Refusal::permanent(Reason::LostAnswer),
     }
 }
 
--- a/crates/scenario/src/daemon/calls.rs
+++ b/crates/scenario/src/daemon/calls.rs
@@ -162,7 +162,7 @@
         calls.in_flight
     };
     match calls.drain.tick(in_flight, now) {
-        DrainStep::Wait | DrainStep::Announce => {}
+        DrainStep::Wait | DrainStep::Announce | DrainStep::EndCalls(_) => {}
         DrainStep::Leave | DrainStep::LeaveUnfinished(_) => {
             if !std::mem::replace(&mut calls.is_leaving, true) {
                 node.spawn(leave(Rc::clone(node)));
--- a/tests/all/draining.rs
+++ b/tests/all/draining.rs
@@ -280,3 +280,35 @@
         }
     });
 }
+
+/// Guards against calls whose connections close without an answer at the end of the drain's time.
+#[test]
+fn calls_that_outlast_a_drain_get_their_outcome() {
+    run(async {
+        let builder = Fleet::builder().instances(2).slots(1);
+        let mut fleet = serving(builder.drain_timeout(Duration::from_secs(6))).await;
+        for instance in &fleet.instances {
+            behave(instance.target_addr, r#"{"holds_runs": true}"#).await;
+        }
+        // The first call of each path runs, and the second one waits for the slot.
+        let addr = fleet.instances[0].caller_addr;
+        let paths = ["/floatdesk/claims", "/refundhall/claims"];
+        let mut calls = Vec::new();
+        for path in paths.into_iter().cycle().take(4) {
+            let call = Request::post(addr, path, "glue");
+            let call = call.header("stoatstep-deadline-ms", "60000");
+            calls.push(ntex::rt::spawn(call.send()));
+            sleep(Duration::from_millis(200)).await;
+        }
+        let status = fleet.instances[0].daemon.terminate(READY).await;
+        let mut outcomes = Vec::new();
+        for call in calls {
+            let answer = call.await.expect("a task").expect("a whole answer");
+            outcomes.push(answer.header("stoatstep-outcome").to_owned());
+        }
+        assert_eq!(outcomes, ["unknown", "unknown", "not-run", "not-run"]);
+        assert!(status.is_some_and(|it| it.success()), "{status:?}");
+        let log = fleet.instances[0].daemon.log();
+        assert!(log.contains("ending the calls in flight"), "{log}");
+    });
+}
