Daemon: connections are kept during a drain and end after the port closed

Cause: `connection: close` on each refusal made callers open a connection for each request. The kernel resets those that it has set up and the process has not accepted when the port closes, a request that was sent on one included.

Why this works: refusals leave the connection open while the port is open, so callers have no reason to open new ones, and the answers sent in the 500 ms after the port has closed are the last ones on their connections. A caller that sends something then has its answer, and finds the port closed when it comes back. What remains is a caller that opens a new connection in the very moment in which the port closes, and one whose idle connection is closed as its request is sent, as with every HTTP server.

--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -1,21 +1,23 @@
 //! Wraps the HTTP service of a listener, so that a drain can wait for the answers that are not
 //! written yet, and the last requests are answered.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use ntex::io::Io;
 use ntex::service::{Service, ServiceCtx, ServiceFactory};
 use ntex::time::sleep;
-use stoatstep_http::PendingWrites;
 
-/// Time for requests on connections that were accepted just before the port closed. It is well
-/// below the time limit of the server's stop.
-const LAST_REQUESTS_TIME: Duration = Duration::from_millis(250);
+use crate::node::Node;
 
-/// Registers each connection of a listener in `pending_writes` and passes it on to `http`.
+/// Time after the port has closed in which requests on open connections are still answered. It is
+/// well below the time limit of the server's stop.
+const LAST_REQUESTS_TIME: Duration = Duration::from_millis(500);
+
+/// Registers each connection of a listener with the node and passes it on to `http`.
 pub(crate) struct TrackedConnections<H> {
     pub(crate) http: H,
-    pub(crate) pending_writes: PendingWrites,
+    pub(crate) node: Rc<Node>,
 }
 
 impl<H, Cfg> ServiceFactory<Io, Cfg> for TrackedConnections<H>
@@ -30,7 +32,7 @@
     async fn create(&self, cfg: Cfg) -> Result<Self::Service, Self::InitError> {
         Ok(TrackedConnections {
             http: self.http.create(cfg).await?,
-            pending_writes: self.pending_writes.clone(),
+            node: Rc::clone(&self.node),
         })
     }
 }
@@ -42,15 +44,16 @@
     ntex::service::forward_ready!(http);
     ntex::service::forward_poll!(http);
 
-    /// Shuts the HTTP service down, which closes idle connections at once, also those whose first
-    /// request is on its way. The port is closed by now.
+    /// Shuts the HTTP service down, which closes idle connections at once, also those with a request
+    /// on its way. The server calls this after it has closed the port.
     async fn shutdown(&self) {
+        self.node.ports_closed.set(true);
         sleep(LAST_REQUESTS_TIME).await;
         self.http.shutdown().await;
     }
 
     async fn call(&self, io: Io, ctx: ServiceCtx<'_, Self>) -> Result<H::Response, H::Error> {
-        self.pending_writes.add(io.get_ref());
+        self.node.calls.pending_writes.add(io.get_ref());
         ctx.call(&self.http, io).await
     }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -26,6 +26,8 @@
     pub(crate) calls: Calls,
     /// Set once the daemon is told to stop; new calls are refused from then on.
     pub(crate) draining: Cell<bool>,
+    /// Set once the server has closed its ports, shortly before it closes the open connections.
+    pub(crate) ports_closed: Cell<bool>,
     pub(crate) started: Instant,
 }
 
@@ -81,6 +83,7 @@
             control,
             calls,
             draining: Cell::new(false),
+            ports_closed: Cell::new(false),
             started: Instant::now(),
         }
     }
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -55,34 +55,28 @@
         .shutdown_timeout(Millis::from(FINAL_ANSWER_TIMEOUT))
         .bind("callers", cfg.caller_addr, async move |_| {
             let node = Node::for_this_thread(callers.clone()).await;
-            let pending_writes = node.calls.pending_writes.clone();
+            let owner = Rc::clone(&node);
             let http = HttpService::h1(move |req: Request| {
                 let node = Rc::clone(&node);
                 async move {
                     let res = call::entry::handle(&node, req).await;
-                    Ok::<_, io::Error>(close_if_draining(&node, res))
+                    Ok::<_, io::Error>(close_if_last(&node, res))
                 }
             });
-            TrackedConnections {
-                http,
-                pending_writes,
-            }
+            TrackedConnections { http, node: owner }
         })?
         .config("callers", http_config("callers"))
         .bind("peers", cfg.peer_addr, async move |_| {
             let node = Node::for_this_thread(peers.clone()).await;
-            let pending_writes = node.calls.pending_writes.clone();
+            let owner = Rc::clone(&node);
             let http = HttpService::h1(move |req: Request| {
                 let node = Rc::clone(&node);
                 async move {
                     let res = control::peer::handle(&node, req).await;
-                    Ok::<_, io::Error>(close_if_draining(&node, res))
+                    Ok::<_, io::Error>(close_if_last(&node, res))
                 }
             });
-            TrackedConnections {
-                http,
-                pending_writes,
-            }
+            TrackedConnections { http, node: owner }
         })?
         .config("peers", http_config("peers"))
         .bind("operators", cfg.operator_addr, async move |_| {
@@ -102,10 +96,10 @@
     }
 }
 
-/// Makes the answer the last one on its connection during a drain. A request that a caller sends on
-/// an open connection just as the ports close would get no answer.
-fn close_if_draining(node: &Node, mut res: Response) -> Response {
-    if node.draining.get() {
+/// Makes the answer the last one on its connection once the ports are closed. The connection is about
+/// to be closed as well, and a request that is sent on it then would get no answer.
+fn close_if_last(node: &Node, mut res: Response) -> Response {
+    if node.ports_closed.get() {
         res.head_mut().set_connection_type(ConnectionType::Close);
     }
     res
