--- a/crates/daemon/src/call/attempt.rs
+++ b/crates/daemon/src/call/attempt.rs
@@ -139,7 +139,7 @@
     let peers = &node.calls.peers;
     let sent = peers.send::<WireReply>(remote.addr, "/peer/attempt", wire);
     let grace_over = node.calls.timers.until(deadline.expires() + REPORT_GRACE);
-    let grace_over = select(grace_over, node.calls.calls_end.wait());
+    let grace_over = select(grace_over, node.calls.cutoff.wait());
     let watch = select(
         remote.detect_silence(node, wire.call.idempotent),
         grace_over,
--- a/crates/daemon/src/call/drain.rs
+++ b/crates/daemon/src/call/drain.rs
@@ -54,7 +54,7 @@
         DrainStep::EndCalls(calls) => {
             cut_off(node, calls, "ending the calls in flight");
             node.metrics.count("calls.cut_off", i64::from(calls));
-            node.calls.calls_end.notify_and_lock_readiness();
+            node.calls.cutoff.notify_and_lock_readiness();
             return run::cancel_all(node);
         }
         DrainStep::Leave => slog::info!(node.log, "drained"),
--- a/crates/daemon/src/call/entry.rs
+++ b/crates/daemon/src/call/entry.rs
@@ -44,7 +44,7 @@
         return respond::refused(&Rejected::draining().refusal, &[], version);
     }
     let started = node.calls.clock.now();
-    let received = match select(Call::read(node, &mut req), node.calls.calls_end.wait()).await {
+    let received = match select(Call::read(node, &mut req), node.calls.cutoff.wait()).await {
         Either::Left(received) => received,
         Either::Right(()) => Err(Rejected::draining()),
     };
@@ -98,7 +98,7 @@
         }
         if !delay.is_zero() {
             in_flight.set_stage(CallStage::Backoff);
-            if let Either::Right(()) = select(sleep(delay), node.calls.calls_end.wait()).await {
+            if let Either::Right(()) = select(sleep(delay), node.calls.cutoff.wait()).await {
                 return ended;
             }
         }
--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -71,7 +71,7 @@
     /// missing from the table without this process knowing.
     has_home: Cell<bool>,
     /// Ready once the calls in flight have to end, because the time of the drain is nearly over.
-    calls_end: Condition,
+    cutoff: Condition,
     /// Set once the drain has ended and the keys are being handed over.
     leaving: Cell<bool>,
     /// Whether the target states that it leaves.
@@ -94,7 +94,7 @@
             pending_writes: PendingWrites::default(),
             home_row: Cell::new(None),
             has_home: Cell::new(false),
-            calls_end: Condition::default(),
+            cutoff: Condition::default(),
             leaving: Cell::new(false),
             target_leaves: Cell::new(false),
             is_checking_target: Cell::new(false),
