Daemon: calls get their outcome also if a drain's last seconds are missed

`LeaveUnfinished` now goes first, and the daemon ends the calls at that step too.

Calls without a request id are listed as `-`.

--- a/crates/calls/src/drain.rs
+++ b/crates/calls/src/drain.rs
@@ -51,8 +51,8 @@
 }
 
 impl Drain {
-    /// Creates the state of a serving instance whose drain takes at most `time_limit`, or 5 s if that
-    /// is longer.
+    /// Creates the state of a serving instance whose drain takes at most `time_limit`, or 5 s if
+    /// that is longer.
     #[must_use]
     pub fn new(time_limit: Duration) -> Self {
         let phase = Phase::Serving;
@@ -109,16 +109,14 @@
             self.phase = Phase::Left;
             return DrainStep::Leave;
         }
-        if elapsed + FINAL_ANSWERS_TIME < self.time_limit {
-            return DrainStep::Wait;
+        if elapsed >= self.time_limit {
+            self.phase = Phase::Left;
+            return DrainStep::LeaveUnfinished(in_flight);
         }
-        if !std::mem::replace(ends_calls, true) {
+        let is_ending = elapsed + FINAL_ANSWERS_TIME >= self.time_limit;
+        if is_ending && !std::mem::replace(ends_calls, true) {
             return DrainStep::EndCalls(in_flight);
         }
-        if elapsed < self.time_limit {
-            return DrainStep::Wait;
-        }
-        self.phase = Phase::Left;
-        DrainStep::LeaveUnfinished(in_flight)
+        DrainStep::Wait
     }
 }
--- a/crates/daemon/src/call/drain.rs
+++ b/crates/daemon/src/call/drain.rs
@@ -24,8 +24,9 @@
     REQUESTED.store(true, Ordering::Relaxed);
 }
 
-/// Whether every call was answered to the last byte, so that the ports may close. If they closed earlier, entries
-/// that do not know of the drain yet would lose attempts instead of being told "not run".
+/// Whether every call was answered to the last byte, so that the ports may close. If they closed
+/// earlier, entries that do not know of the drain yet would lose attempts instead of being told
+/// "not run".
 pub(crate) fn is_finished() -> bool {
     FINISHED.load(Ordering::Relaxed)
 }
@@ -52,14 +53,13 @@
         // Gossip and readiness announce the drain; they read the flag that `start` has set.
         DrainStep::Wait | DrainStep::Announce => return,
         DrainStep::EndCalls(calls) => {
-            cut_off(node, calls, "ending the calls in flight");
-            node.metrics.count("calls.cut_off", i64::from(calls));
-            node.calls.cutoff.notify_and_lock_readiness();
-            return run::cancel_all(node);
+            end_calls(node, calls, "ending the calls in flight");
+            return;
         }
         DrainStep::Leave => slog::info!(node.log, "drained"),
         DrainStep::LeaveUnfinished(calls) => {
-            cut_off(node, calls, "stopping with calls in flight");
+            // The step before may have been missed, such as by a process that was suspended.
+            end_calls(node, calls, "stopping with calls in flight");
         }
     }
     if !node.calls.leaving.replace(true) {
@@ -67,13 +67,16 @@
     }
 }
 
-/// Logs the calls in flight, which end now.
-fn cut_off(node: &Node, calls: u32, what: &'static str) {
+/// Logs the calls in flight, and ends them with what is known of their outcome.
+fn end_calls(node: &Rc<Node>, calls: u32, what: &'static str) {
     let stages = node.calls.in_flight.borrow().list(node.calls.clock.now());
     slog::error!(
         node.log, "{}", what;
         "calls" => calls, "unwritten" => unwritten(node), "stages" => stages,
     );
+    node.metrics.count("calls.cut_off", i64::from(calls));
+    node.calls.cutoff.notify_and_lock_readiness();
+    run::cancel_all(node);
 }
 
 /// Returns the number of connections with answers that are not written completely.
--- a/crates/daemon/src/call/entry.rs
+++ b/crates/daemon/src/call/entry.rs
@@ -51,7 +51,7 @@
     let call = match received {
         Ok(call) => call,
         Err(Rejected { refusal, findings }) => {
-            let _ = timeout(REFUSED_BODY_TIMEOUT, drop_body(req.take_payload())).await;
+            select(drop_body(req.take_payload()), node.calls.cutoff.wait()).await;
             return respond::refused(&refusal, &findings, version);
         }
     };
--- a/crates/daemon/src/call/in_flight.rs
+++ b/crates/daemon/src/call/in_flight.rs
@@ -65,7 +65,12 @@
     pub(super) fn list(&self, now: Time) -> String {
         let oldest = self.calls.values().take(MAX_LISTED).map(|call| {
             let ms = now.saturating_sub(call.since).as_millis();
-            format!("{} {} {ms} ms", call.request, call.stage)
+            let request = if call.request.is_empty() {
+                "-"
+            } else {
+                &call.request
+            };
+            format!("{request} {} {ms} ms", call.stage)
         });
         oldest.collect::<Vec<_>>().join(", ")
     }
--- a/crates/daemon/src/call/settle.rs
+++ b/crates/daemon/src/call/settle.rs
@@ -53,8 +53,8 @@
         Some(answer.into())
     }
 
-    /// Revokes the attempt and returns how it ended: not run, the whole answer, or unknown. Waits for
-    /// the end of a run until the deadline, or until this daemon's drain ends its calls.
+    /// Revokes the attempt and returns how it ended: not run, the whole answer, or unknown. Waits
+    /// for the end of a run until the deadline, or until this daemon's drain ends its calls.
     pub(super) async fn settle(&self, node: &Rc<Node>, deadline: Deadline) -> RunEnd {
         let mut delay = FIRST_DELAY;
         let mut unanswered = 0;
--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -44,8 +44,8 @@
     ntex::service::forward_ready!(http);
     ntex::service::forward_poll!(http);
 
-    /// Shuts the HTTP service down, which closes idle connections at once, also those with a request
-    /// on its way. The server calls this after it has closed the port.
+    /// Shuts the HTTP service down, which closes idle connections at once, also those with a
+    /// request on its way. The server calls this after it has closed the port.
     async fn shutdown(&self) {
         self.node.ports_closed.set(true);
         sleep(LAST_REQUESTS_TIME).await;
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -96,8 +96,8 @@
     }
 }
 
-/// Makes the answer the last one on its connection once the ports are closed. The connection is about
-/// to be closed as well, and a request that is sent on it then would get no answer.
+/// Makes the answer the last one on its connection once the ports are closed. The connection is
+/// about to be closed as well, and a request that is sent on it then would get no answer.
 fn close_if_last(node: &Node, mut res: Response) -> Response {
     if node.ports_closed.get() {
         res.head_mut().set_connection_type(ConnectionType::Close);
--- a/tests/all/draining.rs
+++ b/tests/all/draining.rs
@@ -54,8 +54,8 @@
     Ok((head, length))
 }
 
-/// Requests a large answer and starts to read the answer after `delay`. Returns the head of the answer,
-/// or the error that came in place of the whole answer.
+/// Requests a large answer and starts to read it after `delay`. Returns its head, or the error that
+/// came in place of the whole answer.
 fn read_late(
     addr: SocketAddr,
     connection: &'static str,
