--- a/crates/daemon/src/call/attempt.rs
+++ b/crates/daemon/src/call/attempt.rs
@@ -8,6 +8,7 @@
 use stoatstep_calls::{Deadline, Load, Outcome, Reason, Refusal, Report};
 
 use super::executor;
+use super::in_flight::{CallStage, InFlight};
 use super::peers::PeerError;
 use super::request::Call;
 use super::settle::RemoteAttempt;
@@ -106,7 +107,8 @@
         return cancelled(RunEnd::refused(Reason::BadRequest));
     };
     let guard = CancelOnDrop::local(node, &attempt);
-    let reply = executor::execute(node, attempt).await;
+    let in_flight = Rc::new(InFlight::enter(node, CallStage::Queued));
+    let reply = executor::execute(node, attempt, in_flight).await;
     guard.disarm();
     outcome_of(reply)
 }
@@ -137,6 +139,7 @@
     let peers = &node.calls.peers;
     let sent = peers.send::<WireReply>(remote.addr, "/peer/attempt", wire);
     let grace_over = node.calls.timers.until(deadline.expires() + REPORT_GRACE);
+    let grace_over = select(grace_over, node.calls.cutoff.wait());
     let watch = select(
         remote.detect_silence(node, wire.call.idempotent),
         grace_over,
@@ -164,7 +167,7 @@
             peers.retire(remote.addr).await;
             AttemptOutcome::failed(RunEnd::refused(Reason::LostAnswer))
         }
-        Either::Right(Either::Right(())) => {
+        Either::Right(Either::Right(_)) => {
             let end = remote.settle(node, deadline).await;
             // The daemon is not to blame for a slow target.
             cancelled(end)
--- a/crates/daemon/src/call/entry.rs
+++ b/crates/daemon/src/call/entry.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use ntex::http::{Request, Response};
-use ntex::time::sleep;
+use ntex::time::{Millis, sleep, timeout};
+use ntex::util::{Either, select};
 use stoatstep_calls::{
     Backoff, Outcome, Reason, Refusal, RefusedAttempts, Report, Time, UnansweredOutcome, home_of,
     may_retry,
@@ -15,7 +16,7 @@
 use stoatstep_telemetry::Stage;
 
 use super::attempt::{self, AttemptOutcome};
-use super::in_flight::InFlight;
+use super::in_flight::{CallStage, InFlight};
 use super::request::{Call, Rejected};
 use super::respond;
 use super::sync;
@@ -24,8 +25,8 @@
 use crate::http::drop_body;
 use crate::node::Node;
 
-/// Retry delay sent to callers while this daemon is draining.
-const DRAINING_RETRY: Duration = Duration::from_millis(100);
+/// Time within which a caller whose call is refused by a drain has to send its body.
+const REFUSED_BODY_TIMEOUT: Millis = Millis(5_000);
 
 /// Retry delay sent to callers when no executor can be reached.
 const UNREACHABLE_RETRY: Duration = Duration::from_millis(250);
@@ -36,21 +37,25 @@
 /// Handles one request of a caller.
 pub(crate) async fn handle(node: &Rc<Node>, mut req: Request) -> Response {
     let version = node.control.in_force().state.version();
+    let in_flight = InFlight::enter(node, CallStage::Receiving);
     if !node.calls.drain.borrow().admits() {
-        drop_body(req.take_payload()).await;
-        let refusal = Refusal::retry(Reason::Draining, DRAINING_RETRY);
-        return respond::refused(&refusal, &[], version);
+        // A caller that never sends the rest must not hold up the drain.
+        let _ = timeout(REFUSED_BODY_TIMEOUT, drop_body(req.take_payload())).await;
+        return respond::refused(&Rejected::draining().refusal, &[], version);
     }
-    let _in_flight = InFlight::enter(node);
     let started = node.calls.clock.now();
-    let call = match Call::read(node, &mut req).await {
+    let received = match select(Call::read(node, &mut req), node.calls.cutoff.wait()).await {
+        Either::Left(received) => received,
+        Either::Right(()) => Err(Rejected::draining()),
+    };
+    let call = match received {
         Ok(call) => call,
         Err(Rejected { refusal, findings }) => {
-            drop_body(req.take_payload()).await;
+            select(drop_body(req.take_payload()), node.calls.cutoff.wait()).await;
             return respond::refused(&refusal, &findings, version);
         }
     };
-    let ended = forward(node, &call).await;
+    let ended = forward(node, &call, &in_flight).await;
     record(node, &call, &ended, started);
     let version = call.in_force.state.version();
     match &ended.end {
@@ -60,12 +65,14 @@
 }
 
 /// Makes attempts until one of them ends the call.
-async fn forward(node: &Rc<Node>, call: &Call) -> AttemptOutcome {
+async fn forward(node: &Rc<Node>, call: &Call, in_flight: &InFlight) -> AttemptOutcome {
     let mut tried = Vec::new();
     let mut attempts_made = 0;
     let mut refused_attempts = RefusedAttempts::default();
     earn_retry_budget(node, call);
+    in_flight.set_request(&call.parts.request_id);
     loop {
+        in_flight.set_stage(CallStage::Attempt);
         attempts_made += 1;
         let mut ended = match choose(node, call, &tried) {
             Some((upstream, addr)) => {
@@ -79,6 +86,9 @@
             return ended;
         };
         ended.end = RunEnd::Refused(refused_attempts.refused(refusal));
+        if node.calls.drain.borrow().ends_calls() {
+            return ended;
+        }
         let untried = call.key.is_none() && tried.len() < upstreams(call).len();
         let Some(delay) = next_delay(node, call, &refusal, attempts_made, untried) else {
             return ended;
@@ -87,7 +97,10 @@
             tried.clear();
         }
         if !delay.is_zero() {
-            sleep(delay).await;
+            in_flight.set_stage(CallStage::Backoff);
+            if let Either::Right(()) = select(sleep(delay), node.calls.cutoff.wait()).await {
+                return ended;
+            }
         }
     }
 }
--- a/crates/daemon/src/call/executor.rs
+++ b/crates/daemon/src/call/executor.rs
@@ -6,7 +6,7 @@
 use ntex::http::{Request, Response, StatusCode};
 use stoatstep_calls::{Arrival, AttemptId, AttemptStatus, Reason, Refusal};
 
-use super::in_flight::InFlight;
+use super::in_flight::{CallStage, InFlight};
 use super::run::{self, RunOutcome};
 use super::target::RunEnd;
 use super::wire::{Attempt, WireAttempt, WireEnd, WireReply};
@@ -14,8 +14,9 @@
 use crate::http::msgpack;
 use crate::node::Node;
 
-/// Retry delay sent to entries after which they know of the drain and choose another executor.
-const DRAINING_RETRY: Duration = Duration::from_millis(100);
+/// Retry delay sent to entries and callers while this daemon is draining. After it, entries know of
+/// the drain and choose another executor.
+pub(super) const DRAINING_RETRY: Duration = Duration::from_millis(100);
 
 /// Answers a message of another daemon if it is about calls, otherwise returns `None`.
 pub(crate) async fn handle(node: &Rc<Node>, req: &mut Request) -> Option<Response> {
@@ -46,14 +47,21 @@
 async fn answer_attempt(node: &Rc<Node>, req: &mut Request) -> Option<Response> {
     let wire: WireAttempt = peers::receive(req).await?;
     let attempt = Attempt::try_from(wire).ok()?;
-    Some(ok(&execute(node, attempt).await))
+    // The run releases its share when it ends, which is before the reply is sent.
+    let in_flight = Rc::new(InFlight::enter(node, CallStage::Queued));
+    Some(ok(&execute(node, attempt, Rc::clone(&in_flight)).await))
 }
 
 /// Runs one attempt and returns the reply for its entry. The entry of this daemon calls it
 /// directly, without a connection.
-pub(super) async fn execute(node: &Rc<Node>, attempt: Attempt) -> WireReply {
+pub(super) async fn execute(
+    node: &Rc<Node>,
+    attempt: Attempt,
+    in_flight: Rc<InFlight>,
+) -> WireReply {
+    in_flight.set_request(&attempt.call.request_id);
     let outcome = match accept(node, &attempt) {
-        Ok(()) => run_to_end(node, attempt).await,
+        Ok(()) => run_to_end(node, attempt, in_flight).await,
         Err(end) => RunOutcome::of(end),
     };
     reply(node, outcome)
@@ -77,8 +85,7 @@
     }
 }
 
-async fn run_to_end(node: &Rc<Node>, attempt: Attempt) -> RunOutcome {
-    let in_flight = InFlight::enter(node);
+async fn run_to_end(node: &Rc<Node>, attempt: Attempt, in_flight: Rc<InFlight>) -> RunOutcome {
     let id = attempt.id;
     let idempotent = attempt.call.idempotent;
     let receiver = run::start(node, attempt, in_flight);
--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -32,12 +32,15 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use ntex::channel::condition::Condition;
+use stoatstep_http::PendingWrites;
 use stoatstep_platform::TableRevision;
 use stoatstep_telemetry::Histograms;
 
 use crate::config::Config;
 use crate::node::Node;
 use clock::Clock;
+use in_flight::InFlightTable;
 use peers::Peers;
 use tables::{EntryTables, ExecutorTables};
 use target::TargetClient;
@@ -58,13 +61,17 @@
     entry: RefCell<EntryTables>,
     executor: RefCell<ExecutorTables>,
     drain: RefCell<stoatstep_calls::Drain>,
-    in_flight: Cell<u32>,
+    in_flight: RefCell<InFlightTable>,
+    /// Answers to callers and other daemons that are not written yet.
+    pub(crate) pending_writes: PendingWrites,
     /// Revision of the row that names this process as the home of its keys.
     home_row: Cell<Option<TableRevision>>,
     /// Whether keys with a timestamp may run here. Set once the home row names this process and the
     /// predecessor's snapshot was processed, so that no key that an earlier process ran can be
     /// missing from the table without this process knowing.
     has_home: Cell<bool>,
+    /// Ready once the calls in flight have to end, because the time of the drain is nearly over.
+    cutoff: Condition,
     /// Set once the drain has ended and the keys are being handed over.
     leaving: Cell<bool>,
     /// Whether the target states that it leaves.
@@ -82,10 +89,12 @@
             peers: Peers::new(cfg.peer_token.clone()).await,
             entry: RefCell::new(EntryTables::new(cfg)),
             executor: RefCell::new(ExecutorTables::new(cfg, &clock)),
-            drain: RefCell::new(stoatstep_calls::Drain::new(drain::MAX_DRAIN)),
-            in_flight: Cell::new(0),
+            drain: RefCell::new(stoatstep_calls::Drain::new(cfg.drain_timeout)),
+            in_flight: RefCell::default(),
+            pending_writes: PendingWrites::default(),
             home_row: Cell::new(None),
             has_home: Cell::new(false),
+            cutoff: Condition::default(),
             leaving: Cell::new(false),
             target_leaves: Cell::new(false),
             is_checking_target: Cell::new(false),
--- a/crates/daemon/src/call/run.rs
+++ b/crates/daemon/src/call/run.rs
@@ -8,7 +8,8 @@
 use ntex::util::{Either, select};
 use stoatstep_calls::{Answer, AttemptId, AttemptStatus, Deadline, Outcome, Reason, Refusal};
 
-use super::in_flight::InFlight;
+use super::executor::DRAINING_RETRY;
+use super::in_flight::{CallStage, InFlight};
 use super::keyed::{self, KeyResolution};
 use super::target::RunEnd;
 use super::wire::Attempt;
@@ -45,7 +46,7 @@
 pub(super) fn start(
     node: &Rc<Node>,
     attempt: Attempt,
-    in_flight: InFlight,
+    in_flight: Rc<InFlight>,
 ) -> oneshot::Receiver<RunOutcome> {
     let (tx, rx) = oneshot::channel();
     let (cancel, cancelled) = oneshot::channel();
@@ -59,7 +60,8 @@
     drop(tables);
     let node = Rc::clone(node);
     ntex::rt::spawn(async move {
-        let outcome = run_or_cancel(&node, &attempt, cancelled).await;
+        let outcome = run_or_cancel(&node, &attempt, &in_flight, cancelled).await;
+        in_flight.set_stage(CallStage::Replying);
         finish(&node, &attempt, &outcome.end);
         // If the entry's connection is closed, the ledger holds the outcome.
         let _ = tx.send(outcome);
@@ -77,6 +79,16 @@
     }
 }
 
+/// Cancels all runs that have not ended.
+pub(super) fn cancel_all(node: &Rc<Node>) {
+    let tables = node.calls.executor.borrow();
+    let attempts: Vec<_> = tables.runs.keys().copied().collect();
+    drop(tables);
+    for attempt in attempts {
+        cancel(node, attempt);
+    }
+}
+
 /// Cancels a run that has not ended, unless it has an idempotency key: the caller's next try
 /// with the key should find the answer.
 pub(super) fn cancel_unkeyed(node: &Rc<Node>, attempt: AttemptId) {
@@ -91,24 +103,28 @@
 async fn run_or_cancel(
     node: &Rc<Node>,
     attempt: &Attempt,
+    in_flight: &InFlight,
     cancelled: oneshot::Receiver<()>,
 ) -> RunOutcome {
-    match select(cancelled, run_attempt(node, attempt)).await {
-        Either::Left(_) => RunOutcome::of(RunEnd::refused(reason_of_cancellation(node, attempt))),
+    match select(cancelled, run_attempt(node, attempt, in_flight)).await {
+        Either::Left(_) => RunOutcome::of(RunEnd::Refused(refusal_of_cancelled(node, attempt))),
         Either::Right(outcome) => outcome,
     }
 }
 
-fn reason_of_cancellation(node: &Rc<Node>, attempt: &Attempt) -> Reason {
+fn refusal_of_cancelled(node: &Rc<Node>, attempt: &Attempt) -> Refusal {
     let now = node.calls.clock.now();
     let tables = node.calls.executor.borrow();
     match tables.ledger.peek(attempt.id, attempt.ticket, now) {
-        AttemptStatus::Queued | AttemptStatus::NotRun => Reason::Revoked,
-        _ => Reason::LostAnswer,
+        AttemptStatus::Queued | AttemptStatus::NotRun if node.calls.drain.borrow().ends_calls() => {
+            Refusal::retry(Reason::Draining, DRAINING_RETRY)
+        }
+        AttemptStatus::Queued | AttemptStatus::NotRun => Refusal::permanent(Reason::Revoked),
+        _ => Refusal::permanent(Reason::LostAnswer),
     }
 }
 
-async fn run_attempt(node: &Rc<Node>, attempt: &Attempt) -> RunOutcome {
+async fn run_attempt(node: &Rc<Node>, attempt: &Attempt, in_flight: &InFlight) -> RunOutcome {
     let arrived = node.calls.clock.now();
     let deadline = Deadline::after(attempt.left, arrived);
     if let Some(key) = &attempt.key
@@ -132,6 +148,7 @@
     if !node.calls.executor.borrow_mut().ledger.start(attempt.id) {
         return RunOutcome::of(RunEnd::refused(Reason::Revoked));
     }
+    in_flight.set_stage(CallStage::Running);
     let timeout = match attempt.key {
         Some(_) => left + KEYED_EXTENSION,
         None => left,
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -4,12 +4,16 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use ntex::http::{HttpService, HttpServiceConfig, Request};
+use ntex::http::{ConnectionType, HttpService, HttpServiceConfig, Request, Response};
+use ntex::io::IoConfig;
 use ntex::server::{Server, Signal};
 use ntex::time::{Millis, Seconds, sleep, timeout};
 use ntex::util::{Either, select};
 
+use stoatstep_http::LAST_WRITE_TIMEOUT;
+
 use crate::config::Config;
+use crate::connections::TrackedConnections;
 use crate::node::Node;
 use crate::{call, control, operator};
 
@@ -51,18 +55,28 @@
         .shutdown_timeout(Millis::from(FINAL_ANSWER_TIMEOUT))
         .bind("callers", cfg.caller_addr, async move |_| {
             let node = Node::for_this_thread(callers.clone()).await;
-            HttpService::h1(move |req: Request| {
+            let owner = Rc::clone(&node);
+            let http = HttpService::h1(move |req: Request| {
                 let node = Rc::clone(&node);
-                async move { Ok::<_, io::Error>(call::entry::handle(&node, req).await) }
-            })
+                async move {
+                    let res = call::entry::handle(&node, req).await;
+                    Ok::<_, io::Error>(close_if_last(&node, res))
+                }
+            });
+            TrackedConnections { http, node: owner }
         })?
         .config("callers", http_config("callers"))
         .bind("peers", cfg.peer_addr, async move |_| {
             let node = Node::for_this_thread(peers.clone()).await;
-            HttpService::h1(move |req: Request| {
+            let owner = Rc::clone(&node);
+            let http = HttpService::h1(move |req: Request| {
                 let node = Rc::clone(&node);
-                async move { Ok::<_, io::Error>(control::peer::handle(&node, req).await) }
-            })
+                async move {
+                    let res = control::peer::handle(&node, req).await;
+                    Ok::<_, io::Error>(close_if_last(&node, res))
+                }
+            });
+            TrackedConnections { http, node: owner }
         })?
         .config("peers", http_config("peers"))
         .bind("operators", cfg.operator_addr, async move |_| {
@@ -82,6 +96,15 @@
     }
 }
 
+/// Makes the answer the last one on its connection once the ports are closed. The connection is
+/// about to be closed as well, and a request that is sent on it then would get no answer.
+fn close_if_last(node: &Node, mut res: Response) -> Response {
+    if node.ports_closed.get() {
+        res.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    res
+}
+
 /// Requests the drain on SIGTERM or SIGINT. The HTTP library's own handler would close idle
 /// connections at once, and with them attempts that are being transmitted.
 async fn drain_on_signal() {
@@ -112,5 +135,6 @@
                 .set_keepalive(KEEP_ALIVE)
                 .set_headers_read_rate(HEADER_TIMEOUT, HEADER_TIMEOUT, 256),
         )
+        .add(IoConfig::new().set_disconnect_timeout(LAST_WRITE_TIMEOUT))
         .into()
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -29,7 +29,7 @@
 
 /// Time within which the last answer on a connection has to be written. A shorter one would
 /// truncate answers to callers that read slowly or are on slow links.
-const LAST_WRITE_TIMEOUT: Seconds = Seconds(30);
+pub const LAST_WRITE_TIMEOUT: Seconds = Seconds(30);
 
 /// A server that answers every request with one async function.
 pub struct Server {
@@ -45,13 +45,21 @@
     /// Returns whether all answers have been written.
     #[must_use]
     pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the number of connections with answers that have not been written completely.
+    #[must_use]
+    pub fn len(&self) -> usize {
         // The buffer of a connection that is being closed can't be read.
         let is_written = |io: &IoRef| io.with_write_buf(|buf| buf.is_empty()).unwrap_or(false);
         self.remove_closed();
-        self.0.borrow().iter().all(is_written)
+        let connections = self.0.borrow();
+        connections.iter().filter(|io| !is_written(io)).count()
     }
 
-    fn add(&self, io: IoRef) {
+    /// Adds a connection, which is removed once it is closed.
+    pub fn add(&self, io: IoRef) {
         self.remove_closed();
         self.0.borrow_mut().push(io);
     }
