--- a/tests/all/explain.rs
+++ b/tests/all/explain.rs
@@ -59,6 +59,21 @@
     assert!(text.contains("no line speaks of it"), "{text}");
 }
 
+#[test]
+fn a_call_that_an_exit_cut_off_is_told_with_where_its_answer_was() {
+    let (found, text) = explain("r-cut-off");
+    assert!(found);
+    assert!(
+        text.contains("executor: 0 of 90000 bytes of its answer sent (link-lost, late)"),
+        "{text}"
+    );
+    assert!(text.contains("while i-8 had it"), "{text}");
+    assert!(
+        text.contains("=> its daemon exited before it ended"),
+        "{text}"
+    );
+}
+
 #[test]
 fn a_caller_that_left_is_told_from_a_daemon_that_died() {
     let (found, text) = explain("r-left");
