Send a claim only where no copy passes for its answer

What callers saw: a claim (not idempotent) was answered 503 with a delay, had run, and ran again when its caller came back. With two targets of the service, a claim ran at both.

Cause: the daemon told a target's answers apart by the request id alone. A second send of a request shares its id with the first, and a refusal may state none. Where a target repeats an answer late, in place of the next one on the connection, the copy of a refusal answered the second send of the same claim, or the next claim, which ran.

Why this works: a connection remembers the ids of the requests on it that may be sent again, and whether an answer stated no id. No request is sent twice on a connection; one that must not run twice isn't sent on one that carried an answer without an id. So no answer there can be a copy without stating another id, and none is out of step. The property test models a target that repeats any earlier answer at any later time.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -15,7 +15,7 @@
 //!   [`SilenceDetector`];
 //! * both use [`Quarantine`];
 //! * the executor uses [`Admission`] or [`Queue`], [`TargetLimiter`], [`Ledger`],
-//!   [`IdempotencyTable`], [`Drain`] and [`Shutdown`].
+//!   [`ConnectionAnswers`], [`IdempotencyTable`], [`Drain`] and [`Shutdown`].
 //!
 //! The design is explained in `docs/design/calls.md` and
 //! `docs/design/at-most-once.md`.
@@ -25,6 +25,7 @@
 mod answer_stats;
 mod candidates;
 mod class;
+mod connection_answers;
 mod customer_usage;
 mod deadline;
 mod drain;
@@ -62,6 +63,7 @@
 pub use answer_stats::AnswerStats;
 pub use candidates::{Candidate, CandidateState, Pick, TargetFilter};
 pub use class::{Class, UnknownClass};
+pub use connection_answers::ConnectionAnswers;
 pub use customer_usage::{CustomerUsage, UsageLevel, usage_level};
 pub use deadline::Deadline;
 pub use drain::{Drain, DrainStep};
--- a/crates/calls/tests/all/main.rs
+++ b/crates/calls/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions about calls. Time is passed in as an argument.
 
 mod admission;
+mod connection_answers;
 mod customer_order;
 mod homes;
 mod idempotency;
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -25,7 +25,7 @@
 use crate::header_names::HeaderNames;
 use crate::wire::Attempt;
 pub(super) use outcome::{LostCause, TargetOutcome};
-use pool::{Connection, Pool};
+use pool::{Connection, Need, Pool};
 
 /// Largest answer that is forwarded. It is held back until it is complete, so that a
 /// truncated one is never forwarded.
@@ -127,8 +127,13 @@
                 actual: None,
             };
         };
+        let need = if attempt.call.idempotent {
+            Need::New(&attempt.call.request_id)
+        } else {
+            Need::Identified(&attempt.call.request_id)
+        };
         loop {
-            let Some(mut connection) = self.pool.take().await else {
+            let Some(mut connection) = self.pool.take(need).await else {
                 return TargetOutcome::unreachable(DEFAULT_RETRY);
             };
             match connection.send(req).await {
@@ -176,10 +181,11 @@
     pub(super) async fn health(&self, path: &str) -> Option<Health> {
         let req = Request::get(path).header(HOST, self.addr.to_string());
         let req = req.body(Full::default()).ok()?;
-        let mut connection = self.pool.take().await?;
+        let mut connection = self.pool.take(Need::Any).await?;
         let (head, body) = connection.send(req).await.ok()?.into_parts();
         let body = Limited::new(body, MAX_HEALTH_BODY).collect().await;
         body.ok()?;
+        connection.record(None, true);
         self.pool.put_back(connection, &head.headers);
         Some(Health {
             status: head.status,
@@ -256,7 +262,7 @@
     async fn read(
         &self,
         attempt: &Attempt,
-        connection: Connection,
+        mut connection: Connection,
         res: Response<Incoming>,
     ) -> TargetOutcome {
         let (head, body) = res.into_parts();
@@ -272,6 +278,9 @@
             return TargetOutcome::Lost(LostCause::OtherRequest);
         }
         let end = self.interpret(head.status, headers, &body.to_bytes());
+        let stated_id = headers.get(&self.names.request_id);
+        let is_last = head.status.is_success() && matches!(end, TargetOutcome::Answered(_));
+        connection.record(stated_id.map(HeaderValue::as_bytes), is_last);
         self.pool.put_back(connection, headers);
         end
     }
--- a/crates/mesh/src/executor/target/pool.rs
+++ b/crates/mesh/src/executor/target/pool.rs
@@ -17,7 +17,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use stoatstep_calls::Time;
+use stoatstep_calls::{ConnectionAnswers, Time};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -43,6 +43,27 @@
 
 type Req = Request<Full<Bytes>>;
 
+/// What a request needs of its connection.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Need<'a> {
+    /// Any connection.
+    Any,
+    /// One on which the request with this id was not sent before.
+    New(&'a str),
+    /// One that identifies the answer to the request with this id.
+    Identified(&'a str),
+}
+
+impl Need<'_> {
+    fn is_met(self, answers: &ConnectionAnswers) -> bool {
+        match self {
+            Self::Any => true,
+            Self::New(id) => answers.is_new(id),
+            Self::Identified(id) => answers.identifies(id),
+        }
+    }
+}
+
 /// One connection. Dropping it closes it.
 pub(super) struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -50,6 +71,7 @@
     idle_since: Time,
     idle_until: Time,
     taken_at: Time,
+    answers: ConnectionAnswers,
 }
 
 impl Connection {
@@ -69,6 +91,7 @@
             idle_since: now,
             idle_until: now,
             taken_at: now,
+            answers: ConnectionAnswers::default(),
         })
     }
 
@@ -78,6 +101,11 @@
         sent.map_err(|mut err| err.take_message())
     }
 
+    /// Records an answer that was read from the connection.
+    pub(super) fn record(&mut self, request_id: Option<&[u8]>, is_last: bool) {
+        self.answers.record(request_id, is_last);
+    }
+
     fn is_usable(&self, now: Time) -> bool {
         now < self.idle_until && self.sender.is_ready() && !self.sender.is_closed()
     }
@@ -113,9 +141,9 @@
     }
 
     /// Takes an idle connection or opens a new one; `None` if connecting fails.
-    pub(super) async fn take(&self) -> Option<Connection> {
+    pub(super) async fn take(&self, need: Need<'_>) -> Option<Connection> {
         let now = self.clock.now();
-        while let Some(mut connection) = self.pop() {
+        while let Some(mut connection) = self.pop(need) {
             connection.taken_at = now;
             let is_fresh = self
                 .idle_limit
@@ -125,6 +153,11 @@
                 return Some(connection);
             }
         }
+        // The new connection replaces one that fits few requests, so that their number is bounded
+        // by that of concurrent requests.
+        if matches!(need, Need::Identified(_)) {
+            self.close_oldest_unidentified();
+        }
         Connection::open(self.addr, &self.clock).await.ok()
     }
 
@@ -161,7 +194,7 @@
 
     /// Returns a connection to the pool after a complete answer.
     pub(super) fn put_back(&self, mut connection: Connection, headers: &HeaderMap) {
-        if closes_connection(headers) {
+        if closes_connection(headers) || connection.answers.is_full() {
             return;
         }
         connection.idle_since = self.clock.now();
@@ -188,8 +221,23 @@
         idle.retain(|it| now < it.idle_until && !it.sender.is_closed());
     }
 
-    fn pop(&self) -> Option<Connection> {
-        self.idle.borrow_mut().pop()
+    fn close_oldest_unidentified(&self) {
+        let mut idle = self.idle.borrow_mut();
+        if let Some(oldest) = idle.iter().position(|it| it.answers.has_unnamed()) {
+            idle.remove(oldest);
+        }
+    }
+
+    /// Removes the most recently used idle connection that fits. One that identifies no answer is
+    /// preferred where it fits, since few requests can use it.
+    fn pop(&self, need: Need<'_>) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let last = |is_unnamed: bool| {
+            idle.iter()
+                .rposition(|it| it.answers.has_unnamed() == is_unnamed && need.is_met(&it.answers))
+        };
+        let index = last(true).or_else(|| last(false));
+        index.map(|it| idle.remove(it))
     }
 }
 
