Log and count answers of a target that belong to other requests

What operators saw: a call whose target repeated an earlier answer was lost as `other-request`, and nothing said which request the answer was for.

The line `answer not believed` names the header and both values, of 64 characters at most each, within the usual bound of lines a second; `stoatstep_answers_not_believed` counts all of them. Such an answer is now recognised by its head, so that it no longer states a limit or a departure of the target either.

--- /dev/null
+++ b/crates/mesh/src/executor/mismatch.rs
@@ -0,0 +1,52 @@
+//! Answers of the target that are not believed, since they belong to another request.
+
+use hyper::header::{HeaderName, HeaderValue};
+use smol_str::SmolStr;
+use stoatstep_telemetry::fields;
+
+use crate::node::Node;
+
+/// Limit on the characters of a value in a log line.
+const MAX_LOGGED: usize = 64;
+
+/// The header of an answer that shows that it belongs to another request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Mismatch {
+    field: HeaderName,
+    /// Its value in the answer to this request.
+    expected: SmolStr,
+    stated: SmolStr,
+}
+
+impl Mismatch {
+    /// Compares the header of an answer with its value in the answer to this request. An absent
+    /// header fits every request.
+    pub(super) fn find(
+        field: &HeaderName,
+        expected: &str,
+        stated: Option<&HeaderValue>,
+    ) -> Option<Self> {
+        let stated = stated?.as_bytes();
+        (stated != expected.as_bytes()).then(|| Self {
+            field: field.clone(),
+            expected: shortened(expected),
+            stated: shortened(&String::from_utf8_lossy(stated)),
+        })
+    }
+}
+
+fn shortened(text: &str) -> SmolStr {
+    text.chars().take(MAX_LOGGED).collect()
+}
+
+/// Counts and logs an answer of this generation that was not believed.
+pub(super) fn record(node: &Node, upstream: &str, mismatch: &Mismatch) {
+    node.journal.count("answers.not_believed");
+    let now = node.clock.now();
+    let Some(suppressed) = node.journal.admits("answer not believed", now) else {
+        return;
+    };
+    slog::warn!(node.log, "answer not believed"; fields::UPSTREAM => upstream,
+        fields::FIELD => mismatch.field.as_str(), fields::EXPECTED => mismatch.expected.as_str(),
+        fields::STATED => mismatch.stated.as_str(), fields::LEFT_OUT => suppressed);
+}
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -7,6 +7,7 @@
 mod answer_stats;
 mod confirm;
 mod heartbeat;
+mod mismatch;
 mod process_exit;
 mod rollout_tally;
 mod run;
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -9,7 +9,7 @@
 
 use super::target::{LostCause, TargetOutcome};
 use super::{
-    QUEUE_RETRY, Run, Tables, answer_stats, process_exit, rollout_tally, slot, statements,
+    QUEUE_RETRY, Run, Tables, answer_stats, mismatch, process_exit, rollout_tally, slot, statements,
 };
 use crate::drain::InFlight;
 use crate::identity;
@@ -188,9 +188,12 @@
 /// The outcome of a run by what the target answered.
 fn outcome_of_target(node: &Node, attempt: &Attempt, end: TargetOutcome) -> RunOutcome {
     let lost = match &end {
-        TargetOutcome::Lost(cause) => Some(*cause),
+        TargetOutcome::Lost(cause) => Some(cause.clone()),
         _ => None,
     };
+    if let Some(LostCause::OtherRequest(mismatch)) = &lost {
+        mismatch::record(node, &attempt.upstream, mismatch);
+    }
     let unknown = |reason| End::Refused(Refusal::permanent(reason));
     let (end, arrived) = match end {
         TargetOutcome::Answered(answer) => (End::Answered(answer), true),
@@ -241,7 +244,7 @@
         attempt: attempt.id,
         upstream: &attempt.upstream,
         reason: refusal.reason,
-        cause: outcome.lost.map_or("", LostCause::as_str),
+        cause: outcome.lost.as_ref().map_or("", LostCause::as_str),
         arrived: outcome.arrived,
         times: Times {
             queue: outcome.in_queue,
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -21,6 +21,7 @@
 use stoatstep_resource::UpstreamName;
 use stoatstep_telemetry::fields;
 
+use super::mismatch::Mismatch;
 use crate::clock::Clock;
 use crate::header_names::HeaderNames;
 use crate::wire::Attempt;
@@ -138,10 +139,15 @@
             };
             match connection.send(req).await {
                 Ok(res) => {
+                    if let Some(mismatch) = self.mismatch(attempt, res.headers()) {
+                        // A duplicate answer to an earlier request. The answer to this one would
+                        // follow, but nothing tells which bytes belong to it.
+                        return TargetOutcome::Lost(LostCause::OtherRequest(mismatch));
+                    }
                     if let Some(statement) = self.statement(res.status(), res.headers()) {
                         on_statement(statement);
                     }
-                    return self.read(attempt, connection, res).await;
+                    return self.read(connection, res).await;
                 }
                 // The target closed an idle connection just before it was used, and no
                 // byte of the request was sent.
@@ -259,12 +265,7 @@
         Some(())
     }
 
-    async fn read(
-        &self,
-        attempt: &Attempt,
-        mut connection: Connection,
-        res: Response<Incoming>,
-    ) -> TargetOutcome {
+    async fn read(&self, mut connection: Connection, res: Response<Incoming>) -> TargetOutcome {
         let (head, body) = res.into_parts();
         let body = Limited::new(body, MAX_ANSWER).collect().await;
         // A truncated body is an error here, never a shorter body.
@@ -272,11 +273,6 @@
             return TargetOutcome::Lost(LostCause::CutShort);
         };
         let headers = &head.headers;
-        if !self.matches_request(attempt, headers) {
-            // A duplicate answer to an earlier request. The answer to this one would follow,
-            // but nothing tells which bytes belong to it.
-            return TargetOutcome::Lost(LostCause::OtherRequest);
-        }
         let end = self.interpret(head.status, headers, &body.to_bytes());
         let stated_id = headers.get(&self.names.request_id);
         let is_last = head.status.is_success() && matches!(end, TargetOutcome::Answered(_));
@@ -285,10 +281,10 @@
         end
     }
 
-    /// Whether the answer belongs to this request; assumed if it states no request id.
-    fn matches_request(&self, attempt: &Attempt, headers: &HeaderMap) -> bool {
-        let id = headers.get(&self.names.request_id);
-        id.is_none_or(|it| it.as_bytes() == attempt.call.request_id.as_bytes())
+    /// What shows that the answer belongs to another request than this one.
+    fn mismatch(&self, attempt: &Attempt, headers: &HeaderMap) -> Option<Mismatch> {
+        let field = &self.names.request_id;
+        Mismatch::find(field, &attempt.call.request_id, headers.get(field))
     }
 
     fn interpret(&self, status: StatusCode, headers: &HeaderMap, body: &Bytes) -> TargetOutcome {
--- a/crates/mesh/src/executor/target/outcome.rs
+++ b/crates/mesh/src/executor/target/outcome.rs
@@ -6,6 +6,8 @@
 use stoatstep_calls::{Answer, Reason, Refusal};
 use stoatstep_resource::UpstreamName;
 
+use crate::executor::mismatch::Mismatch;
+
 /// How a request to the target ended.
 #[derive(Clone, Debug)]
 pub(in crate::executor) enum TargetOutcome {
@@ -26,14 +28,14 @@
 }
 
 /// Why a run has no usable answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(in crate::executor) enum LostCause {
     /// The connection ended before the head of an answer.
     NoAnswer,
     /// The connection ended in the body of the answer.
     CutShort,
     /// The answer belongs to another request.
-    OtherRequest,
+    OtherRequest(Mismatch),
     /// A successful answer that does not come from the target.
     Unsigned,
     /// This daemon cancelled the run.
@@ -42,11 +44,11 @@
 
 impl LostCause {
     /// The cause in log lines.
-    pub(in crate::executor) fn as_str(self) -> &'static str {
+    pub(in crate::executor) fn as_str(&self) -> &'static str {
         match self {
             Self::NoAnswer => "no-answer",
             Self::CutShort => "cut-short",
-            Self::OtherRequest => "other-request",
+            Self::OtherRequest(_) => "other-request",
             Self::Unsigned => "unsigned",
             Self::Cancelled => "cancelled",
         }
--- a/crates/telemetry/src/fields.rs
+++ b/crates/telemetry/src/fields.rs
@@ -157,9 +157,15 @@
 pub const LEAVING: &str = "leaving";
 /// Why the answer of a run was lost; empty if it was not.
 pub const CAUSE: &str = "cause";
+/// Header or field whose value was not believed.
+pub const FIELD: &str = "field";
+/// Value that was expected.
+pub const EXPECTED: &str = "expected";
+/// Value that was stated and not believed.
+pub const STATED: &str = "stated";
 
 /// All keys, in the order in which this module defines them.
-pub const ALL: [&str; 78] = [
+pub const ALL: [&str; 81] = [
     REQUEST,
     ATTEMPT,
     UPSTREAM,
@@ -238,4 +244,7 @@
     BEFORE_LIMIT,
     LEAVING,
     CAUSE,
+    FIELD,
+    EXPECTED,
+    STATED,
 ];
