Have targets of stoatstepd state the attempt that they answer

What callers saw: the copy of a target's refusal, sent in place of its next answer, was taken for the answer to the next call. That call ran, and was sent again or called not run.

An answer stated nothing of its request, so its place on the connection alone told whose it was.

Why this works: each attempt has an id of its own, and the target states it. An answer that states another attempt ends the run as unknown, and the connections are opened anew, as the answer to this attempt would follow on the old one. It is counted, and a warning names both ids. Peers and the target now share the builder of their clients.

--- a/crates/daemon/src/call/peers.rs
+++ b/crates/daemon/src/call/peers.rs
@@ -13,10 +13,9 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD_NO_PAD;
 use ntex::client::error::{ClientError, ConnectError};
-use ntex::client::{Client, ClientRequest, ClientResponse, Connector};
+use ntex::client::{Client, ClientRequest, ClientResponse};
 use ntex::http::body::{Body, BodySize, MessageBody};
 use ntex::http::{Request, StatusCode};
-use ntex::io::IoConfig;
 use ntex::time::{Millis, timeout};
 use ntex::util::Bytes;
 use serde::Serialize;
@@ -26,7 +25,7 @@
 
 use super::headers;
 use crate::control::peer::PEER_TOKEN;
-use crate::http::{from_msgpack, read_body};
+use crate::http::{client, from_msgpack, read_body};
 
 /// Largest number of pooled connections to one other daemon.
 const CONNECTIONS: usize = 64;
@@ -229,18 +228,8 @@
 }
 
 async fn build_client(connections: usize, max_idle_secs: u16) -> Client {
-    let connector = Connector::new()
-        .limit(connections)
-        .keep_alive(ntex::time::Seconds(max_idle_secs));
-    let io = IoConfig::new().set_connect_timeout(CONNECT_TIMEOUT);
-    Client::builder()
-        .no_default_headers()
-        .disable_redirects()
-        .disable_timeout()
-        .connector::<()>(connector)
-        .build(ntex::SharedCfg::new("peers").add(io))
-        .await
-        .expect("a client without TLS always builds")
+    let max_idle = ntex::time::Seconds(max_idle_secs);
+    client("peers", connections, max_idle, CONNECT_TIMEOUT).await
 }
 
 /// A request body that records whether the HTTP library has read it. The library reports the same
--- a/crates/daemon/src/call/run.rs
+++ b/crates/daemon/src/call/run.rs
@@ -10,9 +10,10 @@
 
 use super::in_flight::InFlight;
 use super::keyed::{self, KeyResolution};
-use super::target::RunEnd;
+use super::target::{ForeignAnswer, RunEnd};
 use super::wire::Attempt;
 use super::{slot, statements, tables};
+use crate::control::warning;
 use crate::node::Node;
 
 /// Largest answer that the ledger and the table of idempotency keys keep.
@@ -139,10 +140,14 @@
     let target = node.calls.target.borrow().clone();
     let due = started + timeout;
     let on_statement = |it| statements::record(node, it);
+    let on_foreign = |foreign: &ForeignAnswer| {
+        node.metrics.count("answers.not_believed", 1);
+        warning::warn(node, "answer not believed", foreign);
+    };
     let end = node
         .calls
         .timers
-        .run_until(due, target.call(attempt, left, on_statement))
+        .run_until(due, target.call(attempt, left, on_statement, on_foreign))
         .await;
     let end = end.unwrap_or(RunEnd::refused(Reason::TimedOut));
     if matches!(end, RunEnd::Done(_)) {
--- a/crates/daemon/src/call/target.rs
+++ b/crates/daemon/src/call/target.rs
@@ -1,23 +1,25 @@
 //! HTTP client of this instance's target.
 
+use std::cell::RefCell;
+use std::fmt;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use ntex::client::{Client, ClientRequest, ClientResponse, Connector};
+use ntex::client::{Client, ClientRequest, ClientResponse};
 use ntex::http::StatusCode;
 use ntex::http::body::Body;
 use ntex::http::header::HeaderValue;
-use ntex::io::IoConfig;
 use ntex::time::{Millis, Seconds};
-use smol_str::ToSmolStr;
-use stoatstep_calls::{Answer, Header, Reason, Refusal, TargetStatement};
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
+use stoatstep_calls::{Answer, AttemptId, Header, Reason, Refusal, TargetStatement};
 use stoatstep_resource::HEALTH_PATH;
 
 use super::headers;
 use super::peers::{TrackedBody, never_connected};
 use super::wire::Attempt;
-use crate::http::{BodyError, read_body};
+use crate::http::{BodyError, client, read_body};
 
 /// Limit of connections to the target until the configuration sets another one.
 const DEFAULT_CONNECTIONS: u32 = 120;
@@ -50,11 +52,51 @@
     }
 }
 
+/// An answer to another attempt than the one that waited for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct ForeignAnswer {
+    expected: SmolStr,
+    stated: SmolStr,
+}
+
+impl ForeignAnswer {
+    /// Compares the attempt that an answer states with the one that waits for it. An answer that
+    /// states none is taken for the right one.
+    fn find(answer: &ClientResponse, expected: AttemptId) -> Option<Self> {
+        let stated = answer.header(headers::ATTEMPT)?.as_bytes();
+        let expected = attempt_text(expected);
+        (stated != expected.as_bytes()).then(|| {
+            let stated = String::from_utf8_lossy(stated);
+            Self {
+                stated: stated.chars().take(expected.len()).collect(),
+                expected,
+            }
+        })
+    }
+}
+
+impl fmt::Display for ForeignAnswer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { expected, stated } = self;
+        write!(
+            f,
+            "{}: {stated:?} in place of {expected:?}",
+            headers::ATTEMPT
+        )
+    }
+}
+
+/// The form of an attempt's id in headers.
+fn attempt_text(attempt: AttemptId) -> SmolStr {
+    format_smolstr!("{attempt:032x}")
+}
+
 /// The target's address and the connections to it.
 #[derive(Clone)]
 pub(super) struct TargetClient {
     addr: SocketAddr,
-    client: Client,
+    /// Shared by all clones, so that none uses a connection that another one gave up.
+    client: Rc<RefCell<Client>>,
     connections: u32,
 }
 
@@ -64,25 +106,20 @@
     }
 
     async fn with_connections(addr: SocketAddr, connections: u32) -> Self {
-        let connector = Connector::new()
-            .limit(connections as usize)
-            .keep_alive(MAX_IDLE);
-        let io = IoConfig::new().set_connect_timeout(CONNECT_TIMEOUT);
-        let client = Client::builder()
-            .no_default_headers()
-            .disable_redirects()
-            .disable_timeout()
-            .connector::<()>(connector)
-            .build(ntex::SharedCfg::new("target").add(io))
-            .await
-            .expect("a client without TLS always builds");
+        let client = pooled_client(connections).await;
         Self {
             addr,
-            client,
+            client: Rc::new(RefCell::new(client)),
             connections,
         }
     }
 
+    /// Stops using the present connections for new requests.
+    async fn retire_connections(&self) {
+        let client = pooled_client(self.connections).await;
+        *self.client.borrow_mut() = client;
+    }
+
     /// Returns a client with another limit of connections, or `None` if the limit is the same.
     pub(super) async fn with_limit(&self, connections: u32) -> Option<Self> {
         if connections == self.connections {
@@ -95,12 +132,14 @@
     /// the attempt was cancelled.
     ///
     /// `on_statement` gets what the head of an answer states about the target. It is not called
-    /// if the target refused the request and states nothing.
+    /// if the target refused the request and states nothing. `on_foreign` gets an answer that
+    /// belongs to another attempt, and is lost.
     pub(super) async fn call(
         &self,
         attempt: &Attempt,
         left: Duration,
         on_statement: impl Fn(TargetStatement),
+        on_foreign: impl Fn(&ForeignAnswer),
     ) -> RunEnd {
         let req = self.request(attempt, left);
         let (body, sent) = TrackedBody::new(attempt.call.body.clone());
@@ -112,6 +151,13 @@
         };
         match answer {
             Ok(answer) => {
+                if let Some(foreign) = ForeignAnswer::find(&answer, attempt.id) {
+                    on_foreign(&foreign);
+                    // The answer to this attempt would follow, and be taken for that to the next
+                    // one on the connection.
+                    self.retire_connections().await;
+                    return RunEnd::refused(Reason::LostAnswer);
+                }
                 let statement = statement(&answer);
                 if !is_shed(&answer) || !statement.is_empty() {
                     on_statement(statement);
@@ -129,14 +175,15 @@
     /// is not healthy.
     pub(super) async fn health(&self) -> Option<TargetStatement> {
         let url = format!("http://{}{HEALTH_PATH}", self.addr);
-        let answer = self.client.get(url).send().await.ok()?;
+        let req = self.client.borrow().get(url);
+        let answer = req.send().await.ok()?;
         answer.status().is_success().then(|| statement(&answer))
     }
 
     fn request(&self, attempt: &Attempt, left: Duration) -> ClientRequest {
         let call = &attempt.call;
         let url = format!("http://{}{}", self.addr, call.path);
-        let mut req = self.client.request(attempt.method.clone(), url);
+        let mut req = self.client.borrow().request(attempt.method.clone(), url);
         for header in &call.headers {
             req = req.header(header.name.as_str(), header.value.as_slice());
         }
@@ -144,7 +191,7 @@
             req = req.header(headers::IDEMPOTENCY_KEY, key.as_str());
         }
         req.header(headers::DEADLINE_MS, left.as_millis().to_string())
-            .header(headers::ATTEMPT, format!("{:032x}", attempt.id))
+            .header(headers::ATTEMPT, attempt_text(attempt.id).as_str())
             .header(headers::TENANT, call.tenant.as_str())
             .header(headers::CLASS, call.class.as_str())
             .header(headers::DEPTH, (call.depth + 1).to_string())
@@ -152,6 +199,10 @@
     }
 }
 
+async fn pooled_client(connections: u32) -> Client {
+    client("target", connections as usize, MAX_IDLE, CONNECT_TIMEOUT).await
+}
+
 fn is_shed(answer: &ClientResponse) -> bool {
     let is_stated = answer.header(headers::SHED).is_some();
     is_stated && answer.status() == StatusCode::SERVICE_UNAVAILABLE
--- a/crates/standin-target/src/server.rs
+++ b/crates/standin-target/src/server.rs
@@ -43,6 +43,9 @@
 /// Interval at which a held run checks whether it may end.
 const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Header that names the attempt that a request belongs to; answers state the same one.
+const ATTEMPT: &str = "stoatstep-attempt";
+
 /// Options of the target.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -91,7 +94,11 @@
 }
 
 async fn call(req: HttpRequest, body: Bytes, target: State<Target>) -> HttpResponse {
-    let res = answer_call(&req, &body, &target).await;
+    let mut res = answer_call(&req, &body, &target).await;
+    if let Some(attempt) = req.headers().get(ATTEMPT) {
+        let name = HeaderName::from_static(ATTEMPT);
+        res.headers_mut().insert(name, attempt.clone());
+    }
     with_statements(res, &target)
 }
 
@@ -120,7 +127,7 @@
     let marker = marker(req, body);
     let entry_key = EntryKey {
         key: header(req, "idempotency-key"),
-        attempt: header(req, "stoatstep-attempt"),
+        attempt: header(req, ATTEMPT),
         marker: marker.clone(),
         method: req.method().as_str().into(),
     };
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod handover;
 mod http;
+mod late_copies;
 mod lifecycle;
 mod log_calls;
 mod operators;
