--- a/crates/mesh/src/executor/mismatch.rs
+++ b/crates/mesh/src/executor/mismatch.rs
@@ -5,6 +5,7 @@
 use stoatstep_telemetry::fields;
 
 use crate::node::Node;
+use crate::wire::Attempt;
 
 /// Limit on the characters of a value in a log line.
 const MAX_LOGGED: usize = 64;
@@ -39,14 +40,15 @@
     text.chars().take(MAX_LOGGED).collect()
 }
 
-/// Counts and logs an answer of this generation that was not believed.
-pub(super) fn record(node: &Node, upstream: &str, mismatch: &Mismatch) {
+/// Counts and logs an answer to this attempt that was not believed.
+pub(super) fn record(node: &Node, attempt: &Attempt, mismatch: &Mismatch) {
     node.journal.count("answers.not_believed");
     let now = node.clock.now();
     let Some(suppressed) = node.journal.admits("answer not believed", now) else {
         return;
     };
-    slog::warn!(node.log, "answer not believed"; fields::UPSTREAM => upstream,
+    slog::warn!(node.log, "answer not believed"; fields::REQUEST => %attempt.call.request_id,
+        fields::ATTEMPT => format!("{:032x}", attempt.id), fields::UPSTREAM => %attempt.upstream,
         fields::FIELD => mismatch.field.as_str(), fields::EXPECTED => mismatch.expected.as_str(),
         fields::STATED => mismatch.stated.as_str(), fields::LEFT_OUT => suppressed);
 }
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -192,7 +192,7 @@
         _ => None,
     };
     if let Some(LostCause::OtherRequest(mismatch)) = &lost {
-        mismatch::record(node, &attempt.upstream, mismatch);
+        mismatch::record(node, attempt, mismatch);
     }
     let unknown = |reason| End::Refused(Refusal::permanent(reason));
     let (end, arrived) = match end {
