--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -21,11 +21,12 @@
 use stoatstep_resource::UpstreamName;
 use stoatstep_telemetry::fields;
 
+use super::mismatch::Mismatch;
 use crate::clock::Clock;
 use crate::header_names::HeaderNames;
 use crate::wire::Attempt;
 pub(super) use outcome::{LostCause, TargetOutcome};
-use pool::{Connection, Pool};
+use pool::{Connection, Need, Pool};
 
 /// Largest answer that is forwarded. It is held back until it is complete, so that a
 /// truncated one is never forwarded.
@@ -127,16 +128,26 @@
                 actual: None,
             };
         };
+        let need = if attempt.call.idempotent {
+            Need::New(&attempt.call.request_id)
+        } else {
+            Need::Identified(&attempt.call.request_id)
+        };
         loop {
-            let Some(mut connection) = self.pool.take().await else {
+            let Some(mut connection) = self.pool.take(need).await else {
                 return TargetOutcome::unreachable(DEFAULT_RETRY);
             };
             match connection.send(req).await {
                 Ok(res) => {
+                    if let Some(mismatch) = self.mismatch(attempt, res.headers()) {
+                        // A duplicate answer to an earlier request. The answer to this one would
+                        // follow, but nothing tells which bytes belong to it.
+                        return TargetOutcome::Lost(LostCause::OtherRequest(mismatch));
+                    }
                     if let Some(statement) = self.statement(res.status(), res.headers()) {
                         on_statement(statement);
                     }
-                    return self.read(attempt, connection, res).await;
+                    return self.read(connection, res).await;
                 }
                 // The target closed an idle connection just before it was used, and no
                 // byte of the request was sent.
@@ -176,10 +187,11 @@
     pub(super) async fn health(&self, path: &str) -> Option<Health> {
         let req = Request::get(path).header(HOST, self.addr.to_string());
         let req = req.body(Full::default()).ok()?;
-        let mut connection = self.pool.take().await?;
+        let mut connection = self.pool.take(Need::Any).await?;
         let (head, body) = connection.send(req).await.ok()?.into_parts();
         let body = Limited::new(body, MAX_HEALTH_BODY).collect().await;
         body.ok()?;
+        connection.record(None, true);
         self.pool.put_back(connection, &head.headers);
         Some(Health {
             status: head.status,
@@ -253,12 +265,7 @@
         Some(())
     }
 
-    async fn read(
-        &self,
-        attempt: &Attempt,
-        connection: Connection,
-        res: Response<Incoming>,
-    ) -> TargetOutcome {
+    async fn read(&self, mut connection: Connection, res: Response<Incoming>) -> TargetOutcome {
         let (head, body) = res.into_parts();
         let body = Limited::new(body, MAX_ANSWER).collect().await;
         // A truncated body is an error here, never a shorter body.
@@ -266,20 +273,18 @@
             return TargetOutcome::Lost(LostCause::CutShort);
         };
         let headers = &head.headers;
-        if !self.matches_request(attempt, headers) {
-            // A duplicate answer to an earlier request. The answer to this one would follow,
-            // but nothing tells which bytes belong to it.
-            return TargetOutcome::Lost(LostCause::OtherRequest);
-        }
         let end = self.interpret(head.status, headers, &body.to_bytes());
+        let stated_id = headers.get(&self.names.request_id);
+        let is_last = head.status.is_success() && matches!(end, TargetOutcome::Answered(_));
+        connection.record(stated_id.map(HeaderValue::as_bytes), is_last);
         self.pool.put_back(connection, headers);
         end
     }
 
-    /// Whether the answer belongs to this request; assumed if it states no request id.
-    fn matches_request(&self, attempt: &Attempt, headers: &HeaderMap) -> bool {
-        let id = headers.get(&self.names.request_id);
-        id.is_none_or(|it| it.as_bytes() == attempt.call.request_id.as_bytes())
+    /// What shows that the answer belongs to another request than this one.
+    fn mismatch(&self, attempt: &Attempt, headers: &HeaderMap) -> Option<Mismatch> {
+        let field = &self.names.request_id;
+        Mismatch::find(field, &attempt.call.request_id, headers.get(field))
     }
 
     fn interpret(&self, status: StatusCode, headers: &HeaderMap, body: &Bytes) -> TargetOutcome {
--- a/crates/telemetry/src/fields.rs
+++ b/crates/telemetry/src/fields.rs
@@ -181,9 +181,11 @@
 pub const WAIT_US: &str = "wait_us";
 /// Time from the first chunk of an answer until it ended, in microseconds.
 pub const SENDING_US: &str = "sending_us";
+/// Value that was expected.
+pub const EXPECTED: &str = "expected";
 
 /// All keys, in the order in which this module defines them.
-pub const ALL: [&str; 90] = [
+pub const ALL: [&str; 91] = [
     REQUEST,
     ATTEMPT,
     UPSTREAM,
@@ -274,4 +276,5 @@
     AHEAD_US,
     WAIT_US,
     SENDING_US,
+    EXPECTED,
 ];
