Note an acknowledged drain whatever is believed of its sender

Cause: `LocalTarget::record_heartbeat` dropped a heartbeat of a generation that it took for an ended one, or with a lower number than the last, before it looked at the drain, and the adapter acknowledged it all the same. The answer to the liveness check then restored that generation as ready. A departure notice without a start time had the same fault: it bound the generation believed to be current, or none.

Why this works: a drain is final for its generation and only its target says so, hence noting it needs no belief about which generation is current. A notice without a start time binds the last generation with its id that reported itself.

--- a/crates/membership/src/local_target.rs
+++ b/crates/membership/src/local_target.rs
@@ -107,15 +107,16 @@
 
     /// Processes a heartbeat.
     pub fn record_heartbeat(&mut self, mut heartbeat: Heartbeat, now: Time) -> HeartbeatOutcome {
-        if self.has_ended(&heartbeat.upstream) {
+        if self.is_stale(&heartbeat) {
+            // The sender takes the answer for an acknowledgement, whatever is believed of it.
+            if heartbeat.draining {
+                self.record_departure(&heartbeat.upstream);
+            }
             return HeartbeatOutcome::Stale;
         }
         if let Some(generation) = &mut self.current
             && generation.heartbeat.upstream == heartbeat.upstream
         {
-            if heartbeat.sequence <= generation.heartbeat.sequence {
-                return HeartbeatOutcome::Stale;
-            }
             // Calls that are sent after a drain was acknowledged fail, so a generation
             // that has begun to drain never gets calls again.
             heartbeat.draining |= generation.heartbeat.draining;
@@ -123,13 +124,6 @@
             generation.received_at = now;
             return HeartbeatOutcome::Accepted;
         }
-        if self
-            .current
-            .as_ref()
-            .is_some_and(|it| it.supersedes(&heartbeat))
-        {
-            return HeartbeatOutcome::Stale;
-        }
         self.replace(Generation {
             heartbeat,
             received_at: now,
@@ -138,6 +132,14 @@
         HeartbeatOutcome::Accepted
     }
 
+    fn is_stale(&self, heartbeat: &Heartbeat) -> bool {
+        let is_older = |it: &Generation| {
+            let is_same = it.heartbeat.upstream == heartbeat.upstream;
+            is_same && heartbeat.sequence <= it.heartbeat.sequence || it.supersedes(heartbeat)
+        };
+        self.has_ended(&heartbeat.upstream) || self.current.as_ref().is_some_and(is_older)
+    }
+
     /// Returns the last heartbeat of a live generation that is yet to be confirmed. Calls
     /// wait for its confirmation.
     #[must_use]
@@ -148,13 +150,14 @@
     }
 
     /// Returns the generation that a departure notice under this target id refers to. A
-    /// notice without a start time refers to the current generation, since a former one
-    /// can no longer send it.
+    /// notice without a start time refers to the last generation with this id that reported
+    /// itself, since a former one can no longer send it.
     #[must_use]
     pub fn departing_generation(&self, id: &str, born: Option<StartMillis>) -> SmolStr {
-        let current = self.current.as_ref().map(|it| &it.heartbeat.upstream);
-        let current = current.filter(|it| born.is_none() && target_id_of(it) == id);
-        current.cloned().unwrap_or_else(|| generation_id(id, born))
+        let known = self.earlier.iter().chain(&self.current).rev();
+        let mut known = known.map(|it| &it.heartbeat.upstream);
+        let sender = known.find(|it| born.is_none() && target_id_of(it) == id);
+        sender.cloned().unwrap_or_else(|| generation_id(id, born))
     }
 
     /// Records that a generation is departing, and returns whether this was unknown.
--- a/crates/membership/tests/all/local_target.rs
+++ b/crates/membership/tests/all/local_target.rs
@@ -182,6 +182,38 @@
     assert_eq!(accepting(&target, at(100)), Some("c"));
 }
 
+/// Guards against an acknowledged drain that was dropped because its sender was not believed
+/// to be the current generation.
+#[test]
+fn a_drain_is_noted_whatever_is_believed_of_its_sender() {
+    let mut target = confirmed(&["b"]);
+    target.record_heartbeat(heartbeat("a", 8), at(100));
+    target.record_heartbeat(draining("b", 2), at(200));
+    target.record_answer("a", "b");
+    target.confirm("b");
+    target.record_heartbeat(heartbeat("b", 3), at(300));
+    assert_eq!(accepting(&target, at(300)), None);
+}
+
+/// Guards against an acknowledged drain that was dropped because a heartbeat with a higher
+/// number had arrived.
+#[test]
+fn a_drain_with_a_lower_number_is_noted() {
+    let mut target = confirmed(&["a"]);
+    target.record_heartbeat(heartbeat("a", 9), at(100));
+    target.record_heartbeat(draining("a", 8), at(200));
+    assert_eq!(accepting(&target, at(200)), None);
+}
+
+/// Guards against a departure notice that binds no generation because another one was
+/// believed to be current.
+#[test]
+fn a_departure_without_a_start_time_binds_the_known_generation_of_its_sender() {
+    let mut target = started_at_1000();
+    target.record_heartbeat(heartbeat("x", 8), at(100));
+    assert_eq!(target.departing_generation("a", None), "a#1000");
+}
+
 #[test]
 fn a_target_that_falls_silent_is_gone_until_its_next_heartbeat() {
     let mut target = confirmed(&["a"]);
