Let no late heartbeat decide for good which generation runs

While the daemon asked the target which boot it was, a target that had confirmed itself got no calls either.

Cause: `LocalTarget` retired the current generation for every heartbeat of another one, and `has_ended` made that final. Only the answer to a liveness check could undo it, and none is sent without a configuration, or once the late heartbeat is older than three intervals. A start time that was set back, and one heartbeat with a far too high number, had the same effect.

Why this works: evidence is ranked and, but for a departure, lasts three intervals unless heartbeats renew it. The target's answer outranks heartbeats; the later start time of one id outranks the earlier; a heartbeat that nothing contradicts makes its sender current, unconfirmed. One that disputes a confirmed generation is asked about while that one keeps its calls, which is safe as targets refuse calls meant for another id. A departure of a later start also ends what is believed of its predecessors, since calls for them would reach it.

`the_targets_own_answer_determines_the_current_generation` asserted that a late heartbeat takes all calls from a confirmed target until it answers. That was the fault; it asserts now that the target is asked about the sender, and that the question is settled by the answer.

--- a/crates/membership/src/generation.rs
+++ b/crates/membership/src/generation.rs
@@ -40,3 +40,14 @@
 pub(crate) fn started_before(one: Option<StartMillis>, other: Option<StartMillis>) -> bool {
     matches!((one, other), (Some(one), Some(other)) if one < other)
 }
+
+/// Whether generation `one` ended before generation `other` started, which has the same target
+/// id and states a later start time, or one at all.
+#[must_use]
+pub(crate) fn precedes(one: &str, other: &str) -> bool {
+    let start = |of: &str| -> Option<StartMillis> {
+        let (_, start) = of.split_once(SEPARATOR)?;
+        start.parse().ok()
+    };
+    target_id_of(one) == target_id_of(other) && start(one) < start(other)
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -16,6 +16,7 @@
 mod action;
 mod config;
 mod generation;
+mod heartbeat;
 mod isolation;
 mod local_target;
 mod machine;
@@ -23,6 +24,7 @@
 mod probe;
 mod probe_failure;
 mod receive;
+mod reported;
 mod table;
 mod tick;
 mod update_queue;
@@ -31,7 +33,8 @@
 pub use action::{Action, Input};
 pub use config::Config;
 pub use generation::{StartMillis, generation_id, target_id_of};
-pub use local_target::{Heartbeat, HeartbeatOutcome, LocalTarget};
+pub use heartbeat::{Contradiction, Heartbeat, HeartbeatOutcome};
+pub use local_target::LocalTarget;
 pub use machine::Membership;
 pub use member::{
     AnnouncedTarget, Incarnation, Member, MemberKey, MemberState, Time, member_key,
--- a/crates/membership/src/local_target.rs
+++ b/crates/membership/src/local_target.rs
@@ -1,92 +1,47 @@
 //! State of the local target, the one that runs beside this daemon.
 //!
-//! There is no list of targets: each one reports itself to its daemon. Heartbeats
-//! can be delayed, so that one of an earlier generation arrives after those of a
-//! later one. Generations are therefore ordered by id and start time, and the
-//! heartbeats of one generation by their sequence number. A restarted daemon has
-//! neither, so a generation that is new to it gets calls only after the target
-//! itself has confirmed it.
+//! There is no list of targets: each one reports itself to its daemon. Heartbeats can be
+//! delayed, so that one of an earlier generation arrives after those of a later one, and
+//! another program may send some. So no single message decides for good which generation
+//! is running:
+//!
+//! - A departure is final for the generation that announced it, whatever is believed of it.
+//! - The target's answer to a request says which generation it is, and outranks heartbeats.
+//! - Of two generations with one id, the one with the later start time is current.
+//! - A heartbeat that nothing of this contradicts makes its sender current. It gets calls only
+//!   after the target itself has confirmed it.
+//!
+//! All but the first hold for as long as heartbeats renew them.
+
+mod view;
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use smol_str::SmolStr;
 
-use crate::generation::{self, StartMillis, generation_id, target_id_of};
-use crate::member::{AnnouncedTarget, Time};
+use crate::generation::{StartMillis, generation_id, precedes, target_id_of};
+use crate::heartbeat::{Contradiction, Heartbeat, HeartbeatOutcome};
+use crate::member::Time;
+use crate::reported::Generation;
 
 /// Intervals without a heartbeat after which the target counts as gone. One heartbeat
 /// may be lost and one be late by nearly two seconds.
 const MAX_SILENT_INTERVALS: u32 = 3;
 
-/// Number of earlier generations that are remembered. It suffices to reject all late
+/// Number of other generations that are remembered. It suffices to recognise all late
 /// heartbeats of a target that restarts every second for a minute.
-const MAX_EARLIER_GENERATIONS: usize = 64;
-
-/// A target's report about itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Heartbeat {
-    /// Id of this generation of the target; see [`generation_id`].
-    pub upstream: SmolStr,
-    /// Start time of this generation, if the target reports it.
-    pub born: Option<StartMillis>,
-    /// Service that the target runs.
-    pub service: SmolStr,
-    /// Version of the target's software, as free text.
-    pub software: SmolStr,
-    /// Number of calls that the target runs concurrently.
-    pub slots: u32,
-    /// Number that increases with each heartbeat of one generation.
-    pub sequence: u64,
-    /// Whether the target is about to stop.
-    pub draining: bool,
-    /// Remaining warm-up time after the target's start, during which it is slow.
-    pub cold: Duration,
-}
-
-/// Outcome of processing a heartbeat.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HeartbeatOutcome {
-    /// The heartbeat is the newest one and was applied.
-    Accepted,
-    /// The heartbeat is older than the known state.
-    Stale,
-    /// The heartbeat names a service that the configuration does not have. No call could
-    /// ever use it, so its sender is not the target.
-    UnknownService,
-}
-
-#[derive(Clone, Debug)]
-struct Generation {
-    heartbeat: Heartbeat,
-    received_at: Time,
-    /// Whether the target has answered a request of this process by stating that it is
-    /// this generation and accepts calls.
-    is_confirmed: bool,
-}
-
-impl Generation {
-    /// Whether this generation is newer than the one that sent `heartbeat`: it started later,
-    /// or it reports its start time while `heartbeat` has the same target id and does not.
-    ///
-    /// A heartbeat that was delayed by a partition arrives after its sender has crashed.
-    /// If it were accepted, it would replace the generation that serves, and calls would
-    /// wait for a target that is gone.
-    fn supersedes(&self, heartbeat: &Heartbeat) -> bool {
-        let is_same_target =
-            target_id_of(&self.heartbeat.upstream) == target_id_of(&heartbeat.upstream);
-        let lacks_start_time =
-            is_same_target && self.heartbeat.born.is_some() && heartbeat.born.is_none();
-        lacks_start_time || generation::started_before(heartbeat.born, self.heartbeat.born)
-    }
-}
+const MAX_OTHER_GENERATIONS: usize = 64;
 
 /// The local target, as it reported itself.
 #[derive(Clone, Debug)]
 pub struct LocalTarget {
     interval: Duration,
     current: Option<Generation>,
-    earlier: VecDeque<Generation>,
+    /// A generation that reported itself while the confirmed one was live.
+    challenger: Option<Generation>,
+    /// Other generations that reported themselves, the last one at the back.
+    others: VecDeque<Generation>,
     /// Generations that announced their departure. Some may have no heartbeat on record,
     /// since this process may have started after their last one.
     departed: VecDeque<SmolStr>,
@@ -100,53 +55,105 @@
         Self {
             interval,
             current: None,
-            earlier: VecDeque::new(),
+            challenger: None,
+            others: VecDeque::new(),
             departed: VecDeque::new(),
         }
     }
 
     /// Processes a heartbeat.
-    pub fn record_heartbeat(&mut self, mut heartbeat: Heartbeat, now: Time) -> HeartbeatOutcome {
-        if self.is_stale(&heartbeat) {
+    pub fn record_heartbeat(&mut self, heartbeat: Heartbeat, now: Time) -> HeartbeatOutcome {
+        let Some(contradiction) = self.contradiction(&heartbeat, now) else {
+            self.accept(heartbeat, now);
+            return HeartbeatOutcome::Accepted;
+        };
+        if heartbeat.draining {
             // The sender takes the answer for an acknowledgement, whatever is believed of it.
-            if heartbeat.draining {
-                self.record_departure(&heartbeat.upstream);
-            }
+            self.record_departure(&heartbeat.upstream);
             return HeartbeatOutcome::Stale;
         }
-        if let Some(generation) = &mut self.current
-            && generation.heartbeat.upstream == heartbeat.upstream
-        {
-            // Calls that are sent after a drain was acknowledged fail, so a generation
-            // that has begun to drain never gets calls again.
-            heartbeat.draining |= generation.heartbeat.draining;
-            generation.heartbeat = heartbeat;
-            generation.received_at = now;
-            return HeartbeatOutcome::Accepted;
+        if !matches!(contradiction, Contradiction::Generation(_)) {
+            return HeartbeatOutcome::Stale;
         }
-        self.replace(Generation {
-            heartbeat,
-            received_at: now,
-            is_confirmed: false,
-        });
-        HeartbeatOutcome::Accepted
+        let challenger = self.renewed(heartbeat, now);
+        if let Some(former) = self.challenger.replace(challenger) {
+            self.remember(former);
+        }
+        HeartbeatOutcome::Disputed
+    }
+
+    /// Returns what is known that contradicts a heartbeat, if anything.
+    #[must_use]
+    pub fn contradiction(&self, heartbeat: &Heartbeat, now: Time) -> Option<Contradiction> {
+        let upstream = &heartbeat.upstream;
+        if self.departed.contains(upstream) {
+            return Some(Contradiction::Departed);
+        }
+        let sender = self.known().find(|it| it.is(upstream));
+        let sender = sender.filter(|it| self.is_live(it, now));
+        if let Some(sender) = sender.filter(|it| heartbeat.sequence <= it.heartbeat.sequence) {
+            return Some(Contradiction::Sequence(sender.heartbeat.sequence));
+        }
+        let current = self.live_generation(now);
+        let known = current.map(|it| it.heartbeat.upstream.clone());
+        if sender.is_some_and(|it| it.is_ruled_out) {
+            return Some(Contradiction::RuledOut(known));
+        }
+        let current = current.filter(|it| !it.is(upstream))?;
+        if current.supersedes(heartbeat) {
+            return Some(Contradiction::StartTime(current.heartbeat.born));
+        }
+        let is_disputed = current.is_confirmed && !current.has_target_id(target_id_of(upstream));
+        known.filter(|_| is_disputed).map(Contradiction::Generation)
     }
 
-    fn is_stale(&self, heartbeat: &Heartbeat) -> bool {
-        let is_older = |it: &Generation| {
-            let is_same = it.heartbeat.upstream == heartbeat.upstream;
-            is_same && heartbeat.sequence <= it.heartbeat.sequence || it.supersedes(heartbeat)
+    fn accept(&mut self, heartbeat: Heartbeat, now: Time) {
+        let current = self.current.as_ref();
+        let Some(current) = current.filter(|it| it.is(&heartbeat.upstream)) else {
+            let generation = self.renewed(heartbeat, now);
+            self.replace(Some(generation));
+            return;
         };
-        self.has_ended(&heartbeat.upstream) || self.current.as_ref().is_some_and(is_older)
+        // A lower number was sent by another run of the target, which has confirmed nothing.
+        let is_same_run = heartbeat.sequence > current.heartbeat.sequence;
+        let is_confirmed = current.is_confirmed && is_same_run;
+        let generation = self.renewed(heartbeat, now);
+        self.current = Some(Generation {
+            is_confirmed,
+            ..generation
+        });
+    }
+
+    /// Returns the unconfirmed state of the generation that sent `heartbeat`.
+    ///
+    /// Calls that are sent after a drain was acknowledged fail, so a generation that has
+    /// begun to drain never gets calls again.
+    fn renewed(&mut self, mut heartbeat: Heartbeat, now: Time) -> Generation {
+        let sender = self.known().find(|it| it.is(&heartbeat.upstream));
+        heartbeat.draining |= sender.is_some_and(|it| it.heartbeat.draining);
+        self.others.retain(|it| !it.is(&heartbeat.upstream));
+        self.challenger.take_if(|it| it.is(&heartbeat.upstream));
+        Generation::new(heartbeat, now)
+    }
+
+    /// All generations that reported themselves, the current one first, then from the last
+    /// one on.
+    fn known(&self) -> impl Iterator<Item = &Generation> {
+        let current = self.current.iter().chain(&self.challenger);
+        current.chain(self.others.iter().rev())
     }
 
-    /// Returns the last heartbeat of a live generation that is yet to be confirmed. Calls
-    /// wait for its confirmation.
+    /// Returns the last heartbeat of a live generation that is yet to be confirmed, so that
+    /// the target has to be asked about it.
     #[must_use]
     pub fn unconfirmed(&self, now: Time) -> Option<&Heartbeat> {
-        let generation = self.live_generation(now)?;
-        let is_open = !generation.is_confirmed && self.accepts_calls(generation);
-        is_open.then_some(&generation.heartbeat)
+        let mut generations = self.challenger.iter().chain(&self.current);
+        let generation = generations.find(|it| self.awaits_confirmation(it, now));
+        generation.map(|it| &it.heartbeat)
+    }
+
+    fn awaits_confirmation(&self, generation: &Generation, now: Time) -> bool {
+        self.is_live(generation, now) && !generation.is_confirmed && self.accepts_calls(generation)
     }
 
     /// Returns the generation that a departure notice under this target id refers to. A
@@ -154,10 +161,11 @@
     /// itself, since a former one can no longer send it.
     #[must_use]
     pub fn departing_generation(&self, id: &str, born: Option<StartMillis>) -> SmolStr {
-        let known = self.earlier.iter().chain(&self.current).rev();
-        let mut known = known.map(|it| &it.heartbeat.upstream);
-        let sender = known.find(|it| born.is_none() && target_id_of(it) == id);
-        sender.cloned().unwrap_or_else(|| generation_id(id, born))
+        let sender = self
+            .known()
+            .find(|it| born.is_none() && it.has_target_id(id));
+        let sender = sender.map(|it| it.heartbeat.upstream.clone());
+        sender.unwrap_or_else(|| generation_id(id, born))
     }
 
     /// Records that a generation is departing, and returns whether this was unknown.
@@ -170,22 +178,35 @@
             return false;
         }
         self.departed.push_back(upstream.into());
-        if self.departed.len() > MAX_EARLIER_GENERATIONS {
+        if self.departed.len() > MAX_OTHER_GENERATIONS {
             self.departed.pop_front();
         }
+        self.end_predecessors(upstream);
         true
     }
 
-    /// Whether this generation has ended or is departing, so that its heartbeats can only
-    /// be late ones.
-    fn has_ended(&self, upstream: &str) -> bool {
-        let earlier = self.earlier.iter().map(|it| &it.heartbeat.upstream);
-        earlier.chain(&self.departed).any(|it| it == upstream)
+    /// Ends what is believed of former generations with the target id of `upstream`: calls for
+    /// them would reach `upstream`, since targets know only their id.
+    fn end_predecessors(&mut self, upstream: &str) {
+        let is_former = |it: &Generation| precedes(&it.heartbeat.upstream, upstream);
+        if self.current.as_ref().is_some_and(is_former) {
+            self.replace(None);
+        }
+        if let Some(former) = self.challenger.take_if(|it| is_former(it)) {
+            self.remember(former);
+        }
+        for former in self.others.iter_mut().filter(|it| is_former(it)) {
+            former.is_confirmed = false;
+            former.is_ruled_out = true;
+        }
     }
 
     fn is_current(&self, upstream: &str) -> bool {
-        let generation = self.current.as_ref();
-        generation.is_some_and(|it| it.heartbeat.upstream == upstream)
+        self.current.as_ref().is_some_and(|it| it.is(upstream))
+    }
+
+    fn is_challenger(&self, upstream: &str) -> bool {
+        self.challenger.as_ref().is_some_and(|it| it.is(upstream))
     }
 
     fn accepts_calls(&self, generation: &Generation) -> bool {
@@ -193,20 +214,37 @@
     }
 
     /// Records that the target answered a request for generation `asked` with the target
-    /// id `actual`.
+    /// id `actual`, so that all other generations that had reported themselves have ended.
     ///
-    /// A heartbeat that was delayed until after a restart of this daemon looks like one of
-    /// a newer generation; the target's answer shows that it was from an older one. If
-    /// the generation has changed since the request, the answer is outdated and ignored.
+    /// If another generation has reported itself since the request, the answer is outdated
+    /// and ignored.
     pub fn record_answer(&mut self, asked: &str, actual: &str) {
-        if target_id_of(asked) == actual || !self.is_current(asked) {
+        let is_asked_current = self.is_current(asked);
+        let is_outdated = !is_asked_current && !self.is_challenger(asked);
+        if is_outdated || is_asked_current && target_id_of(asked) == actual {
+            return;
+        }
+        if let Some(challenger) = self.challenger.take() {
+            self.remember(Generation {
+                is_ruled_out: challenger.is(asked),
+                ..challenger
+            });
+        }
+        if self
+            .current
+            .as_ref()
+            .is_some_and(|it| it.has_target_id(actual))
+        {
             return;
         }
-        let mut earlier = self.earlier.iter();
-        let known = earlier.rposition(|it| target_id_of(&it.heartbeat.upstream) == actual);
-        match known.and_then(|at| self.earlier.remove(at)) {
-            Some(generation) => self.replace(generation),
-            None => self.retire(),
+        let known = self.others.iter().rposition(|it| it.has_target_id(actual));
+        let generation = known.and_then(|at| self.others.remove(at));
+        self.replace(generation.map(|it| Generation {
+            is_ruled_out: false,
+            ..it
+        }));
+        if let Some(former) = self.others.back_mut() {
+            former.is_ruled_out = true;
         }
     }
 
@@ -219,74 +257,36 @@
     /// answer is sufficient: it stops reporting itself ready when it begins to leave, which
     /// is before any acknowledgement.
     pub fn confirm(&mut self, confirmed: &str) {
+        self.record_answer(confirmed, target_id_of(confirmed));
         let generation = self.current.as_mut();
-        if let Some(generation) = generation.filter(|it| it.heartbeat.upstream == confirmed) {
+        if let Some(generation) = generation.filter(|it| it.is(confirmed)) {
             generation.is_confirmed = true;
         }
     }
 
-    /// Returns the target's last heartbeat if the target accepts new calls.
-    #[must_use]
-    pub fn accepting_heartbeat(&self, now: Time) -> Option<&Heartbeat> {
-        let generation = self.live_generation(now)?;
-        let is_open = generation.is_confirmed && self.accepts_calls(generation);
-        is_open.then_some(&generation.heartbeat)
-    }
-
-    /// Returns the target's service; none before the first heartbeat.
-    #[must_use]
-    pub fn service(&self) -> Option<&SmolStr> {
-        self.current.as_ref().map(|it| &it.heartbeat.service)
-    }
-
-    /// Returns the id of the target's current generation; none before the first heartbeat.
-    #[must_use]
-    pub fn generation(&self) -> Option<&SmolStr> {
-        self.current.as_ref().map(|it| &it.heartbeat.upstream)
-    }
-
-    /// Whether the target is still warming up, according to its last heartbeat.
-    #[must_use]
-    pub fn is_cold(&self, now: Time) -> bool {
-        let generation = self.current.as_ref();
-        generation.is_some_and(|it| it.received_at + it.heartbeat.cold > now)
-    }
-
-    /// Returns the announcement of the target for peers. There is none while the target is
-    /// silent or is yet to be confirmed.
-    #[must_use]
-    pub fn announced(&self, now: Time) -> Option<AnnouncedTarget> {
-        let generation = self.live_generation(now)?;
-        if self.unconfirmed(now).is_some() {
-            return None;
-        }
-        Some(AnnouncedTarget {
-            upstream: generation.heartbeat.upstream.clone(),
-            service: generation.heartbeat.service.clone(),
-            slots: generation.heartbeat.slots,
-            draining: !self.accepts_calls(generation),
-            software: generation.heartbeat.software.clone(),
-        })
+    fn live_generation(&self, now: Time) -> Option<&Generation> {
+        self.current.as_ref().filter(|it| self.is_live(it, now))
     }
 
-    fn live_generation(&self, now: Time) -> Option<&Generation> {
+    fn is_live(&self, generation: &Generation, now: Time) -> bool {
         let bound = self.interval * MAX_SILENT_INTERVALS;
-        let is_recent = |it: &&Generation| now.saturating_sub(it.received_at) <= bound;
-        self.current.as_ref().filter(is_recent)
+        now.saturating_sub(generation.received_at) <= bound
     }
 
-    fn replace(&mut self, generation: Generation) {
-        self.retire();
-        self.current = Some(generation);
+    /// Makes this generation the current one, or none.
+    fn replace(&mut self, generation: Option<Generation>) {
+        let challenger = self.challenger.take();
+        let former = std::mem::replace(&mut self.current, generation);
+        challenger
+            .into_iter()
+            .chain(former)
+            .for_each(|it| self.remember(it));
     }
 
-    fn retire(&mut self) {
-        let Some(generation) = self.current.take() else {
-            return;
-        };
-        self.earlier.push_back(generation);
-        if self.earlier.len() > MAX_EARLIER_GENERATIONS {
-            self.earlier.pop_front();
+    fn remember(&mut self, generation: Generation) {
+        self.others.push_back(generation);
+        if self.others.len() > MAX_OTHER_GENERATIONS {
+            self.others.pop_front();
         }
     }
 }
--- a/crates/membership/tests/all/local_target.rs
+++ b/crates/membership/tests/all/local_target.rs
@@ -159,8 +159,13 @@
 fn the_targets_own_answer_determines_the_current_generation() {
     let mut target = confirmed(&["b"]);
     target.record_heartbeat(heartbeat("a", 8), at(100));
-    assert_eq!(accepting(&target, at(100)), None);
+    assert!(
+        target
+            .unconfirmed(at(100))
+            .is_some_and(|it| it.upstream == "a")
+    );
     target.record_answer("a", "b");
+    assert_eq!(target.unconfirmed(at(100)), None);
     assert_eq!(accepting(&target, at(100)), Some("b"));
     assert_eq!(
         target.record_heartbeat(heartbeat("a", 9), at(200)),
@@ -214,6 +219,101 @@
     assert_eq!(target.departing_generation("a", None), "a#1000");
 }
 
+/// Guards against one late heartbeat after which a target gets no calls for as long as its
+/// daemon runs.
+#[test]
+fn a_generation_that_goes_on_reporting_is_current_again() {
+    let mut target = LocalTarget::new(INTERVAL);
+    target.record_heartbeat(heartbeat("b", 1), at(0));
+    target.record_heartbeat(heartbeat("a", 41), at(500));
+    target.record_heartbeat(heartbeat("b", 2), at(1_000));
+    assert!(
+        target
+            .unconfirmed(at(1_000))
+            .is_some_and(|it| it.upstream == "b")
+    );
+    target.confirm("b");
+    assert_eq!(accepting(&target, at(1_000)), Some("b"));
+}
+
+/// Guards against a late heartbeat that stops the calls to a target which has confirmed itself.
+#[test]
+fn a_confirmed_target_gets_calls_while_it_is_asked_about_another_generation() {
+    let mut target = confirmed(&["b"]);
+    assert_eq!(
+        target.record_heartbeat(heartbeat("a", 8), at(100)),
+        HeartbeatOutcome::Disputed
+    );
+    assert!(
+        target
+            .unconfirmed(at(100))
+            .is_some_and(|it| it.upstream == "a")
+    );
+    assert_eq!(accepting(&target, at(100)), Some("b"));
+    target.record_answer("a", "a");
+    assert_eq!(accepting(&target, at(100)), None, "it takes no calls yet");
+    target.confirm("a");
+    assert_eq!(accepting(&target, at(100)), Some("a"));
+}
+
+/// Guards against a target whose clock was set back before its restart, and which gets no
+/// calls for as long as its daemon runs.
+#[test]
+fn an_earlier_start_time_counts_once_the_later_one_is_silent() {
+    let mut target = started_at_1000();
+    let restarted = |sequence| heartbeat_started_at(500, sequence);
+    assert_eq!(
+        target.record_heartbeat(restarted(1), at(1_000)),
+        HeartbeatOutcome::Stale
+    );
+    assert_eq!(
+        target.record_heartbeat(restarted(4), at(4_000)),
+        HeartbeatOutcome::Accepted
+    );
+    target.confirm("a#500");
+    assert_eq!(accepting(&target, at(4_000)), Some("a#500"));
+}
+
+/// Guards against one heartbeat with a far too high number after which all others are stale.
+#[test]
+fn a_lower_number_counts_once_the_target_is_silent() {
+    let mut target = confirmed(&["a"]);
+    target.record_heartbeat(heartbeat("a", 1_000_000), at(100));
+    assert_eq!(
+        target.record_heartbeat(heartbeat("a", 3), at(2_000)),
+        HeartbeatOutcome::Stale
+    );
+    assert_eq!(
+        target.record_heartbeat(heartbeat("a", 5), at(4_000)),
+        HeartbeatOutcome::Accepted
+    );
+    assert_eq!(accepting(&target, at(4_000)), None, "not confirmed yet");
+    target.confirm("a");
+    assert_eq!(accepting(&target, at(4_000)), Some("a"));
+}
+
+/// Guards against one wrong answer after which a target gets no calls for as long as its
+/// daemon runs.
+#[test]
+fn a_generation_that_an_answer_ruled_out_is_asked_about_again() {
+    let mut target = confirmed(&["b"]);
+    target.record_heartbeat(heartbeat("a", 8), at(100));
+    target.record_answer("a", "b");
+    assert_eq!(
+        target.record_heartbeat(heartbeat("a", 9), at(1_000)),
+        HeartbeatOutcome::Stale
+    );
+    target.record_heartbeat(heartbeat("b", 9), at(3_000));
+    assert_eq!(
+        target.record_heartbeat(heartbeat("a", 12), at(4_000)),
+        HeartbeatOutcome::Disputed
+    );
+    assert_eq!(accepting(&target, at(4_000)), Some("b"));
+    target.record_answer("a", "a");
+    target.confirm("a");
+    assert_eq!(accepting(&target, at(4_000)), Some("a"));
+}
+
 #[test]
 fn a_target_that_falls_silent_is_gone_until_its_next_heartbeat() {
     let mut target = confirmed(&["a"]);
--- a/crates/membership/tests/all/main.rs
+++ b/crates/membership/tests/all/main.rs
@@ -4,4 +4,5 @@
 mod failures;
 mod fleet;
 mod local_target;
+mod local_target_beliefs;
 mod merging;
--- a/crates/mesh/src/executor/confirm.rs
+++ b/crates/mesh/src/executor/confirm.rs
@@ -64,15 +64,15 @@
     let asked = &beat.upstream;
     let actual = health.as_ref().and_then(|it| it.upstream.clone());
     let status = health.as_ref().map(|it| it.status.as_u16());
+    if let Some(actual) = &actual {
+        update_target(node, |target, _| target.record_answer(asked, actual));
+    }
     if let Some(health) = &health
         && actual.as_deref() == Some(target_id_of(asked))
         && !health.statement.is_empty()
     {
         statements::record(node, asked, health.statement);
     }
-    if let Some(actual) = &actual {
-        update_target(node, |target, _| target.record_answer(asked, actual));
-    }
     let is_healthy = health.is_some_and(|it| it.status.is_success());
     if is_healthy && actual.as_deref() == Some(target_id_of(asked)) {
         update_target(node, |target, _| target.confirm(asked));
--- a/crates/mesh/src/executor/heartbeat.rs
+++ b/crates/mesh/src/executor/heartbeat.rs
@@ -16,11 +16,7 @@
     if !has_known_service(node, &beat) {
         return HeartbeatOutcome::UnknownService;
     }
-    let slots = beat.slots;
     let outcome = update_target(node, |target, now| target.record_heartbeat(beat, now));
-    if outcome == HeartbeatOutcome::Accepted {
-        node.executor.tables.borrow_mut().queue.set_slots(slots);
-    }
     confirm_target(node);
     outcome
 }
@@ -71,6 +67,9 @@
     if tables.local_target.generation() != generation.as_ref() {
         tables.queue.limiter_mut().reset();
     }
+    if let Some(slots) = tables.local_target.slots() {
+        tables.queue.set_slots(slots);
+    }
     drop(tables);
     if let Some(change) = changed_target(before, after) {
         // Idle connections belong to the previous generation, if they are open at all.
