State a caller's service by what the target confirmed, or the settings

Cause: `Call::read` took the caller's service from the last heartbeat, however old and whether or not the target had confirmed its sender. Before the first configuration, heartbeats of any service were applied, so one of another program under the target's own id set the service, and its number made the target's own heartbeats stale.

Why this works: the caller's service is that of the live generation that answered for itself, and the one of the settings while there is none. A target may so change its service where its address is used again, but only by its own answer. Before the first configuration the settings are the only word on services; a heartbeat of another one is refused as later, and its sender, which gets no call then in any case, is heard again with its next heartbeat.

--- a/crates/membership/src/heartbeat.rs
+++ b/crates/membership/src/heartbeat.rs
@@ -37,8 +37,9 @@
     Disputed,
     /// The heartbeat is older than the known state. If it announces a drain, that was recorded.
     Stale,
-    /// The heartbeat names a service that the configuration does not have. No call could
-    /// ever use it, so its sender is not the target.
+    /// The heartbeat names a service that the configuration does not have, or, before the first
+    /// configuration, another one than the settings. No call could ever use it, so its sender is
+    /// not the target.
     UnknownService,
 }
 
--- a/crates/membership/src/local_target/view.rs
+++ b/crates/membership/src/local_target/view.rs
@@ -15,7 +15,16 @@
         is_open.then_some(&generation.heartbeat)
     }
 
-    /// Returns the target's service; none before the first heartbeat.
+    /// Returns the service of the live target that has confirmed itself. A heartbeat alone may
+    /// come from a former target of the address, or from another program.
+    #[must_use]
+    pub fn confirmed_service(&self, now: Time) -> Option<&SmolStr> {
+        let generation = self.live_generation(now).filter(|it| it.is_confirmed)?;
+        Some(&generation.heartbeat.service)
+    }
+
+    /// Returns the service that the target reports, which may be unconfirmed; none before the
+    /// first heartbeat.
     #[must_use]
     pub fn service(&self) -> Option<&SmolStr> {
         self.current.as_ref().map(|it| &it.heartbeat.service)
--- a/crates/membership/tests/all/local_target.rs
+++ b/crates/membership/tests/all/local_target.rs
@@ -256,6 +256,31 @@
     assert_eq!(accepting(&target, at(100)), Some("a"));
 }
 
+/// Guards against a caller's service that an unconfirmed or an old heartbeat names.
+#[test]
+fn only_a_live_target_that_confirmed_itself_has_a_service() {
+    let mut target = LocalTarget::new(INTERVAL);
+    target.record_heartbeat(heartbeat("a", 1), at(0));
+    assert_eq!(target.confirmed_service(at(0)), None);
+    target.confirm("a");
+    assert!(
+        target
+            .confirmed_service(at(0))
+            .is_some_and(|it| it == "floatdesk")
+    );
+    let other = Heartbeat {
+        service: "refundhall".into(),
+        ..heartbeat("b", 1)
+    };
+    target.record_heartbeat(other, at(100));
+    assert!(
+        target
+            .confirmed_service(at(100))
+            .is_some_and(|it| it == "floatdesk")
+    );
+    assert_eq!(target.confirmed_service(at(3_100)), None);
+}
+
 /// Guards against a target whose clock was set back before its restart, and which gets no
 /// calls for as long as its daemon runs.
 #[test]
--- a/crates/mesh/src/entry/call.rs
+++ b/crates/mesh/src/entry/call.rs
@@ -93,7 +93,7 @@
                 .unwrap_or(LOWEST_PRIORITY),
             caller_service: node
                 .executor
-                .service()
+                .service(now)
                 .unwrap_or_else(|| node.cfg.service.clone()),
             identity: caller.identity,
         };
--- a/crates/mesh/src/executor/heartbeat.rs
+++ b/crates/mesh/src/executor/heartbeat.rs
@@ -21,13 +21,13 @@
     outcome
 }
 
-/// Whether the configuration in force has the service of the heartbeat. Without a
-/// configuration every service is accepted. Without this check, a heartbeat that another
-/// process sends under the target's id would take the target out of its service until the
-/// target's next heartbeat.
+/// Whether the configuration in force has the service of the heartbeat, or, without a
+/// configuration, whether the settings name it as the service of this instance. Without this
+/// check, a heartbeat that another process sends under the target's id would take the target
+/// out of its service until the target's next heartbeat.
 fn has_known_service(node: &Node, beat: &Heartbeat) -> bool {
     let Some(in_force) = node.fleet.in_force() else {
-        return true;
+        return beat.service == node.cfg.service;
     };
     in_force.service(&beat.service).is_some()
 }
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -135,9 +135,10 @@
         self.tables.borrow().ledger.ticket(now)
     }
 
-    /// The service of the target, if it ever sent a heartbeat.
-    pub(crate) fn service(&self) -> Option<ServiceName> {
-        self.tables.borrow().local_target.service().cloned()
+    /// The service of the target, if the target has confirmed itself and is live.
+    pub(crate) fn service(&self, now: stoatstep_calls::Time) -> Option<ServiceName> {
+        let tables = self.tables.borrow();
+        tables.local_target.confirmed_service(now).cloned()
     }
 
     /// The occupancy of the target.
--- a/crates/mesh/src/zones.rs
+++ b/crates/mesh/src/zones.rs
@@ -123,7 +123,7 @@
 
 fn own_target(node: &Node) -> Option<TargetRoom> {
     let now = node.clock.now();
-    let service = node.executor.service()?;
+    let service = node.executor.service(now)?;
     node.executor.accepts_calls(now).then(|| TargetRoom {
         service,
         slots: node.executor.occupancy(now).slots,
