Log and count heartbeats that are not believed

An operator saw nothing of a heartbeat that was dropped: a late one left a debug line without the value that it contradicted. `heartbeat not believed` now names the field with the stated and the known value, shortened and at most 200 lines a second, and `heartbeats.not_believed` counts. Messages that do not decode are logged and counted in the same way; their line had no bound, and repeated what the sender had put in.

--- a/crates/mesh/src/executor/heartbeat.rs
+++ b/crates/mesh/src/executor/heartbeat.rs
@@ -7,6 +7,7 @@
 use stoatstep_membership::{Heartbeat, HeartbeatOutcome, LocalTarget, StartMillis};
 use stoatstep_telemetry::fields;
 
+use super::disbelief::{self, Disbelief};
 use super::{confirm_target, slot};
 use crate::node::Node;
 
@@ -14,9 +15,19 @@
 /// to the target after this returns, so that the drain may be acknowledged.
 pub(crate) fn handle_heartbeat(node: &Rc<Node>, beat: Heartbeat) -> HeartbeatOutcome {
     if !has_known_service(node, &beat) {
+        let disbelief = Disbelief::of_service(&beat, &node.cfg.service);
+        disbelief::report(node, &beat.upstream, &disbelief);
         return HeartbeatOutcome::UnknownService;
     }
-    let outcome = update_target(node, |target, now| target.record_heartbeat(beat, now));
+    let upstream = beat.upstream.clone();
+    let (outcome, disbelief) = update_target(node, |target, now| {
+        let contradiction = target.contradiction(&beat, now);
+        let disbelief = contradiction.map(|it| Disbelief::new(&beat, &it));
+        (target.record_heartbeat(beat, now), disbelief)
+    });
+    if let Some(disbelief) = disbelief {
+        disbelief::report(node, &upstream, &disbelief);
+    }
     confirm_target(node);
     outcome
 }
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -6,6 +6,7 @@
 
 mod answer_stats;
 mod confirm;
+mod disbelief;
 mod heartbeat;
 mod process_exit;
 mod rollout_tally;
@@ -39,6 +40,7 @@
 use crate::wire::{Attempt, CallParts, End, Ran};
 pub(crate) use answer_stats::band_of;
 pub(crate) use confirm::confirm_target;
+pub(crate) use disbelief::report_undecodable;
 use heartbeat::update_target;
 pub(crate) use heartbeat::{deregister_target, handle_heartbeat, mark_leaving};
 pub(crate) use settle::{link_lost, settle};
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -1,6 +1,7 @@
 //! State shared by all parts of one daemon.
 
 use std::cell::Cell;
+use std::fmt::Display;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -126,7 +127,7 @@
 
     /// Handles a heartbeat of the target beside the daemon. Once this returns, no further call goes
     /// to a target that drains.
-    #[must_use = "a stale heartbeat is acked like any other, but may be worth a log line"]
+    #[must_use = "a heartbeat of an unknown service must not be acked"]
     pub fn handle_heartbeat(&self, beat: Heartbeat) -> HeartbeatOutcome {
         let outcome = executor::handle_heartbeat(&self.0, beat);
         gossip::target_changed(&self.0);
@@ -140,6 +141,11 @@
         gossip::target_changed(&self.0);
     }
 
+    /// Reports a message under the id of a target that the adapter could not decode.
+    pub fn report_undecodable(&self, id: &str, err: &dyn Display) {
+        executor::report_undecodable(&self.0, id, err);
+    }
+
     /// Whether callers should use this daemon: a configuration is in force and, if there are
     /// customers, known to be recent enough, and the daemon is not about to stop.
     #[must_use]
--- a/crates/telemetry/src/fields.rs
+++ b/crates/telemetry/src/fields.rs
@@ -61,6 +61,12 @@
 pub const UNUSED_AFTER_MS: &str = "unused_after_ms";
 /// Sequence number of the last heartbeat that was received from the target.
 pub const SEQUENCE: &str = "sequence";
+/// Field of a message that is not believed.
+pub const FIELD: &str = "field";
+/// Value of the field in the message.
+pub const STATED: &str = "stated";
+/// Value of the same that is known, and that the message contradicts.
+pub const KNOWN: &str = "known";
 /// Number of calls that the target runs at a time.
 pub const SLOTS: &str = "slots";
 /// Whether the target takes no new calls.
@@ -159,7 +165,7 @@
 pub const CAUSE: &str = "cause";
 
 /// All keys, in the order in which this module defines them.
-pub const ALL: [&str; 78] = [
+pub const ALL: [&str; 81] = [
     REQUEST,
     ATTEMPT,
     UPSTREAM,
@@ -190,6 +196,9 @@
     FOR_MS,
     UNUSED_AFTER_MS,
     SEQUENCE,
+    FIELD,
+    STATED,
+    KNOWN,
     SLOTS,
     DRAINING,
     ANSWERED_AS,
