--- a/crates/mesh/src/executor/disbelief.rs
+++ b/crates/mesh/src/executor/disbelief.rs
@@ -28,8 +28,11 @@
         }
     }
 
-    pub(super) fn new(beat: &Heartbeat, contradiction: &Contradiction) -> Self {
+    /// The heartbeat contradicts what is known; `None` if it only says once more that its sender
+    /// leaves.
+    pub(super) fn new(beat: &Heartbeat, contradiction: &Contradiction) -> Option<Self> {
         let (field, stated, known) = match contradiction {
+            Contradiction::Departed if beat.draining => return None,
             Contradiction::Departed => (
                 fields::LEAVING,
                 beat.draining.to_smolstr(),
@@ -52,11 +55,11 @@
                 known.clone().unwrap_or_default(),
             ),
         };
-        Self {
+        Some(Self {
             field,
             stated,
             known,
-        }
+        })
     }
 }
 
--- a/crates/mesh/src/executor/heartbeat.rs
+++ b/crates/mesh/src/executor/heartbeat.rs
@@ -22,7 +22,7 @@
     let upstream = beat.upstream.clone();
     let (outcome, disbelief) = update_target(node, |target, now| {
         let contradiction = target.contradiction(&beat, now);
-        let disbelief = contradiction.map(|it| Disbelief::new(&beat, &it));
+        let disbelief = contradiction.and_then(|it| Disbelief::new(&beat, &it));
         (target.record_heartbeat(beat, now), disbelief)
     });
     if let Some(disbelief) = disbelief {
