--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -16,6 +16,7 @@
 mod action;
 mod config;
 mod generation;
+mod heartbeat;
 mod isolation;
 mod local_target;
 mod machine;
@@ -24,6 +25,7 @@
 mod probe;
 mod probe_failure;
 mod receive;
+mod reported;
 mod table;
 mod tick;
 mod update_queue;
@@ -32,7 +34,8 @@
 pub use action::{Action, Disbelief, Input};
 pub use config::Config;
 pub use generation::{StartMillis, generation_id, target_id_of};
-pub use local_target::{Heartbeat, HeartbeatOutcome, LocalTarget};
+pub use heartbeat::{Contradiction, Heartbeat, HeartbeatOutcome};
+pub use local_target::LocalTarget;
 pub use machine::Membership;
 pub use member::{
     AnnouncedTarget, Incarnation, Member, MemberKey, MemberState, Time, member_key,
--- a/crates/mesh/src/executor/heartbeat.rs
+++ b/crates/mesh/src/executor/heartbeat.rs
@@ -7,6 +7,7 @@
 use stoatstep_membership::{Heartbeat, HeartbeatOutcome, LocalTarget, StartMillis};
 use stoatstep_telemetry::fields;
 
+use super::disbelief::{self, Disbelief};
 use super::{confirm_target, slot};
 use crate::node::Node;
 
@@ -14,24 +15,30 @@
 /// to the target after this returns, so that the drain may be acknowledged.
 pub(crate) fn handle_heartbeat(node: &Rc<Node>, beat: Heartbeat) -> HeartbeatOutcome {
     if !has_known_service(node, &beat) {
+        let disbelief = Disbelief::of_service(&beat, &node.cfg.service);
+        disbelief::report(node, &beat.upstream, &disbelief);
         return HeartbeatOutcome::UnknownService;
     }
-    let slots = beat.slots;
-    let outcome = update_target(node, |target, now| target.record_heartbeat(beat, now));
-    if outcome == HeartbeatOutcome::Accepted {
-        node.executor.tables.borrow_mut().queue.set_slots(slots);
+    let upstream = beat.upstream.clone();
+    let (outcome, disbelief) = update_target(node, |target, now| {
+        let contradiction = target.contradiction(&beat, now);
+        let disbelief = contradiction.and_then(|it| Disbelief::new(&beat, &it));
+        (target.record_heartbeat(beat, now), disbelief)
+    });
+    if let Some(disbelief) = disbelief {
+        disbelief::report(node, &upstream, &disbelief);
     }
     confirm_target(node);
     outcome
 }
 
-/// Whether the configuration in force has the service of the heartbeat. Without a
-/// configuration every service is accepted. Without this check, a heartbeat that another
-/// process sends under the target's id would take the target out of its service until the
-/// target's next heartbeat.
+/// Whether the configuration in force has the service of the heartbeat, or, without a
+/// configuration, whether the settings name it as the service of this instance. Without this
+/// check, a heartbeat that another process sends under the target's id would take the target
+/// out of its service until the target's next heartbeat.
 fn has_known_service(node: &Node, beat: &Heartbeat) -> bool {
     let Some(in_force) = node.fleet.in_force() else {
-        return true;
+        return beat.service == node.cfg.service;
     };
     in_force.service(&beat.service).is_some()
 }
@@ -71,6 +78,9 @@
     if tables.local_target.generation() != generation.as_ref() {
         tables.queue.limiter_mut().reset();
     }
+    if let Some(slots) = tables.local_target.slots() {
+        tables.queue.set_slots(slots);
+    }
     drop(tables);
     if let Some(change) = changed_target(before, after) {
         // Idle connections belong to the previous generation, if they are open at all.
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -6,6 +6,7 @@
 
 mod answer_stats;
 mod confirm;
+mod disbelief;
 mod heartbeat;
 mod mismatch;
 mod process_exit;
@@ -41,6 +42,7 @@
 use crate::wire::{Attempt, CallParts, End, Ran};
 pub(crate) use answer_stats::band_of;
 pub(crate) use confirm::confirm_target;
+pub(crate) use disbelief::report_undecodable;
 use heartbeat::update_target;
 pub(crate) use heartbeat::{deregister_target, handle_heartbeat, mark_leaving};
 pub(crate) use settle::{link_lost, settle};
@@ -139,9 +141,10 @@
         self.tables.borrow().ledger.ticket(now)
     }
 
-    /// The service of the target, if it ever sent a heartbeat.
-    pub(crate) fn service(&self) -> Option<ServiceName> {
-        self.tables.borrow().local_target.service().cloned()
+    /// The service of the target, if the target has confirmed itself and is live.
+    pub(crate) fn service(&self, now: stoatstep_calls::Time) -> Option<ServiceName> {
+        let tables = self.tables.borrow();
+        tables.local_target.confirmed_service(now).cloned()
     }
 
     /// The occupancy of the target.
--- a/crates/telemetry/src/fields.rs
+++ b/crates/telemetry/src/fields.rs
@@ -61,6 +61,12 @@
 pub const UNUSED_AFTER_MS: &str = "unused_after_ms";
 /// Sequence number of the last heartbeat that was received from the target.
 pub const SEQUENCE: &str = "sequence";
+/// Field of a message that is not believed.
+pub const FIELD: &str = "field";
+/// Value of the field in the message.
+pub const STATED: &str = "stated";
+/// Value of the same that is known, and that the message contradicts.
+pub const KNOWN: &str = "known";
 /// Number of calls that the target runs at a time.
 pub const SLOTS: &str = "slots";
 /// Whether the target takes no new calls.
@@ -79,12 +85,6 @@
 pub const REACHABLE: &str = "reachable";
 /// Incarnation with which a process started.
 pub const BIRTH: &str = "birth";
-/// Field of a message that was not believed.
-pub const FIELD: &str = "field";
-/// Value of that field.
-pub const STATED: &str = "stated";
-/// Value that it contradicts.
-pub const KNOWN: &str = "known";
 /// Time for which the process was suspended, in milliseconds.
 pub const GAP_MS: &str = "gap_ms";
 /// Address of another daemon.
@@ -216,6 +216,9 @@
     FOR_MS,
     UNUSED_AFTER_MS,
     SEQUENCE,
+    FIELD,
+    STATED,
+    KNOWN,
     SLOTS,
     DRAINING,
     ANSWERED_AS,
@@ -225,9 +228,6 @@
     STATE,
     REACHABLE,
     BIRTH,
-    FIELD,
-    STATED,
-    KNOWN,
     GAP_MS,
     PEER,
     OPEN,
