--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -4,6 +4,7 @@
 //! the entries assume, that an attempt runs at most once, that no call is sent after the
 //! target's drain, and that no more calls run than the target has slots.
 
+mod answer_by;
 mod answer_stats;
 mod confirm;
 mod disbelief;
@@ -40,6 +41,7 @@
 use crate::node::Node;
 use crate::quarantine;
 use crate::wire::{Attempt, CallParts, End, Ran};
+pub(crate) use answer_by::{Origin, require_all_answers_by, require_answers_by};
 pub(crate) use answer_stats::band_of;
 pub(crate) use confirm::confirm_target;
 pub(crate) use disbelief::report_undecodable;
@@ -203,32 +205,6 @@
     }
 }
 
-/// Where an attempt came from, and where its answer goes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Origin {
-    /// This daemon's entry. The answer does not leave the instance.
-    Local,
-    /// Another daemon, over a link.
-    Link {
-        /// When the answer has to be there, if that daemon stops.
-        answers_due: Option<Time>,
-    },
-}
-
-impl Origin {
-    /// The time by which an attempt with the deadline `expires` has to be answered: before its
-    /// entry exits, and before this daemon does.
-    pub(crate) fn answer_by(self, node: &Node, expires: Time) -> Time {
-        let by = node.departure.get().answer_by(expires);
-        match self {
-            Self::Link {
-                answers_due: Some(due),
-            } => by.min(due),
-            Self::Link { answers_due: None } | Self::Local => by,
-        }
-    }
-}
-
 /// Runs one attempt of this daemon's entry to its end.
 pub(crate) async fn execute(node: &Rc<Node>, attempt: Attempt) -> Ran {
     wait(node, accept(node, attempt, Origin::Local)).await.0
@@ -319,37 +295,6 @@
     }
 }
 
-/// Has these attempts answered by `due` if they can be, or else refused as not run. Their entry
-/// stops.
-pub(crate) fn require_answers_by(
-    node: &Rc<Node>,
-    attempts: impl IntoIterator<Item = AttemptId>,
-    due: Time,
-) {
-    let mut tables = node.executor.tables.borrow_mut();
-    let Tables { runs, queue, .. } = &mut *tables;
-    for attempt in attempts {
-        if let Some(run) = runs.get_mut(&attempt) {
-            run.answer_by = run.answer_by.min(due);
-        }
-        queue.expire_by(attempt, due);
-    }
-    drop(tables);
-    slot::dispatch_waiting(node);
-}
-
-/// The time by which the answer to an attempt has to be at its entry.
-fn answer_by_of(node: &Node, attempt: AttemptId) -> Option<Time> {
-    let tables = node.executor.tables.borrow();
-    tables.runs.get(&attempt).map(|it| it.answer_by)
-}
-
-/// Has all attempts answered by `due`: this daemon stops.
-pub(crate) fn require_all_answers_by(node: &Rc<Node>, due: Time) {
-    let attempts: Vec<_> = node.executor.tables.borrow().runs.keys().copied().collect();
-    require_answers_by(node, attempts, due);
-}
-
 /// Performs the executor's periodic work.
 pub(crate) fn tick(node: &Rc<Node>) {
     let now = node.clock.now();
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -9,7 +9,8 @@
 
 use super::target::{LostCause, TargetOutcome};
 use super::{
-    QUEUE_RETRY, Run, Tables, answer_stats, mismatch, process_exit, rollout_tally, slot, statements,
+    QUEUE_RETRY, Run, Tables, answer_by, answer_stats, mismatch, process_exit, rollout_tally, slot,
+    statements,
 };
 use crate::drain::InFlight;
 use crate::identity;
@@ -139,8 +140,8 @@
 async fn run(node: &Rc<Node>, attempt: &Attempt) -> RunOutcome {
     let arrived_at = node.clock.now();
     let deadline = Deadline::after(attempt.left, arrived_at);
-    let answer_by = || super::answer_by_of(node, attempt.id).unwrap_or(deadline.expires());
-    let slot = match slot::take(node, attempt, answer_by()).await {
+    let answer_due = || answer_by::of_attempt(node, attempt.id).unwrap_or(deadline.expires());
+    let slot = match slot::take(node, attempt, answer_due()).await {
         Ok(slot) => slot,
         Err(refusal) => return RunOutcome::not_started(refusal),
     };
@@ -162,7 +163,7 @@
         return RunOutcome::not_started(quarantine::refusal_while_running());
     }
     if started > arrived_at
-        && let Err(refusal) = answer_stats::check_before_start(node, attempt, answer_by())
+        && let Err(refusal) = answer_stats::check_before_start(node, attempt, answer_due())
     {
         return RunOutcome::not_started(refusal);
     }
