Refuse at once what an idle link can't send before the exit

Found by the review of the fix, by reading: an idle link takes an answer of any size, since a late answer is better than none. One that arrives after its entry has exited is none: its call ran, and its caller got 502 at the exit. Such a call is refused as not run.

--- a/crates/calls/src/uplink.rs
+++ b/crates/calls/src/uplink.rs
@@ -139,7 +139,7 @@
         if self.is_idle() {
             return Ok(());
         }
-        let own = seconds(bytes / rate);
+        let own = self.sending_time(bytes);
         let needed = match band {
             Band::InTime => {
                 let due = self.queued.late_bytes_due(now + within + SLACK);
@@ -159,6 +159,13 @@
         }
     }
 
+    /// Time that the idle link needs to send an answer of `bytes`; zero if its rate is unknown.
+    #[must_use]
+    pub fn sending_time(&self, bytes: f64) -> Duration {
+        self.rate
+            .map_or(Duration::ZERO, |rate| seconds(bytes / rate))
+    }
+
     fn is_idle(&self) -> bool {
         self.expected.is_empty() && self.queued.is_empty()
     }
--- a/crates/mesh/src/executor/answer_by.rs
+++ b/crates/mesh/src/executor/answer_by.rs
@@ -24,13 +24,17 @@
     /// The time by which an attempt with the deadline `expires` has to be answered: before its
     /// entry exits, and before this daemon does.
     pub(crate) fn answer_by(self, node: &Node, expires: Time) -> Time {
-        let by = node.departure.get().answer_by(expires);
-        match self {
-            Self::Link {
-                answers_due: Some(due),
-            } => by.min(due),
-            Self::Link { answers_due: None } | Self::Local => by,
-        }
+        self.answers_due(node).map_or(expires, |it| it.min(expires))
+    }
+
+    /// The time by which answers have to be at the entry, if that daemon or this one stops.
+    pub(super) fn answers_due(self, node: &Node) -> Option<Time> {
+        let at_entry = match self {
+            Self::Link { answers_due } => answers_due,
+            Self::Local => None,
+        };
+        let here = node.departure.get().answers_due();
+        at_entry.into_iter().chain(here).min()
     }
 }
 
--- a/crates/mesh/src/executor/answer_stats.rs
+++ b/crates/mesh/src/executor/answer_stats.rs
@@ -6,7 +6,7 @@
 use stoatstep_calls::{Answer, AnswerStats, Band, Reason, Refusal, Time};
 use stoatstep_resource::RouteName;
 
-use super::Tables;
+use super::{Origin, Tables};
 use crate::node::Node;
 use crate::wire::{Attempt, End};
 
@@ -19,7 +19,7 @@
     node: &Node,
     tables: &Tables,
     attempt: &Attempt,
-    answer_by: Time,
+    (origin, answer_by): (Origin, Time),
 ) -> Result<(), End> {
     let now = node.clock.now();
     let left = answer_by.saturating_sub(now);
@@ -32,12 +32,28 @@
     let answers = answers.unwrap_or_default();
     let run = answers.run().unwrap_or_default();
     let band = band_of(attempt);
+    if let Some(due) = origin.answers_due(node) {
+        check_exit(node, answers, due.saturating_sub(now))?;
+    }
     let taken = node
         .uplink
         .read(|it| it.check_capacity(answers.bytes(), run, within, band, now));
     taken.map_err(|after| End::Refused(Refusal::retry(Reason::Overload, after)))
 }
 
+/// Refuses an attempt whose answer comes after its entry or this daemon has exited even if the
+/// uplink is idle. A late answer to a caller that waits on is better than none; this one would
+/// reach nobody.
+fn check_exit(node: &Node, answers: AnswerStats, left: Duration) -> Result<(), End> {
+    let sending = node.uplink.read(|it| it.sending_time(answers.bytes()));
+    let needed = answers.run().unwrap_or_default() + sending;
+    if needed <= left {
+        return Ok(());
+    }
+    let refusal = Refusal::retry(Reason::Overload, needed.saturating_sub(left));
+    Err(End::Refused(refusal))
+}
+
 /// Refuses an attempt that has waited for its slot, and whose answer the uplink can no longer
 /// deliver by `answer_by`.
 pub(super) fn check_before_start(
