--- a/crates/calls/src/uplink.rs
+++ b/crates/calls/src/uplink.rs
@@ -10,6 +10,8 @@
 //!   target works on it.
 //! * Answers that are late anyway go after those in time, and are accepted only if the link
 //!   is forecast to have room for them before their deadline.
+//! * An answer that is queued is sent before its caller stops waiting: when it is due, it goes
+//!   before those that have time.
 //! * The backlog of the link is reported to the entries, which place calls with large
 //!   answers where the link has capacity.
 //!
@@ -52,6 +54,7 @@
     free_at: Time,
     /// Expected sizes of the large answers that the target still works on.
     expected: BTreeMap<AttemptId, (f64, Band)>,
+    /// The large messages that wait to be sent.
     queued: QueuedMessages,
     /// Bytes of large answers that were accepted in time.
     in_time: RecentLoad,
--- a/crates/mesh/src/link/server.rs
+++ b/crates/mesh/src/link/server.rs
@@ -242,6 +242,7 @@
     });
 }
 
+/// Has the peer's attempts answered within this time, or refused as not run.
 fn peer_stops(connection: &Connection, left: Duration) {
     let node = &connection.node;
     let due = node.clock.now() + left;
