--- a/crates/mesh/src/executor/answer_stats.rs
+++ b/crates/mesh/src/executor/answer_stats.rs
@@ -19,7 +19,8 @@
     node: &Node,
     tables: &Tables,
     attempt: &Attempt,
-    (origin, answer_by): (Origin, Time),
+    origin: Origin,
+    answer_by: Time,
 ) -> Result<(), End> {
     let now = node.clock.now();
     let left = answer_by.saturating_sub(now);
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -269,7 +269,7 @@
         tables.queue.limiter_mut().adopt(limit, now);
     }
     if origin != Origin::Local {
-        answer_stats::check_uplink(node, &tables, attempt, (origin, answer_by))?;
+        answer_stats::check_uplink(node, &tables, attempt, origin, answer_by)?;
     }
     match tables.ledger.arrive(attempt.id, attempt.ticket, now) {
         Arrival::New => Ok(()),
--- a/crates/mesh/src/link/answer.rs
+++ b/crates/mesh/src/link/answer.rs
@@ -11,9 +11,9 @@
 use crate::journal::{AnswerEnd, AnswerSending, Journal};
 use crate::wire::Attempt;
 
-/// The attempt that an answer belongs to.
+/// What an answer belongs to, and how it is sent.
 #[derive(Clone, Debug)]
-pub(super) struct AnswerOf {
+pub(super) struct AnswerLabel {
     pub(super) request: SmolStr,
     pub(super) attempt: AttemptId,
     pub(super) route: RouteName,
@@ -22,7 +22,7 @@
     pub(super) due: Time,
 }
 
-impl AnswerOf {
+impl AnswerLabel {
     pub(super) fn new(attempt: &Attempt, band: Band, due: Time) -> Self {
         Self {
             request: attempt.call.request_id.clone(),
@@ -38,7 +38,7 @@
 pub(super) struct Sending {
     journal: Rc<Journal>,
     clock: Clock,
-    of: AnswerOf,
+    label: AnswerLabel,
     bytes: usize,
     ahead: Duration,
     queued_at: Time,
@@ -50,15 +50,16 @@
 impl Sending {
     /// An answer of `bytes` bytes that is queued behind messages for which the link needs `ahead`.
     pub(super) fn new(
-        (journal, clock): (Rc<Journal>, Clock),
-        of: AnswerOf,
+        journal: Rc<Journal>,
+        clock: Clock,
+        label: AnswerLabel,
         bytes: usize,
         ahead: Duration,
     ) -> Self {
         Self {
             journal,
             clock,
-            of,
+            label,
             bytes,
             ahead,
             queued_at: clock.now(),
@@ -88,10 +89,10 @@
         let now = self.clock.now();
         let begun_at = self.begun_at.unwrap_or(now);
         let sending = AnswerSending {
-            request: &self.of.request,
-            attempt: self.of.attempt,
-            route: &self.of.route,
-            band: self.of.band,
+            request: &self.label.request,
+            attempt: self.label.attempt,
+            route: &self.label.route,
+            band: self.label.band,
             bytes: self.bytes,
             sent: self.sent,
             ahead: self.ahead,
--- a/crates/mesh/src/link/framing.rs
+++ b/crates/mesh/src/link/framing.rs
@@ -11,7 +11,7 @@
 use stoatstep_calls::{MessageNumber, Time};
 
 use super::MAX_FRAME;
-use super::answer::{AnswerOf, Sending};
+use super::answer::{AnswerLabel, Sending};
 use super::uplink::SharedUplink;
 use crate::drain::InFlight;
 use crate::wire::AskId;
@@ -39,7 +39,7 @@
     /// written.
     Message(AskId, Bytes, Option<InFlight>),
     /// The result of an attempt. A late one is sent after those that are in time.
-    Answer(AskId, Bytes, AnswerOf, InFlight),
+    Answer(AskId, Bytes, AnswerLabel, InFlight),
     /// A message that is sent before large answers and does not wait for room on the uplink.
     /// Used for configurations, which have to be in force within seconds.
     Urgent(AskId, Bytes),
@@ -96,8 +96,8 @@
             Outgoing::Message(id, bytes, in_flight) => {
                 self.push_message(id, bytes, None, in_flight);
             }
-            Outgoing::Answer(id, bytes, of, in_flight) => {
-                self.push_message(id, bytes, Some(of), Some(in_flight));
+            Outgoing::Answer(id, bytes, label, in_flight) => {
+                self.push_message(id, bytes, Some(label), Some(in_flight));
             }
             Outgoing::Urgent(id, bytes) => self.push_urgent(id, bytes),
             Outgoing::AnswersDue(due) => self.due_by(due),
@@ -109,7 +109,7 @@
         &mut self,
         id: AskId,
         rest: Bytes,
-        answer_of: Option<AnswerOf>,
+        label: Option<AnswerLabel>,
         in_flight: Option<InFlight>,
     ) {
         if !self.is_large(&rest) {
@@ -117,7 +117,7 @@
             self.small.push_back(Small::new(frame, in_flight));
             return;
         }
-        let (number, sending) = self.uplink.queue(rest.len(), answer_of);
+        let (number, sending) = self.uplink.queue(rest.len(), label);
         self.large.push(Large {
             id,
             rest,
--- a/crates/mesh/src/link/server.rs
+++ b/crates/mesh/src/link/server.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc::{self, UnboundedSender};
 use tokio_util::codec::{FramedRead, FramedWrite};
 
-use super::answer::AnswerOf;
+use super::answer::AnswerLabel;
 use super::framing::{Outgoing, Reassembler, Received};
 use super::traffic::Cause;
 use super::{Reader, codec, decode, encode, write};
@@ -135,7 +135,7 @@
     let node = Rc::clone(&connection.node);
     match ask {
         Ask::Run(attempt) => run(connection, id, attempt),
-        Ask::Settle(attempt, ticket) => settle(connection, id, (attempt, ticket)),
+        Ask::Settle(attempt, ticket) => settle(connection, id, attempt, ticket),
         Ask::Gossip(message, piggyback) => reply_later(connection, id, async move {
             fleet::gossip::apply_piggyback(&node, piggyback);
             let reply = fleet::gossip::answer(&node, message).await;
@@ -219,20 +219,20 @@
     connection.running.borrow_mut().insert(id, attempt.id);
     let cause = Cause::Answer(attempt.call.route.clone());
     let expires = Deadline::after(attempt.left, connection.node.clock.now()).expires();
-    let mut of = AnswerOf::new(&attempt, executor::band_of(&attempt), expires);
+    let mut label = AnswerLabel::new(&attempt, executor::band_of(&attempt), expires);
     let accepted = executor::accept(&connection.node, attempt, connection.origin());
     let connection = Rc::clone(connection);
     ntex::rt::spawn(async move {
         let (ran, in_flight) = executor::wait(&connection.node, accepted).await;
         connection.running.borrow_mut().remove(&id);
-        of.due = connection.answer_by(expires);
-        let queue_as = |id, bytes| Outgoing::Answer(id, bytes, of, in_flight);
+        label.due = connection.answer_by(expires);
+        let queue_as = |id, bytes| Outgoing::Answer(id, bytes, label, in_flight);
         connection.send(id, cause, Reply::Ran(ran), queue_as);
     });
 }
 
 /// Sends the outcome of an attempt whose link was lost, which may be its answer.
-fn settle(connection: &Rc<Connection>, id: AskId, (attempt, ticket): (AttemptId, Ticket)) {
+fn settle(connection: &Rc<Connection>, id: AskId, attempt: AttemptId, ticket: Ticket) {
     let connection = Rc::clone(connection);
     ntex::rt::spawn(async move {
         let in_flight = InFlight::enter(&connection.node);
--- a/crates/mesh/src/link/uplink.rs
+++ b/crates/mesh/src/link/uplink.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
-use super::answer::{AnswerOf, Sending};
+use super::answer::{AnswerLabel, Sending};
 use crate::clock::Clock;
 use crate::journal::Journal;
 
@@ -102,19 +102,17 @@
     pub(super) fn queue(
         &self,
         bytes: usize,
-        answer_of: Option<AnswerOf>,
+        label: Option<AnswerLabel>,
     ) -> (MessageNumber, Option<Sending>) {
-        let (band, due) = match &answer_of {
-            Some(of) => (of.band, of.due),
+        let (band, due) = match &label {
+            Some(label) => (label.band, label.due),
             None => (Band::InTime, self.clock.now() + NOT_DUE),
         };
         let ahead = self.read(|it| it.backlog(band));
         let message = LargeMessage { bytes, band, due };
         let number = self.state.borrow_mut().record_queued(message);
-        let sending = answer_of.map(|of| {
-            let context = (Rc::clone(&self.journal), self.clock);
-            Sending::new(context, of, bytes, ahead)
-        });
+        let sending =
+            label.map(|it| Sending::new(Rc::clone(&self.journal), self.clock, it, bytes, ahead));
         (number, sending)
     }
 
