Read a target's answers past copies of answers to other requests

What callers saw: where a target sends a second copy of an answer in place of the next one, the call that read the copy was answered 502 at once, though its target ran it and answered it a moment later. Reads ran a second time elsewhere, out of the retry budget.

Cause: the HTTP client takes the first answer on a connection for that to its request. The daemon saw that it states another request's id, but could not read a second answer.

Evidence: `a_claim_is_answered_though_a_copy_of_another_answer_comes_first` fails on (502 in place of 200), as does the sharper line of `an_answer_to_another_request_has_a_line_with_both_ids`: it demanded the 502 that callers got, and now demands 200.

Change: an AnswerFilter stands between each connection and the client. It drops an answer that states another request's id, if one Content-Length alone says where it ends, and passes on all else unchanged, so what it can't frame ends the attempt as before. The property test of ConnectionAnswers reads on past such answers, or not.

Why it works: no request is sent twice on a connection, and claims only where all answers stated ids, so an answer with another id is never the own one, and the own one follows it.

--- /dev/null
+++ b/crates/http/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the HTTP utilities.
+
+mod answer_filter;
--- a/crates/mesh/src/executor/mismatch.rs
+++ b/crates/mesh/src/executor/mismatch.rs
@@ -1,6 +1,6 @@
 //! Answers of the target that are not believed, since they belong to another request.
 
-use hyper::header::{HeaderName, HeaderValue};
+use hyper::header::HeaderName;
 use smol_str::SmolStr;
 use stoatstep_telemetry::fields;
 
@@ -20,14 +20,8 @@
 }
 
 impl Mismatch {
-    /// Compares the header of an answer with its value in the answer to this request. An absent
-    /// header fits every request.
-    pub(super) fn find(
-        field: &HeaderName,
-        expected: &str,
-        stated: Option<&HeaderValue>,
-    ) -> Option<Self> {
-        let stated = stated?.as_bytes();
+    /// Compares the header of an answer with its value in the answer to this request.
+    pub(super) fn find(field: &HeaderName, expected: &str, stated: &[u8]) -> Option<Self> {
         (stated != expected.as_bytes()).then(|| Self {
             field: field.clone(),
             expected: shortened(expected),
--- a/crates/mesh/src/executor/run.rs
+++ b/crates/mesh/src/executor/run.rs
@@ -172,7 +172,11 @@
     }
     node.journal.count("target.requests");
     let on_statement = |it| statements::record(node, &attempt.upstream, it);
-    let call = node.executor.target.call(attempt, left, on_statement);
+    let on_foreign = |it: &_| mismatch::record(node, attempt, it);
+    let call = node
+        .executor
+        .target
+        .call(attempt, left, on_statement, on_foreign);
     let end = timeout(left, call).await;
     let end = end.unwrap_or(TargetOutcome::TimedOut);
     if matches!(end, TargetOutcome::Lost(_)) {
@@ -205,9 +209,6 @@
         TargetOutcome::Lost(cause) => Some(cause.clone()),
         _ => None,
     };
-    if let Some(LostCause::OtherRequest(mismatch)) = &lost {
-        mismatch::record(node, attempt, mismatch);
-    }
     let unknown = |reason| End::Refused(Refusal::permanent(reason));
     let (end, arrived) = match end {
         TargetOutcome::Answered(answer) => (End::Answered(answer), true),
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -4,7 +4,9 @@
 mod outcome;
 mod pool;
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +19,7 @@
 use slog::Logger;
 use smol_str::{SmolStr, ToSmolStr};
 use stoatstep_calls::{Answer, Header, Reason, Refusal, TargetStatement, is_hop_by_hop};
+use stoatstep_http::{AnswerFilter, ExpectedAnswer};
 use stoatstep_membership::target_id_of;
 use stoatstep_resource::UpstreamName;
 use stoatstep_telemetry::fields;
@@ -103,7 +106,7 @@
     ) -> Self {
         Self {
             addr,
-            pool: Pool::new(addr, clock),
+            pool: Pool::new(addr, header_names.request_id.clone(), clock),
             names: ParsedHeaderNames::new(header_names),
             log,
         }
@@ -114,12 +117,14 @@
     ///
     /// `on_statement` gets what the head of an answer states about this generation of the
     /// target, before the body is read: a body can be cut short or last longer than the call.
-    /// It is not called if the request did not run and its answer states nothing.
+    /// It is not called if the request did not run and its answer states nothing. `on_foreign`
+    /// gets each answer that belongs to another request.
     pub(super) async fn call(
         &self,
         attempt: &Attempt,
         left: Duration,
         on_statement: impl Fn(TargetStatement),
+        on_foreign: impl Fn(&Mismatch),
     ) -> TargetOutcome {
         let Some(mut req) = self.request(attempt, left) else {
             return TargetOutcome::NotRun {
@@ -137,12 +142,19 @@
             let Some(mut connection) = self.pool.take(need).await else {
                 return TargetOutcome::unreachable(DEFAULT_RETRY);
             };
-            match connection.send(req).await {
+            let expected = ExpectedAnswer::ToRequest(attempt.call.request_id.clone());
+            let dropped = DroppedAnswers {
+                target: self,
+                attempt,
+                filter: Rc::clone(connection.filter()),
+                on_foreign: &on_foreign,
+            };
+            match connection.send(req, expected).await {
                 Ok(res) => {
                     if let Some(mismatch) = self.mismatch(attempt, res.headers()) {
-                        // A duplicate answer to an earlier request. The answer to this one would
-                        // follow, but nothing tells which bytes belong to it.
-                        return TargetOutcome::Lost(LostCause::OtherRequest(mismatch));
+                        // Its end is unknown, and with it where the answer to this attempt starts.
+                        on_foreign(&mismatch);
+                        return TargetOutcome::Lost(LostCause::OtherRequest);
                     }
                     if let Some(statement) = self.statement(res.status(), res.headers()) {
                         on_statement(statement);
@@ -152,6 +164,9 @@
                 // The target closed an idle connection just before it was used, and no
                 // byte of the request was sent.
                 Err(Some(unsent)) => req = unsent,
+                Err(None) if dropped.is_any() => {
+                    return TargetOutcome::Lost(LostCause::OtherRequest);
+                }
                 Err(None) => {
                     self.report_failed(&connection);
                     return TargetOutcome::Lost(LostCause::NoAnswer);
@@ -188,7 +203,8 @@
         let req = Request::get(path).header(HOST, self.addr.to_string());
         let req = req.body(Full::default()).ok()?;
         let mut connection = self.pool.take(Need::Any).await?;
-        let (head, body) = connection.send(req).await.ok()?.into_parts();
+        let answer = connection.send(req, ExpectedAnswer::WithoutId).await;
+        let (head, body) = answer.ok()?.into_parts();
         let body = Limited::new(body, MAX_HEALTH_BODY).collect().await;
         body.ok()?;
         connection.record(None, true);
@@ -284,7 +300,8 @@
     /// What shows that the answer belongs to another request than this one.
     fn mismatch(&self, attempt: &Attempt, headers: &HeaderMap) -> Option<Mismatch> {
         let field = &self.names.request_id;
-        Mismatch::find(field, &attempt.call.request_id, headers.get(field))
+        let stated = headers.get(field)?;
+        Mismatch::find(field, &attempt.call.request_id, stated.as_bytes())
     }
 
     fn interpret(&self, status: StatusCode, headers: &HeaderMap, body: &Bytes) -> TargetOutcome {
@@ -321,6 +338,34 @@
     }
 }
 
+/// Reports the answers to other requests that were dropped while an attempt waited for its own,
+/// when it stops waiting for whatever reason.
+struct DroppedAnswers<'a, F: Fn(&Mismatch)> {
+    target: &'a Target,
+    attempt: &'a Attempt,
+    filter: Rc<RefCell<AnswerFilter>>,
+    on_foreign: &'a F,
+}
+
+impl<F: Fn(&Mismatch)> DroppedAnswers<'_, F> {
+    fn is_any(&self) -> bool {
+        self.filter.borrow().has_dropped()
+    }
+}
+
+impl<F: Fn(&Mismatch)> Drop for DroppedAnswers<'_, F> {
+    fn drop(&mut self) {
+        let dropped = self.filter.borrow_mut().take_dropped();
+        let field = &self.target.names.request_id;
+        let expected = &self.attempt.call.request_id;
+        for stated in dropped {
+            if let Some(mismatch) = Mismatch::find(field, expected, stated.as_bytes()) {
+                (self.on_foreign)(&mismatch);
+            }
+        }
+    }
+}
+
 fn header_text(headers: &HeaderMap, name: &HeaderName) -> Option<SmolStr> {
     headers.get(name)?.to_str().ok().map(SmolStr::new)
 }
--- a/crates/mesh/src/executor/target/outcome.rs
+++ b/crates/mesh/src/executor/target/outcome.rs
@@ -6,8 +6,6 @@
 use stoatstep_calls::{Answer, Reason, Refusal};
 use stoatstep_resource::UpstreamName;
 
-use crate::executor::mismatch::Mismatch;
-
 /// How a request to the target ended.
 #[derive(Clone, Debug)]
 pub(in crate::executor) enum TargetOutcome {
@@ -34,8 +32,8 @@
     NoAnswer,
     /// The connection ended in the body of the answer.
     CutShort,
-    /// The answer belongs to another request.
-    OtherRequest(Mismatch),
+    /// An answer to another request came, and none to this one.
+    OtherRequest,
     /// A successful answer that does not come from the target.
     Unsigned,
     /// This daemon cancelled the run.
@@ -48,7 +46,7 @@
         match self {
             Self::NoAnswer => "no-answer",
             Self::CutShort => "cut-short",
-            Self::OtherRequest(_) => "other-request",
+            Self::OtherRequest => "other-request",
             Self::Unsigned => "unsigned",
             Self::Cancelled => "cancelled",
         }
--- a/crates/mesh/src/executor/target/pool.rs
+++ b/crates/mesh/src/executor/target/pool.rs
@@ -8,6 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,9 +16,11 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
+use smol_str::SmolStr;
 use stoatstep_calls::{ConnectionAnswers, Time};
+use stoatstep_http::{AnswerFilter, ExpectedAnswer, FilteredStream};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -72,12 +75,15 @@
     idle_until: Time,
     taken_at: Time,
     answers: ConnectionAnswers,
+    filter: Rc<RefCell<AnswerFilter>>,
 }
 
 impl Connection {
-    async fn open(addr: SocketAddr, clock: &Clock) -> io::Result<Self> {
+    async fn open(addr: SocketAddr, id_header: &SmolStr, clock: &Clock) -> io::Result<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
         stream.set_nodelay(true)?;
+        let filter = Rc::new(RefCell::new(AnswerFilter::new(id_header.clone())));
+        let stream = FilteredStream::new(stream, Rc::clone(&filter));
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = tokio::task::spawn_local(async move {
@@ -92,15 +98,28 @@
             idle_until: now,
             taken_at: now,
             answers: ConnectionAnswers::default(),
+            filter,
         })
     }
 
-    /// Sends a request. An error that returns the request means that no byte of it was sent.
-    pub(super) async fn send(&mut self, req: Req) -> Result<Response<Incoming>, Option<Req>> {
+    /// Sends a request and waits for this answer to it; answers to other requests are dropped. An
+    /// error that returns the request means that no byte of it was sent.
+    pub(super) async fn send(
+        &mut self,
+        req: Req,
+        expected: ExpectedAnswer,
+    ) -> Result<Response<Incoming>, Option<Req>> {
+        let is_head = req.method() == Method::HEAD;
+        self.filter.borrow_mut().expect(expected, is_head);
         let sent = self.sender.try_send_request(req).await;
         sent.map_err(|mut err| err.take_message())
     }
 
+    /// The filter of the answers that the target sends on this connection.
+    pub(super) fn filter(&self) -> &Rc<RefCell<AnswerFilter>> {
+        &self.filter
+    }
+
     /// Records an answer that was read from the connection.
     pub(super) fn record(&mut self, request_id: Option<&[u8]>, is_last: bool) {
         self.answers.record(request_id, is_last);
@@ -125,15 +144,18 @@
 /// Idle connections, the most recently used one last.
 pub(super) struct Pool {
     addr: SocketAddr,
+    /// The header in which answers state the id of their request.
+    id_header: SmolStr,
     clock: Clock,
     idle: RefCell<Vec<Connection>>,
     idle_limit: Cell<IdleLimit>,
 }
 
 impl Pool {
-    pub(super) fn new(addr: SocketAddr, clock: Clock) -> Self {
+    pub(super) fn new(addr: SocketAddr, id_header: SmolStr, clock: Clock) -> Self {
         Self {
             addr,
+            id_header,
             clock,
             idle: RefCell::default(),
             idle_limit: Cell::default(),
@@ -158,14 +180,18 @@
         if matches!(need, Need::Identified(_)) {
             self.close_oldest_unidentified();
         }
-        Connection::open(self.addr, &self.clock).await.ok()
+        self.open().await.ok()
+    }
+
+    async fn open(&self) -> io::Result<Connection> {
+        Connection::open(self.addr, &self.id_header, &self.clock).await
     }
 
     /// Whether a process accepts connections at the target's address; `false` only if the
     /// connection is refused. A new connection is kept for the next request, in place of the
     /// one whose loss led to this check.
     pub(super) async fn listens(&self) -> bool {
-        match Connection::open(self.addr, &self.clock).await {
+        match self.open().await {
             Ok(mut connection) => {
                 connection.idle_until = connection.idle_since + DEFAULT_IDLE;
                 self.keep(connection);
