stoatstepd: a copy of a call's answer is not the answer to a health request

What callers saw: a target that had said that it leaves got calls again, which it was about to cut off, where it repeated an answer from before late.

Cause: a daemon asks a target that leaves for its health on a pooled connection, and took whatever answer came first for that to its request. A copy of a call's answer from before the departure is a success that does not state `stoatstep-leaving`, so the daemon sent calls again.

Change: an answer to a health request that states an attempt belongs to that attempt. It is counted and logged as other foreign answers are, the connections are opened anew, and the target is asked again. Where the answer to a call is foreign the same function decides.

Why it works: targets state the attempt in every answer to one, and health requests have none.

--- a/crates/daemon/src/call/run.rs
+++ b/crates/daemon/src/call/run.rs
@@ -11,10 +11,9 @@
 use super::executor::DRAINING_RETRY;
 use super::in_flight::{CallStage, InFlight};
 use super::keyed::{self, KeyResolution};
-use super::target::{ForeignAnswer, RunEnd};
+use super::target::RunEnd;
 use super::wire::Attempt;
 use super::{slot, statements, tables};
-use crate::control::warning;
 use crate::node::Node;
 
 /// Largest answer that the ledger and the table of idempotency keys keep.
@@ -157,10 +156,7 @@
     let target = node.calls.target.borrow().clone();
     let due = started + timeout;
     let on_statement = |it| statements::record(node, it);
-    let on_foreign = |foreign: &ForeignAnswer| {
-        node.metrics.count("answers.not_believed", 1);
-        warning::warn(node, "answer not believed", foreign);
-    };
+    let on_foreign = |foreign: &_| statements::record_foreign(node, foreign);
     let end = node
         .calls
         .timers
--- a/crates/daemon/src/call/statements.rs
+++ b/crates/daemon/src/call/statements.rs
@@ -6,6 +6,8 @@
 use stoatstep_calls::{KnownLimit, TargetStatement};
 
 use super::slot;
+use super::target::ForeignAnswer;
+use crate::control::warning;
 use crate::node::Node;
 
 /// Time limit for the health request to a target that leaves.
@@ -29,6 +31,12 @@
     }
 }
 
+/// Counts and logs an answer that is not believed, as it belongs to another request.
+pub(super) fn record_foreign(node: &Node, foreign: &ForeignAnswer) {
+    node.metrics.count("answers.not_believed", 1);
+    warning::warn(node, "answer not believed", foreign);
+}
+
 /// Logs that a limit begins or ends. Changes of its value are left out, since each answer may
 /// state another one.
 fn log_limit(node: &Node, before: KnownLimit, known: KnownLimit) {
@@ -53,7 +61,8 @@
     let node = Rc::clone(node);
     ntex::rt::spawn(async move {
         let target = node.calls.target.borrow().clone();
-        let health = timeout(HEALTH_TIMEOUT, target.health()).await;
+        let on_foreign = |foreign: &_| record_foreign(&node, foreign);
+        let health = timeout(HEALTH_TIMEOUT, target.health(on_foreign)).await;
         node.calls.is_checking_target.set(false);
         if let Ok(Some(statement)) = health
             && !statement.is_leaving
--- a/crates/daemon/src/call/target.rs
+++ b/crates/daemon/src/call/target.rs
@@ -52,7 +52,7 @@
     }
 }
 
-/// An answer to another attempt than the one that waited for it.
+/// An answer to another request than the one that waited for it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct ForeignAnswer {
     expected: SmolStr,
@@ -60,15 +60,14 @@
 }
 
 impl ForeignAnswer {
-    /// Compares the attempt that an answer states with the one that waits for it. An answer that
-    /// states none is taken for the right one.
-    fn find(answer: &ClientResponse, expected: AttemptId) -> Option<Self> {
+    /// Compares the attempt that an answer states with the one that waits for it; it is empty for
+    /// a health request. An answer that states none is taken for the right one.
+    fn find(answer: &ClientResponse, expected: SmolStr) -> Option<Self> {
         let stated = answer.header(headers::ATTEMPT)?.as_bytes();
-        let expected = attempt_text(expected);
         (stated != expected.as_bytes()).then(|| {
             let stated = String::from_utf8_lossy(stated);
             Self {
-                stated: stated.chars().take(expected.len()).collect(),
+                stated: stated.chars().take(ATTEMPT_LEN).collect(),
                 expected,
             }
         })
@@ -86,6 +85,9 @@
     }
 }
 
+/// Characters of an attempt's id in headers.
+const ATTEMPT_LEN: usize = 32;
+
 /// The form of an attempt's id in headers.
 fn attempt_text(attempt: AttemptId) -> SmolStr {
     format_smolstr!("{attempt:032x}")
@@ -151,11 +153,8 @@
         };
         match answer {
             Ok(answer) => {
-                if let Some(foreign) = ForeignAnswer::find(&answer, attempt.id) {
-                    on_foreign(&foreign);
-                    // The answer to this attempt would follow, and be taken for that to the next
-                    // one on the connection.
-                    self.retire_connections().await;
+                let expected = attempt_text(attempt.id);
+                if self.is_foreign(&answer, expected, on_foreign).await {
                     return RunEnd::refused(Reason::LostAnswer);
                 }
                 let statement = statement(&answer);
@@ -171,12 +170,38 @@
         }
     }
 
+    /// Whether an answer belongs to another request than the one that waits for it. The awaited
+    /// one would follow, and be taken for that to the next request on the connection, so no
+    /// present connection is used again.
+    async fn is_foreign(
+        &self,
+        answer: &ClientResponse,
+        expected: SmolStr,
+        on_foreign: impl Fn(&ForeignAnswer),
+    ) -> bool {
+        let Some(foreign) = ForeignAnswer::find(answer, expected) else {
+            return false;
+        };
+        on_foreign(&foreign);
+        self.retire_connections().await;
+        true
+    }
+
     /// What the target states in answer to a health request; `None` if it does not answer, or
-    /// is not healthy.
-    pub(super) async fn health(&self) -> Option<TargetStatement> {
+    /// is not healthy. `on_foreign` gets an answer that belongs to an attempt.
+    pub(super) async fn health(
+        &self,
+        on_foreign: impl Fn(&ForeignAnswer),
+    ) -> Option<TargetStatement> {
         let url = format!("http://{}{HEALTH_PATH}", self.addr);
         let req = self.client.borrow().get(url);
         let answer = req.send().await.ok()?;
+        if self
+            .is_foreign(&answer, SmolStr::default(), on_foreign)
+            .await
+        {
+            return None;
+        }
         answer.status().is_success().then(|| statement(&answer))
     }
 
