Close a connection after a failure that states no request id

What callers saw: the caller of an idempotent call got the failure of another caller's call, with its body.

Cause: an answer without an id fits every request. Refusals without one cost an idempotent call only another try, and claims don't go where one was sent, but a failure that ran goes on to the caller, and a target may send a copy of it where any later answer on the connection is expected.

Change: the connection that carried such a failure is not used again. Why it works: a copy can only come on the connection of the answer that it repeats.

--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -291,7 +291,13 @@
         let headers = &head.headers;
         let end = self.interpret(head.status, headers, &body.to_bytes());
         let stated_id = headers.get(&self.names.request_id);
-        let is_last = head.status.is_success() && matches!(end, TargetOutcome::Answered(_));
+        let is_answered = matches!(end, TargetOutcome::Answered(_));
+        if is_answered && stated_id.is_none() {
+            // A copy of it would pass for the answer to any idempotent request on the connection,
+            // and be passed on to its caller.
+            return end;
+        }
+        let is_last = head.status.is_success() && is_answered;
         connection.record(stated_id.map(HeaderValue::as_bytes), is_last);
         self.pool.put_back(connection, headers);
         end
