stoatctl explain: show an answer that was not believed

Operators who looked for a slow call behind a copy of another call's answer saw the bare name of the log line. It now tells the header, both ids and the executor. The test fails without it: the text has neither id.

--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -229,6 +229,13 @@
             "entry: with it, {upstream} was left out for {} ms",
             line.text(fields::FOR_MS)
         ),
+        "answer not believed" => format!(
+            "executor of {upstream}: an answer to another request came where its own was due: {} is \
+             {} in place of {}",
+            line.text(fields::FIELD),
+            line.text(fields::STATED),
+            line.text(fields::EXPECTED),
+        ),
         "retry budget spent" => "entry: not tried again, the retry budget was spent".to_owned(),
         other => other.to_owned(),
     }
--- a/tests/all/explain.rs
+++ b/tests/all/explain.rs
@@ -6,9 +6,16 @@
 /// What three daemons logged, mixed up as a collector brings it.
 const LINES: &str = include_str!("../logs/three-failures.jsonl");
 
+/// What the executor and the entry logged of a call behind a copy of another call's answer.
+const LATE_COPY: &str = include_str!("../logs/late-copy.jsonl");
+
 fn explain(request: &str) -> (bool, String) {
+    explain_from(request, LINES)
+}
+
+fn explain_from(request: &str, lines: &str) -> (bool, String) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_stoatctl"));
-    read_lines(command.args(["explain", request]), LINES)
+    read_lines(command.args(["explain", request]), lines)
 }
 
 /// Has a command read these lines; gives whether it succeeded, and what it printed.
@@ -84,3 +91,15 @@
         "{text}"
     );
 }
+
+/// Guards against an answer that was not believed and leaves no trace at the call that waited.
+#[test]
+fn an_answer_to_another_request_is_shown_with_both_ids() {
+    let (found, text) = explain_from("r-copied", LATE_COPY);
+    assert!(found);
+    assert!(
+        text.contains("x-attempt-id is r-refused in place of r-copied"),
+        "{text}"
+    );
+    assert!(text.contains("=> it was answered in time"), "{text}");
+}
