Search every order of late copies on connections to a target

A specification beside the property test: three requests (two claims, one idempotent), a target that refuses, fails or answers, leaves out ids, and repeats any earlier answer of a connection before the next one; the shipped ConnectionAnswers decides where requests go.

Reading past foreign answers, which is new, is in it: without it the daemon takes the copy for the answer.

--- a/crates/calls/src/connection_answers.rs
+++ b/crates/calls/src/connection_answers.rs
@@ -17,7 +17,7 @@
 /// is sent only on a connection that [`identifies`](Self::identifies) its answer. No copy passes
 /// for the answer to another request there, and none moves the answers behind it to the requests
 /// after theirs.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct ConnectionAnswers {
     /// Hashes of the ids of requests that may be sent again. If two hashes are equal, a request
     /// takes another connection without need.
--- a/crates/spec/src/cases.rs
+++ b/crates/spec/src/cases.rs
@@ -5,6 +5,7 @@
 use crate::distribution::{DistributionBounds, DistributionSpec};
 use crate::idempotency::{Clocks, IdempotencyBounds, IdempotencySpec, Removal};
 use crate::invariant::Invariant;
+use crate::late_copies::{LateCopyBounds, LateCopySpec};
 use crate::safeguard::{Safeguard, Safeguards};
 use crate::search::{Spec, search};
 use crate::version_log::{Edit, VersionLogSpec};
@@ -66,6 +67,10 @@
     Keys,
     /// A customer's key is revoked while answers are delayed and a daemon is suspended.
     KeysAsleep,
+    /// Four sends on two connections to a target that repeats answers.
+    LateCopies,
+    /// Five sends on one connection to a target that repeats answers.
+    LateCopiesOnOne,
 }
 
 /// Every case, in the order of `docs/design/model-checking.md`.
@@ -93,6 +98,8 @@
     Case::IntentPlanned,
     Case::Keys,
     Case::KeysAsleep,
+    Case::LateCopies,
+    Case::LateCopiesOnOne,
 ];
 
 /// For each safeguard, a case that violates an invariant without it.
@@ -131,6 +138,10 @@
     (Safeguard::ConfirmsOnlyHeld, Case::Keys),
     (Safeguard::CopyConfirmsNothing, Case::Keys),
     (Safeguard::SleepCounts, Case::KeysAsleep),
+    (Safeguard::SentOnceOnConnection, Case::LateCopies),
+    (Safeguard::NamedConnection, Case::LateCopies),
+    (Safeguard::ForeignAnswersDropped, Case::LateCopies),
+    (Safeguard::UnnamedFailureCloses, Case::LateCopies),
 ];
 
 /// Result of a search, with the steps as text.
@@ -170,6 +181,10 @@
             Self::Keys | Self::KeysAsleep => {
                 run(&ApiKeySpec::new(self.api_keys(), safeguards), UNBOUNDED)
             }
+            Self::LateCopies | Self::LateCopiesOnOne => run(
+                &LateCopySpec::new(self.late_copies(), safeguards),
+                UNBOUNDED,
+            ),
             _ => run(
                 &IdempotencySpec::new(self.idempotency(), safeguards),
                 UNBOUNDED,
@@ -315,6 +330,14 @@
         }
     }
 
+    fn late_copies(self) -> LateCopyBounds {
+        let (connections, sends) = match self {
+            Self::LateCopiesOnOne => (1, 5),
+            _ => (2, 4),
+        };
+        LateCopyBounds { connections, sends }
+    }
+
     fn idempotency(self) -> IdempotencyBounds {
         let moved = IdempotencyBounds {
             attempts: 2,
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -12,7 +12,8 @@
 //!   daemons, and daemons that restart with no state;
 //! * [`AttemptSpec`]: calls with lost messages, executor restarts and lost targets;
 //! * [`IdempotencySpec`]: an idempotency key that is sent again while its home changes;
-//! * [`ApiKeySpec`]: a customer's key that is revoked while daemons are disconnected.
+//! * [`ApiKeySpec`]: a customer's key that is revoked while daemons are disconnected;
+//! * [`LateCopySpec`]: requests on connections to a target that repeats answers late.
 //!
 //! The bounds, the results and what is not covered are described in
 //! `docs/design/model-checking.md`.
@@ -23,6 +24,7 @@
 mod distribution;
 mod idempotency;
 mod invariant;
+mod late_copies;
 mod resources;
 mod safeguard;
 mod search;
@@ -42,6 +44,7 @@
     Clocks, IdempotencyBounds, IdempotencySpec, IdempotencyState, IdempotencyStep, Removal,
 };
 pub use invariant::Invariant;
+pub use late_copies::{LateCopyBounds, LateCopySpec, LateCopyState, Send, TargetRun};
 pub use safeguard::{Safeguard, Safeguards};
 pub use search::{Counterexample, SearchReport, Spec, search};
 pub use version_log::{Edit, Log, VersionLogSpec, VersionLogState, WriteOutcome, WriteStep};
--- a/crates/spec/src/safeguard.rs
+++ b/crates/spec/src/safeguard.rs
@@ -75,6 +75,14 @@
     CopyConfirmsNothing,
     /// The clock keeps running while the instance is suspended.
     SleepCounts,
+    /// No request is sent twice on one connection to a target.
+    SentOnceOnConnection,
+    /// A claim is sent only on a connection on which every answer stated the id of its request.
+    NamedConnection,
+    /// An answer that states the id of another request is dropped.
+    ForeignAnswersDropped,
+    /// A connection is closed after a failure that states no id of a request.
+    UnnamedFailureCloses,
 }
 
 /// The set of safeguards that are switched on.
--- a/crates/spec/tests/all/main.rs
+++ b/crates/spec/tests/all/main.rs
@@ -4,4 +4,5 @@
 mod configuration;
 mod exhaustive;
 mod keys;
+mod late_copies;
 mod support;
