Stand-in target: repeat answers late

Tests and measurements with real processes had no target that sends a copy of an earlier answer where the next one is due, so the faults of late copies were found by others. `repeat_every` makes it do so, and the experiment `faults` has it as a kind of trouble beside its eleven.

--- a/crates/load/src/measure/faults.rs
+++ b/crates/load/src/measure/faults.rs
@@ -42,6 +42,7 @@
     SilenceConnections,
     DropAnswers,
     CutAnswers,
+    RepeatAnswers,
     DrainDaemon,
     PlatformOutage,
     PlatformLosesAnswers,
@@ -49,7 +50,7 @@
 }
 
 impl Trouble {
-    const ALL: [Self; 11] = [
+    const ALL: [Self; 12] = [
         Self::KillDaemon,
         Self::SilenceConnections,
         Self::FreezeDaemon,
@@ -58,6 +59,7 @@
         Self::DrainDaemon,
         Self::FreezeTarget,
         Self::CutAnswers,
+        Self::RepeatAnswers,
         Self::PlatformOutage,
         Self::KillDaemonInOutage,
         Self::PlatformLosesAnswers,
@@ -165,6 +167,11 @@
             Delay::new(DOWN).await;
             behave(fleet, index, &json!({"truncate_every": 0})).await?;
         }
+        Trouble::RepeatAnswers => {
+            behave(fleet, index, &json!({"repeat_every": 3})).await?;
+            Delay::new(DOWN).await;
+            behave(fleet, index, &json!({"repeat_every": 0})).await?;
+        }
         Trouble::DrainDaemon => drain(fleet, index).await?,
         Trouble::PlatformOutage => break_platform(fleet, Fault::outage(DOWN)).await?,
         Trouble::PlatformLosesAnswers => break_platform(fleet, Fault::lost_answers(DOWN)).await?,
--- a/crates/standin-target/src/behaviour.rs
+++ b/crates/standin-target/src/behaviour.rs
@@ -42,6 +42,9 @@
     /// Number `n` for which the connection is closed without an answer after every `n`th run; 0 for
     /// none.
     pub drop_every: u64,
+    /// Number `n` for which every `n`th answer to a call comes behind a copy of the answer before it
+    /// on its connection; 0 for none.
+    pub repeat_every: u64,
     /// Whether runs don't end until this is reset, so that a test can check what happens during a
     /// run without depending on time.
     pub holds_runs: bool,
@@ -61,6 +64,7 @@
             health: Health::Honest,
             truncate_every: 0,
             drop_every: 0,
+            repeat_every: 0,
             holds_runs: false,
             limit: SmolStr::default(),
             leaves: false,
@@ -90,6 +94,7 @@
         self.health = change.health.unwrap_or(self.health);
         self.truncate_every = change.truncate_every.unwrap_or(self.truncate_every);
         self.drop_every = change.drop_every.unwrap_or(self.drop_every);
+        self.repeat_every = change.repeat_every.unwrap_or(self.repeat_every);
         self.holds_runs = change.holds_runs.unwrap_or(self.holds_runs);
         if let Some(limit) = &change.limit {
             self.limit = limit.clone();
@@ -122,6 +127,9 @@
     pub truncate_every: Option<u64>,
     /// Number `n` for which the connection is closed without an answer after every `n`th run.
     pub drop_every: Option<u64>,
+    /// Number `n` for which every `n`th answer to a call comes behind a copy of the answer before it
+    /// on its connection.
+    pub repeat_every: Option<u64>,
     /// Whether runs don't end until this is reset.
     pub holds_runs: Option<bool>,
     /// Text that all answers name as the limit of requests per second.
--- a/crates/standin-target/src/server.rs
+++ b/crates/standin-target/src/server.rs
@@ -15,7 +15,7 @@
 
 use futures_timer::Delay;
 use ntex::SharedCfg;
-use ntex::http::body::SizedStream;
+use ntex::http::body::{Body, ResponseBody, SizedStream};
 use ntex::http::header::{HeaderName, HeaderValue};
 use ntex::http::{HttpServiceConfig, KeepAlive, StatusCode};
 use ntex::server::Server;
@@ -99,7 +99,41 @@
         let name = HeaderName::from_static(ATTEMPT);
         res.headers_mut().insert(name, attempt.clone());
     }
-    with_statements(res, &target)
+    let res = with_statements(res, &target);
+    send_late_copy(&req, &res, &target);
+    res
+}
+
+/// Sends a copy of the answer before this one on the connection, if it is due.
+fn send_late_copy(req: &HttpRequest, res: &HttpResponse, target: &Target) {
+    let Some((peer, io)) = req.peer_addr().zip(req.io()) else {
+        return;
+    };
+    if let Some(copy) = target.record_answer(peer, encoded(res)) {
+        // If the connection is closed, no answer follows either.
+        let _ = io.encode_slice(&copy);
+    }
+}
+
+/// The bytes of an answer as they are sent, but for its date; `None` if its body is not whole.
+fn encoded(res: &HttpResponse) -> Option<Vec<u8>> {
+    let body: &[u8] = match res.body() {
+        ResponseBody::Body(Body::Bytes(body)) | ResponseBody::Other(Body::Bytes(body)) => body,
+        ResponseBody::Body(Body::Empty | Body::None)
+        | ResponseBody::Other(Body::Empty | Body::None) => &[],
+        _ => return None,
+    };
+    let mut bytes = format!("HTTP/1.1 {}\r\n", res.status()).into_bytes();
+    for (name, value) in res.headers() {
+        bytes.extend_from_slice(name.as_str().as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(value.as_bytes());
+        bytes.extend_from_slice(b"\r\n");
+    }
+    let end = format!("content-length: {}\r\n\r\n", body.len());
+    bytes.extend_from_slice(end.as_bytes());
+    bytes.extend_from_slice(body);
+    Some(bytes)
 }
 
 /// Adds what the target states about itself.
--- a/crates/standin-target/src/target.rs
+++ b/crates/standin-target/src/target.rs
@@ -45,8 +45,17 @@
     ledger: Ledger,
     counts: Counts,
     last_load: f64,
-    /// Open connections by the caller's address, with whether each is silenced.
-    connections: HashMap<SocketAddr, bool>,
+    /// Open connections by the caller's address.
+    connections: HashMap<SocketAddr, Connection>,
+    /// Answers to calls.
+    answered: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Connection {
+    is_silent: bool,
+    /// The last answer to a call as it was sent, if it was whole.
+    last_answer: Option<Vec<u8>>,
 }
 
 impl Target {
@@ -57,6 +66,7 @@
             counts: Counts::default(),
             last_load: 0.0,
             connections: HashMap::new(),
+            answered: 0,
         };
         Self {
             name,
@@ -101,7 +111,10 @@
         let mut tables = self.tables();
         tables.behaviour.apply(change);
         if change.silence_connections {
-            tables.connections.values_mut().for_each(|it| *it = true);
+            tables
+                .connections
+                .values_mut()
+                .for_each(|it| it.is_silent = true);
         }
     }
 
@@ -109,7 +122,7 @@
     pub(crate) fn connect(&self, peer: SocketAddr) -> bool {
         let mut tables = self.tables();
         let new = !tables.connections.contains_key(&peer);
-        tables.connections.entry(peer).or_insert(false);
+        tables.connections.entry(peer).or_default();
         let open = tables.connections.len();
         tables.counts.connections_max = tables.counts.connections_max.max(open);
         new
@@ -120,11 +133,25 @@
     }
 
     pub(crate) fn is_silent(&self, peer: SocketAddr) -> bool {
-        self.tables()
-            .connections
-            .get(&peer)
-            .copied()
-            .unwrap_or(false)
+        let tables = self.tables();
+        let connection = tables.connections.get(&peer);
+        connection.is_some_and(|it| it.is_silent)
+    }
+
+    /// Records an answer to a call on this connection. Returns the answer before it, if a copy of
+    /// that one is to be sent first.
+    pub(crate) fn record_answer(
+        &self,
+        peer: SocketAddr,
+        answer: Option<Vec<u8>>,
+    ) -> Option<Vec<u8>> {
+        let mut tables = self.tables();
+        tables.answered += 1;
+        let every = tables.behaviour.repeat_every;
+        let is_due = every > 0 && tables.answered.is_multiple_of(every);
+        let connection = tables.connections.get_mut(&peer)?;
+        let before = std::mem::replace(&mut connection.last_answer, answer);
+        before.filter(|_| is_due)
     }
 
     pub(crate) fn holds_runs(&self) -> bool {
--- a/crates/standin-target/tests/target.rs
+++ b/crates/standin-target/tests/target.rs
@@ -281,6 +281,32 @@
     assert_eq!(counts.finished, 2);
 }
 
+#[test]
+fn answers_can_be_repeated_late() {
+    let addr = start(Behaviour::default());
+    change(addr, r#"{"repeat_every": 2}"#);
+    let mut stream = connect(addr);
+    send(&mut stream, "GET", "/one", "stoatstep-attempt: a1\r\n", "");
+    let (_, first) = receive(&mut stream).unwrap();
+    send(&mut stream, "GET", "/two", "stoatstep-attempt: a2\r\n", "");
+    let mut text = String::new();
+    while !text.contains("stoatstep-attempt: a2") {
+        let mut buf = [0; 4096];
+        let count = stream.read(&mut buf).unwrap();
+        assert!(count > 0, "{text}");
+        text.push_str(&String::from_utf8_lossy(&buf[..count]));
+    }
+    let (copy, own) = text
+        .split_once("HTTP/1.1 200 OK\r\n")
+        .unwrap()
+        .1
+        .split_once("HTTP/1.1")
+        .unwrap();
+    assert!(copy.contains("stoatstep-attempt: a1"), "{text}");
+    assert!(copy.ends_with(&*String::from_utf8_lossy(&first)), "{text}");
+    assert!(own.contains("stoatstep-attempt: a2"), "{text}");
+}
+
 #[test]
 fn health_can_lie() {
     let addr = start(holding_runs());
