Stand-in platform: end within 8 s although a request never arrives completely

What was seen: the stop of stoat-platform took 30.9 s where a client had sent half of a request's body; Running::ended promises a few seconds. Its own wait of 5 s counts requests that it handles, and one whose body is missing isn't among them; the HTTP server then waits for it for its default of 30 s.

`half_a_request_does_not_hold_the_platform_s_stop` failed before (None after 10 s, the message of the known failure of request_in_flight_is_answered_before_the_platform_stops). The server is given 3 s now.

--- a/crates/standin-platform/src/server.rs
+++ b/crates/standin-platform/src/server.rs
@@ -39,6 +39,9 @@
 /// Longest time to wait for running requests after the program was told to stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Longest time to wait after that for requests that have not arrived completely.
+const CLOSE_TIMEOUT: Seconds = Seconds(3);
+
 /// Interval at which a stopping server checks whether all requests have ended, and the time that it
 /// then leaves for the last answer to be sent.
 const STOP_POLL: Millis = Millis(20);
@@ -136,6 +139,7 @@
     let server = HttpServer::new(app)
         .workers(1)
         .disable_signals()
+        .shutdown_timeout(CLOSE_TIMEOUT)
         .maxconn(MAX_CONNECTIONS)
         .config(SharedCfg::new("platform").add(http))
         .bind(options.addr)?
--- a/tests/all/lifecycle.rs
+++ b/tests/all/lifecycle.rs
@@ -224,3 +224,20 @@
         assert!(status.is_some_and(|status| status.success()), "{status:?}");
     });
 }
+
+/// Guards against a request that never arrives completely and holds the platform's stop.
+#[test]
+fn half_a_request_does_not_hold_the_platform_s_stop() {
+    run(async {
+        let mut fleet = Fleet::builder().instances(1).start();
+        fleet.ready(READY).await;
+        let mut half = TcpStream::connect(fleet.platform_addr).expect("it listens");
+        let head = "POST /table/read HTTP/1.1\r\nhost: platform\r\ncontent-length: 50\r\n";
+        let sent =
+            half.write_all(format!("{head}content-type: application/json\r\n\r\n{{").as_bytes());
+        sent.expect("it reads");
+        ntex::time::sleep(Duration::from_millis(200)).await;
+        let status = fleet.platform.terminate(READY).await;
+        assert!(status.is_some_and(|status| status.success()), "{status:?}");
+    });
+}
