Split the target's client: header names, dropped answers, and one send

No change of behaviour. Names that say what they do: the specification's step is a LateCopyStep, and stoatstepd refuses a foreign answer. A read into no space from a FilteredStream is no end of its connection; the HTTP client makes none.

--- a/crates/daemon/src/call/target.rs
+++ b/crates/daemon/src/call/target.rs
@@ -154,7 +154,7 @@
         match answer {
             Ok(answer) => {
                 let expected = attempt_text(attempt.id);
-                if self.is_foreign(&answer, expected, on_foreign).await {
+                if self.refuse_foreign(&answer, expected, on_foreign).await {
                     return RunEnd::refused(Reason::LostAnswer);
                 }
                 let statement = statement(&answer);
@@ -170,10 +170,10 @@
         }
     }
 
-    /// Whether an answer belongs to another request than the one that waits for it. The awaited
-    /// one would follow, and be taken for that to the next request on the connection, so no
-    /// present connection is used again.
-    async fn is_foreign(
+    /// Returns whether an answer belongs to another request than the one that waits for it. The
+    /// awaited one would follow, and be taken for that to the next request on the connection, so
+    /// no present connection is used again.
+    async fn refuse_foreign(
         &self,
         answer: &ClientResponse,
         expected: SmolStr,
@@ -197,7 +197,7 @@
         let req = self.client.borrow().get(url);
         let answer = req.send().await.ok()?;
         if self
-            .is_foreign(&answer, SmolStr::default(), on_foreign)
+            .refuse_foreign(&answer, SmolStr::default(), on_foreign)
             .await
         {
             return None;
--- a/crates/http/src/filtered_stream.rs
+++ b/crates/http/src/filtered_stream.rs
@@ -31,6 +31,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if buf.remaining() == 0 {
+            // No bytes would look like the end of the connection.
+            return Poll::Ready(Ok(()));
+        }
         let this = self.get_mut();
         let mut filter = this.filter.borrow_mut();
         loop {
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -1,10 +1,11 @@
 //! HTTP client for the target beside this daemon.
 
+mod dropped_answers;
 mod idle_limit;
+mod names;
 mod outcome;
 mod pool;
 
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -19,7 +20,7 @@
 use slog::Logger;
 use smol_str::{SmolStr, ToSmolStr};
 use stoatstep_calls::{Answer, Header, Reason, Refusal, TargetStatement, is_hop_by_hop};
-use stoatstep_http::{AnswerFilter, ExpectedAnswer};
+use stoatstep_http::ExpectedAnswer;
 use stoatstep_membership::target_id_of;
 use stoatstep_resource::UpstreamName;
 use stoatstep_telemetry::fields;
@@ -28,6 +29,8 @@
 use crate::clock::Clock;
 use crate::header_names::HeaderNames;
 use crate::wire::Attempt;
+use dropped_answers::DroppedAnswers;
+use names::ParsedHeaderNames;
 pub(super) use outcome::{LostCause, TargetOutcome};
 use pool::{Connection, Need, Pool};
 
@@ -60,43 +63,6 @@
     log: Logger,
 }
 
-/// The header names of the dialect, parsed for the HTTP library.
-struct ParsedHeaderNames {
-    request_id: HeaderName,
-    timeout_ms: HeaderName,
-    caller_service: HeaderName,
-    customer: HeaderName,
-    expected_upstream: HeaderName,
-    upstream: HeaderName,
-    not_run: HeaderName,
-    signature: HeaderName,
-    limit: HeaderName,
-    leaving: HeaderName,
-}
-
-impl ParsedHeaderNames {
-    /// # Panics
-    ///
-    /// Panics if a name is not a valid header name. The names are constants of adapters.
-    fn new(header_names: &HeaderNames) -> Self {
-        let name = |text: &SmolStr| {
-            HeaderName::from_bytes(text.as_bytes()).expect("header names are valid constants")
-        };
-        Self {
-            request_id: name(&header_names.request_id),
-            timeout_ms: name(&header_names.timeout_ms),
-            caller_service: name(&header_names.caller_service),
-            customer: name(&header_names.customer),
-            expected_upstream: name(&header_names.expected_upstream),
-            upstream: name(&header_names.upstream),
-            not_run: name(&header_names.not_run),
-            signature: name(&header_names.signature),
-            limit: name(&header_names.limit),
-            leaving: name(&header_names.leaving),
-        }
-    }
-}
-
 impl Target {
     pub(super) fn new(
         addr: SocketAddr,
@@ -139,38 +105,53 @@
             Need::Identified(&attempt.call.request_id)
         };
         loop {
-            let Some(mut connection) = self.pool.take(need).await else {
+            let Some(connection) = self.pool.take(need).await else {
                 return TargetOutcome::unreachable(DEFAULT_RETRY);
             };
-            let expected = ExpectedAnswer::ToRequest(attempt.call.request_id.clone());
-            let dropped = DroppedAnswers {
-                target: self,
-                attempt,
-                filter: Rc::clone(connection.filter()),
-                on_foreign: &on_foreign,
-            };
-            match connection.send(req, expected).await {
-                Ok(res) => {
-                    if let Some(mismatch) = self.mismatch(attempt, res.headers()) {
-                        // Its end is unknown, and with it where the answer to this attempt starts.
-                        on_foreign(&mismatch);
-                        return TargetOutcome::Lost(LostCause::OtherRequest);
-                    }
-                    if let Some(statement) = self.statement(res.status(), res.headers()) {
-                        on_statement(statement);
-                    }
-                    return self.read(connection, res).await;
-                }
-                // The target closed an idle connection just before it was used, and no
-                // byte of the request was sent.
-                Err(Some(unsent)) => req = unsent,
-                Err(None) if dropped.is_any() => {
-                    return TargetOutcome::Lost(LostCause::OtherRequest);
+            let sent = self.call_on(connection, req, attempt, &on_statement, &on_foreign);
+            match sent.await {
+                Ok(outcome) => return outcome,
+                // The target closed an idle connection just before it was used.
+                Err(unsent) => req = unsent,
+            }
+        }
+    }
+
+    /// Sends the attempt's request on this connection. An error that returns the request means
+    /// that no byte of it was sent.
+    async fn call_on(
+        &self,
+        mut connection: Connection,
+        req: Request<Full<Bytes>>,
+        attempt: &Attempt,
+        on_statement: &impl Fn(TargetStatement),
+        on_foreign: &impl Fn(&Mismatch),
+    ) -> Result<TargetOutcome, Request<Full<Bytes>>> {
+        let request_id = &attempt.call.request_id;
+        let dropped = DroppedAnswers {
+            filter: Rc::clone(connection.filter()),
+            field: &self.names.request_id,
+            request_id,
+            on_foreign,
+        };
+        let expected = ExpectedAnswer::ToRequest(request_id.clone());
+        match connection.send(req, expected).await {
+            Ok(res) => {
+                if let Some(mismatch) = self.mismatch(attempt, res.headers()) {
+                    // Its end is unknown, and with it where the answer to this attempt starts.
+                    on_foreign(&mismatch);
+                    return Ok(TargetOutcome::Lost(LostCause::OtherRequest));
                 }
-                Err(None) => {
-                    self.report_failed(&connection);
-                    return TargetOutcome::Lost(LostCause::NoAnswer);
+                if let Some(statement) = self.statement(res.status(), res.headers()) {
+                    on_statement(statement);
                 }
+                Ok(self.read(connection, res).await)
+            }
+            Err(Some(unsent)) => Err(unsent),
+            Err(None) if dropped.is_any() => Ok(TargetOutcome::Lost(LostCause::OtherRequest)),
+            Err(None) => {
+                self.report_failed(&connection);
+                Ok(TargetOutcome::Lost(LostCause::NoAnswer))
             }
         }
     }
@@ -344,34 +325,6 @@
     }
 }
 
-/// Reports the answers to other requests that were dropped while an attempt waited for its own,
-/// when it stops waiting for whatever reason.
-struct DroppedAnswers<'a, F: Fn(&Mismatch)> {
-    target: &'a Target,
-    attempt: &'a Attempt,
-    filter: Rc<RefCell<AnswerFilter>>,
-    on_foreign: &'a F,
-}
-
-impl<F: Fn(&Mismatch)> DroppedAnswers<'_, F> {
-    fn is_any(&self) -> bool {
-        self.filter.borrow().has_dropped()
-    }
-}
-
-impl<F: Fn(&Mismatch)> Drop for DroppedAnswers<'_, F> {
-    fn drop(&mut self) {
-        let dropped = self.filter.borrow_mut().take_dropped();
-        let field = &self.target.names.request_id;
-        let expected = &self.attempt.call.request_id;
-        for stated in dropped {
-            if let Some(mismatch) = Mismatch::find(field, expected, stated.as_bytes()) {
-                (self.on_foreign)(&mismatch);
-            }
-        }
-    }
-}
-
 fn header_text(headers: &HeaderMap, name: &HeaderName) -> Option<SmolStr> {
     headers.get(name)?.to_str().ok().map(SmolStr::new)
 }
--- a/crates/mesh/src/executor/target/pool.rs
+++ b/crates/mesh/src/executor/target/pool.rs
@@ -102,7 +102,7 @@
         })
     }
 
-    /// Sends a request and waits for this answer to it; answers to other requests are dropped. An
+    /// Sends a request and waits for the answer to it; answers to other requests are dropped. An
     /// error that returns the request means that no byte of it was sent.
     pub(super) async fn send(
         &mut self,
--- a/crates/spec/src/late_copies.rs
+++ b/crates/spec/src/late_copies.rs
@@ -84,7 +84,7 @@
 
 /// A request is sent, and the daemon reads an answer for it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Send {
+pub struct LateCopyStep {
     request: RequestIndex,
     /// Which idle connection is used; none for a new one.
     connection: Option<usize>,
@@ -110,7 +110,7 @@
         is_new && !(needs_names && answers.has_unnamed())
     }
 
-    fn send(&self, state: &mut LateCopyState, step: &Send) {
+    fn send(&self, state: &mut LateCopyState, step: &LateCopyStep) {
         let mut connection = match step.connection {
             Some(index) => state.idle.remove(index),
             None => Connection::default(),
@@ -169,7 +169,7 @@
     format!("r{request}")
 }
 
-fn violation(step: &Send, told: Told) -> Option<Invariant> {
+fn violation(step: &LateCopyStep, told: Told) -> Option<Invariant> {
     let ran = step.run != TargetRun::Refused;
     match told {
         Told::Refused if ran && is_claim(step.request) => Some(Invariant::NotRunIsTrue),
@@ -180,7 +180,7 @@
 
 impl Spec for LateCopySpec {
     type State = LateCopyState;
-    type Step = Send;
+    type Step = LateCopyStep;
 
     fn start(&self) -> LateCopyState {
         LateCopyState {
@@ -191,7 +191,7 @@
         }
     }
 
-    fn steps(&self, state: &LateCopyState) -> Vec<(Send, LateCopyState)> {
+    fn steps(&self, state: &LateCopyState) -> Vec<(LateCopyStep, LateCopyState)> {
         let mut steps = Vec::new();
         if state.sends == self.bounds.sends {
             return steps;
@@ -203,7 +203,7 @@
             for (connection, answers) in places.chain([(None, 0)]) {
                 let copies = (0..answers).map(Some).chain([None]);
                 for (copy, run, is_named) in copies.flat_map(answers_with_copy) {
-                    let step = Send {
+                    let step = LateCopyStep {
                         request,
                         connection,
                         run,
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -44,7 +44,7 @@
     Clocks, IdempotencyBounds, IdempotencySpec, IdempotencyState, IdempotencyStep, Removal,
 };
 pub use invariant::Invariant;
-pub use late_copies::{LateCopyBounds, LateCopySpec, LateCopyState, Send, TargetRun};
+pub use late_copies::{LateCopyBounds, LateCopySpec, LateCopyState, LateCopyStep, TargetRun};
 pub use safeguard::{Safeguard, Safeguards};
 pub use search::{Counterexample, SearchReport, Spec, search};
 pub use version_log::{Edit, Log, VersionLogSpec, VersionLogState, WriteOutcome, WriteStep};
