Drop at most 64 answers for one request

A faulty target that sends nothing but answers to other requests would have kept a call busy until its deadline, and filled memory with the ids that are reported. The 65th is passed on, and ends the call as any foreign answer whose end is unknown does. Found by reading; the test holds the bound.

--- a/crates/http/src/answer_filter.rs
+++ b/crates/http/src/answer_filter.rs
@@ -15,6 +15,10 @@
 /// Limit on the characters of an id that are kept for a report.
 const MAX_ID: usize = 64;
 
+/// Limit on the answers that are dropped for one request. Later ones are passed on, which ends the
+/// wait for an answer that a faulty server may never send.
+const MAX_DROPPED: usize = 64;
+
 /// Which answer a connection waits for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ExpectedAnswer {
@@ -198,6 +202,9 @@
             Ok(Status::Partial) if bytes.len() < MAX_HEAD => return Head::Incomplete,
             Ok(Status::Partial) | Err(_) => return Head::Passed,
         };
+        if self.dropped.len() >= MAX_DROPPED {
+            return Head::Passed;
+        }
         let foreign_id = only(answer.headers, &self.id_header);
         let foreign_id = foreign_id.filter(|it| self.expected.excludes(it));
         let body_len = answer.code.and_then(|it| body_len(it, answer.headers));
--- a/crates/http/tests/all/answer_filter.rs
+++ b/crates/http/tests/all/answer_filter.rs
@@ -137,6 +137,18 @@
     assert!(filter.has_dropped());
 }
 
+/// Guards against a request that waits for ever at a server that sends nothing but answers to
+/// others.
+#[test]
+fn an_answer_behind_too_many_others_is_passed_on() {
+    let mut filter = expecting("c1");
+    let copy = answer("c0", "copy");
+    assert_eq!(passed_of(&mut filter, &copy.repeat(64)), "");
+    assert_eq!(filter.take_dropped().len(), 64);
+    let mut filter = expecting("c1");
+    assert_eq!(passed_of(&mut filter, &copy.repeat(65)), copy);
+}
+
 /// Bodies contain what looks like an answer to any of the requests.
 fn body() -> impl Strategy<Value = String> {
     prop_oneof![
