Crowds: failing tests of callers that don't behave

What callers see: a crowd of them ends the process that serves everybody. Nothing bounds what all bodies, heads, answers and connections of a process take together; each has only a limit of its own.

The tests start the programs on loopback addresses with lowered limits, have a small crowd send, and check that the process lives, that its memory (its peak, and the bytes that its connections have received and it has not read) and its sockets stay within what the settings allow, that an ordinary request is answered beside the crowd and afterwards, and that the process ends as told.

What endless_answers and sidecar share with them moved to tests/support; the stand-in store there also carries out transactions.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -20,3 +20,6 @@
 mod programs;
 mod sidecar;
 mod spreading;
+#[path = "../support/mod.rs"]
+#[allow(dead_code)]
+mod support;
--- a/tests/all/sidecar.rs
+++ b/tests/all/sidecar.rs
@@ -1,73 +1,14 @@
 //! `stoatstep-sidecar` as a process: settings, signals and what it says of them.
 
-use std::fs;
 use std::io::Read;
-use std::net::{Ipv4Addr, SocketAddr};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
+use std::net::SocketAddr;
+use std::process::Output;
 use std::time::{Duration, Instant};
 
-use nix::sys::signal::{self, Signal};
-use nix::unistd::Pid;
+use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_stoatstep-sidecar");
-
-/// Longest time that a test waits for the process.
-const BOUND: Duration = Duration::from_secs(10);
-
-/// Lines are gathered for a tenth of a second before they are written.
-const GATHERED: Duration = Duration::from_millis(300);
-
-/// Loopback addresses of one test.
-pub(crate) fn addr(test: u8, port: u16) -> SocketAddr {
-    let [.., high, low] = std::process::id().to_be_bytes();
-    (Ipv4Addr::new(127, high | 0x80, low, test), 7000 + port).into()
-}
-
-/// A settings file for a daemon whose store does not answer.
-pub(crate) fn settings(test: u8) -> Value {
-    json!({
-        "node": "n0", "zone": "a", "region": "north", "service": "floatdesk",
-        "listen": {"inbound": addr(test, 0), "outbound": addr(test, 1),
-                   "ready": addr(test, 2), "control": addr(test, 3)},
-        "app_address": addr(test, 4), "heartbeat_s": 1.5,
-        "bounds": ["retry_budget_ratio=0.2", "retry_slack=60", "grace_s=6"],
-        "platform": {"address": addr(test, 5)},
-    })
-}
-
-pub(crate) fn file(test: u8, content: &Value) -> PathBuf {
-    let name = format!("sidecar-{}-{test}.json", std::process::id());
-    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    fs::write(&path, content.to_string()).expect("a file for settings");
-    path
-}
-
-pub(crate) fn start(path: &Path) -> Child {
-    let mut command = Command::new(PROGRAM);
-    command.env("STOATSTEP_NODE_FILE", path);
-    let piped = command.stdout(Stdio::piped()).stderr(Stdio::piped());
-    piped.spawn().expect("the program starts")
-}
-
-pub(crate) fn tell(child: &Child, what: Signal) {
-    let id = i32::try_from(child.id()).expect("an id of a process");
-    signal::kill(Pid::from_raw(id), what).expect("it runs");
-    std::thread::sleep(GATHERED);
-}
-
-pub(crate) fn ended(mut child: Child) -> Output {
-    let end = Instant::now() + BOUND;
-    while child.try_wait().expect("a child of this process").is_none() {
-        if Instant::now() > end {
-            child.kill().expect("a child of this process");
-            panic!("it still runs after {BOUND:?}");
-        }
-        std::thread::sleep(Duration::from_millis(20));
-    }
-    child.wait_with_output().expect("it ended")
-}
+use crate::support::process::{GATHERED, addr, ended, file, settings, start, tell};
 
 fn messages(output: &Output) -> Vec<String> {
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
