Bodies: one memory for all of them, and stoatstepd bounds its callers'

What callers saw: 800 bodies of 255 KiB at stoatstepd, one byte short of their end and kept open, took 248 MB, whole ones 201 MB, where a daemon may take 128 MB.

Cause: every body had a limit of its own (256 KiB) and all of them together none; each was collected by doubling and copied on its way.

Change: a crate for bodies. A Body holds its bytes in segments and is never copied as a whole; a BodyBuilder allocates nothing else; a Lease of a Memory accounts for it until its last clone is dropped. read_request_body leases before it keeps a byte, gives up transfers that have been silent for a second while others need their memory, and refuses with "memory full", not run, when there is none. AnswerMemory uses the same memory and holds it until the answer is dropped.

Why it works: a byte is kept only under a lease, and leases never exceed their memory.

--- a/crates/calls/src/answer.rs
+++ b/crates/calls/src/answer.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use stoatstep_body::Body;
 
 /// Lowest status that means that the target failed.
 const MIN_FAILURE_STATUS: u16 = 500;
@@ -25,8 +26,7 @@
     /// Headers of the answer, without hop-by-hop headers.
     pub headers: Vec<Header>,
     /// The complete body.
-    #[serde(with = "serde_bytes")]
-    pub body: Vec<u8>,
+    pub body: Body,
 }
 
 impl Answer {
--- a/crates/calls/src/fingerprint.rs
+++ b/crates/calls/src/fingerprint.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
+use stoatstep_body::Body;
 use xxhash_rust::xxh3::Xxh3;
 
 /// Hash of the content of a request. Two requests with the same fingerprint ask for the same
@@ -21,15 +22,31 @@
     /// significant.
     #[must_use]
     pub fn over<const N: usize>(parts: [&[u8]; N]) -> Self {
-        let mut hasher = Xxh3::new();
-        for part in parts {
-            hasher.update(&part.len().to_le_bytes());
-            hasher.update(part);
+        Self(hasher_of(&parts).digest128())
+    }
+
+    /// Computes the fingerprint from `parts` and, after them, a body. It is that of the same bytes in
+    /// one part.
+    #[must_use]
+    pub fn over_body<const N: usize>(parts: [&[u8]; N], body: &Body) -> Self {
+        let mut hasher = hasher_of(&parts);
+        hasher.update(&body.len().to_le_bytes());
+        for segment in body.segments() {
+            hasher.update(segment);
         }
         Self(hasher.digest128())
     }
 }
 
+fn hasher_of(parts: &[&[u8]]) -> Xxh3 {
+    let mut hasher = Xxh3::new();
+    for part in parts {
+        hasher.update(&part.len().to_le_bytes());
+        hasher.update(part);
+    }
+    hasher
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
--- a/crates/calls/src/refusal.rs
+++ b/crates/calls/src/refusal.rs
@@ -115,7 +115,7 @@
     HomeMoving => "home-moving", NotRun;
     /// The executor that owns the idempotency key cannot be reached.
     HomeUnreachable => "home-unreachable", NotRun;
-    /// The executor already remembers as many calls as its limits allow.
+    /// The daemon already holds as many calls, or as much of their bodies, as its limits allow.
     MemoryFull => "memory-full", NotRun;
     /// The platform, which must record the idempotency key, is not available.
     PlatformDown => "platform-down", NotRun;
--- a/crates/calls/tests/all/idempotency.rs
+++ b/crates/calls/tests/all/idempotency.rs
@@ -34,7 +34,7 @@
     Arc::new(Answer {
         status: 201,
         headers: Vec::new(),
-        body: b"claim 17".to_vec(),
+        body: b"claim 17".to_vec().into(),
     })
 }
 
--- a/crates/calls/tests/all/ledger.rs
+++ b/crates/calls/tests/all/ledger.rs
@@ -19,7 +19,7 @@
     Arc::new(Answer {
         status: 200,
         headers: Vec::new(),
-        body: vec![b'x'; bytes],
+        body: vec![b'x'; bytes].into(),
     })
 }
 
--- a/crates/daemon/src/call/executor.rs
+++ b/crates/daemon/src/call/executor.rs
@@ -9,7 +9,7 @@
 use super::in_flight::{CallStage, InFlight};
 use super::run::{self, RunOutcome};
 use super::target::RunEnd;
-use super::wire::{Attempt, WireAttempt, WireEnd, WireReply};
+use super::wire::{Attempt, WireAttempt, WireCall, WireEnd, WireReply};
 use super::{homes, peers, settle};
 use crate::http::msgpack;
 use crate::node::Node;
@@ -46,7 +46,15 @@
 
 async fn answer_attempt(node: &Rc<Node>, req: &mut Request) -> Option<Response> {
     let wire: WireAttempt = peers::receive(req).await?;
-    let attempt = Attempt::try_from(wire).ok()?;
+    let mut attempt = Attempt::try_from(wire).ok()?;
+    let Some(lease) = node.calls.bodies.try_lease(attempt.call.body.len()) else {
+        let refusal = Refusal::retry(Reason::MemoryFull, DRAINING_RETRY);
+        let refused = RunOutcome::of(RunEnd::Refused(refusal));
+        return Some(ok(&reply(node, refused)));
+    };
+    let call = Rc::unwrap_or_clone(attempt.call);
+    let body = call.body.clone().with_lease(lease);
+    attempt.call = Rc::new(WireCall { body, ..call });
     // The run releases its share when it ends, which is before the reply is sent.
     let in_flight = Rc::new(InFlight::enter(node, CallStage::Queued));
     Some(ok(&execute(node, attempt, Rc::clone(&in_flight)).await))
--- a/crates/daemon/src/call/keyed.rs
+++ b/crates/daemon/src/call/keyed.rs
@@ -105,7 +105,7 @@
 
 fn fingerprint(attempt: &Attempt) -> Fingerprint {
     let call = &attempt.call;
-    Fingerprint::of(&call.method, &call.path, &call.body)
+    Fingerprint::over_body([call.method.as_bytes(), call.path.as_bytes()], &call.body)
 }
 
 async fn wait_for_end(node: &Rc<Node>, other: AttemptId, deadline: Deadline) -> bool {
--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -33,7 +33,8 @@
 use std::rc::Rc;
 
 use ntex::channel::condition::Condition;
-use stoatstep_http::PendingWrites;
+use stoatstep_body::Memory;
+use stoatstep_http::{BodyMemory, PendingWrites};
 use stoatstep_platform::TableRevision;
 use stoatstep_telemetry::Histograms;
 
@@ -51,6 +52,10 @@
 /// Largest number of tenants with histograms of their own; all others share one.
 const MAX_TENANTS: usize = 64;
 
+/// Memory for the bodies of calls: for small ones, and for all others.
+const SMALL_BODIES: usize = 4 << 20;
+const LARGE_BODIES: usize = 24 << 20;
+
 /// Tables and clients of the call path. No borrow of a cell is held across an `await`, so two
 /// tasks never borrow the same cell at once.
 pub(crate) struct Calls {
@@ -78,6 +83,8 @@
     target_leaves: Cell<bool>,
     /// Whether a health request to a target that leaves is in progress.
     is_checking_target: Cell<bool>,
+    /// Memory for the bodies of calls, from callers and from other daemons.
+    bodies: BodyMemory,
     pub(crate) histograms: RefCell<Histograms>,
 }
 
@@ -99,12 +106,20 @@
             target_leaves: Cell::new(false),
             is_checking_target: Cell::new(false),
             timers: Timers::default(),
+            bodies: body_memory(),
             histograms: RefCell::new(Histograms::new(MAX_TENANTS)),
             clock,
         }
     }
 }
 
+/// A quarter of the memory that a daemon may take. Bodies are copied on their way to other daemons
+/// and to the target, so they take up to three times what is leased for them.
+fn body_memory() -> BodyMemory {
+    let (small, large) = (Memory::new(SMALL_BODIES), Memory::new(LARGE_BODIES));
+    BodyMemory::new(small, large, request::MAX_BODY)
+}
+
 /// Starts the background tasks of the call path.
 pub(crate) fn start(node: &Rc<Node>) {
     ntex::rt::spawn(tick::run(Rc::clone(node)));
--- a/crates/daemon/src/call/request.rs
+++ b/crates/daemon/src/call/request.rs
@@ -6,9 +6,9 @@
 
 use ntex::http::header::{HeaderMap, HeaderValue};
 use ntex::http::{Method, Request};
-use ntex::util::Bytes;
 use rand::RngExt;
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
+use stoatstep_body::Body;
 use stoatstep_calls::{
     AUTHORIZATION_HEADER, Class, Deadline, Header, IdempotencyKey, KeyText, Reason, Refusal,
     ResolvedRoute, bearer_key, upstream_set_id,
@@ -18,13 +18,13 @@
 use super::executor::DRAINING_RETRY;
 use super::headers;
 use super::wire::WireCall;
-use crate::http::{BodyError, read_body};
+use crate::http::{BodyError, read_request_body};
 use crate::in_force::InForce;
 use crate::node::Node;
 
 /// Largest request body. The body is buffered until the call ends, so that an attempt that did not
 /// run can be sent again.
-const MAX_BODY: usize = 256 << 10;
+pub(super) const MAX_BODY: usize = 256 << 10;
 
 /// Longest name of a tenant, in bytes.
 const MAX_TENANT_LEN: usize = 64;
@@ -38,6 +38,9 @@
 /// Retry delay sent to callers while this daemon may not serve yet.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 
+/// Retry delay sent to callers for whose bodies there is no memory.
+const BODY_RETRY: Duration = Duration::from_millis(500);
+
 /// Weight of a tenant that the policy does not name.
 const DEFAULT_WEIGHT: u32 = 1;
 
@@ -67,6 +70,14 @@
         }
     }
 
+    /// Rejects a request for whose body there is no memory.
+    fn no_memory() -> Self {
+        Self {
+            refusal: Refusal::retry(Reason::MemoryFull, BODY_RETRY),
+            findings: Vec::new(),
+        }
+    }
+
     fn permanent(reason: Reason) -> Self {
         Self {
             refusal: Refusal::permanent(reason),
@@ -102,10 +113,11 @@
         if in_force.keys.are_checked() {
             head.tenant = customer.unwrap_or(DEFAULT_TENANT);
         }
-        let body = read_body(req.take_payload(), MAX_BODY).await;
+        let body = read_request_body(req, &node.calls.bodies).await;
         let body = body.map_err(|err| match err {
             BodyError::TooLarge => Rejected::permanent(Reason::TooLarge),
             BodyError::CutShort => Rejected::permanent(Reason::BadRequest),
+            BodyError::NoMemory | BodyError::Stalled => Rejected::no_memory(),
         })?;
         let timeout = head.timeout.unwrap_or(route.policy.timeout);
         let idempotent = route.route.idempotent || is_idempotent(req.method());
@@ -136,7 +148,7 @@
     in_force: &InForce,
     (route, service): (&ResolvedRoute, ServiceName),
     head: CallHeaders,
-    body: Bytes,
+    body: Body,
     idempotent: bool,
 ) -> WireCall {
     let names = in_force.upstreams_of(&service);
--- a/crates/daemon/src/call/respond.rs
+++ b/crates/daemon/src/call/respond.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ntex::http::{Response, ResponseBuilder, StatusCode};
+use ntex::util::Bytes;
 use smol_str::SmolStr;
 use stoatstep_calls::{Answer, Outcome, Reason, Refusal};
 use stoatstep_resource::Version;
@@ -18,7 +19,7 @@
     }
     res.header(headers::OUTCOME, Outcome::Answered.as_str());
     add_version_header(&mut res, version);
-    res.body(answer.body.clone())
+    res.body(Bytes::copy_from_slice(&answer.body.to_bytes()))
 }
 
 /// Builds the response to a call that ended without the target's answer.
--- a/crates/daemon/src/call/target.rs
+++ b/crates/daemon/src/call/target.rs
@@ -12,6 +12,7 @@
 use ntex::http::body::Body;
 use ntex::http::header::HeaderValue;
 use ntex::time::{Millis, Seconds};
+use ntex::util::Bytes;
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 use stoatstep_calls::{Answer, AttemptId, Header, Reason, Refusal, TargetStatement};
 use stoatstep_resource::HEALTH_PATH;
@@ -144,7 +145,7 @@
         on_foreign: impl Fn(&ForeignAnswer),
     ) -> RunEnd {
         let req = self.request(attempt, left);
-        let (body, sent) = TrackedBody::new(attempt.call.body.clone());
+        let (body, sent) = TrackedBody::new(Bytes::copy_from_slice(&attempt.call.body.to_bytes()));
         let empty = attempt.call.body.is_empty();
         let answer = if empty {
             req.send().await
@@ -256,9 +257,9 @@
         Ok(body) => RunEnd::Done(Arc::new(Answer {
             status,
             headers,
-            body: body.to_vec(),
+            body: body.to_vec().into(),
         })),
         Err(BodyError::TooLarge) => RunEnd::refused(Reason::AnswerTooLarge),
-        Err(BodyError::CutShort) => RunEnd::refused(Reason::LostAnswer),
+        Err(_) => RunEnd::refused(Reason::LostAnswer),
     }
 }
--- a/crates/daemon/src/call/wire.rs
+++ b/crates/daemon/src/call/wire.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use ntex::http::Method;
-use ntex::util::Bytes;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use stoatstep_body::Body;
 use stoatstep_calls::{
     Answer, AttemptId, AttemptStatus, Class, Header, HomeAnswer, IdempotencyKey, KeyText, Load,
     RateLimit, Refusal, Ticket, UpstreamSetId,
@@ -24,7 +24,7 @@
     /// Path and query.
     pub(super) path: SmolStr,
     pub(super) headers: Vec<Header>,
-    pub(super) body: Bytes,
+    pub(super) body: Body,
     pub(super) tenant: CustomerName,
     pub(super) class: Class,
     pub(super) depth: u32,
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -6,7 +6,7 @@
 use ntex::time::{Millis, Seconds};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-pub(crate) use stoatstep_http::{BodyError, drop_body, read_body};
+pub(crate) use stoatstep_http::{BodyError, drop_body, read_body, read_request_body};
 
 /// Builds a client that adds nothing to requests and has no time limit for answers.
 ///
--- a/crates/http/src/answer_body.rs
+++ b/crates/http/src/answer_body.rs
@@ -5,14 +5,11 @@
 use std::rc::Rc;
 
 use bytes::{Buf, Bytes};
-use http_body::Body;
 use http_body_util::BodyExt;
-use tokio::sync::Notify;
+use stoatstep_body::{Body, BodyBuilder, Lease};
 use tokio::task::yield_now;
 
-/// Bodies up to this size take memory without waiting for it: callers of small answers must not wait
-/// for those of large ones.
-const SMALL: usize = 64 << 10;
+use crate::body_memory::BodyMemory;
 
 /// Number of parts of a body after which their size counts.
 const FREE_PARTS: usize = 16 << 10;
@@ -36,38 +33,28 @@
     Fragmented,
 }
 
-/// Memory for the bodies of answers that are being read.
+/// Memory for the bodies of answers, from their first byte until nobody needs them any more.
 #[derive(Clone, Debug)]
-pub struct AnswerMemory(Rc<Shared>);
-
-#[derive(Debug)]
-struct Shared {
-    capacity: usize,
-    /// Limit on one answer.
-    largest: usize,
-    used: Cell<usize>,
+pub struct AnswerMemory {
+    memory: BodyMemory,
     /// Number of bodies that are being read.
-    readers: Cell<usize>,
-    freed: Notify,
+    readers: Rc<Cell<usize>>,
 }
 
 impl AnswerMemory {
-    /// Creates a memory of `capacity` bytes, of which one answer may take `largest`.
+    /// Answers whose bodies take this memory.
     #[must_use]
-    pub fn new(capacity: usize, largest: usize) -> Self {
-        Self(Rc::new(Shared {
-            capacity,
-            largest: largest.min(capacity),
-            used: Cell::new(0),
-            readers: Cell::new(0),
-            freed: Notify::new(),
-        }))
+    pub fn new(memory: BodyMemory) -> Self {
+        Self {
+            memory,
+            readers: Rc::default(),
+        }
     }
 
     /// Bytes that are taken at the moment.
     #[must_use]
     pub fn used(&self) -> usize {
-        self.0.used.get()
+        self.memory.used()
     }
 
     /// Reads a body to its end. It waits while the memory is full, and the sender with it. A body
@@ -77,14 +64,17 @@
     /// # Errors
     ///
     /// An [`AnswerBodyError`] if the body has no usable end; it may go on without one.
-    pub async fn read<B: Body<Data = Bytes>>(&self, body: B) -> Result<Vec<u8>, AnswerBodyError> {
+    pub async fn read<B>(&self, body: B) -> Result<Body, AnswerBodyError>
+    where
+        B: http_body::Body<Data = Bytes>,
+    {
         let mut body = pin!(body);
-        let mut buf = Vec::new();
-        let mut room = Room::new(&self.0);
-        if let Some(stated) = body.size_hint().exact() {
-            let stated = usize::try_from(stated).unwrap_or(usize::MAX);
-            room.take_stated(stated).await?;
-            buf.reserve_exact(stated);
+        let stated = body.size_hint().exact();
+        let stated = stated.map(|it| usize::try_from(it).unwrap_or(usize::MAX));
+        let mut builder = BodyBuilder::new(stated);
+        let mut room = Room::new(self);
+        if let Some(stated) = stated {
+            room.take(stated, true).await?;
         }
         let mut parts = 0;
         while let Some(part) = body.frame().await {
@@ -93,84 +83,64 @@
                 continue;
             };
             parts += 1;
-            if parts > FREE_PARTS && buf.len() < parts * MIN_PART {
+            if parts > FREE_PARTS && builder.len() < parts * MIN_PART {
                 return Err(AnswerBodyError::Fragmented);
             }
             if parts % PARTS_PER_TURN == 0 {
                 yield_now().await;
             }
-            let len = buf.len() + part.remaining();
-            if len > buf.capacity() {
-                room.grow(len).await?;
-                buf.reserve_exact(room.bytes - buf.len());
-            }
-            buf.extend_from_slice(&part);
+            let needed = builder.allocated_with(part.remaining());
+            room.take(needed, stated.is_some()).await?;
+            builder.push(&part);
         }
-        Ok(buf)
+        Ok(builder.finish(room.lease.take()))
     }
 }
 
 /// Memory that one body takes. Dropping it returns the memory.
 struct Room<'a> {
-    shared: &'a Shared,
-    bytes: usize,
+    answers: &'a AnswerMemory,
+    lease: Option<Lease>,
 }
 
 impl<'a> Room<'a> {
-    fn new(shared: &'a Shared) -> Self {
-        shared.readers.set(shared.readers.get() + 1);
-        Self { shared, bytes: 0 }
-    }
-
-    /// Takes memory for a body of a stated length.
-    async fn take_stated(&mut self, len: usize) -> Result<(), AnswerBodyError> {
-        if len > self.shared.largest {
-            return Err(AnswerBodyError::TooLarge);
+    fn new(answers: &'a AnswerMemory) -> Self {
+        answers.readers.set(answers.readers.get() + 1);
+        Self {
+            answers,
+            lease: None,
         }
-        while len > SMALL && !self.fits(len) {
-            self.shared.freed.notified().await;
-        }
-        self.set(len);
-        Ok(())
     }
 
-    /// Takes memory for `len` bytes of a body of unknown length, and for more of it if there is
-    /// enough.
-    async fn grow(&mut self, len: usize) -> Result<(), AnswerBodyError> {
-        let largest = self.shared.largest;
-        if len > largest {
+    /// Takes memory for `len` bytes in all, once it is free. A body without a stated end is given up
+    /// if it has more than its share of a memory that others wait for.
+    async fn take(&mut self, len: usize, has_stated_end: bool) -> Result<(), AnswerBodyError> {
+        let memory = &self.answers.memory;
+        if len > memory.largest() {
             return Err(AnswerBodyError::TooLarge);
         }
         loop {
-            let wished = [len * 2, len + len / 8, len].map(|it| it.min(largest));
-            let fitting = wished.into_iter().find(|it| *it <= SMALL || self.fits(*it));
-            if let Some(fitting) = fitting {
-                self.set(fitting);
+            let fits = if let Some(lease) = &mut self.lease {
+                memory.try_grow(lease, len)
+            } else {
+                self.lease = memory.try_lease(len);
+                self.lease.is_some()
+            };
+            if fits {
                 return Ok(());
             }
-            if len > self.shared.capacity / self.shared.readers.get() {
+            let share = memory.limit() / self.answers.readers.get();
+            if !has_stated_end && len > share {
                 return Err(AnswerBodyError::TooLarge);
             }
-            self.shared.freed.notified().await;
+            memory.wait().await;
         }
     }
-
-    fn fits(&self, bytes: usize) -> bool {
-        self.shared.used.get() - self.bytes + bytes <= self.shared.capacity
-    }
-
-    fn set(&mut self, bytes: usize) {
-        self.shared
-            .used
-            .set(self.shared.used.get() - self.bytes + bytes);
-        self.bytes = bytes;
-    }
 }
 
 impl Drop for Room<'_> {
     fn drop(&mut self) {
-        self.set(0);
-        self.shared.readers.set(self.shared.readers.get() - 1);
-        self.shared.freed.notify_waiters();
+        let readers = &self.answers.readers;
+        readers.set(readers.get() - 1);
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -11,8 +11,11 @@
 use ntex::io::{IoConfig, IoRef};
 use ntex::service::{Pipeline, ServiceFactory, fn_service};
 use ntex::time::Seconds;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 
+use crate::connections::{Connection, ConnectionLimits, Connections};
+
 /// Time after which an idle connection is closed. Callers close theirs earlier, after the idle
 /// timeout that their operators set; this one only ends connections whose other end is gone.
 const KEEP_ALIVE: Seconds = Seconds(300);
@@ -31,10 +34,18 @@
 /// truncate answers to callers that read slowly or are on slow links.
 pub const LAST_WRITE_TIMEOUT: Seconds = Seconds(30);
 
+/// Bytes that the system receives on a connection before they are read. Callers are close, so a
+/// small buffer is enough, and a connection that is not read takes no more.
+const RECEIVE_BUFFER: usize = 32 << 10;
+
+/// Limit on the connections of a server for which none is set.
+const MAX_CONNECTIONS: usize = 1024;
+
 /// A server that answers every request with one async function.
 pub struct Server {
     listener: TcpListener,
     pending_writes: PendingWrites,
+    connections: Connections,
 }
 
 /// Answers of a server that have not been written completely.
@@ -77,12 +88,22 @@
     /// The error of binding the address.
     pub async fn bind(addr: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(addr).await?;
+        // Connections inherit it. Without it, they take more memory and work as well.
+        let _ = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER);
         Ok(Self {
             listener,
             pending_writes: PendingWrites::default(),
+            connections: Connections::new(ConnectionLimits::new(MAX_CONNECTIONS)),
         })
     }
 
+    /// Limits on its connections. Default: 1024 of them.
+    #[must_use]
+    pub fn limits(mut self, limits: ConnectionLimits) -> Self {
+        self.connections = Connections::new(limits);
+        self
+    }
+
     /// Returns a handle to the answers that are not written yet, which stays valid while the server
     /// runs.
     #[must_use]
@@ -105,7 +126,11 @@
         let cfg = shared_config();
         let service = HttpService::h1(fn_service(move |req: Request| {
             let handler = Rc::clone(&handler);
-            async move { Ok::<_, io::Error>(handler(req).await) }
+            let connection = Connection::of(&req);
+            async move {
+                let _answering = connection.as_ref().map(Connection::answer);
+                Ok::<_, io::Error>(handler(req).await)
+            }
         }));
         let service = service.create(cfg.clone()).await;
         let service = service.map_err(|()| io::Error::other("the HTTP service did not start"))?;
@@ -115,10 +140,15 @@
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
+            if !self.connections.make_room().await {
+                continue;
+            }
             let service = service.clone();
             let io = ntex::rt::from_tcp_stream(stream.into_std()?, cfg.clone())?;
+            let (io, open) = self.connections.add(io);
             self.pending_writes.add(io.get_ref());
             ntex::rt::spawn(async move {
+                let _open = open;
                 // A connection that its caller breaks is not an error of the server.
                 let _ = service.call(io).await;
             });
--- a/crates/mesh/src/entry/call.rs
+++ b/crates/mesh/src/entry/call.rs
@@ -82,7 +82,9 @@
         let body = read_body(req.take_payload(), MAX_BODY).await;
         let body = body.map_err(|err| match err {
             BodyError::TooLarge => Refusal::permanent(Reason::TooLarge),
-            BodyError::CutShort => Refusal::permanent(Reason::BadRequest),
+            BodyError::CutShort | BodyError::NoMemory | BodyError::Stalled => {
+                Refusal::permanent(Reason::BadRequest)
+            }
         })?;
         let draw = node.entry.tables.borrow_mut().rng.random();
         let path = req.uri().path_and_query();
--- a/crates/mesh/src/entry/respond.rs
+++ b/crates/mesh/src/entry/respond.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ntex::http::{Response, ResponseBuilder, StatusCode};
+use ntex::util;
 use stoatstep_calls::{Answer, Outcome, Reason, Refusal};
 
 use crate::wire::End;
@@ -25,7 +26,7 @@
     for header in &answer.headers {
         res.header(header.name.as_str(), header.value.as_slice());
     }
-    res.body(answer.body.clone())
+    res.body(util::Bytes::copy_from_slice(&answer.body.to_bytes()))
 }
 
 /// The response to a call without an answer of its target.
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -19,8 +19,9 @@
 use hyper::{Request, Response, StatusCode, Uri};
 use slog::Logger;
 use smol_str::{SmolStr, ToSmolStr};
+use stoatstep_body::{Body, Memory};
 use stoatstep_calls::{Answer, Header, Reason, Refusal, TargetStatement, is_hop_by_hop};
-use stoatstep_http::{AnswerMemory, ExpectedAnswer};
+use stoatstep_http::{AnswerMemory, BodyMemory, ExpectedAnswer};
 use stoatstep_membership::target_id_of;
 use stoatstep_resource::UpstreamName;
 use stoatstep_telemetry::fields;
@@ -69,7 +70,7 @@
         let (addr, header_names) = (cfg.addresses.target, &cfg.header_names);
         Self {
             addr,
-            memory: AnswerMemory::new(cfg.answer_memory, MAX_ANSWER),
+            memory: AnswerMemory::new(answers(cfg.answer_memory)),
             pool: Pool::new(addr, header_names.request_id.clone(), clock),
             names: ParsedHeaderNames::new(header_names),
             log,
@@ -288,7 +289,7 @@
         Mismatch::find(field, &attempt.call.request_id, stated.as_bytes())
     }
 
-    fn interpret(&self, status: StatusCode, headers: &HeaderMap, body: Vec<u8>) -> TargetOutcome {
+    fn interpret(&self, status: StatusCode, headers: &HeaderMap, body: Body) -> TargetOutcome {
         let has = |name: &HeaderName| headers.contains_key(name);
         let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
         if is_misdirected || has(&self.names.not_run) {
@@ -322,6 +323,12 @@
     }
 }
 
+/// Memory for answers, a tenth of it for small ones alone.
+fn answers(bytes: usize) -> BodyMemory {
+    let small = Memory::new(bytes / 10);
+    BodyMemory::new(small, Memory::new(bytes / 10 * 9), MAX_ANSWER)
+}
+
 fn header_text(headers: &HeaderMap, name: &HeaderName) -> Option<SmolStr> {
     headers.get(name)?.to_str().ok().map(SmolStr::new)
 }
--- a/crates/scenario/src/daemon/executor.rs
+++ b/crates/scenario/src/daemon/executor.rs
@@ -131,7 +131,7 @@
     Ok(Arc::new(Answer {
         status: 200,
         headers: Vec::new(),
-        body: call.body.as_bytes().to_vec(),
+        body: call.body.as_bytes().to_vec().into(),
     }))
 }
 
--- a/crates/scenario/src/world/audit.rs
+++ b/crates/scenario/src/world/audit.rs
@@ -173,7 +173,7 @@
         let (end, reason) = match end {
             None => (CallEnd::Broken, None),
             Some(Ok(answer)) => {
-                if answer.body != call.body.as_bytes() {
+                if answer.body.to_bytes() != call.body.as_bytes() {
                     let detail = format!("{} got the answer to another request", call.name);
                     self.broken(Rule::WrongAnswer, now, detail);
                 }
--- a/crates/spec/src/attempt/entry.rs
+++ b/crates/spec/src/attempt/entry.rs
@@ -123,7 +123,7 @@
     ) {
         let end = match settled {
             AttemptStatus::NotRun => AttemptOutcome::NotRun,
-            AttemptStatus::Done(answer) => AttemptOutcome::Answered(answer.body[0]),
+            AttemptStatus::Done(answer) => AttemptOutcome::Answered(answer.body.to_bytes()[0]),
             AttemptStatus::DoneWithoutAnswer | AttemptStatus::Unknown => AttemptOutcome::Unknown,
             // The entry asks again until the deadline.
             AttemptStatus::NeverSeen | AttemptStatus::Queued | AttemptStatus::Running => return,
--- a/crates/spec/src/attempt/executor.rs
+++ b/crates/spec/src/attempt/executor.rs
@@ -95,7 +95,7 @@
             }
             Arrival::Refused(_) => Some(AttemptOutcome::NotRun),
             Arrival::Seen(AttemptStatus::Done(answer)) => {
-                Some(AttemptOutcome::Answered(answer.body[0]))
+                Some(AttemptOutcome::Answered(answer.body.to_bytes()[0]))
             }
             Arrival::Seen(_) => Some(AttemptOutcome::Unknown),
         }
@@ -168,7 +168,7 @@
         let answer = Answer {
             status: 201,
             headers: Vec::new(),
-            body: vec![call],
+            body: vec![call].into(),
         };
         self.ledger.done(id, Arc::new(answer));
         AttemptOutcome::Answered(call)
--- a/crates/spec/src/idempotency/home.rs
+++ b/crates/spec/src/idempotency/home.rs
@@ -219,7 +219,7 @@
         let answer = Answer {
             status: 201,
             headers: Vec::new(),
-            body: Vec::new(),
+            body: Vec::new().into(),
         };
         self.table.done(key, id, Arc::new(answer));
     }
--- a/tests/all/decoders.rs
+++ b/tests/all/decoders.rs
@@ -139,7 +139,7 @@
     fn damaged_requests_and_answers_are_read_or_refused(damages in damages()) {
         read_damaged(&LogRequest { held: config_id(), whole: false }, &damages);
         read_damaged(&LogReply::Nothing(config_id()), &damages);
-        let answer = Answer { status: 200, headers: Vec::new(), body: vec![1, 2, 3] };
+        let answer = Answer { status: 200, headers: Vec::new(), body: vec![1, 2, 3].into() };
         read_damaged(&answer, &damages);
     }
 
