Crowds: what callers, the target and daemons send shares one memory

What callers saw: the sidecar's process was ended. 100 bodies of 1 MiB, one byte short and kept open, took 115 MB of 64, in whatever way they were sent; four whole bodies of 64 MiB 327 MB of 160, and 520 MB at a daemon that forwards them; 12 callers that read nothing of 20 MB 80 MB of 64; frames of a link without an end 136 MB of 64.

Cause: bodies were bounded each, at 64 MiB, and not together, and one was held up to six times: collected by doubling, copied, encoded, put together again by doubling, decoded, and copied for the HTTP client or for the caller's connection, which took all of it at once.

Change: MemoryShares divides the memory of the process; requests, answers, small bodies and incomplete messages of daemons have stated shares. A request's body is leased before it is kept, at the entry and at the executor, and is refused with "memory full", not run, when there is no memory; its deadline and the exit of the process end the wait for it. A body over 64 KiB goes over a link in frames of its own before its message, so that it is held once at each daemon; the receiver leases all of it with the first frame and otherwise drops it and refuses the attempt. An answer over 16 KiB is handed to its caller in parts as the connection takes them, and a caller that has read nothing for a second makes room when memory is short. A message with a large body has a name of its own, so that a daemon of an older build, which does not know it, closes the link and runs nothing.

Why it works: the shares add up to what the process may use, and whatever is kept has a lease of one of them.

--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -57,7 +57,7 @@
     pub(crate) key_lifetime: Option<Duration>,
     pub(crate) zones: usize,
     pub(crate) apply_within: Duration,
-    pub(crate) answer_memory: usize,
+    pub(crate) memory: usize,
 }
 
 /// Limit on the load that the retries of all daemons together add to a service.
@@ -100,15 +100,15 @@
             key_lifetime: None,
             zones: 1,
             apply_within: APPLY_WITHIN,
-            answer_memory: answer_memory(MEMORY),
+            memory: MEMORY,
         }
     }
 
-    /// Memory that the process may use, in bytes. Default 256 MiB. Answers that are read from the
-    /// target take at most two fifths of it.
+    /// Memory that the process may use, in bytes. Default 256 MiB. What callers, the target and
+    /// other daemons send takes a stated share of it each.
     #[must_use]
     pub fn memory(mut self, bytes: usize) -> Self {
-        self.answer_memory = answer_memory(bytes);
+        self.memory = bytes;
         self
     }
 
@@ -212,8 +212,3 @@
         self
     }
 }
-
-/// The part of a process's memory that answers may take while they are read from the target.
-fn answer_memory(memory: usize) -> usize {
-    memory / 5 * 2
-}
--- a/crates/mesh/src/entry/call.rs
+++ b/crates/mesh/src/entry/call.rs
@@ -4,16 +4,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use ntex::http::Request;
 use ntex::http::header::HeaderMap;
 use rand::RngExt;
 use smol_str::{SmolStr, ToSmolStr};
+use stoatstep_body::Body;
 use stoatstep_calls::{
     AUTHORIZATION_HEADER, Deadline, Header, Reason, Refusal, ResolvedRoute, Time, is_hop_by_hop,
 };
-use stoatstep_http::{BodyError, read_body};
+use stoatstep_http::{BodyError, read_request_body};
 use stoatstep_resource::{Quota, Version};
+use tokio::time::sleep;
 
 use super::late::LateCall;
 use super::open::Progress;
@@ -21,10 +22,6 @@
 use crate::node::Node;
 use crate::wire::CallParts;
 
-/// Largest request body. The whole body is kept until the call ends, so that the call can
-/// be sent to another target if an attempt did not run.
-const MAX_BODY: usize = 64 << 20;
-
 /// Retry delay given to callers while the daemon has no configuration yet.
 const NOT_READY_RETRY: Duration = Duration::from_millis(250);
 
@@ -32,6 +29,10 @@
 /// once, but the caller's load balancer has to notice that this one is not ready.
 pub(super) const DRAINING_RETRY: Duration = Duration::from_millis(100);
 
+/// Retry delay given to callers for whose bodies there is no memory, or not in time. Bodies that are
+/// being received get that far, or are evicted.
+const BODY_RETRY: Duration = Duration::from_millis(500);
+
 /// Priority of calls for which neither the customer nor the policy sets one: after all
 /// others.
 const LOWEST_PRIORITY: u8 = u8::MAX;
@@ -79,13 +80,7 @@
         }
         let check = KeyCheck::of(&in_force, node.fleet.had_customers());
         let caller = identity::identify(node, &in_force, &route, req.headers())?;
-        let body = read_body(req.take_payload(), MAX_BODY).await;
-        let body = body.map_err(|err| match err {
-            BodyError::TooLarge => Refusal::permanent(Reason::TooLarge),
-            BodyError::CutShort | BodyError::NoMemory | BodyError::Stalled => {
-                Refusal::permanent(Reason::BadRequest)
-            }
-        })?;
+        let body = receive_body(node, req, deadline).await?;
         let draw = node.entry.tables.borrow_mut().rng.random();
         let path = req.uri().path_and_query();
         let parts = CallParts {
@@ -95,7 +90,7 @@
             path: path.map_or_else(|| "/".into(), |it| it.as_str().to_smolstr()),
             host,
             headers: forwarded_headers(node, req.headers(), check == KeyCheck::Off),
-            body: Bytes::copy_from_slice(&body),
+            body,
             idempotent: route.route.idempotent,
             route: route.route.name.clone(),
             priority: caller
@@ -126,6 +121,23 @@
     }
 }
 
+/// Receives the body of a request. It is kept until the call ends, so that the call can be sent to
+/// another target if an attempt did not run. Nothing was passed on when this fails.
+async fn receive_body(node: &Node, req: &mut Request, deadline: Deadline) -> Result<Body, Refusal> {
+    let left = deadline.left(node.clock.now());
+    let body = tokio::select! {
+        biased;
+        body = read_request_body(req, &node.memory.requests) => body,
+        () = sleep(left) => return Err(Refusal::retry(Reason::Deadline, BODY_RETRY)),
+        () = node.exit.wait() => return Err(Refusal::retry(Reason::Draining, DRAINING_RETRY)),
+    };
+    body.map_err(|err| match err {
+        BodyError::TooLarge => Refusal::permanent(Reason::TooLarge),
+        BodyError::CutShort => Refusal::permanent(Reason::BadRequest),
+        BodyError::NoMemory | BodyError::Stalled => Refusal::retry(Reason::MemoryFull, BODY_RETRY),
+    })
+}
+
 /// The time that the caller is going to wait, if it states one.
 fn stated_timeout(node: &Node, req: &Request) -> Option<Duration> {
     let stated = header_text(req.headers(), &node.cfg.header_names.timeout_ms)?;
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -26,7 +26,7 @@
     AnswerStats, Candidate, Outcome, Placement, Refusal, RetryBudget, ReturningCalls, StatedLimits,
     StatedTimes, Throttle, Ticket, Time,
 };
-use stoatstep_http::drop_body;
+use stoatstep_http::{Connection, discard};
 use stoatstep_resource::{RouteName, ServiceName, UpstreamName};
 use stoatstep_telemetry::fields;
 
@@ -139,7 +139,7 @@
         Ok(call) => call,
         Err(refusal) => {
             log_refused(node, &req, &refusal);
-            drop_body(req.take_payload()).await;
+            discard(req.take_payload(), Connection::of(&req));
             return respond::refused(&refusal, node.is_leaving());
         }
     };
@@ -154,7 +154,7 @@
     };
     late::refused(node, &call, &mut completed);
     record_call(node, &call, &completed, started_at);
-    respond::completed(&completed.end, node.is_leaving())
+    respond::completed(node, Connection::of(&req), &completed.end)
 }
 
 /// Forwards the call. If this daemon exits before it has ended, it gets a final answer.
--- a/crates/mesh/src/entry/respond.rs
+++ b/crates/mesh/src/entry/respond.rs
@@ -1,35 +1,54 @@
 //! Builds the responses to callers.
 
+use std::rc::Rc;
 use std::time::Duration;
 
+use ntex::http::body::Body;
 use ntex::http::{Response, ResponseBuilder, StatusCode};
 use ntex::util;
 use stoatstep_calls::{Answer, Outcome, Reason, Refusal};
+use stoatstep_http::{AnswerStream, Connection};
 
+use crate::drain::InFlight;
+use crate::node::Node;
 use crate::wire::End;
 
 /// Shortest retry delay given to callers. Without it, callers refused at the same time would
 /// retry at the same time.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(5);
 
-/// The response to a call that has ended. `is_last` closes the caller's connection after it.
-pub(super) fn completed(end: &End, is_last: bool) -> Response {
+/// Largest answer that is handed to a connection as a whole. It leaves the memory of answers then.
+const MAX_WHOLE: usize = 16 << 10;
+
+/// The response to a call that has ended.
+pub(super) fn completed(node: &Rc<Node>, connection: Option<Connection>, end: &End) -> Response {
     match end {
-        End::Answered(answer) => answered(answer, is_last),
-        End::Refused(refusal) => refused(refusal, is_last),
+        End::Answered(answer) => answered(node, connection, answer),
+        End::Refused(refusal) => refused(refusal, node.is_leaving()),
     }
 }
 
-fn answered(answer: &Answer, is_last: bool) -> Response {
+fn answered(node: &Rc<Node>, connection: Option<Connection>, answer: &Answer) -> Response {
+    let is_last = node.is_leaving();
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut res = builder(status, is_last);
     for header in &answer.headers {
         res.header(header.name.as_str(), header.value.as_slice());
     }
-    res.body(util::Bytes::copy_from_slice(&answer.body.to_bytes()))
+    let body = answer.body.clone();
+    let io = connection.as_ref().and_then(Connection::io);
+    match (connection, io) {
+        (Some(connection), Some(io)) if body.len() > MAX_WHOLE => {
+            let transfer = node.memory.answers.transfers().begin_writing(io);
+            let guard = (InFlight::enter(node), connection.answer());
+            res.message_body(Body::from_message(AnswerStream::new(body, transfer, guard)))
+        }
+        _ => res.body(util::Bytes::copy_from_slice(&body.to_bytes())),
+    }
 }
 
-/// The response to a call without an answer of its target.
+/// The response to a call without an answer of its target. `is_last` closes the caller's connection
+/// after it.
 pub(super) fn refused(refusal: &Refusal, is_last: bool) -> Response {
     let mut res = builder(status(refusal), is_last);
     if refusal.outcome() == Outcome::NotRun
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -30,6 +30,7 @@
     LedgerConfig, Occupancy, Queue, Reason, RecentAnswers, Refusal, TargetStatement, Ticket, Time,
     Uplink,
 };
+use stoatstep_http::BodyMemory;
 use stoatstep_membership::{AnnouncedTarget, LocalTarget};
 use stoatstep_resource::{RouteName, ServiceName, UpstreamName};
 use stoatstep_rollout::{Evidence, OrderId, Tally};
@@ -112,7 +113,7 @@
 }
 
 impl Executor {
-    pub(crate) fn new(cfg: &MeshConfig, clock: Clock, log: Logger) -> Self {
+    pub(crate) fn new(cfg: &MeshConfig, answers: BodyMemory, clock: Clock, log: Logger) -> Self {
         let incarnation: Incarnation = rand::rng().random();
         let bounds = LedgerConfig {
             answer_bytes: KEPT_ANSWER_BYTES,
@@ -132,7 +133,7 @@
         };
         Self {
             tables: RefCell::new(tables),
-            target: Target::new(cfg, clock, log),
+            target: Target::new(cfg, answers, clock, log),
             is_confirming: Cell::new(false),
             is_start_scheduled: Cell::new(false),
         }
@@ -279,6 +280,12 @@
     }
 }
 
+/// The result of an attempt for whose body there is no memory. It was not read, and never runs.
+pub(crate) fn no_memory(node: &Node) -> Ran {
+    let refusal = Refusal::retry(Reason::MemoryFull, QUEUE_RETRY);
+    run::refused(node, End::Refused(refusal))
+}
+
 fn lost_answer() -> End {
     End::Refused(Refusal::permanent(Reason::LostAnswer))
 }
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -11,17 +11,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode, Uri};
 use slog::Logger;
 use smol_str::{SmolStr, ToSmolStr};
-use stoatstep_body::{Body, Memory};
+use stoatstep_body::Body;
 use stoatstep_calls::{Answer, Header, Reason, Refusal, TargetStatement, is_hop_by_hop};
-use stoatstep_http::{AnswerMemory, BodyMemory, ExpectedAnswer};
+use stoatstep_http::{AnswerMemory, BodyMemory, ExpectedAnswer, OutgoingBody};
 use stoatstep_membership::target_id_of;
 use stoatstep_resource::UpstreamName;
 use stoatstep_telemetry::fields;
@@ -35,10 +34,6 @@
 pub(super) use outcome::{LostCause, TargetOutcome};
 use pool::{Connection, Need, Pool};
 
-/// Largest answer that is forwarded. It is held back until it is complete, so that a
-/// truncated one is never forwarded, and fits into the memory of answers.
-const MAX_ANSWER: usize = 64 << 20;
-
 /// Largest body of an answer to a health request. Its content is ignored.
 const MAX_HEALTH_BODY: usize = 16 << 10;
 
@@ -66,11 +61,11 @@
 }
 
 impl Target {
-    pub(super) fn new(cfg: &MeshConfig, clock: Clock, log: Logger) -> Self {
+    pub(super) fn new(cfg: &MeshConfig, answers: BodyMemory, clock: Clock, log: Logger) -> Self {
         let (addr, header_names) = (cfg.addresses.target, &cfg.header_names);
         Self {
             addr,
-            memory: AnswerMemory::new(answers(cfg.answer_memory)),
+            memory: AnswerMemory::new(answers),
             pool: Pool::new(addr, header_names.request_id.clone(), clock),
             names: ParsedHeaderNames::new(header_names),
             log,
@@ -121,11 +116,11 @@
     async fn call_on(
         &self,
         mut connection: Connection,
-        req: Request<Full<Bytes>>,
+        req: Request<OutgoingBody>,
         attempt: &Attempt,
         on_statement: &impl Fn(TargetStatement),
         on_foreign: &impl Fn(&Mismatch),
-    ) -> Result<TargetOutcome, Request<Full<Bytes>>> {
+    ) -> Result<TargetOutcome, Request<OutgoingBody>> {
         let request_id = &attempt.call.request_id;
         let dropped = DroppedAnswers {
             filter: Rc::clone(connection.filter()),
@@ -181,7 +176,7 @@
     /// Sends a health request; `None` if the target does not answer.
     pub(super) async fn health(&self, path: &str) -> Option<Health> {
         let req = Request::get(path).header(HOST, self.addr.to_string());
-        let req = req.body(Full::default()).ok()?;
+        let req = req.body(Body::default().into()).ok()?;
         let mut connection = self.pool.take(Need::Any).await?;
         let answer = connection.send(req, ExpectedAnswer::WithoutId).await;
         let (head, body) = answer.ok()?.into_parts();
@@ -219,9 +214,9 @@
         self.pool.close_expired();
     }
 
-    fn request(&self, attempt: &Attempt, left: Duration) -> Option<Request<Full<Bytes>>> {
+    fn request(&self, attempt: &Attempt, left: Duration) -> Option<Request<OutgoingBody>> {
         let call = &attempt.call;
-        let body = Full::new(call.body.clone());
+        let body = OutgoingBody::from(call.body.clone());
         let (mut parts, body) = Request::new(body).into_parts();
         parts.method = call.method.parse().ok()?;
         parts.uri = call.path.parse::<Uri>().ok()?;
@@ -323,12 +318,6 @@
     }
 }
 
-/// Memory for answers, a tenth of it for small ones alone.
-fn answers(bytes: usize) -> BodyMemory {
-    let small = Memory::new(bytes / 10);
-    BodyMemory::new(small, Memory::new(bytes / 10 * 9), MAX_ANSWER)
-}
-
 fn header_text(headers: &HeaderMap, name: &HeaderName) -> Option<SmolStr> {
     headers.get(name)?.to_str().ok().map(SmolStr::new)
 }
--- a/crates/mesh/src/executor/target/pool.rs
+++ b/crates/mesh/src/executor/target/pool.rs
@@ -11,8 +11,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
@@ -20,7 +18,7 @@
 use hyper_util::rt::TokioIo;
 use smol_str::SmolStr;
 use stoatstep_calls::{ConnectionAnswers, Time};
-use stoatstep_http::{AnswerFilter, ExpectedAnswer, FilteredStream};
+use stoatstep_http::{AnswerFilter, ExpectedAnswer, FilteredStream, OutgoingBody};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -44,7 +42,7 @@
 /// Limit on idle connections. As many as the target has slots are enough.
 const MAX_IDLE: usize = 256;
 
-type Req = Request<Full<Bytes>>;
+type Req = Request<OutgoingBody>;
 
 /// What a request needs of its connection.
 #[derive(Clone, Copy, Debug)]
@@ -69,7 +67,7 @@
 
 /// One connection. Dropping it closes it.
 pub(super) struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<OutgoingBody>,
     driver: JoinHandle<()>,
     idle_since: Time,
     idle_until: Time,
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -28,6 +28,7 @@
 mod journal;
 mod link;
 mod mechanism;
+mod memory;
 mod node;
 mod quarantine;
 mod quota;
--- a/crates/mesh/src/link/client.rs
+++ b/crates/mesh/src/link/client.rs
@@ -4,11 +4,12 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::StreamExt;
 use slog::Logger;
-use stoatstep_calls::Time;
+use stoatstep_calls::{Answer, Reason, Refusal, Time};
 use stoatstep_telemetry::fields;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
@@ -16,12 +17,14 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 use tokio_util::codec::{FramedRead, FramedWrite};
 
-use super::framing::{Outgoing, Reassembler, Received};
+use super::framing::{Encoded, Outgoing};
+use super::reassembly::{BadFrame, Reassembler, Received};
 use super::traffic::{Cause, LinkTraffic};
 use super::uplink::SharedUplink;
-use super::{Reader, codec, decode, encode, write};
+use super::{Reader, codec, decode, encode, encode_ask, write};
 use crate::clock::Clock;
-use crate::wire::{Ask, AskId, Reply, ToClient, ToServer};
+use crate::memory::MemoryShares;
+use crate::wire::{Ask, AskId, End, Ran, Reply, ToClient, ToServer};
 
 /// Time limit for connecting. Between zones of a region connecting takes a few
 /// milliseconds. After the limit, a call can still be sent to another daemon.
@@ -54,29 +57,28 @@
     Lost,
 }
 
+/// What all links of a daemon share.
+#[derive(Clone)]
+pub(crate) struct LinkContext {
+    pub(crate) uplink: Rc<SharedUplink>,
+    pub(crate) traffic: Rc<LinkTraffic>,
+    pub(crate) memory: MemoryShares,
+    pub(crate) clock: Clock,
+    pub(crate) log: Logger,
+}
+
 /// The links to all peers, by address. A link is opened with the first request to its peer.
 pub(crate) struct Links {
-    clock: Clock,
-    log: Logger,
-    uplink: Rc<SharedUplink>,
-    traffic: Rc<LinkTraffic>,
+    cx: LinkContext,
     table: RefCell<HashMap<SocketAddr, Rc<Link>>>,
     /// Set once this daemon stops: when the answers to its requests have to be here.
     answers_due: Rc<Cell<Option<Time>>>,
 }
 
 impl Links {
-    pub(crate) fn new(
-        uplink: Rc<SharedUplink>,
-        traffic: Rc<LinkTraffic>,
-        clock: Clock,
-        log: Logger,
-    ) -> Self {
+    pub(crate) fn new(cx: LinkContext) -> Self {
         Self {
-            clock,
-            log,
-            uplink,
-            traffic,
+            cx,
             table: RefCell::default(),
             answers_due: Rc::default(),
         }
@@ -87,7 +89,7 @@
     pub(crate) fn announce_stop(&self, answers_due: Time) {
         self.answers_due.set(Some(answers_due));
         for link in self.table.borrow().values() {
-            link.send_stop(answers_due, self.clock.now());
+            link.send_stop(answers_due, self.cx.clock.now());
         }
     }
 
@@ -107,13 +109,19 @@
         let link = self.link(addr);
         let (tx, rx) = oneshot::channel();
         let waiter = Waiter { tx, received };
-        let id = link.register(waiter, self.clock.now())?;
+        let id = link.register(waiter, self.cx.clock.now())?;
         let guard = PendingGuard { link: &link, id };
         let cause = Cause::of_ask(&ask);
-        let bytes = link.send(id, &ToServer::Ask(id, ask));
-        self.traffic.record(cause, addr.ip(), bytes);
+        let message = encode_ask(id, ask);
+        let has_body = message.body.is_some();
+        self.cx.traffic.record(cause, addr.ip(), message.len());
+        link.queue(id, message);
         let reply = rx.await.unwrap_or(Err(LinkError::Lost));
         guard.disarm();
+        if has_body {
+            // It may have been refused before all of its body was sent.
+            let _ = link.queue.send(Outgoing::Abort(id));
+        }
         reply
     }
 
@@ -126,7 +134,7 @@
         received: BytesReceived,
     ) -> Result<Reply, LinkError> {
         let link = self.table.borrow().get(&addr).cloned();
-        if link.is_some_and(|it| it.is_silent(self.clock.now())) {
+        if link.is_some_and(|it| it.is_silent(self.cx.clock.now())) {
             return Err(LinkError::NotSent);
         }
         self.ask_and_count(addr, ask, received).await
@@ -154,7 +162,7 @@
 
     /// The link to `addr`, which is opened if there is no usable one.
     fn link(&self, addr: SocketAddr) -> Rc<Link> {
-        let now = self.clock.now();
+        let now = self.cx.clock.now();
         let mut links = self.table.borrow_mut();
         if let Some(link) = links.get(&addr)
             && link.is_usable(now)
@@ -166,9 +174,7 @@
         links.insert(addr, Rc::clone(&link));
         let context = TaskContext {
             addr,
-            uplink: Rc::clone(&self.uplink),
-            clock: self.clock,
-            log: self.log.clone(),
+            cx: self.cx.clone(),
             answers_due: Rc::clone(&self.answers_due),
         };
         ntex::rt::spawn(run(Rc::clone(&link), rx, context));
@@ -252,13 +258,13 @@
         Ok(id)
     }
 
-    /// Queues a message, and returns its size.
-    fn send(&self, id: AskId, message: &ToServer) -> usize {
-        let message = encode(message);
-        let size = message.len();
+    fn send(&self, id: AskId, message: &ToServer) {
+        self.queue(id, encode(message));
+    }
+
+    fn queue(&self, id: AskId, message: Encoded) {
         // This fails only if the link is closed, and then every pending request has failed.
         let _ = self.queue.send(Outgoing::Message(id, message, None));
-        size
     }
 
     /// Tells the peer by when this daemon, which stops, needs the answers to its requests. A link
@@ -284,7 +290,7 @@
         }
     }
 
-    fn deliver(&self, ToClient(id, reply): ToClient) {
+    fn deliver(&self, id: AskId, reply: Reply) {
         let waiter = self.pending.borrow_mut().remove(&id);
         if let Some(waiter) = waiter {
             let _ = waiter.tx.send(Ok(reply));
@@ -316,20 +322,17 @@
 /// What a link's task needs besides the link.
 struct TaskContext {
     addr: SocketAddr,
-    uplink: Rc<SharedUplink>,
-    clock: Clock,
-    log: Logger,
+    cx: LinkContext,
     answers_due: Rc<Cell<Option<Time>>>,
 }
 
 async fn run(link: Rc<Link>, queue: UnboundedReceiver<Outgoing>, context: TaskContext) {
     let TaskContext {
         addr,
-        uplink,
-        clock,
-        log,
+        cx,
         answers_due,
     } = context;
+    let clock = cx.clock;
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
     let Ok(Ok(stream)) = connected else {
         link.close(
@@ -352,22 +355,23 @@
     let reader = FramedRead::new(reader, codec());
     let writer = FramedWrite::new(writer, codec());
     tokio::select! {
-        () = write(writer, queue, uplink) => {}
-        () = read(&link, reader, clock) => {}
+        () = write(writer, queue, Rc::clone(&cx.uplink)) => {}
+        () = read(&link, reader, &cx) => {}
         () = link.close_requested.notified() => {}
     }
     let pending = link.pending.borrow().len();
     if pending > 0 {
         let silent = clock.now().saturating_sub(link.last_received.get());
-        slog::warn!(log, "link lost";
+        slog::warn!(cx.log, "link lost";
             fields::PEER => %addr, fields::OPEN => pending, fields::SILENT_MS => silent.as_millis());
     }
     link.close(Stage::Closed, LinkError::Lost);
 }
 
 /// Delivers replies until the connection ends or is silent for too long.
-async fn read(link: &Link, mut reader: Reader, clock: Clock) {
-    let mut reassembler = Reassembler::default();
+async fn read(link: &Link, mut reader: Reader, cx: &LinkContext) {
+    let clock = cx.clock;
+    let mut reassembler = Reassembler::of_answers(&cx.memory);
     let mut check = interval(CHECK_INTERVAL);
     check.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -387,10 +391,13 @@
                     Ok(Received::Nothing) => continue,
                     Err(_) => return,
                 };
-                let Some(message) = decode::<ToClient>(&message) else {
+                let Some(ToClient(id, reply)) = decode(&message) else {
+                    return;
+                };
+                let Ok(reply) = with_body(id, reply, &mut reassembler, cx) else {
                     return;
                 };
-                link.deliver(message);
+                link.deliver(id, reply);
             }
             () = link.became_busy.notified(), if !is_busy => {}
             _ = check.tick(), if is_busy => {
@@ -405,3 +412,29 @@
         }
     }
 }
+
+/// Adds the body that was sent before a reply. An answer for whose body there is no memory is lost:
+/// the call has run.
+fn with_body(
+    id: AskId,
+    reply: Reply,
+    reassembler: &mut Reassembler,
+    cx: &LinkContext,
+) -> Result<Reply, BadFrame> {
+    let Reply::RanWithBody(ran) = reply else {
+        return Ok(reply);
+    };
+    let End::Answered(answer) = ran.end else {
+        return Err(BadFrame);
+    };
+    let end = if let Some(body) = reassembler.take_body(id)? {
+        End::Answered(Arc::new(Answer {
+            body,
+            ..Arc::unwrap_or_clone(answer)
+        }))
+    } else {
+        slog::warn!(cx.log, "no memory for an answer"; fields::BYTES => cx.memory.answers.used());
+        End::Refused(Refusal::permanent(Reason::LostAnswer))
+    };
+    Ok(Reply::Ran(Ran { end, ..ran }))
+}
--- a/crates/mesh/src/link/framing.rs
+++ b/crates/mesh/src/link/framing.rs
@@ -1,58 +1,76 @@
 //! Encodes messages as frames: small messages as one frame, large ones as several chunks,
-//! with frames of other messages in between.
+//! with frames of other messages in between, and large bodies as chunks of their own.
 //!
 //! An answer of half a megabyte in a single frame would delay every other answer on its
 //! link, and the replies to pings by which the peer knows that the link works.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::rc::Rc;
 
 use bytes::{BufMut, Bytes, BytesMut};
+use stoatstep_body::Body;
 use stoatstep_calls::{MessageNumber, Time};
 
-use super::MAX_FRAME;
 use super::answer::{AnswerLabel, Sending};
 use super::uplink::SharedUplink;
 use crate::drain::InFlight;
 use crate::wire::AskId;
 
 /// First byte of a frame that holds a complete message.
-const FRAME_WHOLE: u8 = 0;
+pub(super) const FRAME_WHOLE: u8 = 0;
 /// First byte of a frame that holds a chunk of a message, but not the last one.
-const FRAME_CHUNK: u8 = 1;
+pub(super) const FRAME_CHUNK: u8 = 1;
 /// First byte of a frame that holds the last chunk of a message.
-const FRAME_LAST_CHUNK: u8 = 2;
+pub(super) const FRAME_LAST_CHUNK: u8 = 2;
 /// First byte of a frame which says that the rest of a message is not sent any more.
-const FRAME_ABORTED: u8 = 3;
+pub(super) const FRAME_ABORTED: u8 = 3;
 
-/// Length of the header of a chunk: the kind of frame and the request's id.
-const CHUNK_HEADER: usize = 1 + size_of::<u64>();
+/// First byte of a frame that holds the length of a body.
+pub(super) const FRAME_BODY: u8 = 4;
+/// First byte of a frame that holds a chunk of a body.
+pub(super) const FRAME_BODY_CHUNK: u8 = 5;
 
-/// Limit on the incomplete messages of one link. A daemon has fewer calls in flight at one
-/// peer.
-const MAX_INCOMPLETE: usize = 1024;
+/// Length of the header of a chunk: the kind of frame and the request's id.
+pub(super) const CHUNK_HEADER: usize = 1 + size_of::<u64>();
 
 /// An entry in the queue of a link's writer.
 #[derive(Debug)]
 pub(super) enum Outgoing {
     /// A message of this request: the request or its reply, which counts as in flight until it is
     /// written.
-    Message(AskId, Bytes, Option<InFlight>),
+    Message(AskId, Encoded, Option<InFlight>),
     /// The result of an attempt. A late one is sent after those that are in time.
-    Answer(AskId, Bytes, AnswerLabel, InFlight),
+    Answer(AskId, Encoded, AnswerLabel, InFlight),
     /// A message that is sent before large answers and does not wait for room on the uplink.
     /// Used for configurations, which have to be in force within seconds.
-    Urgent(AskId, Bytes),
+    Urgent(AskId, Encoded),
     /// Nothing: the answers that are queued are due by then.
     AnswersDue(Time),
     /// Nobody waits for the message of this request any more.
     Abort(AskId),
 }
 
+/// A message that is ready to be sent.
+#[derive(Clone, Debug)]
+pub(super) struct Encoded {
+    pub(super) message: Bytes,
+    /// Its body, if that is sent apart from it.
+    pub(super) body: Option<Body>,
+}
+
+impl Encoded {
+    pub(super) fn len(&self) -> usize {
+        self.message.len() + self.body.as_ref().map_or(0, Body::len)
+    }
+}
+
 /// A message that is sent in chunks.
 struct Large {
     id: AskId,
+    body: VecDeque<Bytes>,
     rest: Bytes,
+    /// Holds the memory of the body until it is sent.
+    _body: Option<Body>,
     is_urgent: bool,
     number: MessageNumber,
     /// Set for the results of attempts.
@@ -60,6 +78,26 @@
     in_flight: Option<InFlight>,
 }
 
+impl Large {
+    /// Takes the next chunk of at most `size` bytes, and returns it with its kind of frame.
+    fn next_chunk(&mut self, size: usize) -> (u8, Bytes) {
+        if let Some(segment) = self.body.front_mut() {
+            let chunk = segment.split_to(size.min(segment.len()));
+            if segment.is_empty() {
+                self.body.pop_front();
+            }
+            return (FRAME_BODY_CHUNK, chunk);
+        }
+        let chunk = self.rest.split_to(size.min(self.rest.len()));
+        let kind = if self.rest.is_empty() {
+            FRAME_LAST_CHUNK
+        } else {
+            FRAME_CHUNK
+        };
+        (kind, chunk)
+    }
+}
+
 /// A frame that need not wait for room on the uplink.
 struct Small {
     frame: Bytes,
@@ -93,13 +131,13 @@
 
     pub(super) fn push(&mut self, outgoing: Outgoing) {
         match outgoing {
-            Outgoing::Message(id, bytes, in_flight) => {
-                self.push_message(id, bytes, None, in_flight);
+            Outgoing::Message(id, message, in_flight) => {
+                self.push_message(id, message, None, in_flight);
             }
-            Outgoing::Answer(id, bytes, label, in_flight) => {
-                self.push_message(id, bytes, Some(label), Some(in_flight));
+            Outgoing::Answer(id, message, label, in_flight) => {
+                self.push_message(id, message, Some(label), Some(in_flight));
             }
-            Outgoing::Urgent(id, bytes) => self.push_urgent(id, bytes),
+            Outgoing::Urgent(id, message) => self.push_urgent(id, message),
             Outgoing::AnswersDue(due) => self.due_by(due),
             Outgoing::Abort(id) => self.abort(id),
         }
@@ -108,19 +146,28 @@
     fn push_message(
         &mut self,
         id: AskId,
-        rest: Bytes,
+        message: Encoded,
         label: Option<AnswerLabel>,
         in_flight: Option<InFlight>,
     ) {
-        if !self.is_large(&rest) {
-            let frame = frame(FRAME_WHOLE, None, &rest);
+        if !self.is_large(&message) {
+            let frame = frame(FRAME_WHOLE, None, &message.message);
             self.small.push_back(Small::new(frame, in_flight));
             return;
         }
-        let (number, sending) = self.uplink.queue(rest.len(), label);
+        let (number, sending) = self.uplink.queue(message.len(), label);
+        let mut body = VecDeque::new();
+        if let Some(whole) = &message.body {
+            let len = (whole.len() as u64).to_be_bytes();
+            let announced = frame(FRAME_BODY, Some(id), &len);
+            self.small.push_back(Small::new(announced, None));
+            body.extend(whole.segments().iter().cloned());
+        }
         self.large.push(Large {
             id,
-            rest,
+            body,
+            rest: message.message,
+            _body: message.body,
             is_urgent: false,
             number,
             sending,
@@ -128,16 +175,17 @@
         });
     }
 
-    fn push_urgent(&mut self, id: AskId, bytes: Bytes) {
-        let is_urgent = self.is_large(&bytes);
-        self.push_message(id, bytes, None, None);
+    fn push_urgent(&mut self, id: AskId, message: Encoded) {
+        let is_urgent = self.is_large(&message);
+        self.push_message(id, message, None, None);
         if let Some(large) = self.large.last_mut() {
             large.is_urgent |= is_urgent;
         }
     }
 
-    fn is_large(&self, bytes: &Bytes) -> bool {
-        bytes.len() > self.uplink.read(stoatstep_calls::Uplink::chunk_bytes)
+    fn is_large(&self, message: &Encoded) -> bool {
+        message.body.is_some()
+            || message.len() > self.uplink.read(stoatstep_calls::Uplink::chunk_bytes)
     }
 
     /// Has the answers that are queued sent by `due` if that is possible.
@@ -187,13 +235,8 @@
         let size = self.uplink.read(stoatstep_calls::Uplink::chunk_bytes);
         let at = self.large.iter().position(|it| it.number == message)?;
         let large = &mut self.large[at];
-        let chunk = large.rest.split_to(size.min(large.rest.len()));
-        let is_last = large.rest.is_empty();
-        let kind = if is_last {
-            FRAME_LAST_CHUNK
-        } else {
-            FRAME_CHUNK
-        };
+        let (kind, chunk) = large.next_chunk(size);
+        let is_last = kind == FRAME_LAST_CHUNK;
         let frame = frame(kind, Some(large.id), &chunk);
         if let Some(sending) = &mut large.sending {
             sending.record_chunk(chunk.len());
@@ -219,7 +262,7 @@
     }
 }
 
-fn frame(kind: u8, id: Option<AskId>, bytes: &[u8]) -> Bytes {
+pub(super) fn frame(kind: u8, id: Option<AskId>, bytes: &[u8]) -> Bytes {
     let mut frame = BytesMut::with_capacity(CHUNK_HEADER + bytes.len());
     frame.put_u8(kind);
     if let Some(id) = id {
@@ -228,69 +271,3 @@
     frame.put_slice(bytes);
     frame.freeze()
 }
-
-/// What a frame added to the messages of a link.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum Received {
-    /// The last part of a message, which is complete now.
-    Message(Bytes),
-    /// Another part of the message of this request, of which so many bytes are there.
-    Part(AskId, usize),
-    /// Nothing: the rest of a message is not sent any more.
-    Nothing,
-}
-
-/// A frame that does not follow the protocol.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct BadFrame;
-
-/// Reassembles large messages from their chunks.
-#[derive(Default)]
-pub(super) struct Reassembler {
-    incomplete: HashMap<AskId, BytesMut>,
-}
-
-impl Reassembler {
-    /// Processes a frame and returns what it added.
-    ///
-    /// # Errors
-    ///
-    /// Fails if no daemon of this build sends such a frame. The caller closes the link then.
-    pub(super) fn process(&mut self, frame: BytesMut) -> Result<Received, BadFrame> {
-        let mut frame = frame.freeze();
-        let kind = *frame.first().ok_or(BadFrame)?;
-        if kind == FRAME_WHOLE {
-            return Ok(Received::Message(frame.split_off(1)));
-        }
-        let head = frame.get(1..CHUNK_HEADER).and_then(|it| it.try_into().ok());
-        let id = AskId::from_be_bytes(head.ok_or(BadFrame)?);
-        let bytes = frame.split_off(CHUNK_HEADER);
-        match kind {
-            FRAME_CHUNK => self.append(id, &bytes).map(|len| Received::Part(id, len)),
-            FRAME_LAST_CHUNK => {
-                self.append(id, &bytes)?;
-                let message = self.incomplete.remove(&id).unwrap_or_default();
-                Ok(Received::Message(message.freeze()))
-            }
-            FRAME_ABORTED => {
-                self.incomplete.remove(&id);
-                Ok(Received::Nothing)
-            }
-            _ => Err(BadFrame),
-        }
-    }
-
-    /// Adds a chunk, and returns how much of its message is there.
-    fn append(&mut self, id: AskId, bytes: &[u8]) -> Result<usize, BadFrame> {
-        let is_known = self.incomplete.contains_key(&id);
-        if !is_known && self.incomplete.len() >= MAX_INCOMPLETE {
-            return Err(BadFrame);
-        }
-        let message = self.incomplete.entry(id).or_default();
-        if message.len() + bytes.len() > MAX_FRAME {
-            return Err(BadFrame);
-        }
-        message.extend_from_slice(bytes);
-        Ok(message.len())
-    }
-}
--- a/crates/mesh/src/link/mod.rs
+++ b/crates/mesh/src/link/mod.rs
@@ -4,17 +4,21 @@
 //! One connection per call in flight, as HTTP/1.1 needs, would cost a wake-up and several
 //! system calls more per call, and cancelling a call would mean closing its connection.
 //! Libraries provide the frames and the encoding of messages. Large messages are split by
-//! [`framing`] into chunks, which are sent at the rate of the instance's uplink.
+//! [`framing`] into chunks, which are sent at the rate of the instance's uplink. A large body is sent
+//! segment by segment before the message that it belongs to, and collected by [`reassembly`] into
+//! memory that is leased for it.
 //!
 //! [`client`] is the end that sends requests, [`server`] the one that replies.
 
 mod answer;
 mod client;
 mod framing;
+mod reassembly;
 mod server;
 mod traffic;
 mod uplink;
 
+use std::mem;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -25,15 +29,20 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
-use framing::{Outgoing, SendQueue};
+use framing::{Encoded, Outgoing, SendQueue};
 
-pub(crate) use client::{BytesReceived, CONNECT_TIMEOUT, LinkError, Links};
+use crate::wire::{Ask, AskId, CallParts, Reply, ToClient, ToServer};
+
+pub(crate) use client::{BytesReceived, CONNECT_TIMEOUT, LinkContext, LinkError, Links};
 pub(crate) use server::serve;
 pub(crate) use traffic::{Cause, LinkTraffic, Place};
 pub(crate) use uplink::SharedUplink;
 
-/// Largest message: a call with the largest body, and its headers.
-const MAX_FRAME: usize = (64 << 20) + (1 << 20);
+/// Largest frame. Daemons split messages into chunks that are far smaller.
+const MAX_FRAME: usize = 1 << 20;
+
+/// Bodies over this size are sent apart from their messages, and never copied as a whole.
+const MAX_INLINE_BODY: usize = 64 << 10;
 
 type Reader = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
 type Writer = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
@@ -44,9 +53,42 @@
     builder.new_codec()
 }
 
-fn encode(message: &impl Serialize) -> Bytes {
+fn encode(message: &impl Serialize) -> Encoded {
     let bytes = rmp_serde::to_vec(message).expect("plain data always encodes");
-    bytes.into()
+    Encoded {
+        message: bytes.into(),
+        body: None,
+    }
+}
+
+/// Encodes a request, without its body if that is large.
+fn encode_ask(id: AskId, ask: Ask) -> Encoded {
+    match ask {
+        Ask::Run(mut attempt) if attempt.call.body.len() > MAX_INLINE_BODY => {
+            let mut call = CallParts::clone(&attempt.call);
+            let body = mem::take(&mut call.body);
+            attempt.call = Rc::new(call);
+            Encoded {
+                body: Some(body),
+                ..encode(&ToServer::RunWithBody(id, attempt))
+            }
+        }
+        ask => encode(&ToServer::Ask(id, ask)),
+    }
+}
+
+/// Encodes a reply, without the body of its answer if that is large.
+fn encode_reply(id: AskId, reply: Reply) -> Encoded {
+    match reply {
+        Reply::Ran(mut ran) if ran.end.body_len() > MAX_INLINE_BODY => {
+            let body = ran.end.take_body();
+            Encoded {
+                body,
+                ..encode(&ToClient(id, Reply::RanWithBody(ran)))
+            }
+        }
+        reply => encode(&ToClient(id, reply)),
+    }
 }
 
 fn decode<T: DeserializeOwned>(frame: &[u8]) -> Option<T> {
--- a/crates/mesh/src/link/server.rs
+++ b/crates/mesh/src/link/server.rs
@@ -6,18 +6,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_util::StreamExt;
+use stoatstep_body::Body;
 use stoatstep_calls::{AttemptId, Deadline, Ticket, Time};
 use stoatstep_telemetry::fields;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{self, UnboundedSender};
+use tokio::time::sleep;
 use tokio_util::codec::{FramedRead, FramedWrite};
 
 use super::answer::AnswerLabel;
-use super::framing::{Outgoing, Reassembler, Received};
+use super::framing::{Encoded, Outgoing};
+use super::reassembly::{Reassembler, Received};
 use super::traffic::Cause;
-use super::{Reader, codec, decode, encode, write};
+use super::{Reader, codec, decode, encode_reply, write};
 use crate::drain::InFlight;
 use crate::executor::{self, Origin};
 use crate::fleet;
@@ -25,12 +27,15 @@
 use crate::quarantine;
 use crate::quota;
 use crate::rollout::{self, Source};
-use crate::wire::{Ask, AskId, Attempt, GrantWire, Reply, ToClient, ToServer};
+use crate::wire::{Ask, AskId, Attempt, CallParts, GrantWire, Reply, ToServer};
 use crate::zones;
 
 /// Delay after a failed accept, which is most often due to a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// How often a link with an incomplete body is checked for its eviction.
+const EVICTION_CHECK: Duration = Duration::from_millis(200);
+
 /// Accepts links until the process ends.
 pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) {
     loop {
@@ -83,11 +88,11 @@
         id: AskId,
         cause: Cause,
         reply: Reply,
-        queue_as: impl FnOnce(AskId, Bytes) -> Outgoing,
+        queue_as: impl FnOnce(AskId, Encoded) -> Outgoing,
     ) {
         // This fails only if the link is closed. The peer then asks for the outcome of its
         // attempts over another link.
-        let message = encode(&ToClient(id, reply));
+        let message = encode_reply(id, reply);
         self.node.traffic.record(cause, self.peer, message.len());
         let _ = self.queue.send(queue_as(id, message));
     }
@@ -115,26 +120,65 @@
 }
 
 async fn read(connection: &Rc<Connection>, mut reader: Reader) {
-    let mut reassembler = Reassembler::default();
-    while let Some(Ok(frame)) = reader.next().await {
+    let node = &connection.node;
+    let mut reassembler = Reassembler::of_requests(&node.memory);
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = reader.next() => frame,
+            () = sleep(EVICTION_CHECK), if reassembler.has_bodies() => {
+                reassembler.drop_evicted();
+                continue;
+            }
+        };
+        let Some(Ok(frame)) = frame else {
+            return;
+        };
         let message = match reassembler.process(frame) {
             Ok(Received::Message(message)) => message,
             Ok(Received::Part(..) | Received::Nothing) => continue,
             Err(_) => return,
         };
-        match decode::<ToServer>(&message) {
-            Some(ToServer::Ask(id, ask)) => handle(connection, id, ask),
-            Some(ToServer::Cancel(id)) => cancel(connection, id),
-            Some(ToServer::Stops(left)) => peer_stops(connection, left),
-            None => return,
+        let Some(message) = decode::<ToServer>(&message) else {
+            return;
+        };
+        match message {
+            ToServer::RunWithBody(id, attempt) => match reassembler.take_body(id) {
+                Ok(body) => run_with_body(connection, id, attempt, body),
+                Err(_) => return,
+            },
+            ToServer::Ask(id, ask) => handle(connection, id, ask),
+            ToServer::Cancel(id) => cancel(connection, id),
+            ToServer::Stops(left) => peer_stops(connection, left),
         }
     }
 }
 
+/// Accepts an attempt whose body came with its message, if there is memory for it.
+fn run_inline(connection: &Rc<Connection>, id: AskId, attempt: Attempt) {
+    let body = attempt.call.body.clone();
+    let lease = connection.node.memory.requests.try_lease(body.len());
+    let body = lease.map(|it| body.with_lease(it));
+    run_with_body(connection, id, attempt, body);
+}
+
+/// Accepts an attempt with its body; without one, there was no memory for it.
+fn run_with_body(connection: &Rc<Connection>, id: AskId, mut attempt: Attempt, body: Option<Body>) {
+    let Some(body) = body else {
+        connection.node.memory.requests.transfers().evict_stalled();
+        let ran = executor::no_memory(&connection.node);
+        connection.reply(id, Reply::Ran(ran));
+        return;
+    };
+    let call = Rc::unwrap_or_clone(attempt.call);
+    attempt.call = Rc::new(CallParts { body, ..call });
+    run(connection, id, attempt);
+}
+
 fn handle(connection: &Rc<Connection>, id: AskId, ask: Ask) {
     let node = Rc::clone(&connection.node);
     match ask {
-        Ask::Run(attempt) => run(connection, id, attempt),
+        Ask::Run(attempt) => run_inline(connection, id, attempt),
         Ask::Settle(attempt, ticket) => settle(connection, id, attempt, ticket),
         Ask::Gossip(message, piggyback) => reply_later(connection, id, async move {
             fleet::gossip::apply_piggyback(&node, piggyback);
--- a/crates/mesh/src/link/traffic.rs
+++ b/crates/mesh/src/link/traffic.rs
@@ -56,7 +56,7 @@
     /// The cause of a reply that is not the result of an attempt.
     pub(crate) fn of_reply(reply: &Reply) -> Self {
         match reply {
-            Reply::Ran(_) | Reply::Settled(_) => Self::Settling,
+            Reply::Ran(_) | Reply::RanWithBody(_) | Reply::Settled(_) => Self::Settling,
             Reply::Gossip(..) => Self::Membership,
             Reply::Newer(..) | Reply::Confirmed(_) | Reply::Following(..) => Self::Configuration,
             Reply::Evidence(_) => Self::Rollouts,
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -20,8 +20,9 @@
 use crate::fleet::{self, Fleet};
 use crate::fleet_store::FleetStore;
 use crate::journal::Journal;
-use crate::link::{self, LinkTraffic, Links, SharedUplink};
+use crate::link::{self, LinkContext, LinkTraffic, Links, SharedUplink};
 use crate::mechanism::Mechanism;
+use crate::memory::MemoryShares;
 use crate::quarantine::QuarantineState;
 use crate::quota::{self, Quotas};
 use crate::rollout::{self, Rollouts};
@@ -53,6 +54,8 @@
     pub(crate) quarantine: QuarantineState,
     pub(crate) quotas: Quotas,
     pub(crate) zones: Zones,
+    /// Memory for what callers, the target and other daemons send.
+    pub(crate) memory: MemoryShares,
     pub(crate) in_flight: Cell<u32>,
     /// Answers to callers that are not yet fully written.
     pub(crate) unwritten: PendingWrites,
@@ -79,6 +82,7 @@
     /// If one of its addresses cannot be bound.
     pub async fn start<S: FleetStore>(cfg: MeshConfig, store: S, log: Logger) -> io::Result<Self> {
         let peers = TcpListener::bind(cfg.addresses.peers).await?;
+        let memory = MemoryShares::of(cfg.memory);
         let callers = Server::bind(cfg.addresses.callers).await?;
         let metrics = match cfg.metrics {
             Some(addr) => Some(Server::bind(addr).await?),
@@ -94,17 +98,24 @@
         ));
         let traffic = Rc::new(LinkTraffic::default());
         let node = Rc::new(Node {
-            links: Links::new(Rc::clone(&uplink), Rc::clone(&traffic), clock, log.clone()),
+            links: Links::new(LinkContext {
+                uplink: Rc::clone(&uplink),
+                traffic: Rc::clone(&traffic),
+                memory: memory.clone(),
+                clock,
+                log: log.clone(),
+            }),
             traffic,
             uplink,
             journal,
             entry: Entry::new(&cfg),
-            executor: Executor::new(&cfg, clock, log.clone()),
+            executor: Executor::new(&cfg, memory.answers.clone(), clock, log.clone()),
             fleet: Fleet::new(&cfg),
             rollouts: Rollouts::default(),
             quarantine: QuarantineState::default(),
             quotas: Quotas::default(),
             zones: Zones::default(),
+            memory,
             in_flight: Cell::new(0),
             unwritten: callers.pending_writes(),
             departure: Cell::new(Shutdown::new(cfg.grace)),
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use stoatstep_body::Body;
 use stoatstep_calls::{
     Answer, AttemptId, AttemptStatus, Fingerprint, Header, LateWait, LoadReport, Occupancy,
     QuarantineFinding, RateLimit, Refusal, Ticket, TokenGrant, UsageLevel, ZoneAdvice, ZoneRoom,
@@ -28,6 +29,9 @@
     /// A request, which is answered under its id.
     #[serde(rename = "a")]
     Ask(AskId, Ask),
+    /// An attempt whose call's body was sent before, apart from the message.
+    #[serde(rename = "b")]
+    RunWithBody(AskId, Attempt),
     /// The answer to this request is no longer needed.
     #[serde(rename = "c")]
     Cancel(AskId),
@@ -106,6 +110,9 @@
     /// Answers [`Ask::Run`].
     #[serde(rename = "r")]
     Ran(Ran),
+    /// Answers [`Ask::Run`] with an answer whose body was sent before, apart from the message.
+    #[serde(rename = "v")]
+    RanWithBody(Ran),
     /// Answers [`Ask::Settle`].
     #[serde(rename = "s")]
     Settled(WireSettled),
@@ -235,7 +242,7 @@
     pub(crate) host: SmolStr,
     /// Headers that are passed to the target.
     pub(crate) headers: Vec<Header>,
-    pub(crate) body: Bytes,
+    pub(crate) body: Body,
     pub(crate) idempotent: bool,
     /// Route of the call. Calls of one route take about the same time.
     pub(crate) route: RouteName,
@@ -260,13 +267,13 @@
     /// Identifies the request as its target sees it. Callers' own headers are left out, since many
     /// of them differ between attempts to send the same request.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
-        Fingerprint::over([
+        let parts = [
             self.caller_service.as_bytes(),
             self.method.as_bytes(),
             self.host.as_bytes(),
             self.path.as_bytes(),
-            &self.body,
-        ])
+        ];
+        Fingerprint::over_body(parts, &self.body)
     }
 }
 
@@ -317,6 +324,28 @@
 }
 
 impl End {
+    /// Length of the answer's body; 0 without an answer.
+    pub(crate) fn body_len(&self) -> usize {
+        match self {
+            Self::Answered(answer) => answer.body.len(),
+            Self::Refused(_) => 0,
+        }
+    }
+
+    /// Leaves the answer without its body, which is returned.
+    pub(crate) fn take_body(&mut self) -> Option<Body> {
+        let Self::Answered(answer) = self else {
+            return None;
+        };
+        let body = answer.body.clone();
+        *answer = Arc::new(Answer {
+            status: answer.status,
+            headers: answer.headers.clone(),
+            body: Body::default(),
+        });
+        Some(body)
+    }
+
     /// Whether the target gave an answer that is not a failure.
     pub(crate) fn is_success(&self) -> bool {
         matches!(self, Self::Answered(answer) if !answer.is_failure())
