Answers: a status that is none, or that nobody asked for, is not passed on

What callers saw: an upstream's answer with status 600, 999 or 101 was passed on as the answer, 101 as "Switching Protocols" that the caller had not asked for. 000 and others below 100 ended with 502 before (the HTTP libraries refuse them), and still do.

Cause: the libraries take every three digits from 100 on for a status, and what came was passed on as it came.

So such a run is lost, as one that may have run: 502 without the seal, repeated only where it may be, and counted against the target like any answer that is none. The same goes for a final answer with an interim status. A health answer with such a status is none.

Evidence: tests/all/invalid_statuses.rs plays 18 statuses that are none and four that are at both daemons, at the sidecar also behind the answer to another request. At the sidecar it failed on the code before at 600 (passed on with its seal); the test of stoatstepd failed at 000, where it asked for 502 and got 504, since idempotent calls are repeated until their deadline there: it allows both, and whether stoatstepd passed 600 on was not seen on its own.

Why it works: the status is checked before anything else of the answer is read.

--- a/crates/calls/src/answer.rs
+++ b/crates/calls/src/answer.rs
@@ -29,6 +29,13 @@
     pub body: Body,
 }
 
+/// Returns whether a status is that of a final answer. Those outside of the classes of HTTP are
+/// invalid, and an interim answer or another protocol is something that no daemon asks for.
+#[must_use]
+pub fn is_final_status(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
 impl Answer {
     /// Returns whether the status means that the target failed.
     #[must_use]
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -59,7 +59,7 @@
 pub use admission::{
     Admission, AdmissionConfig, AdmissionDecision, AdmissionRequest, Dispatch, Load,
 };
-pub use answer::{Answer, Header, is_hop_by_hop};
+pub use answer::{Answer, Header, is_final_status, is_hop_by_hop};
 pub use answer_stats::AnswerStats;
 pub use candidates::{Candidate, CandidateState, Pick, TargetFilter};
 pub use class::{Class, UnknownClass};
--- a/crates/daemon/src/call/target.rs
+++ b/crates/daemon/src/call/target.rs
@@ -14,7 +14,9 @@
 use ntex::time::{Millis, Seconds};
 use ntex::util::Bytes;
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
-use stoatstep_calls::{Answer, AttemptId, Header, Reason, Refusal, TargetStatement};
+use stoatstep_calls::{
+    Answer, AttemptId, Header, Reason, Refusal, TargetStatement, is_final_status,
+};
 use stoatstep_resource::HEALTH_PATH;
 
 use super::headers;
@@ -244,6 +246,9 @@
         return RunEnd::Refused(Refusal::retry(Reason::Shed, SHED_RETRY));
     }
     let status = answer.status().as_u16();
+    if !is_final_status(status) {
+        return RunEnd::refused(Reason::LostAnswer);
+    }
     let all = answer.headers().iter();
     let forwarded = all.filter(|(name, _)| headers::is_forwarded(name.as_str()));
     let headers = forwarded.map(|(name, value)| Header {
--- a/crates/mesh/src/executor/target.rs
+++ b/crates/mesh/src/executor/target.rs
@@ -19,7 +19,9 @@
 use slog::Logger;
 use smol_str::{SmolStr, ToSmolStr};
 use stoatstep_body::Body;
-use stoatstep_calls::{Answer, Header, Reason, Refusal, TargetStatement, is_hop_by_hop};
+use stoatstep_calls::{
+    Answer, Header, Reason, Refusal, TargetStatement, is_final_status, is_hop_by_hop,
+};
 use stoatstep_http::{AnswerMemory, BodyMemory, ExpectedAnswer, OutgoingBody};
 use stoatstep_membership::target_id_of;
 use stoatstep_resource::UpstreamName;
@@ -131,6 +133,9 @@
         let expected = ExpectedAnswer::ToRequest(request_id.clone());
         match connection.send(req, expected).await {
             Ok(res) => {
+                if !is_final_status(res.status().as_u16()) {
+                    return Ok(TargetOutcome::Lost(LostCause::InvalidStatus));
+                }
                 if let Some(mismatch) = self.mismatch(attempt, res.headers()) {
                     // Its end is unknown, and with it where the answer to this attempt starts.
                     on_foreign(&mismatch);
@@ -179,7 +184,10 @@
         let req = req.body(Body::default().into()).ok()?;
         let mut connection = self.pool.take(Need::Any).await?;
         let answer = connection.send(req, ExpectedAnswer::WithoutId).await;
-        let (head, body) = answer.ok()?.into_parts();
+        let answer = answer
+            .ok()
+            .filter(|it| is_final_status(it.status().as_u16()));
+        let (head, body) = answer?.into_parts();
         let body = Limited::new(body, MAX_HEALTH_BODY).collect().await;
         body.ok()?;
         connection.record(None, true);
--- a/crates/mesh/src/executor/target/outcome.rs
+++ b/crates/mesh/src/executor/target/outcome.rs
@@ -39,6 +39,8 @@
     Fragmented,
     /// An answer to another request came, and none to this one.
     OtherRequest,
+    /// The status of the answer is none that a request can end with.
+    InvalidStatus,
     /// A successful answer that does not come from the target.
     Unsigned,
     /// This daemon cancelled the run.
@@ -54,6 +56,7 @@
             Self::TooLarge => "too-large",
             Self::Fragmented => "fragmented",
             Self::OtherRequest => "other-request",
+            Self::InvalidStatus => "invalid-status",
             Self::Unsigned => "unsigned",
             Self::Cancelled => "cancelled",
         }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod handover;
 mod http;
+mod invalid_statuses;
 mod late_copies;
 mod lifecycle;
 mod log_calls;
