stoatstepd: a stop waits until the outcomes of claims are written

What callers saw: a claim with a key that states no time was answered while its daemon stopped; sent again after the restart, it was answered 504 key-unsettled.

Cause: the row of the key is changed in a task of its own, which the drain did not count. Where that took longer than the hand-over of the keys, the process ended first.

Change: such a task counts as in flight, with the stage "recording", and so is bounded by the drain like any call.

Why it works: the process ends only when nothing is in flight or its drain's time is over.

--- a/crates/daemon/src/call/in_flight.rs
+++ b/crates/daemon/src/call/in_flight.rs
@@ -27,6 +27,8 @@
     Running,
     /// The executor sends the outcome to the entry.
     Replying,
+    /// The executor writes the outcome into the row of the call's key.
+    Recording,
 }
 
 impl fmt::Display for CallStage {
@@ -38,6 +40,7 @@
             Self::Queued => "queued",
             Self::Running => "running",
             Self::Replying => "replying",
+            Self::Recording => "recording",
         })
     }
 }
--- a/crates/daemon/src/call/keyed.rs
+++ b/crates/daemon/src/call/keyed.rs
@@ -16,6 +16,7 @@
 };
 
 use super::homes;
+use super::in_flight::{CallStage, InFlight};
 use super::target::RunEnd;
 use super::wire::Attempt;
 use crate::node::Node;
@@ -219,9 +220,13 @@
     let Some(key) = attempt.key.clone().filter(|_| attempt.claimed.get()) else {
         return;
     };
+    let in_flight = InFlight::enter(node, CallStage::Recording);
+    in_flight.set_request(&attempt.call.request_id);
     let node = Rc::clone(node);
     let id = attempt.id;
     ntex::rt::spawn(async move {
+        // The process must not end before the row is changed.
+        let _in_flight = in_flight;
         let Ok(Some(row)) = read(&node, &key).await else {
             return;
         };
--- a/tests/all/draining.rs
+++ b/tests/all/draining.rs
@@ -316,31 +316,42 @@
 /// Guards against an answer that is missing from the claim row because the process exited first.
 #[test]
 fn answer_of_a_claim_is_recorded_before_the_daemon_stops() {
-    run(async {
-        let mut fleet = serving(Fleet::builder().instances(1)).await;
-        let target = fleet.instances[0].target_addr;
-        behave(target, r#"{"holds_runs": true}"#).await;
-        let claim = Request::post(fleet.instances[0].caller_addr, "/floatdesk/claims", "glue")
-            .header("stoatstep-deadline-ms", "9000")
-            .header("idempotency-key", "claim-of-the-day");
-        let first = ntex::rt::spawn(claim.clone().send());
-        assert_eq!(running(&fleet).await, 0);
-        fleet.instances[0].daemon.ask_to_stop();
-        sleep(Duration::from_millis(2_500)).await;
-        let fault = r#"{"service": "table", "kind": "slow", "delay_ms": 1500, "for_ms": 5000}"#;
-        let fault = Request::post(fleet.platform_addr, "/admin/fault", fault)
-            .header("content-type", "application/json");
-        assert_eq!(fault.send().await.expect("an answer").status, 204);
-        behave(target, r#"{"holds_runs": false}"#).await;
-        let first = first.await.expect("a task").expect("a whole answer");
-        first.assert_answered();
-        let status = fleet.instances[0].daemon.terminate(READY).await;
-        assert!(status.is_some_and(|it| it.success()), "{status:?}");
-        sleep(Duration::from_secs(4)).await;
-        fleet.restart_daemon(0);
-        fleet.ready(READY).await;
-        let again = claim.send().await.expect("an answer");
-        again.assert_answered();
-        assert_eq!(again.body, first.body);
-    });
+    run(recorded_before_the_stop(1_500));
+}
+
+/// The same while recording it takes longer than everything else that the process still does.
+#[test]
+fn answer_of_a_claim_is_recorded_by_a_slow_platform_before_the_daemon_stops() {
+    run(recorded_before_the_stop(2_000));
+}
+
+/// A claim is answered while its daemon stops, by a platform that takes `delay_ms` for each request.
+async fn recorded_before_the_stop(delay_ms: u32) {
+    let mut fleet = serving(Fleet::builder().instances(1)).await;
+    let target = fleet.instances[0].target_addr;
+    behave(target, r#"{"holds_runs": true}"#).await;
+    let claim = Request::post(fleet.instances[0].caller_addr, "/floatdesk/claims", "glue")
+        .header("stoatstep-deadline-ms", "9000")
+        .header("idempotency-key", "claim-of-the-day");
+    let first = ntex::rt::spawn(claim.clone().send());
+    assert_eq!(running(&fleet).await, 0);
+    fleet.instances[0].daemon.ask_to_stop();
+    sleep(Duration::from_millis(2_500)).await;
+    let fault = format!(
+        r#"{{"service": "table", "kind": "slow", "delay_ms": {delay_ms}, "for_ms": 5000}}"#
+    );
+    let fault = Request::post(fleet.platform_addr, "/admin/fault", fault)
+        .header("content-type", "application/json");
+    assert_eq!(fault.send().await.expect("an answer").status, 204);
+    behave(target, r#"{"holds_runs": false}"#).await;
+    let first = first.await.expect("a task").expect("a whole answer");
+    first.assert_answered();
+    let status = fleet.instances[0].daemon.terminate(READY).await;
+    assert!(status.is_some_and(|it| it.success()), "{status:?}");
+    sleep(Duration::from_secs(4)).await;
+    fleet.restart_daemon(0);
+    fleet.ready(READY).await;
+    let again = claim.send().await.expect("an answer");
+    again.assert_answered();
+    assert_eq!(again.body, first.body);
 }
