Bodies: tests of what is given up, and less work and memory for each request

Cause, by reading: each request set two timers and read the clock several times for a body that arrives with its head, and asked its connection for its state although only large answers need that. The HTTP library passes a body on after the first poll, so the path without a timer was never taken.

Change: a body is polled twice before anything is set up to wait for it; connections are ordered by a count of events in place of the clock.

New tests: bodies in whatever parts, over the limit, without memory, stalled (crates/http); every sender of a crowd of whole bodies is answered 200 or 503, a body that is announced too large is refused 413 while it is being sent, and a slow but steady sender is served beside a crowd (tests/crowds).

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -2,6 +2,7 @@
 
 use std::future::poll_fn;
 use std::mem;
+use std::pin::{Pin, pin};
 use std::task::Poll;
 use std::time::Duration;
 
@@ -23,7 +24,7 @@
 const BUFFERS: usize = 32 << 10;
 
 /// What the same takes if the body comes in tiny parts, which the HTTP library queues.
-const BUFFERS_OF_TINY_PARTS: usize = 320 << 10;
+const BUFFERS_OF_TINY_PARTS: usize = 192 << 10;
 
 /// Number of parts after which their size is looked at, and the average size below which they are
 /// tiny.
@@ -107,7 +108,7 @@
         Some(_) => return Err(BodyError::TooLarge),
         None => None,
     };
-    let first = poll_fn(|cx| Poll::Ready(payload.poll_recv(cx))).await;
+    let first = poll_twice(pin!(payload.recv())).await;
     if let Poll::Ready(Some(Ok(first))) = &first
         && stated == Some(first.len())
     {
@@ -133,6 +134,21 @@
     }
 }
 
+/// Polls a future that waits for what a caller sends. The HTTP library passes on what it has received
+/// with the head of a request after the first time.
+pub async fn poll_twice<F: Future>(mut future: Pin<&mut F>) -> Poll<F::Output> {
+    let mut is_first = true;
+    poll_fn(|cx| match future.as_mut().poll(cx) {
+        Poll::Pending if is_first => {
+            is_first = false;
+            cx.waker().wake_by_ref();
+            Poll::Pending
+        }
+        polled => Poll::Ready(polled),
+    })
+    .await
+}
+
 fn cut_short(_: PayloadError) -> BodyError {
     BodyError::CutShort
 }
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -9,7 +9,7 @@
 use std::io;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ntex::http::Request;
 use ntex::io::{Base, Filter, FilterCtx, Io, IoRef, Readiness};
@@ -68,7 +68,8 @@
 struct Shared {
     limits: ConnectionLimits,
     open: RefCell<BTreeMap<u64, Connection>>,
-    next: Cell<u64>,
+    /// Number of events so far, which order the connections.
+    events: Cell<u64>,
     /// Sum of what the connections count for.
     unread: Cell<usize>,
     /// Notified when a connection is removed.
@@ -82,8 +83,8 @@
 struct State {
     shared: Rc<Shared>,
     io: RefCell<Option<IoRef>>,
-    /// When it was opened, or its last request was answered.
-    idle_since: Cell<Instant>,
+    /// Its place in the order in which connections were opened, or last had a request answered.
+    idle_since: Cell<u64>,
     /// Whether a request was ever read from it.
     has_served: Cell<bool>,
     /// Number of its requests that are being answered.
@@ -108,7 +109,7 @@
         Self(Rc::new(Shared {
             limits,
             open: RefCell::default(),
-            next: Cell::new(0),
+            events: Cell::new(0),
             unread: Cell::new(0),
             closed: Notify::new(),
         }))
@@ -136,14 +137,13 @@
         let connection = Connection(Rc::new(State {
             shared: Rc::clone(&self.0),
             io: RefCell::default(),
-            idle_since: Cell::new(Instant::now()),
+            idle_since: Cell::new(self.0.next_event()),
             has_served: Cell::new(false),
             answering: Cell::new(0),
             receiving: Cell::new(0),
             unread: Cell::new(0),
         }));
-        let number = self.0.next.get();
-        self.0.next.set(number + 1);
+        let number = self.0.next_event();
         let mut open = self.0.open.borrow_mut();
         open.insert(number, connection.clone());
         drop(open);
@@ -162,6 +162,11 @@
 }
 
 impl Shared {
+    fn next_event(&self) -> u64 {
+        self.events.set(self.events.get() + 1);
+        self.events.get()
+    }
+
     /// The connection without a request that is closed first: of those on which none ever came the
     /// oldest, then the one that has been idle for longest.
     fn least_useful(&self) -> Option<Connection> {
@@ -260,7 +265,7 @@
     fn drop(&mut self) {
         let state = &self.0.0;
         state.answering.set(state.answering.get() - 1);
-        state.idle_since.set(Instant::now());
+        state.idle_since.set(state.shared.next_event());
     }
 }
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -38,6 +38,14 @@
 /// small buffer is enough, and a connection that is not read takes no more.
 const RECEIVE_BUFFER: usize = 32 << 10;
 
+/// Bytes that are read from a connection at once, and the least room for which a buffer is used. The
+/// library queues each part of a body that is in the buffer, so tiny ones take many times its size.
+const READ_BUFFER: usize = 8 << 10;
+const MIN_READ: usize = 512;
+
+/// Number of read buffers that are kept for reuse.
+const CACHED_READ_BUFFERS: usize = 128;
+
 /// Limit on the connections of a server for which none is set.
 const MAX_CONNECTIONS: usize = 1024;
 
@@ -164,6 +172,10 @@
                 .set_keepalive(KEEP_ALIVE)
                 .set_headers_read_rate(HEADER_TIMEOUT, HEADER_TIMEOUT, 256),
         )
-        .add(IoConfig::new().set_disconnect_timeout(LAST_WRITE_TIMEOUT))
+        .add(
+            IoConfig::new()
+                .set_disconnect_timeout(LAST_WRITE_TIMEOUT)
+                .set_read_buf(READ_BUFFER, MIN_READ, CACHED_READ_BUFFERS),
+        )
         .into()
 }
--- a/crates/http/tests/all/main.rs
+++ b/crates/http/tests/all/main.rs
@@ -2,3 +2,4 @@
 
 mod answer_body;
 mod answer_filter;
+mod request_body;
--- a/crates/mesh/src/entry/call.rs
+++ b/crates/mesh/src/entry/call.rs
@@ -1,7 +1,9 @@
 //! Reads a caller's request, routes it and identifies the caller.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use ntex::http::Request;
@@ -12,7 +14,7 @@
 use stoatstep_calls::{
     AUTHORIZATION_HEADER, Deadline, Header, Reason, Refusal, ResolvedRoute, Time, is_hop_by_hop,
 };
-use stoatstep_http::{BodyError, read_request_body};
+use stoatstep_http::{BodyError, poll_twice, read_request_body};
 use stoatstep_resource::{Quota, Version};
 use tokio::time::sleep;
 
@@ -124,12 +126,20 @@
 /// Receives the body of a request. It is kept until the call ends, so that the call can be sent to
 /// another target if an attempt did not run. Nothing was passed on when this fails.
 async fn receive_body(node: &Node, req: &mut Request, deadline: Deadline) -> Result<Body, Refusal> {
-    let left = deadline.left(node.clock.now());
-    let body = tokio::select! {
-        biased;
-        body = read_request_body(req, &node.memory.requests) => body,
-        () = sleep(left) => return Err(Refusal::retry(Reason::Deadline, BODY_RETRY)),
-        () = node.exit.wait() => return Err(Refusal::retry(Reason::Draining, DRAINING_RETRY)),
+    let mut reading = pin!(read_request_body(req, &node.memory.requests));
+    let body = match poll_twice(reading.as_mut()).await {
+        // Most bodies arrive with their heads.
+        Poll::Ready(body) => body,
+        Poll::Pending => tokio::select! {
+            biased;
+            body = reading => body,
+            () = sleep(deadline.left(node.clock.now())) => {
+                return Err(Refusal::retry(Reason::Deadline, BODY_RETRY));
+            }
+            () = node.exit.wait() => {
+                return Err(Refusal::retry(Reason::Draining, DRAINING_RETRY));
+            }
+        },
     };
     body.map_err(|err| match err {
         BodyError::TooLarge => Refusal::permanent(Reason::TooLarge),
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -154,7 +154,7 @@
     };
     late::refused(node, &call, &mut completed);
     record_call(node, &call, &completed, started_at);
-    respond::completed(node, Connection::of(&req), &completed.end)
+    respond::completed(node, &req, &completed.end)
 }
 
 /// Forwards the call. If this daemon exits before it has ended, it gets a final answer.
--- a/crates/mesh/src/entry/respond.rs
+++ b/crates/mesh/src/entry/respond.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ntex::http::body::Body;
-use ntex::http::{Response, ResponseBuilder, StatusCode};
+use ntex::http::{Request, Response, ResponseBuilder, StatusCode};
 use ntex::util;
 use stoatstep_calls::{Answer, Outcome, Reason, Refusal};
 use stoatstep_http::{AnswerStream, Connection};
@@ -21,14 +21,14 @@
 const MAX_WHOLE: usize = 16 << 10;
 
 /// The response to a call that has ended.
-pub(super) fn completed(node: &Rc<Node>, connection: Option<Connection>, end: &End) -> Response {
+pub(super) fn completed(node: &Rc<Node>, req: &Request, end: &End) -> Response {
     match end {
-        End::Answered(answer) => answered(node, connection, answer),
+        End::Answered(answer) => answered(node, req, answer),
         End::Refused(refusal) => refused(refusal, node.is_leaving()),
     }
 }
 
-fn answered(node: &Rc<Node>, connection: Option<Connection>, answer: &Answer) -> Response {
+fn answered(node: &Rc<Node>, req: &Request, answer: &Answer) -> Response {
     let is_last = node.is_leaving();
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut res = builder(status, is_last);
@@ -36,15 +36,15 @@
         res.header(header.name.as_str(), header.value.as_slice());
     }
     let body = answer.body.clone();
-    let io = connection.as_ref().and_then(Connection::io);
-    match (connection, io) {
-        (Some(connection), Some(io)) if body.len() > MAX_WHOLE => {
-            let transfer = node.memory.answers.transfers().begin_writing(io);
-            let guard = (InFlight::enter(node), connection.answer());
-            res.message_body(Body::from_message(AnswerStream::new(body, transfer, guard)))
-        }
-        _ => res.body(util::Bytes::copy_from_slice(&body.to_bytes())),
+    if body.len() > MAX_WHOLE
+        && let Some(connection) = Connection::of(req)
+        && let Some(io) = connection.io()
+    {
+        let transfer = node.memory.answers.transfers().begin_writing(io);
+        let guard = (InFlight::enter(node), connection.answer());
+        return res.message_body(Body::from_message(AnswerStream::new(body, transfer, guard)));
     }
+    res.body(util::Bytes::copy_from_slice(&body.to_bytes()))
 }
 
 /// The response to a call without an answer of its target. `is_last` closes the caller's connection
--- a/tests/crowds/crowd.rs
+++ b/tests/crowds/crowd.rs
@@ -13,6 +13,9 @@
 /// Time after which a caller whose bytes are not read sends no more.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Pause of a slow sender after each part.
+const PAUSE: Duration = Duration::from_millis(50);
+
 /// Size of the parts of a body that is sent piece by piece.
 const PIECE: usize = 16 << 10;
 
@@ -34,6 +37,8 @@
     StopsShort(Framing, usize),
     /// It sends a whole body of this size.
     SendsWhole(Framing, usize),
+    /// It sends a whole body of this size in a hundred parts, with a pause after each.
+    SendsSlowly(usize),
     /// It announces a body of this size, and sends another amount of it.
     Announces { size: u64, sent: usize },
     /// It sends a head of this size but for its end, and waits.
@@ -62,6 +67,15 @@
                 stream.write_all(head(path, &framing.field(size as u64)).as_bytes())?;
                 framing.send(stream, size, true)
             }
+            Self::SendsSlowly(size) => {
+                stream.write_all(head(path, &Framing::Stated.field(size as u64)).as_bytes())?;
+                for number in 0..100 {
+                    let len = size / 100 + usize::from(number < size % 100);
+                    stream.write_all(&vec![b'x'; len])?;
+                    thread::sleep(PAUSE);
+                }
+                Ok(())
+            }
             Self::Announces { size, sent } => {
                 let field = Framing::Stated.field(size);
                 stream.write_all(head("/plain/1", &field).as_bytes())?;
--- a/tests/crowds/crowds_at_sidecar.rs
+++ b/tests/crowds/crowds_at_sidecar.rs
@@ -223,3 +223,51 @@
         Misbehaviour::SendsWhole(Framing::Stated, 64 * MIB),
     );
 }
+
+/// Guards against a refusal that its sender does not see, because the connection was reset while it
+/// was still sending.
+#[test]
+fn whole_bodies_are_answered_or_refused_as_not_run() {
+    let _alone = alone();
+    let daemon = Limited::start(21, SMALL);
+    let what = Misbehaviour::SendsWhole(Framing::Pieces, MIB);
+    let mut crowd = Crowd::gather(daemon.callers(), 100, what);
+    let statuses = crowd.statuses(Duration::from_secs(30));
+    assert_eq!(statuses.len(), 100);
+    let is_answer = |it: &u16| matches!(it, 200 | 503);
+    assert!(statuses.iter().all(is_answer), "{statuses:?}");
+    daemon.serves("afterwards");
+    daemon.ends_within_limits();
+}
+
+/// Guards against the same for a body that is larger than allowed.
+#[test]
+fn a_body_announced_over_the_limit_is_refused_while_it_is_sent() {
+    let _alone = alone();
+    let daemon = Limited::start(22, SMALL);
+    let what = Misbehaviour::Announces {
+        size: 10_000_000_000,
+        sent: 3 * MIB,
+    };
+    let mut crowd = Crowd::gather(daemon.callers(), 5, what);
+    assert_eq!(crowd.statuses(Duration::from_secs(30)), [413; 5]);
+    daemon.ends_within_limits();
+}
+
+/// Guards against a sender that is cut off because it is slow, while others need memory.
+#[test]
+fn a_slow_sender_is_served_beside_a_crowd() {
+    let _alone = alone();
+    let daemon = Limited::start(23, SMALL);
+    let callers = daemon.callers();
+    let slow = thread::spawn(move || Crowd::gather(callers, 1, Misbehaviour::SendsSlowly(MIB)));
+    thread::sleep(STAY);
+    let what = Misbehaviour::StopsShort(Framing::Stated, MIB);
+    let crowd = Crowd::gather(callers, 100, what);
+    thread::sleep(2 * STAY);
+    let again = Crowd::gather(callers, 100, what);
+    let mut slow = slow.join().expect("no panic");
+    assert_eq!(slow.statuses(Duration::from_secs(30)), [200]);
+    drop((crowd, again));
+    daemon.ends_within_limits();
+}
