Settings: the service of the instance changes on SIGHUP

Cause: without a confirmed target the service of the settings at the start was stated, and a file that changed was read and not applied.

Change: the service holds from SIGHUP on, also where a heartbeat is checked before there is a configuration. The generation of a target that had the address before is a former one, and no longer says which service runs there.

A file that changes without a signal is still not read.

--- a/crates/mesh/src/entry/call.rs
+++ b/crates/mesh/src/entry/call.rs
@@ -99,10 +99,7 @@
                 .priority
                 .or(route.policy.priority)
                 .unwrap_or(LOWEST_PRIORITY),
-            caller_service: node
-                .executor
-                .service(now)
-                .unwrap_or_else(|| node.cfg.service.clone()),
+            caller_service: node.executor.service(now).unwrap_or_else(|| node.service()),
             identity: caller.identity,
         };
         let late = LateCall::recognise(node, &route, &parts, stated.unwrap_or(deadline.left(now)));
--- a/crates/mesh/src/executor/heartbeat.rs
+++ b/crates/mesh/src/executor/heartbeat.rs
@@ -15,7 +15,7 @@
 /// to the target after this returns, so that the drain may be acknowledged.
 pub(crate) fn handle_heartbeat(node: &Rc<Node>, beat: Heartbeat) -> HeartbeatOutcome {
     if !has_known_service(node, &beat) {
-        let disbelief = Disbelief::of_service(&beat, &node.cfg.service);
+        let disbelief = Disbelief::of_service(&beat, &node.service());
         disbelief::report(node, &beat.upstream, &disbelief);
         return HeartbeatOutcome::UnknownService;
     }
@@ -38,7 +38,7 @@
 /// out of its service until the target's next heartbeat.
 fn has_known_service(node: &Node, beat: &Heartbeat) -> bool {
     let Some(in_force) = node.fleet.in_force() else {
-        return beat.service == node.cfg.service;
+        return beat.service == node.service();
     };
     in_force.service(&beat.service).is_some()
 }
--- a/crates/mesh/src/executor/mod.rs
+++ b/crates/mesh/src/executor/mod.rs
@@ -96,6 +96,8 @@
     ended: Option<UpstreamName>,
     /// Requests that the target answered recently.
     recent: RecentAnswers,
+    /// The generation that had the address before it was given to another service.
+    former: Option<UpstreamName>,
     /// What the last answer of the target stated about it, and its generation.
     stated: Option<(UpstreamName, TargetStatement)>,
 }
@@ -129,6 +131,7 @@
             tally: Tally::default(),
             ended: None,
             recent: RecentAnswers::default(),
+            former: None,
             stated: None,
         };
         Self {
@@ -144,12 +147,25 @@
         self.tables.borrow().ledger.ticket(now)
     }
 
-    /// The service of the target, if the target has confirmed itself and is live.
+    /// The service of the target, if the target has confirmed itself, is live and is not a former one.
     pub(crate) fn service(&self, now: stoatstep_calls::Time) -> Option<ServiceName> {
         let tables = self.tables.borrow();
+        if tables.former.is_some() && tables.former.as_ref() == tables.local_target.generation() {
+            return None;
+        }
         tables.local_target.confirmed_service(now).cloned()
     }
 
+    /// Another service has the address of the target: the present generation is a former one, unless
+    /// it states this service already.
+    pub(crate) fn address_given_to(&self, service: &str) {
+        let mut tables = self.tables.borrow_mut();
+        let target = &tables.local_target;
+        let is_other = target.service().is_some_and(|it| it != service);
+        let former = target.generation().filter(|_| is_other).cloned();
+        tables.former = former;
+    }
+
     /// The occupancy of the target.
     pub(crate) fn occupancy(&self, now: stoatstep_calls::Time) -> Occupancy {
         self.tables.borrow().queue.occupancy(now)
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -1,6 +1,6 @@
 //! State shared by all parts of one daemon.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt::Display;
 use std::io;
 use std::rc::Rc;
@@ -30,6 +30,7 @@
 use stoatstep_calls::Shutdown;
 use stoatstep_http::{ConnectionLimits, PendingWrites, Server};
 use stoatstep_membership::{Heartbeat, HeartbeatOutcome, StartMillis};
+use stoatstep_resource::ServiceName;
 use stoatstep_telemetry::fields;
 
 /// Interval of the periodic work, including the membership protocol.
@@ -54,6 +55,8 @@
     pub(crate) quarantine: QuarantineState,
     pub(crate) quotas: Quotas,
     pub(crate) zones: Zones,
+    /// Service of the instance by the newest settings.
+    service: RefCell<ServiceName>,
     /// Memory for what callers, the target and other daemons send.
     pub(crate) memory: MemoryShares,
     pub(crate) in_flight: Cell<u32>,
@@ -64,6 +67,12 @@
 }
 
 impl Node {
+    /// Service of the instance by the newest settings. That of a target that has confirmed itself
+    /// goes before it.
+    pub(crate) fn service(&self) -> ServiceName {
+        self.service.borrow().clone()
+    }
+
     /// Whether this daemon was asked to stop.
     pub(crate) fn is_leaving(&self) -> bool {
         self.departure.get().has_begun()
@@ -119,6 +128,7 @@
             quarantine: QuarantineState::default(),
             quotas: Quotas::default(),
             zones: Zones::default(),
+            service: RefCell::new(cfg.service.clone()),
             memory,
             in_flight: Cell::new(0),
             unwritten: callers.pending_writes(),
@@ -145,6 +155,17 @@
         Ok(Self(node))
     }
 
+    /// Applies newer settings, as far as they hold for a process that runs: the service of the
+    /// instance, whose address may have been given to another one. All others hold from the next start.
+    pub fn apply(&self, cfg: &MeshConfig) {
+        let former = self.0.service.replace(cfg.service.clone());
+        if former != cfg.service {
+            self.0.executor.address_given_to(&cfg.service);
+            slog::info!(self.0.log, "service of the instance changed";
+                fields::SERVICE => %cfg.service, fields::KNOWN => %former);
+        }
+    }
+
     /// Handles a heartbeat of the target beside the daemon. Once this returns, no further call goes
     /// to a target that drains.
     #[must_use = "a heartbeat of an unknown service must not be acked"]
--- a/tests/all/sidecar.rs
+++ b/tests/all/sidecar.rs
@@ -3,12 +3,19 @@
 use std::io::Read;
 use std::net::SocketAddr;
 use std::process::Output;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 
+use crate::support::caller::{self, until_served};
 use crate::support::process::{GATHERED, addr, ended, file, settings, start, tell};
+use crate::support::serving::serve_target;
+use crate::support::store::{document, serve_store};
+
+/// Longest time that a test waits for an answer.
+const BOUND: Duration = Duration::from_secs(2);
 
 fn messages(output: &Output) -> Vec<String> {
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
@@ -47,6 +54,33 @@
     assert!(text.contains("missing field `zone`"), "{text}");
 }
 
+/// Guards against a request that states the service which had the instance's address before.
+#[test]
+fn the_service_of_the_instance_changes_with_the_settings() {
+    let test = 4;
+    serve_store(addr(test, 5), &document(&["/plain/"], 4, &json!({})));
+    let stated = Arc::new(Mutex::new(String::new()));
+    let last = Arc::clone(&stated);
+    serve_target(addr(test, 4), move |asked, _| {
+        let service = asked.header("x-caller-service").unwrap_or_default();
+        service.clone_into(&mut last.lock().expect("no panic"));
+        false
+    });
+    let child = start(&file(test, &settings(test)));
+    std::thread::sleep(GATHERED);
+    until_served(addr(test, 3), addr(test, 1), addr(test, 4), "/plain/1");
+    assert_eq!(*stated.lock().expect("no panic"), "floatdesk");
+    let mut changed = settings(test);
+    changed["service"] = json!("works");
+    file(test, &changed);
+    tell(&child, Signal::SIGHUP);
+    let answer = caller::ask(addr(test, 1), "after", "/plain/1", BOUND);
+    assert_eq!(answer.status, 200);
+    assert_eq!(*stated.lock().expect("no panic"), "works");
+    tell(&child, Signal::SIGTERM);
+    assert!(ended(child).status.success());
+}
+
 #[test]
 fn settings_that_are_wrong_stop_the_start_with_their_place() {
     let mut wrong = settings(2);
