--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -1,21 +1,19 @@
 //! The connections of a server: how many there are, and what their callers have sent that is not
 //! yet a complete request.
 
-use std::any::{Any, TypeId};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::fmt;
-use std::io;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use ntex::http::Request;
-use ntex::io::{Base, Filter, FilterCtx, Io, IoRef, Readiness};
+use ntex::io::{Base, Io, IoRef};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::counted::Counted;
 use crate::transfers::Transfers;
 
 /// What requests behind one that is being answered count for, in multiples of what was read of
@@ -148,10 +146,7 @@
         open.insert(number, connection.clone());
         drop(open);
         let counted = connection.clone();
-        let io = io.map_filter(|inner| Counted {
-            inner,
-            connection: counted,
-        });
+        let io = io.map_filter(|inner| Counted::new(inner, counted));
         connection.0.io.replace(Some(io.get_ref()));
         let guard = OpenGuard {
             shared: Rc::clone(&self.0),
@@ -231,7 +226,8 @@
         self.0.answering.get() == 0 && io.as_ref().is_some_and(is_written)
     }
 
-    fn received(&self, bytes: usize) {
+    /// Counts bytes that were received.
+    pub(crate) fn received(&self, bytes: usize) {
         if self.0.receiving.get() > 0 {
             return;
         }
@@ -297,39 +293,3 @@
         self.shared.closed.notify_waiters();
     }
 }
-
-/// Filter that counts what a connection receives and changes nothing.
-pub(crate) struct Counted {
-    inner: Base,
-    connection: Connection,
-}
-
-impl Filter for Counted {
-    fn query(&self, id: TypeId) -> Option<Box<dyn Any>> {
-        if id == TypeId::of::<Connection>() {
-            return Some(Box::new(self.connection.clone()));
-        }
-        self.inner.query(id)
-    }
-
-    fn process_read_buf(&self, ctx: &mut FilterCtx<'_>) -> io::Result<()> {
-        self.connection.received(ctx.new_read_bytes());
-        self.inner.process_read_buf(ctx)
-    }
-
-    fn process_write_buf(&self, ctx: &mut FilterCtx<'_>) -> io::Result<()> {
-        self.inner.process_write_buf(ctx)
-    }
-
-    fn shutdown(&self, ctx: &mut FilterCtx<'_>) -> io::Result<Poll<()>> {
-        self.inner.shutdown(ctx)
-    }
-
-    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<Readiness> {
-        self.inner.poll_read_ready(cx)
-    }
-
-    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<Readiness> {
-        self.inner.poll_write_ready(cx)
-    }
-}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod body_memory;
 mod connections;
+mod counted;
 mod filtered_stream;
 mod segments;
 mod server;
