Answers: small ones that came over a link are accounted for as well

An answer of 16 to 64 KiB comes inside its message, and its body had no lease while a caller read it slowly: by reading, a crowd of callers could hold as many such answers as connections. It has one now if there is memory; without, stalled transfers make room and it is delivered all the same.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,11 +3,14 @@
 use std::cell::RefCell;
 use std::future::Future;
 use std::io;
+use std::mem;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use ntex::SharedCfg;
-use ntex::http::{HttpService, HttpServiceConfig, Request, Response};
+use ntex::http::h1::control::Upgrade;
+use ntex::http::h1::{Control, ControlAck};
+use ntex::http::{ConnectionType, HttpService, HttpServiceConfig, Request, Response};
 use ntex::io::{IoConfig, IoRef};
 use ntex::service::{Pipeline, ServiceFactory, fn_service};
 use ntex::time::Seconds;
@@ -15,6 +18,7 @@
 use tokio::net::TcpListener;
 
 use crate::connections::{Connection, ConnectionLimits, Connections};
+use crate::counted::Counted;
 
 /// Time after which an idle connection is closed. Callers close theirs earlier, after the idle
 /// timeout that their operators set; this one only ends connections whose other end is gone.
@@ -132,12 +136,18 @@
     {
         let handler = Rc::new(handler);
         let cfg = shared_config();
+        let offered = Rc::clone(&handler);
         let service = HttpService::h1(fn_service(move |req: Request| {
             let handler = Rc::clone(&handler);
-            let connection = Connection::of(&req);
+            async move { Ok::<_, io::Error>(answer(&*handler, req).await) }
+        }));
+        let service = service.control(fn_service(move |event: Control<Counted, io::Error>| {
+            let handler = Rc::clone(&offered);
             async move {
-                let _answering = connection.as_ref().map(Connection::answer);
-                Ok::<_, io::Error>(handler(req).await)
+                match event {
+                    Control::Upgrade(offer) => Ok(decline(&*handler, offer).await),
+                    event => Ok::<_, io::Error>(event.ack()),
+                }
             }
         }));
         let service = service.create(cfg.clone()).await;
@@ -164,6 +174,39 @@
     }
 }
 
+async fn answer<F, R>(handler: &F, req: Request) -> Response
+where
+    F: Fn(Request) -> R,
+    R: Future<Output = Response>,
+{
+    let connection = Connection::of(&req);
+    let _answering = connection.as_ref().map(Connection::answer);
+    handler(req).await
+}
+
+/// Answers a request whose client offers to go on in another protocol. The offer is ignored, as HTTP
+/// allows, and the connection closed after the answer, since it is not known where the next request
+/// begins.
+async fn decline<F, R>(handler: &F, mut offer: Upgrade<Counted>) -> ControlAck<Counted>
+where
+    F: Fn(Request) -> R,
+    R: Future<Output = Response>,
+{
+    let mut req = mem::replace(offer.get_mut(), Request::new());
+    if !has_body(&req) {
+        // The library takes all that follows for the other protocol.
+        drop(req.take_payload());
+    }
+    let mut res = answer(handler, req).await;
+    res.head_mut().set_connection_type(ConnectionType::Close);
+    offer.fail_with(res)
+}
+
+fn has_body(req: &Request) -> bool {
+    let headers = req.headers();
+    headers.contains_key("content-length") || headers.contains_key("transfer-encoding")
+}
+
 fn shared_config() -> SharedCfg {
     SharedCfg::new("http")
         .add(
--- a/crates/mesh/src/entry/respond.rs
+++ b/crates/mesh/src/entry/respond.rs
@@ -10,6 +10,7 @@
 use stoatstep_http::{AnswerStream, Connection};
 
 use crate::drain::InFlight;
+use crate::memory::MAX_WHOLE_ANSWER;
 use crate::node::Node;
 use crate::wire::End;
 
@@ -17,9 +18,6 @@
 /// retry at the same time.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(5);
 
-/// Largest answer that is handed to a connection as a whole. It leaves the memory of answers then.
-const MAX_WHOLE: usize = 16 << 10;
-
 /// The response to a call that has ended.
 pub(super) fn completed(node: &Rc<Node>, req: &Request, end: &End) -> Response {
     match end {
@@ -36,7 +34,7 @@
         res.header(header.name.as_str(), header.value.as_slice());
     }
     let body = answer.body.clone();
-    if body.len() > MAX_WHOLE
+    if body.len() > MAX_WHOLE_ANSWER
         && let Some(connection) = Connection::of(req)
         && let Some(io) = connection.io()
     {
--- a/crates/mesh/src/link/client.rs
+++ b/crates/mesh/src/link/client.rs
@@ -23,7 +23,7 @@
 use super::uplink::SharedUplink;
 use super::{Reader, codec, decode, encode, encode_ask, write};
 use crate::clock::Clock;
-use crate::memory::MemoryShares;
+use crate::memory::{MAX_WHOLE_ANSWER, MemoryShares};
 use crate::wire::{Ask, AskId, End, Ran, Reply, ToClient, ToServer};
 
 /// Time limit for connecting. Between zones of a region connecting takes a few
@@ -413,16 +413,21 @@
     }
 }
 
-/// Adds the body that was sent before a reply. An answer for whose body there is no memory is lost:
-/// the call has run.
+/// Adds the body that was sent before a reply, and accounts for one that came with it. An answer for
+/// whose body there is no memory is lost: the call has run.
 fn with_body(
     id: AskId,
     reply: Reply,
     reassembler: &mut Reassembler,
     cx: &LinkContext,
 ) -> Result<Reply, BadFrame> {
-    let Reply::RanWithBody(ran) = reply else {
-        return Ok(reply);
+    let ran = match reply {
+        Reply::RanWithBody(ran) => ran,
+        Reply::Ran(mut ran) => {
+            account_for_body(&mut ran.end, cx);
+            return Ok(Reply::Ran(ran));
+        }
+        reply => return Ok(reply),
     };
     let End::Answered(answer) = ran.end else {
         return Err(BadFrame);
@@ -438,3 +443,22 @@
     };
     Ok(Reply::Ran(Ran { end, ..ran }))
 }
+
+/// Leases memory for the body of an answer that its caller may read slowly. It is small, so it is kept
+/// also without.
+fn account_for_body(end: &mut End, cx: &LinkContext) {
+    let len = end.body_len();
+    if len <= MAX_WHOLE_ANSWER {
+        return;
+    }
+    let answers = &cx.memory.answers;
+    let Some(lease) = answers.try_lease(len) else {
+        answers.transfers().evict_stalled();
+        return;
+    };
+    if let End::Answered(answer) = end {
+        let whole = Answer::clone(answer);
+        let body = whole.body.with_lease(lease);
+        *answer = Arc::new(Answer { body, ..whole });
+    }
+}
--- a/crates/mesh/src/memory.rs
+++ b/crates/mesh/src/memory.rs
@@ -7,6 +7,9 @@
 /// Largest request body, and largest answer.
 const MAX_BODY: usize = 64 << 20;
 
+/// Largest answer that is handed to a connection as a whole. It leaves the memory of answers then.
+pub(crate) const MAX_WHOLE_ANSWER: usize = 16 << 10;
+
 /// Least memory for bodies, which a process that is given less uses all the same.
 const MIN_BODIES: usize = 8 << 20;
 
--- a/tests/all/sidecar.rs
+++ b/tests/all/sidecar.rs
@@ -81,6 +81,55 @@
     assert!(ended(child).status.success());
 }
 
+/// Requests whose clients offer another protocol, with the status that each gets.
+const OFFERS: [(&str, u16); 6] = [
+    (
+        "GET /plain/1 HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n",
+        200,
+    ),
+    (
+        "GET /plain/1 HTTP/1.1\r\nConnection: keep-alive, Upgrade\r\nUpgrade: websocket\r\n",
+        200,
+    ),
+    (
+        "POST /plain/1 HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: h2c\r\nContent-Length: 0\r\n",
+        200,
+    ),
+    (
+        "GET /plain/1 HTTP/1.1\r\nUpgrade: h2c\r\nConnection: close\r\n",
+        200,
+    ),
+    (
+        "CONNECT a.example:80 HTTP/1.1\r\nConnection: close\r\n",
+        404,
+    ),
+    (
+        "GET /plain/1 HTTP/1.1\r\nTE: trailers\r\nConnection: TE, close\r\n",
+        200,
+    ),
+];
+
+/// Guards against requests that get no answer since their clients offer another protocol.
+#[test]
+fn offers_of_another_protocol_are_ignored() {
+    let test = 5;
+    serve_store(addr(test, 5), &document(&["/plain/"], 4, &json!({})));
+    serve_target(addr(test, 4), |_, _| false);
+    let child = start(&file(test, &settings(test)));
+    std::thread::sleep(GATHERED);
+    until_served(addr(test, 3), addr(test, 1), addr(test, 4), "/plain/1");
+    for (number, (head, status)) in OFFERS.iter().enumerate() {
+        let begun = Instant::now();
+        let mut stream = std::net::TcpStream::connect(addr(test, 1)).expect("it listens");
+        let text = format!("{head}Host: a.example\r\nX-Attempt-Id: offer-{number}\r\n\r\n");
+        std::io::Write::write_all(&mut stream, text.as_bytes()).expect("it reads");
+        let answer = caller::read_answer(stream, BOUND, begun);
+        assert_eq!(answer.status, *status, "{head}: {answer:?}");
+    }
+    tell(&child, Signal::SIGTERM);
+    assert!(ended(child).status.success());
+}
+
 #[test]
 fn settings_that_are_wrong_stop_the_start_with_their_place() {
     let mut wrong = settings(2);
