--- a/tests/all/sidecar.rs
+++ b/tests/all/sidecar.rs
@@ -121,8 +121,9 @@
     for (number, (head, status)) in OFFERS.iter().enumerate() {
         let begun = Instant::now();
         let mut stream = std::net::TcpStream::connect(addr(test, 1)).expect("it listens");
-        let text = format!("{head}Host: a.example\r\nX-Attempt-Id: offer-{number}\r\n\r\n");
-        std::io::Write::write_all(&mut stream, text.as_bytes()).expect("it reads");
+        let rest = format!("Host: a.example\r\nX-Attempt-Id: offer-{number}\r\n\r\n");
+        let whole = format!("{head}{rest}");
+        std::io::Write::write_all(&mut stream, whole.as_bytes()).expect("it reads");
         let answer = caller::read_answer(stream, BOUND, begun);
         assert_eq!(answer.status, *status, "{head}: {answer:?}");
     }
