Links: one that makes room for another is gone before the next is accepted

What was seen: 400 connections to the port for daemons that sent nothing took 329 sockets where the settings allow 312.

The oldest link without a message was told to close and was still there for the next connection, which told it again and was accepted.

Change: a link is accepted only when the one that made room for it has been removed. The check of the control port and the new one share a function, and a crowd's daemon ends with its test also when that fails; daemons of red runs had been left behind.

Why it works: the number of links never passes its limit, whatever the order in which tasks run.

--- a/crates/mesh/src/link/open.rs
+++ b/crates/mesh/src/link/open.rs
@@ -14,6 +14,16 @@
 struct Table {
     next: Cell<u64>,
     open: RefCell<BTreeMap<u64, Rc<State>>>,
+    /// Notified when a link is removed.
+    removed: Notify,
+}
+
+impl Table {
+    fn close_silent(&self) -> bool {
+        let open = self.open.borrow();
+        let silent = open.values().find(|it| !it.has_spoken.get());
+        silent.inspect(|it| it.close.notify_one()).is_some()
+    }
 }
 
 #[derive(Default)]
@@ -23,15 +33,17 @@
 }
 
 impl OpenLinks {
-    /// Makes room for another link: closes the oldest on which no message ever came. Returns `false`
-    /// if there is none.
-    pub(super) fn make_room(&self, max: usize) -> bool {
-        let open = self.0.open.borrow();
-        if open.len() < max {
-            return true;
+    /// Makes room for another link: closes the oldest on which no message ever came, and waits until
+    /// it is gone. Returns `false` if there is none.
+    pub(super) async fn make_room(&self, max: usize) -> bool {
+        while self.0.open.borrow().len() >= max {
+            let removed = self.0.removed.notified();
+            if !self.0.close_silent() {
+                return false;
+            }
+            removed.await;
         }
-        let silent = open.values().find(|it| !it.has_spoken.get());
-        silent.inspect(|it| it.close.notify_one()).is_some()
+        true
     }
 
     /// Adds a link until the guard is dropped.
@@ -71,5 +83,6 @@
 impl Drop for OpenLink {
     fn drop(&mut self) {
         self.table.open.borrow_mut().remove(&self.number);
+        self.table.removed.notify_waiters();
     }
 }
--- a/crates/mesh/src/link/server.rs
+++ b/crates/mesh/src/link/server.rs
@@ -43,7 +43,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                if !open.make_room(max_links) {
+                if !open.make_room(max_links).await {
                     continue;
                 }
                 let link = open.add();
--- a/tests/crowds/crowds_at_sidecar.rs
+++ b/tests/crowds/crowds_at_sidecar.rs
@@ -1,7 +1,7 @@
 //! Crowds at the ports of one daemon that runs beside its target.
 
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::Duration;
 
@@ -16,9 +16,20 @@
 /// A crowd at the callers' port stays within the limits, and an ordinary caller is served meanwhile
 /// and afterwards.
 fn check(test: u8, limits: Limits, callers: usize, what: Misbehaviour) {
+    check_at(Limited::callers, test, limits, callers, what);
+}
+
+/// The same at another port.
+fn check_at(
+    port: impl Fn(&Limited) -> SocketAddr,
+    test: u8,
+    limits: Limits,
+    callers: usize,
+    what: Misbehaviour,
+) {
     let _alone = alone();
     let daemon = Limited::start(test, limits);
-    let crowd = Crowd::gather(daemon.callers(), callers, what);
+    let crowd = Crowd::gather(port(&daemon), callers, what);
     thread::sleep(STAY);
     daemon.serves("beside");
     drop(crowd);
@@ -146,14 +157,15 @@
 /// Guards against connections at the port of the target's reports that take every descriptor.
 #[test]
 fn connections_at_the_control_port() {
-    let _alone = alone();
-    let daemon = Limited::start(15, FEW_DESCRIPTORS);
-    let crowd = Crowd::gather(daemon.control(), 400, Misbehaviour::Silent);
-    thread::sleep(STAY);
-    daemon.serves("beside");
-    drop(crowd);
-    daemon.serves("afterwards");
-    daemon.ends_within_limits();
+    let port = Limited::control;
+    check_at(port, 15, FEW_DESCRIPTORS, 400, Misbehaviour::Silent);
+}
+
+/// Guards against connections at the port for daemons that take every descriptor.
+#[test]
+fn connections_at_the_peers_port() {
+    let port = Limited::peers;
+    check_at(port, 24, FEW_DESCRIPTORS, 400, Misbehaviour::Silent);
 }
 
 /// Guards against messages of other programs at the port for daemons that never end.
--- a/tests/crowds/limits.rs
+++ b/tests/crowds/limits.rs
@@ -69,7 +69,7 @@
 
 /// A process and what it has used at most.
 pub(crate) struct Limited {
-    child: Child,
+    child: Option<Child>,
     test: u8,
     limits: Limits,
     usage: Usage,
@@ -113,7 +113,7 @@
         thread::sleep(Duration::from_millis(500));
         let usage = Usage::watch(child.id(), addr(test, 0));
         Self {
-            child,
+            child: Some(child),
             test,
             limits,
             usage,
@@ -149,19 +149,17 @@
 
     /// The process has stayed within its limits, and ends as told.
     pub(crate) fn ends_within_limits(mut self) {
-        let id = self.child.id();
-        assert!(
-            self.child.try_wait().expect("a child").is_none(),
-            "it ended"
-        );
+        let mut child = self.child.take().expect("ended once");
+        let id = child.id();
+        assert!(child.try_wait().expect("a child").is_none(), "it ended");
         let (unread, open) = self.usage.most();
         let peak = peak_mb(id);
         println!("peak {peak} MB, unread {unread} bytes, {open} sockets");
-        tell(&self.child, Signal::SIGTERM);
+        tell(&child, Signal::SIGTERM);
         let Limits {
             memory_mb, max_fds, ..
         } = self.limits;
-        assert!(ended(self.child).status.success());
+        assert!(ended(child).status.success());
         assert!(
             peak + (unread >> 20) < memory_mb,
             "{peak} MB, and {unread} bytes that are not read"
@@ -170,6 +168,16 @@
     }
 }
 
+/// Ends the process of a test that has failed.
+impl Drop for Limited {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
 /// Watches what a process uses.
 struct Usage {
     is_over: Arc<AtomicBool>,
