Bodies: simpler ways to put them into answers, and names that say what is read

An answer's body is taken out of it and put in through Arc::make_mut in place of three copies of its other fields; bodies are compared segment by segment without a copy; the abort after the reply to a request with a body is gone, since a reply comes only when all of it was sent. read_payload was called read, and stated_length is private.

--- a/crates/body/src/body.rs
+++ b/crates/body/src/body.rs
@@ -120,8 +120,8 @@
 
 impl PartialEq for Body {
     fn eq(&self, other: &Self) -> bool {
-        let bytes = |it: &Self| it.segments().iter().flatten().copied().collect::<Vec<_>>();
-        self.len == other.len && bytes(self) == bytes(other)
+        let (own, others) = (self.segments().iter(), other.segments().iter());
+        self.len == other.len && own.flatten().eq(others.flatten())
     }
 }
 
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -51,8 +51,7 @@
 }
 
 /// The length of a request's body that its headers state.
-#[must_use]
-pub fn stated_length(req: &Request) -> Option<u64> {
+fn stated_length(req: &Request) -> Option<u64> {
     let text = req.headers().get("content-length")?.to_str().ok()?;
     text.parse().ok()
 }
@@ -76,7 +75,7 @@
         payload,
         connection: connection.clone(),
     };
-    let body = read(&mut rest.payload, stated, memory).await?;
+    let body = read_payload(&mut rest.payload, stated, memory).await?;
     rest.payload = Payload::None;
     Ok(body)
 }
@@ -98,7 +97,7 @@
 /// # Errors
 ///
 /// A [`BodyError`]; the payload may go on.
-pub async fn read(
+pub async fn read_payload(
     payload: &mut Payload,
     stated: Option<u64>,
     memory: &BodyMemory,
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -18,7 +18,7 @@
 pub use answer_body::{AnswerBodyError, AnswerMemory};
 pub use answer_filter::{AnswerFilter, ExpectedAnswer};
 pub use body::{
-    BodyError, discard, drop_body, poll_twice, read, read_body, read_request_body, stated_length,
+    BodyError, discard, drop_body, poll_twice, read_body, read_payload, read_request_body,
 };
 pub use body_memory::{BodyMemory, NoMemory};
 pub use connections::{AnsweringGuard, Connection, ConnectionLimits, ReceivingGuard};
--- a/crates/http/tests/all/request_body.rs
+++ b/crates/http/tests/all/request_body.rs
@@ -7,7 +7,7 @@
 use ntex::http::Payload;
 use ntex::util::Bytes;
 use stoatstep_body::Memory;
-use stoatstep_http::{BodyError, BodyMemory, read};
+use stoatstep_http::{BodyError, BodyMemory, read_payload};
 use tokio::time::{sleep, timeout};
 
 const LARGEST: usize = 4 << 20;
@@ -35,7 +35,7 @@
     stated: Option<u64>,
     memory: &BodyMemory,
 ) -> Result<usize, BodyError> {
-    let body = read(&mut payload(parts, false), stated, memory).await;
+    let body = read_payload(&mut payload(parts, false), stated, memory).await;
     body.map(|it| it.len())
 }
 
@@ -49,7 +49,7 @@
         len(&[500_000, 1, 499_999], None, &memory).await,
         Ok(1_000_000)
     );
-    let body = read(&mut payload(&[70_000; 3], false), Some(210_000), &memory).await;
+    let body = read_payload(&mut payload(&[70_000; 3], false), Some(210_000), &memory).await;
     let body = body.expect("it fits");
     assert_eq!((body.len(), memory.used()), (210_000, 210_000));
     drop(body);
@@ -70,7 +70,7 @@
 #[tokio::test]
 async fn without_memory_a_body_is_refused_and_a_small_one_is_read() {
     let memory = memory();
-    let first = read(
+    let first = read_payload(
         &mut payload(&[LARGEST], false),
         Some(LARGEST as u64),
         &memory,
@@ -95,7 +95,7 @@
 async fn a_body_that_has_stopped_makes_room_for_another() {
     let memory = memory();
     let mut stopped = payload(&[LARGEST - 1], true);
-    let stopped = read(&mut stopped, Some(LARGEST as u64), &memory);
+    let stopped = read_payload(&mut stopped, Some(LARGEST as u64), &memory);
     let other = async {
         let stated = Some(LARGEST as u64);
         assert_eq!(
--- a/crates/mesh/src/link/client.rs
+++ b/crates/mesh/src/link/client.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::mem;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,7 +10,7 @@
 
 use futures_util::StreamExt;
 use slog::Logger;
-use stoatstep_calls::{Answer, Reason, Refusal, Time};
+use stoatstep_calls::{Reason, Refusal, Time};
 use stoatstep_telemetry::fields;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
@@ -113,15 +114,10 @@
         let guard = PendingGuard { link: &link, id };
         let cause = Cause::of_ask(&ask);
         let message = encode_ask(id, ask);
-        let has_body = message.body.is_some();
         self.cx.traffic.record(cause, addr.ip(), message.len());
         link.queue(id, message);
         let reply = rx.await.unwrap_or(Err(LinkError::Lost));
         guard.disarm();
-        if has_body {
-            // It may have been refused before all of its body was sent.
-            let _ = link.queue.send(Outgoing::Abort(id));
-        }
         reply
     }
 
@@ -429,14 +425,12 @@
         }
         reply => return Ok(reply),
     };
-    let End::Answered(answer) = ran.end else {
+    let End::Answered(mut answer) = ran.end else {
         return Err(BadFrame);
     };
     let end = if let Some(body) = reassembler.take_body(id)? {
-        End::Answered(Arc::new(Answer {
-            body,
-            ..Arc::unwrap_or_clone(answer)
-        }))
+        Arc::make_mut(&mut answer).body = body;
+        End::Answered(answer)
     } else {
         slog::warn!(cx.log, "no memory for an answer"; fields::BYTES => cx.memory.answers.used());
         End::Refused(Refusal::permanent(Reason::LostAnswer))
@@ -457,8 +451,7 @@
         return;
     };
     if let End::Answered(answer) = end {
-        let whole = Answer::clone(answer);
-        let body = whole.body.with_lease(lease);
-        *answer = Arc::new(Answer { body, ..whole });
+        let body = &mut Arc::make_mut(answer).body;
+        *body = mem::take(body).with_lease(lease);
     }
 }
--- a/crates/mesh/src/wire.rs
+++ b/crates/mesh/src/wire.rs
@@ -1,6 +1,7 @@
 //! Messages between daemons. They are sent over [links](crate::link), encoded by `rmp-serde`, which
 //! writes structs as arrays.
 
+use std::mem;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -337,13 +338,7 @@
         let Self::Answered(answer) = self else {
             return None;
         };
-        let body = answer.body.clone();
-        *answer = Arc::new(Answer {
-            status: answer.status,
-            headers: answer.headers.clone(),
-            body: Body::default(),
-        });
-        Some(body)
+        Some(mem::take(&mut Arc::make_mut(answer).body))
     }
 
     /// Whether the target gave an answer that is not a failure.
