Links: a frame is no larger than a chunk

What was seen: 100 connections to the port for daemons that announced a frame of 1 MiB and sent all but its last byte took 109 MB of 64, and 28 MB more were received and not read.

Change: the largest frame is the largest chunk with its header; a link that announces more is closed at once.

Evidence: crowds_at_sidecar::frames_between_daemons_that_stop_short failed on (109 MB) and passes (8 MB); the tests of forwarding and of the other ports pass.

Why it works: what a link holds of an incomplete frame is bounded by what daemons need.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -97,7 +97,7 @@
 pub use statement::{InvalidRateLimit, LimitStatement, RateLimit, TargetStatement};
 pub use target_limiter::{KnownLimit, LimitReport, TargetLimiter};
 pub use throttle::Throttle;
-pub use uplink::{LargeMessage, MessageNumber, Uplink};
+pub use uplink::{LargeMessage, MAX_CHUNK_BYTES, MessageNumber, Uplink};
 pub use zone_room::{
     DemandMeter, LoadReport, RoomBoard, RouteDemand, RouteShares, ServiceRoom, TargetRoom,
     ZoneAdvice, ZoneRoom, advise, route_shares, zone_for,
--- a/crates/calls/src/uplink.rs
+++ b/crates/calls/src/uplink.rs
@@ -39,7 +39,8 @@
 /// Bounds on the size of a chunk. The system calls for a smaller chunk would cost more
 /// than its bytes; with larger ones, answers that are not small would still be sent whole.
 const MIN_CHUNK_BYTES: usize = 4 << 10;
-const MAX_CHUNK_BYTES: usize = 64 << 10;
+/// Largest size of a chunk, whatever the rate of the link.
+pub const MAX_CHUNK_BYTES: usize = 64 << 10;
 
 /// How far chunks may be sent ahead of the link's rate, which compensates for timers that
 /// fire late.
--- a/crates/mesh/src/link/mod.rs
+++ b/crates/mesh/src/link/mod.rs
@@ -26,11 +26,12 @@
 use futures_util::SinkExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use stoatstep_calls::MAX_CHUNK_BYTES;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
-use framing::{Encoded, Outgoing, SendQueue};
+use framing::{CHUNK_HEADER, Encoded, Outgoing, SendQueue};
 
 use crate::wire::{Ask, AskId, CallParts, Reply, ToClient, ToServer};
 
@@ -39,8 +40,9 @@
 pub(crate) use traffic::{Cause, LinkTraffic, Place};
 pub(crate) use uplink::SharedUplink;
 
-/// Largest frame. Daemons split messages into chunks that are far smaller.
-const MAX_FRAME: usize = 1 << 20;
+/// Largest frame: a chunk of a message, and its header. Any program can connect and announce one, so
+/// what a link holds of an incomplete frame has to be small.
+const MAX_FRAME: usize = MAX_CHUNK_BYTES + CHUNK_HEADER;
 
 /// Bodies over this size are sent apart from their messages, and never copied as a whole.
 const MAX_INLINE_BODY: usize = 64 << 10;
--- a/tests/crowds/crowd.rs
+++ b/tests/crowds/crowd.rs
@@ -43,6 +43,8 @@
     Announces { size: u64, sent: usize },
     /// It sends a head of this size but for its end, and waits.
     HeadWithoutEnd(usize),
+    /// It announces a frame between daemons of this size, and sends all but its last byte.
+    FrameWithoutEnd(usize),
     /// It sends nothing.
     Silent,
     /// It begins a body and sends nothing more.
@@ -87,6 +89,11 @@
                 let line = format!("X-Filler: {}\r\n", "x".repeat(1000));
                 stream.write_all(line.repeat(size / line.len()).as_bytes())
             }
+            Self::FrameWithoutEnd(size) => {
+                let len = u32::try_from(size).expect("a size of a frame");
+                stream.write_all(&len.to_be_bytes())?;
+                send_parts(stream, size - 1, PIECE)
+            }
             Self::Silent => Ok(()),
             Self::StopsAtOnce => {
                 stream.write_all(head("/plain/1", &Framing::Stated.field(1000)).as_bytes())?;
--- a/tests/crowds/crowds_at_sidecar.rs
+++ b/tests/crowds/crowds_at_sidecar.rs
@@ -199,6 +199,18 @@
     daemon.ends_within_limits();
 }
 
+/// Guards against frames of other programs at the port for daemons that stop short of their end.
+#[test]
+fn frames_between_daemons_that_stop_short() {
+    check_at(
+        Limited::peers,
+        25,
+        SMALL,
+        100,
+        Misbehaviour::FrameWithoutEnd(MIB),
+    );
+}
+
 /// Guards against a stop that waits for bodies that never end.
 #[test]
 fn a_stop_beside_bodies_that_stop_short() {
